--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+# Targets: build, test, lint, generate, bench, clean. See README.md.
+GO ?= go
+BIN := bin
+VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo dev)
+LDFLAGS := -X github.com/kumquathollow/kumquathollow/internal/version.Version=$(VERSION)
+GOFILES := $(shell find . -name '*.go' -not -name '*.pb.go' -not -path './$(BIN)/*')
+
+.PHONY: build test lint unit generate bench clean
+
+build:
+	$(GO) build -ldflags "$(LDFLAGS)" -o $(BIN)/ ./cmd/...
+
+test: lint unit
+
+lint:
+	@out=$$($(GO) tool gofumpt -l $(GOFILES)); if [ -n "$$out" ]; then echo "gofumpt: run 'make format' for:"; echo "$$out"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+format:
+	$(GO) tool gofumpt -w $(GOFILES)
+
+unit:
+	$(GO) test -race -timeout 15m ./...
+
+# generate needs protoc (Debian package protobuf-compiler); its output is committed.
+generate:
+	mkdir -p $(BIN)/tools
+	$(GO) build -o $(BIN)/tools/ google.golang.org/protobuf/cmd/protoc-gen-go storj.io/drpc/cmd/protoc-gen-go-drpc
+	PATH="$(CURDIR)/$(BIN)/tools:$$PATH" protoc -I api --go_out=. --go_opt=module=github.com/kumquathollow/kumquathollow \
+		--go-drpc_out=. --go-drpc_opt=module=github.com/kumquathollow/kumquathollow $$(find api -name '*.proto')
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./...
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/internal/doc.go
@@ -0,0 +1,2 @@
+// Package internal holds the slices of the fleet, one package per duty.
+package internal
--- /dev/null
+++ b/internal/errkind/error.go
@@ -0,0 +1,88 @@
+package errkind
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc/drpcerr"
+)
+
+// Error is an error with a kind.
+type Error struct {
+	Kind    Kind
+	Message string
+	// RetryAfter is when the caller may try again; zero if the kind gives no time.
+	RetryAfter time.Duration
+	cause      error
+}
+
+// Error returns the kind, the message and the cause.
+func (e *Error) Error() string {
+	s := string(e.Kind) + ": " + e.Message
+	if e.cause != nil {
+		s += ": " + e.cause.Error()
+	}
+	return s
+}
+
+// Unwrap returns the cause, which may be nil.
+func (e *Error) Unwrap() error { return e.cause }
+
+// Code returns the kind's number, by which drpc carries it.
+func (e *Error) Code() uint64 { return Lookup(e.Kind).Code }
+
+// New returns an error of the kind.
+func New(k Kind, format string, args ...any) *Error {
+	return &Error{Kind: k, Message: fmt.Sprintf(format, args...)}
+}
+
+// Wrap returns an error of the kind with a cause.
+func Wrap(cause error, k Kind, format string, args ...any) *Error {
+	return &Error{Kind: k, Message: fmt.Sprintf(format, args...), cause: cause}
+}
+
+// WithRetryAfter sets when the caller may try again.
+func (e *Error) WithRetryAfter(d time.Duration) *Error {
+	e.RetryAfter = d
+	return e
+}
+
+var (
+	byKind = map[Kind]Row{}
+	byCode = map[uint64]Row{}
+)
+
+func init() {
+	for _, r := range Table {
+		byKind[r.Kind] = r
+		byCode[r.Code] = r
+	}
+}
+
+// Lookup returns the kind's row, or Internal's row for a kind not in the table.
+func Lookup(k Kind) Row {
+	if r, ok := byKind[k]; ok {
+		return r
+	}
+	return byKind[Internal]
+}
+
+// Of returns the kind of err, also across a drpc call. It is Internal for an
+// error without a kind, and empty for nil.
+func Of(err error) Kind {
+	if err == nil {
+		return ""
+	}
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	if r, ok := byCode[drpcerr.Code(err)]; ok {
+		return r.Kind
+	}
+	return Internal
+}
+
+// Is reports whether err is of the kind.
+func Is(err error, k Kind) bool { return Of(err) == k }
--- /dev/null
+++ b/internal/rpc/rpc.go
@@ -0,0 +1,92 @@
+package rpc
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcpool"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
+)
+
+const (
+	dialTimeout     = 2 * time.Second
+	idleExpiry      = 2 * time.Minute
+	poolCapacity    = 512
+	poolKeyCapacity = 16
+)
+
+// Listen opens a TCP listener, with TLS if conf is not nil. A taken address
+// gives an error of kind address-in-use.
+func Listen(addr string, conf *tls.Config) (net.Listener, error) {
+	l, err := net.Listen("tcp", addr)
+	if errors.Is(err, syscall.EADDRINUSE) {
+		return nil, errkind.Wrap(err, errkind.AddressInUse, "listen on %s: another process has it; stop it or change the settings", addr)
+	}
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.InvalidSettings, "listen on %s", addr)
+	}
+	if conf != nil {
+		l = tls.NewListener(l, conf)
+	}
+	return l, nil
+}
+
+// Serve answers drpc calls on the listener until ctx ends.
+func Serve(ctx context.Context, l net.Listener, h drpc.Handler) error {
+	return drpcserver.New(h).Serve(ctx, l)
+}
+
+// Dialer gives pooled connections to the fleet's processes. It is safe for
+// concurrent use.
+type Dialer struct {
+	conf *tls.Config
+	pool *drpcpool.Pool[string, drpcpool.Conn]
+}
+
+// NewDialer returns a Dialer; conf is nil for plain TCP.
+func NewDialer(conf *tls.Config) *Dialer {
+	return &Dialer{
+		conf: conf,
+		pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
+			Expiration:  idleExpiry,
+			Capacity:    poolCapacity,
+			KeyCapacity: poolKeyCapacity,
+		}),
+	}
+}
+
+// Conn returns a connection to addr that dials on first use. Closing it returns
+// nothing to the caller; pooled connections end with the Dialer.
+func (d *Dialer) Conn(ctx context.Context, addr string) drpc.Conn {
+	return d.pool.Get(ctx, addr, d.dial)
+}
+
+// Close ends all pooled connections.
+func (d *Dialer) Close() error { return d.pool.Close() }
+
+func (d *Dialer) dial(ctx context.Context, addr string) (drpcpool.Conn, error) {
+	nd := &net.Dialer{Timeout: dialTimeout}
+	raw, err := nd.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.Unreachable, "dial %s", addr)
+	}
+	if d.conf == nil {
+		return drpcconn.New(raw), nil
+	}
+	tc := tls.Client(raw, d.conf)
+	hctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	if err := tc.HandshakeContext(hctx); err != nil {
+		_ = raw.Close()
+		return nil, errkind.Wrap(err, errkind.Unauthenticated, "TLS with %s", addr)
+	}
+	return drpcconn.New(tc), nil
+}
