--- a/internal/deps.go
+++ b/internal/deps.go
@@ -15,10 +15,10 @@
 	_ "github.com/rcrowley/go-metrics"
 	_ "golang.org/x/sync/errgroup"
 	_ "golang.org/x/time/rate"
+	_ "gonum.org/v1/gonum/stat"
 	_ "gonum.org/v1/plot"
 	_ "gonum.org/v1/plot/plotter"
 	_ "gonum.org/v1/plot/vg/draw"
 	_ "gonum.org/v1/plot/vg/vgsvg"
-	_ "gonum.org/v1/gonum/stat"
 	_ "gopkg.in/yaml.v3"
 )
