--- /dev/null
+++ b/internal/config/load.go
@@ -0,0 +1,229 @@
+package config
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"gopkg.in/yaml.v3"
+
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/settings"
+)
+
+// maxFileBytes bounds one file of declarations.
+const maxFileBytes = 16 << 20
+
+// source is where an object was declared.
+type source struct {
+	file string
+	line int
+	// fields maps the path of a field to its line.
+	fields map[string]int
+	// broken is true when the object could not be decoded in full.
+	broken bool
+}
+
+// LoadDir reads the declarations from all files *.yaml and *.yml under the
+// folder at path, or from the one file at path, and checks the set. The error
+// has kind invalid-declarations and lists every fault; see FaultsOf.
+func LoadDir(path string) (*Set, error) {
+	files, err := listFiles(path)
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.InvalidDeclarations, "read declarations")
+	}
+	l := &loader{set: NewSet(Revision{})}
+	l.set.sources = map[Key]source{}
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return nil, errkind.Wrap(err, errkind.InvalidDeclarations, "read declarations")
+		}
+		l.file(file, data)
+	}
+	if len(files) == 0 {
+		l.fault(path, 0, "", "the folder holds no *.yaml files")
+	}
+	return l.finish()
+}
+
+// Parse reads the declarations of one file's content, as LoadDir does.
+func Parse(name string, data []byte) (*Set, error) {
+	l := &loader{set: NewSet(Revision{})}
+	l.set.sources = map[Key]source{}
+	l.file(name, data)
+	return l.finish()
+}
+
+func listFiles(path string) ([]string, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, err
+	}
+	if !info.IsDir() {
+		return []string{path}, nil
+	}
+	var files []string
+	err = filepath.WalkDir(path, func(p string, d fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		hidden := p != path && strings.HasPrefix(d.Name(), ".")
+		if d.IsDir() && hidden {
+			return filepath.SkipDir
+		}
+		ext := filepath.Ext(p)
+		if !d.IsDir() && !hidden && (ext == ".yaml" || ext == ".yml") {
+			files = append(files, p)
+		}
+		return nil
+	})
+	sort.Strings(files)
+	return files, err
+}
+
+// loader gathers objects and faults over all files.
+type loader struct {
+	set    *Set
+	faults settings.Faults
+}
+
+func (l *loader) fault(file string, line int, object, format string, args ...any) {
+	l.faults = append(l.faults, settings.Fault{File: file, Line: line, Object: object, Message: fmt.Sprintf(format, args...)})
+}
+
+// finish adds the faults of the set as a whole.
+func (l *loader) finish() (*Set, error) {
+	l.faults = append(l.faults, l.set.check()...)
+	if len(l.faults) == 0 {
+		return l.set, nil
+	}
+	return nil, invalid(l.faults)
+}
+
+func (l *loader) file(name string, data []byte) {
+	if len(data) > maxFileBytes {
+		l.fault(name, 0, "", "the file is over %d bytes; split it", maxFileBytes)
+		return
+	}
+	dec := yaml.NewDecoder(bytes.NewReader(data))
+	for {
+		var doc yaml.Node
+		err := dec.Decode(&doc)
+		if errors.Is(err, io.EOF) {
+			return
+		}
+		if err != nil {
+			f := settings.SyntaxFault(err)
+			f.File = name
+			l.faults = append(l.faults, f)
+			return
+		}
+		if len(doc.Content) == 1 && doc.Content[0].Tag != "!!null" {
+			l.document(name, doc.Content[0])
+		}
+	}
+}
+
+// document adds the object of one document.
+func (l *loader) document(file string, n *yaml.Node) {
+	if n.Kind != yaml.MappingNode {
+		l.fault(file, n.Line, "", "a document is a mapping of fields that begins with kind")
+		return
+	}
+	kind, rest := splitKind(n)
+	if kind == nil {
+		l.fault(file, n.Line, "", "the field kind is missing; give one of %s", strings.Join(kinds, ", "))
+		return
+	}
+	o := newObject(kind.Value)
+	if o == nil {
+		l.fault(file, kind.Line, "", "unknown kind %q; give one of %s", kind.Value, strings.Join(kinds, ", "))
+		return
+	}
+	faults := settings.Decode(rest, o)
+	k := o.key()
+	for _, f := range faults {
+		f.File, f.Object = file, k.String()
+		l.faults = append(l.faults, f)
+	}
+	if k.Name == "" {
+		if len(faults) == 0 {
+			l.fault(file, n.Line, kind.Value, "the field name is missing")
+		}
+		return
+	}
+	if first, ok := l.set.sources[k]; ok {
+		l.fault(file, n.Line, k.String(), "declared twice; first in %s:%d; remove or rename one", first.file, first.line)
+		return
+	}
+	src := source{file: file, line: n.Line, fields: map[string]int{}, broken: len(faults) > 0}
+	noteLines(rest, "", src.fields)
+	l.set.sources[k] = src
+	l.set.put(o)
+}
+
+// splitKind returns the value of the field kind, and the mapping without it.
+func splitKind(n *yaml.Node) (kind, rest *yaml.Node) {
+	c := *n
+	c.Content = nil
+	for i := 0; i+1 < len(n.Content); i += 2 {
+		if n.Content[i].Value == "kind" && kind == nil {
+			kind = n.Content[i+1]
+			continue
+		}
+		c.Content = append(c.Content, n.Content[i], n.Content[i+1])
+	}
+	return kind, &c
+}
+
+// noteLines records the line of each field by its path.
+func noteLines(n *yaml.Node, path string, lines map[string]int) {
+	switch n.Kind {
+	case yaml.MappingNode:
+		for i := 0; i+1 < len(n.Content); i += 2 {
+			p := n.Content[i].Value
+			if path != "" {
+				p = path + "." + p
+			}
+			lines[p] = n.Content[i].Line
+			noteLines(n.Content[i+1], p, lines)
+		}
+	case yaml.SequenceNode:
+		for i, c := range n.Content {
+			p := fmt.Sprintf("%s[%d]", path, i)
+			lines[p] = c.Line
+			noteLines(c, p, lines)
+		}
+	}
+}
+
+// invalid returns the faults as an error of kind invalid-declarations.
+func invalid(fs settings.Faults) error {
+	sort.SliceStable(fs, func(i, j int) bool {
+		if fs[i].File != fs[j].File {
+			return fs[i].File < fs[j].File
+		}
+		return fs[i].Line < fs[j].Line
+	})
+	word := "faults"
+	if len(fs) == 1 {
+		word = "fault"
+	}
+	return errkind.Wrap(fs, errkind.InvalidDeclarations, "%d %s", len(fs), word)
+}
+
+// FaultsOf returns the faults that an error of LoadDir or Check lists.
+func FaultsOf(err error) settings.Faults {
+	var fs settings.Faults
+	if errors.As(err, &fs) {
+		return fs
+	}
+	return nil
+}
--- a/internal/config/types.go
+++ b/internal/config/types.go
@@ -39,6 +39,11 @@
 	BackendServers map[string]*BackendServer
 	Workspaces     map[string]*Workspace
 	Policies       map[string]*Policy
+
+	// filled is true when all defaults are filled in.
+	filled bool
+	// sources says where each object was declared; nil if not from files.
+	sources map[Key]source
 }
 
 // State says whether an object takes new work.
--- /dev/null
+++ b/internal/keys/identity.go
@@ -0,0 +1,77 @@
+package keys
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"net/url"
+
+	"storj.io/drpc/drpcctx"
+
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
+)
+
+// Roles that a certificate can give.
+const (
+	RoleRouter   = "router"
+	RoleControl  = "control"
+	RoleOperator = "operator"
+)
+
+// uriScheme is the scheme of the URI that names a certificate's holder.
+const uriScheme = "kq"
+
+// ValidRole reports whether role is one that a certificate can give.
+func ValidRole(role string) bool {
+	return role == RoleRouter || role == RoleControl || role == RoleOperator
+}
+
+// identityURI returns the URI that names a holder.
+func identityURI(role, name string) *url.URL {
+	return &url.URL{Scheme: uriScheme, Host: role, Path: "/" + name}
+}
+
+// Identity returns the name and the role of a certificate's holder.
+func Identity(cert *x509.Certificate) (name, role string, err error) {
+	for _, u := range cert.URIs {
+		if u.Scheme != uriScheme || !ValidRole(u.Host) || len(u.Path) < 2 {
+			continue
+		}
+		return u.Path[1:], u.Host, nil
+	}
+	return "", "", errkind.New(errkind.Unauthenticated, "the certificate of %q names no role; issue one with kqctl keys issue", cert.Subject.CommonName)
+}
+
+// Peer returns the identity that the other side of a drpc call has proved. ok
+// is false for a connection without TLS.
+func Peer(ctx context.Context) (name, role string, ok bool) {
+	tr, found := drpcctx.Transport(ctx)
+	if !found {
+		return "", "", false
+	}
+	conn, found := tlsConn(tr)
+	if !found {
+		return "", "", false
+	}
+	certs := conn.ConnectionState().PeerCertificates
+	if len(certs) == 0 {
+		return "", "", false
+	}
+	name, role, err := Identity(certs[0])
+	return name, role, err == nil
+}
+
+// tlsConn finds the TLS connection in a transport that may be wrapped.
+func tlsConn(tr any) (*tls.Conn, bool) {
+	for {
+		switch v := tr.(type) {
+		case *tls.Conn:
+			return v, true
+		case interface{ NetConn() net.Conn }:
+			tr = v.NetConn()
+		default:
+			return nil, false
+		}
+	}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,74 @@
+package settings
+
+import (
+	"bytes"
+	"io"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"gopkg.in/yaml.v3"
+
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
+)
+
+// maxFileBytes bounds a settings file.
+const maxFileBytes = 1 << 20
+
+// TLS names the files of a process's identity. All three are set, or none.
+type TLS struct {
+	// CA is the file with the certificates of the fleet's authority, PEM.
+	CA string `yaml:"ca,omitempty"`
+	// Cert is the file with the process's certificate, PEM.
+	Cert string `yaml:"cert,omitempty"`
+	// Key is the file with the process's private key, PEM.
+	Key string `yaml:"key,omitempty"`
+}
+
+// Enabled reports whether any file is named.
+func (t TLS) Enabled() bool { return t.CA != "" || t.Cert != "" || t.Key != "" }
+
+// Log says what a process logs and how.
+type Log struct {
+	// Level is trace, debug, info, warn or error; default info.
+	Level string `yaml:"level,omitempty"`
+	// Format is text or json; default text.
+	Format string `yaml:"format,omitempty"`
+}
+
+// Load reads the YAML file at path into the struct that into points to. The
+// error has kind invalid-settings and lists every fault.
+func Load(path string, into any) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return errkind.Wrap(err, errkind.InvalidSettings, "read settings")
+	}
+	if len(data) > maxFileBytes {
+		return errkind.New(errkind.InvalidSettings, "%s: the file is over %d bytes", path, maxFileBytes)
+	}
+	if faults := decodeSingle(data, into); len(faults) > 0 {
+		for i := range faults {
+			faults[i].File = path
+		}
+		return errkind.Wrap(faults, errkind.InvalidSettings, "%s", path)
+	}
+	return nil
+}
+
+// decodeSingle decodes data that must hold exactly one document.
+func decodeSingle(data []byte, into any) Faults {
+	dec := yaml.NewDecoder(bytes.NewReader(data))
+	var doc yaml.Node
+	err := dec.Decode(&doc)
+	if errors.Is(err, io.EOF) {
+		return Faults{{Line: 1, Message: "the file is empty"}}
+	}
+	if err != nil {
+		return Faults{SyntaxFault(err)}
+	}
+	faults := Decode(&doc, into)
+	var next yaml.Node
+	if err := dec.Decode(&next); !errors.Is(err, io.EOF) {
+		faults = append(faults, Fault{Line: next.Line, Message: "the file holds more than one document; settings are one"})
+	}
+	return faults
+}
