Serve metrics, health and readiness; add two error kinds

Processes share one way to log and to be asked by the platform's balancer. The kinds backend-lost and start-too-late separate a connection that broke after sending from one that could not begin in its permit's window.

--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -56,6 +56,8 @@
 	Unreachable         Kind = "unreachable"
 	AddressInUse        Kind = "address-in-use"
 	PromiseBroken       Kind = "promise-broken"
+	BackendLost         Kind = "backend-lost"
+	StartTooLate        Kind = "start-too-late"
 )
 
 // Outcome states whether a request ran.
@@ -164,4 +166,6 @@
 	{Unreachable, 43, http.StatusServiceUnavailable, NotRun, RetryLater, hclog.Warn, ExitUnreachable, "The process asked could not be reached; nothing was sent."},
 	{AddressInUse, 44, http.StatusInternalServerError, NotRun, RetryNever, hclog.Error, ExitFailed, "The address to listen on is taken by another process."},
 	{PromiseBroken, 45, http.StatusInternalServerError, Unknown, RetryNever, hclog.Error, ExitFailed, "A check found one of the system's promises broken."},
+	{BackendLost, 46, http.StatusBadGateway, Unknown, RetrySameKey, hclog.Warn, ExitFailed, "The connection to the backend server broke after the request was sent."},
+	{StartTooLate, 47, http.StatusServiceUnavailable, NotRun, RetryLater, hclog.Warn, ExitFailed, "The permit's start window passed before the first byte could be sent."},
 }
--- a/internal/registry/announcement.go
+++ b/internal/registry/announcement.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/netip"
+	"strings"
 
 	"github.com/kumquathollow/kumquathollow/api/grantpb"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
@@ -15,6 +16,8 @@
 	maxNameBytes     = 128
 	maxListEntries   = 256
 	maxCapacity      = 1 << 20
+	// reservedInNames separate the names within request ids and paths.
+	reservedInNames = "~/?#%\\\""
 )
 
 // Announcement is the JSON body of POST /v1/announce.
@@ -75,6 +78,9 @@
 		if err := checkName(f.field, f.value); err != nil {
 			return err
 		}
+		if strings.ContainsAny(f.value, reservedInNames) {
+			return errkind.New(errkind.BadRequest, "%s may not hold any of %s", f.field, reservedInNames)
+		}
 	}
 	if _, err := netip.ParseAddrPort(a.Address); err != nil {
 		return errkind.Wrap(err, errkind.BadRequest, "address must be IP:port, not %q", clip(a.Address))
--- /dev/null
+++ b/internal/telemetry/ready.go
@@ -0,0 +1,83 @@
+package telemetry
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"sync"
+)
+
+// Readiness collects the reasons for which a process wants no new work. It is
+// ready when there are none. It is safe for concurrent use.
+type Readiness struct {
+	mu      sync.Mutex
+	reasons map[string]struct{}
+}
+
+// NewReadiness returns a Readiness that starts with the given reasons against.
+func NewReadiness(reasons ...string) *Readiness {
+	r := &Readiness{reasons: map[string]struct{}{}}
+	for _, reason := range reasons {
+		r.reasons[reason] = struct{}{}
+	}
+	return r
+}
+
+// Set adds the reason, or removes it when holds is false.
+func (r *Readiness) Set(reason string, holds bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if holds {
+		r.reasons[reason] = struct{}{}
+		return
+	}
+	delete(r.reasons, reason)
+}
+
+// Reasons returns the reasons against new work, sorted; empty when ready.
+func (r *Readiness) Reasons() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]string, 0, len(r.reasons))
+	for reason := range r.reasons {
+		out = append(out, reason)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Ready reports whether the process wants new work.
+func (r *Readiness) Ready() bool { return len(r.Reasons()) == 0 }
+
+// Handler answers 200 when ready, else 503 with the reasons as JSON.
+func (r *Readiness) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		reasons := r.Reasons()
+		w.Header().Set("Content-Type", "application/json")
+		w.Header().Set("Cache-Control", "no-store")
+		if len(reasons) > 0 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		_ = json.NewEncoder(w).Encode(readyBody{Ready: len(reasons) == 0, Reasons: reasons})
+	})
+}
+
+type readyBody struct {
+	Ready   bool     `json:"ready"`
+	Reasons []string `json:"reasons,omitempty"`
+}
+
+// healthHandler answers 200 as long as the process runs.
+func healthHandler(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write([]byte("{\"healthy\":true}\n"))
+}
+
+// AdminHandler serves GET /metrics, /healthz and /readyz.
+func AdminHandler(reg *Registry, ready *Readiness) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", reg.Handler())
+	mux.HandleFunc("GET /healthz", healthHandler)
+	mux.Handle("GET /readyz", ready.Handler())
+	return mux
+}
--- /dev/null
+++ b/internal/telemetry/telemetry_test.go
@@ -0,0 +1,60 @@
+package telemetry
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/kumquathollow/kumquathollow/internal/settings"
+)
+
+func get(h http.Handler, path string) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, path, nil))
+	return w
+}
+
+func TestReadinessFollowsItsReasons(t *testing.T) {
+	ready := NewReadiness("no configuration")
+	h := AdminHandler(NewRegistry(), ready)
+	if w := get(h, "/readyz"); w.Code != http.StatusServiceUnavailable || !strings.Contains(w.Body.String(), "no configuration") {
+		t.Errorf("with a reason: %d %s", w.Code, w.Body)
+	}
+	ready.Set("no configuration", false)
+	if w := get(h, "/readyz"); w.Code != http.StatusOK {
+		t.Errorf("without a reason: %d", w.Code)
+	}
+	if w := get(h, "/healthz"); w.Code != http.StatusOK {
+		t.Errorf("health: %d", w.Code)
+	}
+}
+
+func TestMetricsAreServedAsJSON(t *testing.T) {
+	reg := NewRegistry()
+	reg.Counter("requests").Inc(3)
+	reg.Histogram("wait_us").Update(7)
+	var got map[string]map[string]any
+	if err := json.Unmarshal(get(reg.Handler(), "/metrics").Body.Bytes(), &got); err != nil {
+		t.Fatal(err)
+	}
+	if got["requests"]["count"] != float64(3) || got["wait_us"]["max"] != float64(7) {
+		t.Errorf("metrics = %v", got)
+	}
+}
+
+func TestLoggerFormatAndLevel(t *testing.T) {
+	var out bytes.Buffer
+	log := newLogger("kqrouter", settings.Log{Level: "warn", Format: FormatJSON}, &out)
+	log.Info("dropped")
+	log.Warn("kept", "n", 1)
+	var line map[string]any
+	if err := json.Unmarshal(out.Bytes(), &line); err != nil {
+		t.Fatalf("not one JSON line: %q", out.String())
+	}
+	if line["@message"] != "kept" || line["@module"] != "kqrouter" {
+		t.Errorf("line = %v", line)
+	}
+}
