Add recorded traces and their seeded generator

The demo and the checks replay what callers sent. A record holds sizes and names, and the texts are a function of them, so that a returning chat repeats its prefix byte for byte while the file stays small. Lengths have a heavy tail, workspaces differ in size, and calls that may not be repeated are resent with their key.

--- /dev/null
+++ b/internal/trace/trace_test.go
@@ -0,0 +1,100 @@
+package trace
+
+import (
+	"bytes"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/kumquathollow/kumquathollow/internal/standin"
+)
+
+func TestGenerateIsAFunctionOfTheSeed(t *testing.T) {
+	for name, p := range Profiles() {
+		a, b, c := Generate(p, 1), Generate(p, 1), Generate(p, 2)
+		if !reflect.DeepEqual(a, b) {
+			t.Errorf("%s: equal seeds give different traces", name)
+		}
+		if reflect.DeepEqual(a, c) {
+			t.Errorf("%s: different seeds give equal traces", name)
+		}
+	}
+}
+
+func TestTraceHasTheShapeOfItsProfile(t *testing.T) {
+	p := Profiles()["maracas"]
+	kinds, resends, returns := map[Kind]int{}, 0, 0
+	workspaces, keys := map[string]int{}, map[string]Record{}
+	records := Generate(p, 1)
+	for _, r := range records {
+		kinds[r.Kind]++
+		workspaces[r.Workspace]++
+		if len(r.Messages) > 2 {
+			returns++
+		}
+		if r.Kind != Once {
+			continue
+		}
+		first, seen := keys[r.Key]
+		if seen != r.Resend {
+			t.Fatalf("key %s: seen %v, resend %v", r.Key, seen, r.Resend)
+		}
+		if seen {
+			resends++
+			a, _ := first.Body()
+			b, _ := r.Body()
+			if !bytes.Equal(a, b) {
+				t.Fatalf("key %s: the resend differs", r.Key)
+			}
+		}
+		keys[r.Key] = r
+	}
+	want := p.Rate * p.Duration.Seconds()
+	if n := float64(len(records)); n < want*0.9 || n > want*1.2 {
+		t.Errorf("%v records, want about %v", n, want)
+	}
+	if kinds[Model] < kinds[Lookup] || kinds[Once] == 0 || resends == 0 || returns < kinds[Model]/2 {
+		t.Errorf("kinds %v, resends %d, returns %d", kinds, resends, returns)
+	}
+	if len(workspaces) != 10 || workspaces[p.Workspaces[0]] < 3*workspaces[p.Workspaces[9]] {
+		t.Errorf("workspaces %v", workspaces)
+	}
+}
+
+func TestReturningChatRepeatsItsPrefix(t *testing.T) {
+	first := Record{Workspace: "w", Chat: "c", Messages: []int{64, 40}}
+	second := Record{Workspace: "w", Chat: "c", Messages: []int{64, 40, 30, 20}}
+	other := Record{Workspace: "w", Chat: "d", Messages: []int{64, 40}}
+	prompt := func(r Record) []byte { return standin.ModelBody{Messages: r.texts()}.Prompt() }
+	if !bytes.HasPrefix(prompt(second), prompt(first)) {
+		t.Error("a returning chat does not repeat its messages")
+	}
+	const system = 64 * standin.BytesPerToken
+	if !bytes.Equal(prompt(other)[:system], prompt(first)[:system]) || bytes.Equal(prompt(other), prompt(first)) {
+		t.Error("chats of a workspace must share the system prompt and nothing else")
+	}
+}
+
+func TestWriteAndRead(t *testing.T) {
+	want := Generate(Profiles()["brinco"], 3)
+	var b bytes.Buffer
+	if err := Write(&b, want); err != nil {
+		t.Fatal(err)
+	}
+	got, err := Read(&b)
+	if err != nil || !reflect.DeepEqual(got, want) {
+		t.Fatalf("%d records read, %v; want %d", len(got), err, len(want))
+	}
+}
+
+func TestReadRefuses(t *testing.T) {
+	for name, in := range map[string]string{
+		"unknown field": `{"at":1,"kind":"model","workspace":"w","path":"/","colour":1}`,
+		"not ordered":   "{\"at\":2,\"kind\":\"lookup\",\"workspace\":\"w\",\"path\":\"/\"}\n{\"at\":1,\"kind\":\"lookup\",\"workspace\":\"w\",\"path\":\"/\"}",
+		"not JSON":      "at 1",
+	} {
+		if _, err := Read(strings.NewReader(in)); err == nil {
+			t.Errorf("%s: accepted", name)
+		}
+	}
+}
