--- a/internal/standin/announce.go
+++ b/internal/standin/announce.go
@@ -38,13 +38,13 @@
 	now := time.Now()
 	load := s.engine.Report(now)
 	s.sequence++
-	g := s.conf.Group
+	g, p := s.conf.Group, s.conf.Profile
 	return Announcement{
 		Name: s.conf.Name, Service: g.Service, DataCentre: g.DataCentre, Address: s.conf.Address,
 		Incarnation: s.incarnation, State: s.noteState(now),
-		Capacity: g.Capacity, ColdCapacity: g.ColdCapacity, Models: g.Models, Adapters: g.Adapters,
+		Capacity: p.Capacity, ColdCapacity: p.ColdCapacity, Models: p.Models, Adapters: p.Adapters,
 		Running: load.Running, Queued: load.Queued, MeasuredMsAgo: load.Age.Milliseconds(),
-		Sequence: s.sequence, ChecksFence: g.ChecksFence, CacheTokens: g.CacheTokens,
+		Sequence: s.sequence, ChecksFence: p.ChecksFence, CacheTokens: p.CacheTokens,
 	}
 }
 
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -47,7 +47,7 @@
 		refuse(w, c, http.StatusBadRequest)
 		return
 	}
-	if s.conf.Group.ChecksFence && c.key != "" && s.fenced(w, r, c) {
+	if s.conf.Profile.ChecksFence && c.key != "" && s.fenced(w, r, c) {
 		return
 	}
 	c.fault = s.injector.Draw()
@@ -65,7 +65,7 @@
 	}
 	buf := s.begin(c)
 	if c.fault == FaultLate {
-		sleepUntil(r.Context(), time.Now().Add(s.conf.Group.Faults.LateBy))
+		sleepUntil(r.Context(), time.Now().Add(s.conf.Profile.Faults.LateBy))
 	}
 	echo := c.attempt
 	if c.fault == FaultCross {
@@ -101,7 +101,7 @@
 	}
 	c.Body = body
 	c.answer = Answer(c.Request)
-	if s.conf.Group.Type != TypeModel || r.Method != http.MethodPost {
+	if s.conf.Profile.Type != TypeModel || r.Method != http.MethodPost {
 		return c, nil
 	}
 	var b ModelBody
@@ -159,7 +159,7 @@
 func (s *Server) writeWhole(w http.ResponseWriter, r *http.Request, c call, buf *buffer) {
 	p, ok, err := buf.wait(r.Context())
 	if err != nil {
-		if s.conf.Group.Type == TypeModel {
+		if s.conf.Profile.Type == TypeModel {
 			buf.cancel()
 		}
 		panic(http.ErrAbortHandler)
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -59,9 +59,9 @@
 	s := &Server{
 		conf:        conf,
 		ledger:      ledger,
-		injector:    NewInjector(conf.Group.Faults, conf.Seed),
+		injector:    NewInjector(conf.Profile.Faults, conf.Seed),
 		incarnation: uuid.NewString(),
-		engine:      NewEngine(conf.Group.engine(conf.Seed), time.Now()),
+		engine:      NewEngine(conf.Profile.engine(conf.Seed), time.Now()),
 		starts:      map[string]chan Plan{},
 		streams:     map[string]*kept{},
 		attempts:    map[string]*attempt{},
@@ -112,8 +112,8 @@
 	e.Service = s.conf.Group.Service
 	e.DataCentre = s.conf.Group.DataCentre
 	e.Incarnation = s.incarnation
-	e.Capacity = s.conf.Group.Capacity
-	e.ColdCapacity = s.conf.Group.ColdCapacity
+	e.Capacity = s.conf.Profile.Capacity
+	e.ColdCapacity = s.conf.Profile.ColdCapacity
 	s.ledger.Add(e)
 }
 
@@ -226,7 +226,7 @@
 	if o == RunCompleted {
 		at.state = AttemptCompleted
 	}
-	at.expires = now.Add(s.conf.Group.Retention)
+	at.expires = now.Add(s.conf.Profile.Retention)
 	k.expires = at.expires
 }
 
--- a/internal/standin/server_test.go
+++ b/internal/standin/server_test.go
@@ -11,16 +11,16 @@
 	"time"
 )
 
-func testServer(t *testing.T, change func(*Group)) (*Server, string) {
+func testServer(t *testing.T, change func(*Profile)) (*Server, string) {
 	t.Helper()
-	g := Group{
-		Service: "runners", DataCentre: "a", Type: TypeModel, Capacity: 4, ColdCapacity: 4,
+	g := Profile{
+		Type: TypeModel, Capacity: 4, ColdCapacity: 4,
 		TokenInterval: time.Millisecond, CacheTokens: 4096, Retention: time.Minute,
 	}
 	if change != nil {
 		change(&g)
 	}
-	s := NewServer(ServerConfig{Name: "s1", Group: g, Seed: 3}, NewLedger(nil))
+	s := NewServer(ServerConfig{Name: "s1", Group: Group{Service: "runners", DataCentre: "a"}, Profile: g, Seed: 3}, NewLedger(nil))
 	ts := httptest.NewServer(s.Handler())
 	t.Cleanup(ts.Close)
 	return s, ts.URL
@@ -86,7 +86,7 @@
 }
 
 func TestCancelEndsARun(t *testing.T) {
-	s, url := testServer(t, func(g *Group) { g.TokenInterval = time.Hour })
+	s, url := testServer(t, func(g *Profile) { g.TokenInterval = time.Hour })
 	done := make(chan error, 1)
 	go func() {
 		_, _, err := send(t, "POST", url+"/v1/chat/completions", modelBody("c1", true, 4), map[string]string{HeaderRequest: "r1"})
@@ -131,7 +131,7 @@
 		}, 1},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			s, url := testServer(t, func(g *Group) { g.Faults = tc.faults })
+			s, url := testServer(t, func(g *Profile) { g.Faults = tc.faults })
 			resp, p, err := send(t, "POST", url+"/v1/chat/completions", body, map[string]string{HeaderAttempt: "a1"})
 			if !tc.check(resp, p, err) {
 				t.Fatalf("answer %q, %v", p, err)
@@ -144,7 +144,7 @@
 }
 
 func TestOverloadedColdServerFailsItsRuns(t *testing.T) {
-	s, url := testServer(t, func(g *Group) {
+	s, url := testServer(t, func(g *Profile) {
 		g.ColdCapacity, g.ColdTime, g.ColdSlowdown, g.FallTime = 0, time.Hour, 10, time.Hour
 	})
 	resp, _, _ := send(t, "POST", url+"/v1/chat/completions", modelBody("c1", false, 2), nil)
@@ -158,7 +158,7 @@
 }
 
 func TestPlainServerChecksFenceAndAnswersOfAttempts(t *testing.T) {
-	s, url := testServer(t, func(g *Group) { g.Type, g.ChecksFence = TypePlain, true })
+	s, url := testServer(t, func(g *Profile) { g.Type, g.ChecksFence = TypePlain, true })
 	confirm := func(attempt, fence string) *http.Response {
 		resp, _, err := send(t, "POST", url+"/v1/entries/confirm", []byte(`{"entry":1}`), map[string]string{HeaderKey: "k1", HeaderAttempt: attempt, HeaderFence: fence})
 		if err != nil {
@@ -196,7 +196,8 @@
 	conf := Settings{
 		Announce:  []string{"127.0.0.1:1", router.Listener.Addr().String()},
 		Heartbeat: 10 * time.Millisecond,
-		Groups:    []Group{{Prefix: "runner", Count: 2, Service: "runners", DataCentre: "a", Address: "127.0.0.1:0", Type: TypeModel, Capacity: 3}},
+		Profiles:  map[string]Profile{"runner": {Type: TypeModel, Capacity: 3}},
+		Groups:    []Group{{Prefix: "runner", Count: 2, Service: "runners", DataCentre: "a", Address: "127.0.0.1:0", Profile: "runner"}},
 	}
 	p, err := Start(conf, testLog())
 	if err != nil {
--- a/internal/standin/settings.go
+++ b/internal/standin/settings.go
@@ -3,13 +3,11 @@
 import (
 	"fmt"
 	"net"
-	"os"
 	"strconv"
 	"time"
 
-	"gopkg.in/yaml.v3"
-
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/settings"
 )
 
 // Settings are those of one kqstandin process.
@@ -28,6 +26,8 @@
 	Heartbeat time.Duration `yaml:"heartbeat"`
 	// LogLevel defaults to info.
 	LogLevel string `yaml:"logLevel"`
+	// Profiles holds what servers are like, by name.
+	Profiles map[string]Profile `yaml:"profiles"`
 	// Groups lists the servers to run.
 	Groups []Group `yaml:"groups"`
 }
@@ -41,9 +41,14 @@
 	DataCentre string `yaml:"dataCentre"`
 	// Address is that of the first server; the port rises by one per server.
 	Address string `yaml:"address"`
-	// Type is model or plain.
-	Type string `yaml:"type"`
+	// Profile names the profile of the servers.
+	Profile string `yaml:"profile"`
+}
 
+// Profile says what a server is like. EngineConfig explains the fields that it shares.
+type Profile struct {
+	// Type is model or plain.
+	Type        string   `yaml:"type"`
 	Models      []string `yaml:"models"`
 	Adapters    []string `yaml:"adapters"`
 	ChecksFence bool     `yaml:"checksFence"`
@@ -83,6 +88,7 @@
 	Name    string
 	Address string
 	Group   Group
+	Profile Profile
 	Seed    uint64
 }
 
@@ -99,17 +105,19 @@
 		if err != nil {
 			return nil, errkind.Wrap(err, errkind.InvalidSettings, "groups[%d].address", i)
 		}
-		if g.Count < 1 || g.Capacity < 1 || (g.Type != TypeModel && g.Type != TypePlain) {
-			return nil, errkind.New(errkind.InvalidSettings, "groups[%d]: count and capacity must be at least 1 and type model or plain", i)
+		profile, err := s.profile(g.Profile)
+		if err != nil {
+			return nil, err
 		}
-		if g.Retention == 0 {
-			g.Retention = defaultRetention
+		if g.Count < 1 {
+			return nil, errkind.New(errkind.InvalidSettings, "groups[%d].count must be at least 1", i)
 		}
 		for n := range g.Count {
 			c := ServerConfig{
 				Name:    fmt.Sprintf("%s-%02d", g.Prefix, n+1),
 				Address: net.JoinHostPort(host, strconv.Itoa(portOf(port, n))),
 				Group:   g,
+				Profile: profile,
 				Seed:    s.Seed + uint64(len(out)) + 1,
 			}
 			if seen[c.Name] {
@@ -122,6 +130,20 @@
 	return out, nil
 }
 
+func (s Settings) profile(name string) (Profile, error) {
+	p, ok := s.Profiles[name]
+	if !ok {
+		return p, errkind.New(errkind.InvalidSettings, "no profile is named %q", name)
+	}
+	if p.Capacity < 1 || (p.Type != TypeModel && p.Type != TypePlain) {
+		return p, errkind.New(errkind.InvalidSettings, "profiles.%s: capacity must be at least 1 and type model or plain", name)
+	}
+	if p.Retention == 0 {
+		p.Retention = defaultRetention
+	}
+	return p, nil
+}
+
 // portOf keeps port 0, which lets the system choose.
 func portOf(first, n int) int {
 	if first == 0 {
@@ -130,21 +152,21 @@
 	return first + n
 }
 
-func (g Group) engine(seed uint64) EngineConfig {
+func (p Profile) engine(seed uint64) EngineConfig {
 	return EngineConfig{
-		Capacity:        g.Capacity,
-		ColdCapacity:    g.ColdCapacity,
-		ColdTime:        g.ColdTime,
-		ColdSlowdown:    g.ColdSlowdown,
-		FallTime:        g.FallTime,
-		BatchInterval:   g.BatchInterval,
-		PrefillPerToken: g.PrefillPerToken,
-		TokenInterval:   g.TokenInterval,
-		BatchSlowdown:   g.BatchSlowdown,
-		CacheTokens:     g.CacheTokens,
-		ReportLag:       g.ReportLag,
-		EventDelay:      g.EventDelay,
-		EventLoss:       g.EventLoss,
+		Capacity:        p.Capacity,
+		ColdCapacity:    p.ColdCapacity,
+		ColdTime:        p.ColdTime,
+		ColdSlowdown:    p.ColdSlowdown,
+		FallTime:        p.FallTime,
+		BatchInterval:   p.BatchInterval,
+		PrefillPerToken: p.PrefillPerToken,
+		TokenInterval:   p.TokenInterval,
+		BatchSlowdown:   p.BatchSlowdown,
+		CacheTokens:     p.CacheTokens,
+		ReportLag:       p.ReportLag,
+		EventDelay:      p.EventDelay,
+		EventLoss:       p.EventLoss,
 		Seed:            seed,
 	}
 }
@@ -155,15 +177,8 @@
 	if path == "" {
 		return s, errkind.New(errkind.Usage, "name the settings file with -c")
 	}
-	f, err := os.Open(path)
-	if err != nil {
-		return s, errkind.Wrap(err, errkind.InvalidSettings, "settings file")
-	}
-	defer func() { _ = f.Close() }()
-	d := yaml.NewDecoder(f)
-	d.KnownFields(true)
-	if err := d.Decode(&s); err != nil {
-		return s, errkind.Wrap(err, errkind.InvalidSettings, "%s", path)
+	if err := settings.Load(path, &s); err != nil {
+		return s, err
 	}
 	if s.LogLevel == "" {
 		s.LogLevel = "info"
