--- a/internal/config/change.go
+++ b/internal/config/change.go
@@ -45,12 +45,13 @@
 func (s *Set) Apply(rev Revision, upserts []*controlpb.Object, deletes []*controlpb.ObjectKey) (*Set, error) {
 	next := &Set{
 		Revision:       rev,
-		DataCentres:    maps.Clone(s.DataCentres),
-		Services:       maps.Clone(s.Services),
-		BackendServers: maps.Clone(s.BackendServers),
-		Workspaces:     maps.Clone(s.Workspaces),
-		Policies:       maps.Clone(s.Policies),
+		DataCentres:    s.DataCentres,
+		Services:       s.Services,
+		BackendServers: s.BackendServers,
+		Workspaces:     s.Workspaces,
+		Policies:       s.Policies,
 	}
+	next.own(touched(upserts, deletes))
 	for _, k := range deletes {
 		next.remove(Key{k.Kind, k.Name})
 	}
@@ -64,6 +65,37 @@
 	return next, nil
 }
 
+// touched returns the kinds of which objects change.
+func touched(upserts []*controlpb.Object, deletes []*controlpb.ObjectKey) map[string]bool {
+	kinds := map[string]bool{}
+	for _, w := range upserts {
+		kinds[w.Kind] = true
+	}
+	for _, k := range deletes {
+		kinds[k.Kind] = true
+	}
+	return kinds
+}
+
+// own gives the set its own maps for the kinds; the other maps stay shared.
+func (s *Set) own(kinds map[string]bool) {
+	if kinds[KindDataCentre] {
+		s.DataCentres = maps.Clone(s.DataCentres)
+	}
+	if kinds[KindService] {
+		s.Services = maps.Clone(s.Services)
+	}
+	if kinds[KindBackendServer] {
+		s.BackendServers = maps.Clone(s.BackendServers)
+	}
+	if kinds[KindWorkspace] {
+		s.Workspaces = maps.Clone(s.Workspaces)
+	}
+	if kinds[KindPolicy] {
+		s.Policies = maps.Clone(s.Policies)
+	}
+}
+
 // Diff returns the changes that turn a into b, in the order of Objects. Objects
 // that both sets share cost a comparison of pointers only.
 func Diff(a, b *Set) (upserts []*controlpb.Object, deletes []*controlpb.ObjectKey, err error) {
--- /dev/null
+++ b/internal/distribution/store.go
@@ -0,0 +1,99 @@
+package distribution
+
+import (
+	"encoding/binary"
+	"io"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/cockroachdb/errors/oserror"
+	"github.com/cockroachdb/pebble/v2/vfs"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/kumquathollow/kumquathollow/api/controlpb"
+	"github.com/kumquathollow/kumquathollow/internal/config"
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
+)
+
+const (
+	storeFile     = "configuration"
+	storeTempFile = "configuration.tmp"
+	checksumBytes = 8
+)
+
+// store keeps the last configuration on disk. The file holds a checksum and the
+// whole configuration as one update; it is replaced in one step.
+type store struct {
+	fs  vfs.FS
+	dir string
+}
+
+// save writes the set and syncs file and folder.
+func (s *store) save(set *config.Set) error {
+	objs, err := set.Objects()
+	if err != nil {
+		return err
+	}
+	body, err := proto.Marshal(&controlpb.ConfigUpdate{Revision: set.Revision.PB(), Full: true, Upserts: objs})
+	if err != nil {
+		return errkind.Wrap(err, errkind.Internal, "encode the configuration")
+	}
+	tmp := s.fs.PathJoin(s.dir, storeTempFile)
+	if err := s.write(tmp, body); err != nil {
+		return errors.Wrap(err, "write the configuration")
+	}
+	if err := s.fs.Rename(tmp, s.fs.PathJoin(s.dir, storeFile)); err != nil {
+		return errors.Wrap(err, "replace the configuration")
+	}
+	return errors.Wrap(s.syncDir(), "sync the data folder")
+}
+
+func (s *store) write(path string, body []byte) (err error) {
+	f, err := s.fs.Create(path, vfs.WriteCategoryUnspecified)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.CombineErrors(err, f.Close()) }()
+	sum := binary.LittleEndian.AppendUint64(nil, xxhash.Sum64(body))
+	if _, err := f.Write(append(sum, body...)); err != nil {
+		return err
+	}
+	return f.Sync()
+}
+
+func (s *store) syncDir() (err error) {
+	d, err := s.fs.OpenDir(s.dir)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.CombineErrors(err, d.Close()) }()
+	return d.Sync()
+}
+
+// load returns the set that was saved last, or nil if there is none. A damaged
+// file gives an error of kind damaged-storage; the node can go on without it.
+func (s *store) load() (*config.Set, error) {
+	if err := s.fs.MkdirAll(s.dir, 0o755); err != nil {
+		return nil, errkind.Wrap(err, errkind.InvalidSettings, "create the data folder")
+	}
+	f, err := s.fs.Open(s.fs.PathJoin(s.dir, storeFile))
+	if oserror.IsNotExist(err) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.DamagedStorage, "open the kept configuration")
+	}
+	defer f.Close()
+	data, err := io.ReadAll(f)
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.DamagedStorage, "read the kept configuration")
+	}
+	if len(data) < checksumBytes || binary.LittleEndian.Uint64(data) != xxhash.Sum64(data[checksumBytes:]) {
+		return nil, errkind.New(errkind.DamagedStorage, "the kept configuration has a wrong checksum")
+	}
+	var u controlpb.ConfigUpdate
+	if err := proto.Unmarshal(data[checksumBytes:], &u); err != nil {
+		return nil, errkind.Wrap(err, errkind.DamagedStorage, "decode the kept configuration")
+	}
+	return config.FromObjects(config.FromPB(u.Revision), u.Upserts)
+}
