--- /dev/null
+++ b/internal/dispatch/identity.go
@@ -0,0 +1,107 @@
+package dispatch
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/kumquathollow/kumquathollow/internal/config"
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
+)
+
+const maxIdentityBytes = 256
+
+// bodyFields holds the string values of the top-level JSON fields asked for.
+type bodyFields map[string]string
+
+// readFields reads the wanted top-level string fields of a JSON object without
+// decoding the rest. A body that is no JSON object yields none. A field that
+// stands twice is refused, since a server may read the other one.
+func readFields(body []byte, wanted []string) (bodyFields, error) {
+	if len(wanted) == 0 || len(body) == 0 {
+		return nil, nil
+	}
+	dec := json.NewDecoder(bytes.NewReader(body))
+	if tok, err := dec.Token(); err != nil || tok != json.Delim('{') {
+		return nil, nil
+	}
+	out := bodyFields{}
+	for dec.More() {
+		tok, err := dec.Token()
+		if err != nil {
+			return nil, errkind.Wrap(err, errkind.BadRequest, "the body is broken JSON")
+		}
+		if err := readField(dec, tok.(string), wanted, out); err != nil {
+			return nil, err
+		}
+	}
+	return out, nil
+}
+
+func readField(dec *json.Decoder, name string, wanted []string, out bodyFields) error {
+	var raw json.RawMessage
+	if err := dec.Decode(&raw); err != nil {
+		return errkind.Wrap(err, errkind.BadRequest, "the body is broken JSON")
+	}
+	for _, w := range wanted {
+		if name != w {
+			continue
+		}
+		if _, twice := out[name]; twice {
+			return errkind.New(errkind.BadRequest, "the body holds field %q twice", name)
+		}
+		var s string
+		if err := json.Unmarshal(raw, &s); err != nil {
+			return errkind.New(errkind.BadRequest, "field %q of the body must be a string", name)
+		}
+		out[name] = s
+	}
+	return nil
+}
+
+// identities says where a service's requests carry their names, with defaults.
+type identities struct{ chat, workspace, model config.Identity }
+
+func identitiesOf(svc *config.Service) identities {
+	ids := identities{chat: svc.Chat, workspace: svc.Workspace, model: svc.Model}
+	if ids.workspace == (config.Identity{}) {
+		ids.workspace.Header = HeaderWorkspace
+	}
+	if ids.model == (config.Identity{}) && svc.Type == config.Model {
+		ids.model.JSONField = "model"
+	}
+	return ids
+}
+
+// fields lists the body fields that must be read.
+func (ids identities) fields() []string {
+	var out []string
+	for _, id := range []config.Identity{ids.chat, ids.workspace, ids.model} {
+		if id.JSONField != "" {
+			out = append(out, id.JSONField)
+		}
+	}
+	return out
+}
+
+// find returns the name at the declared place, header before body field, or "".
+func find(id config.Identity, h http.Header, f bodyFields) (string, error) {
+	value := ""
+	if id.Header != "" {
+		lines := h.Values(id.Header)
+		if len(lines) > 1 {
+			return "", errkind.New(errkind.BadRequest, "header %s stands twice", id.Header)
+		}
+		if len(lines) == 1 {
+			value = strings.TrimSpace(lines[0])
+		}
+	}
+	if value == "" && id.JSONField != "" {
+		value = f[id.JSONField]
+	}
+	if len(value) > maxIdentityBytes {
+		return "", errkind.New(errkind.BadRequest, "a name is over %d bytes", maxIdentityBytes)
+	}
+	return value, nil
+}
