Replay traces as callers do and check what they were told

kqreplay plays a trace over plain HTTP: it follows readiness, goes to another router when a connection is refused, resumes broken streams through another router and resends calls that may not be repeated with their key.

--- /dev/null
+++ b/cmd/kqreplay/main.go
@@ -0,0 +1,110 @@
+// Command kqreplay plays a recorded trace against a running fleet and checks
+// what callers were told against what ran.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/replay"
+	"github.com/kumquathollow/kumquathollow/internal/trace"
+	"github.com/kumquathollow/kumquathollow/internal/version"
+)
+
+type options struct {
+	config   string
+	json     bool
+	details  string
+	profile  string
+	seed     uint64
+	generate *flaggy.Subcommand
+	play     *flaggy.Subcommand
+}
+
+func main() {
+	var o options
+	flaggy.SetName("kqreplay")
+	flaggy.SetDescription("Plays a recorded trace against a running fleet and checks the outcomes.")
+	flaggy.SetVersion(version.Version)
+
+	o.play = flaggy.NewSubcommand("play")
+	o.play.Description = "play a trace, check the promises and print a report"
+	o.play.String(&o.config, "c", "config", "settings file (YAML)")
+	o.play.Bool(&o.json, "j", "json", "print the report as JSON")
+	o.play.String(&o.details, "d", "details", "also write the whole observation to this file, as JSON")
+	flaggy.AttachSubcommand(o.play, 1)
+
+	o.generate = flaggy.NewSubcommand("generate")
+	o.generate.Description = "print a trace made by seed"
+	o.generate.String(&o.profile, "p", "profile", "maracas or brinco")
+	o.seed = 1
+	o.generate.UInt64(&o.seed, "s", "seed", "seed")
+	flaggy.AttachSubcommand(o.generate, 1)
+	flaggy.Parse()
+
+	if err := run(o); err != nil {
+		fmt.Fprintln(os.Stderr, "kqreplay:", err)
+		os.Exit(errkind.Lookup(errkind.Of(err)).Exit)
+	}
+}
+
+func run(o options) error {
+	switch {
+	case o.generate.Used:
+		p, ok := trace.Profiles()[o.profile]
+		if !ok {
+			return errkind.New(errkind.Usage, "name a profile with -p: maracas or brinco")
+		}
+		return trace.Write(os.Stdout, trace.Generate(p, o.seed))
+	case o.play.Used:
+		return play(o)
+	}
+	return errkind.New(errkind.Usage, "name a command: play or generate; see --help")
+}
+
+func play(o options) error {
+	conf, err := replay.LoadSettings(o.config)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	seen, err := replay.Play(ctx, conf)
+	if err != nil {
+		return err
+	}
+	if err := writeDetails(o.details, seen); err != nil {
+		return err
+	}
+	report := replay.NewReport(seen)
+	if o.json {
+		if err := json.NewEncoder(os.Stdout).Encode(report); err != nil {
+			return err
+		}
+	} else {
+		report.WriteText(os.Stdout)
+	}
+	if n := report.Violations(); n > 0 {
+		return errkind.New(errkind.PromiseBroken, "%d violations", n)
+	}
+	return nil
+}
+
+func writeDetails(path string, o replay.Observation) error {
+	if path == "" {
+		return nil
+	}
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = f.Close() }()
+	return json.NewEncoder(f).Encode(o)
+}
--- /dev/null
+++ b/internal/replay/player.go
@@ -0,0 +1,161 @@
+package replay
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/dghubble/sling"
+
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/standin"
+	"github.com/kumquathollow/kumquathollow/internal/trace"
+)
+
+const (
+	readyTimeout  = 30 * time.Second
+	ledgerTimeout = 10 * time.Second
+	// settleTime lets the last runs end before the ledgers are read.
+	settleTime = time.Second
+)
+
+// Play plays the trace and returns all that was observed.
+func Play(ctx context.Context, conf Settings) (Observation, error) {
+	records, err := trace.ReadFile(conf.Trace)
+	if err != nil {
+		return Observation{}, err
+	}
+	balancer := NewBalancer(conf.Routers, conf.Seed)
+	bctx, stop := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() { balancer.Run(bctx) })
+	defer wg.Wait()
+	defer stop()
+	if err := waitReady(ctx, balancer, len(conf.Routers)); err != nil {
+		return Observation{}, err
+	}
+	o := Observation{Records: unroll(records, conf.Repeat, conf.Speed), Bounds: conf.bounds()}
+	playAll(ctx, conf, balancer, &o)
+	time.Sleep(settleTime)
+	o.Samples = balancer.Samples()
+	if o.Ledger, err = fetchLedgers(ctx, conf.Ledgers); err != nil {
+		return o, err
+	}
+	o.Events, err = readEvents(conf.Events)
+	return o, err
+}
+
+// unroll scales the times and repeats the trace; a repetition's keys, chats and
+// lookups get names of their own.
+func unroll(records []trace.Record, repeat time.Duration, speed float64) []trace.Record {
+	var out []trace.Record
+	if len(records) == 0 {
+		return out
+	}
+	length := records[len(records)-1].AtMs
+	for round := int64(0); ; round++ {
+		for _, r := range records {
+			r.AtMs = int64(float64(r.AtMs+round*length) / speed)
+			if round > 0 {
+				r.Rename(int(round))
+			}
+			if repeat > 0 && r.At() > repeat {
+				return out
+			}
+			out = append(out, r)
+		}
+		if repeat == 0 || length == 0 {
+			return out
+		}
+	}
+}
+
+func waitReady(ctx context.Context, b *Balancer, want int) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for b.Ready() < want {
+		select {
+		case <-time.After(probeInterval):
+		case <-ctx.Done():
+			return errkind.New(errkind.NotReady, "%d of %d routers are ready", b.Ready(), want)
+		}
+	}
+	return nil
+}
+
+// playAll starts a caller per record at its time and waits for all.
+func playAll(ctx context.Context, conf Settings, b *Balancer, o *Observation) {
+	client := NewClient()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	start := time.Now()
+	for i, r := range o.Records {
+		select {
+		case <-time.After(time.Until(start.Add(r.At()))):
+		case <-ctx.Done():
+			wg.Wait()
+			return
+		}
+		wg.Go(func() {
+			c := &caller{client: client, balancer: b, patience: conf.Patience, index: i, record: r}
+			result, exchanges := c.run(ctx)
+			mu.Lock()
+			defer mu.Unlock()
+			o.Results = append(o.Results, result)
+			o.Exchanges = append(o.Exchanges, exchanges...)
+		})
+	}
+	wg.Wait()
+}
+
+func fetchLedgers(ctx context.Context, urls []string) ([]standin.Entry, error) {
+	client := &http.Client{Timeout: ledgerTimeout}
+	var out []standin.Entry
+	for _, u := range urls {
+		req, err := sling.New().Get(u).Request()
+		if err != nil {
+			return nil, errkind.Wrap(err, errkind.InvalidSettings, "ledger %s", u)
+		}
+		resp, err := client.Do(req.WithContext(ctx))
+		if err != nil {
+			return nil, errkind.Wrap(err, errkind.Unreachable, "ledger %s", u)
+		}
+		dec := json.NewDecoder(bufio.NewReader(resp.Body))
+		for dec.More() {
+			var e standin.Entry
+			if err := dec.Decode(&e); err != nil {
+				_ = resp.Body.Close()
+				return nil, errkind.Wrap(err, errkind.Internal, "ledger %s", u)
+			}
+			out = append(out, e)
+		}
+		_ = resp.Body.Close()
+	}
+	return out, nil
+}
+
+// readEvents reads the file of events; an empty name gives none.
+func readEvents(path string) ([]Event, error) {
+	if path == "" {
+		return nil, nil
+	}
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.InvalidSettings, "events")
+	}
+	defer func() { _ = f.Close() }()
+	var out []Event
+	dec := json.NewDecoder(f)
+	for dec.More() {
+		var e Event
+		if err := dec.Decode(&e); err != nil {
+			return nil, errkind.Wrap(err, errkind.InvalidSettings, "events file, event %d", len(out)+1)
+		}
+		out = append(out, e)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/replay/replay_test.go
@@ -0,0 +1,136 @@
+package replay
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/kumquathollow/kumquathollow/internal/standin"
+	"github.com/kumquathollow/kumquathollow/internal/trace"
+)
+
+// fleetOfOne serves callers straight from a stand-in, with the headers that a
+// router would add, and a router's admin endpoints.
+func fleetOfOne(t *testing.T, faults standin.Faults) Settings {
+	t.Helper()
+	ledger := standin.NewLedger(nil)
+	s := standin.NewServer(standin.ServerConfig{
+		Name:    "s1",
+		Profile: standin.Profile{Type: standin.TypeModel, Capacity: 100, CacheTokens: 1 << 16, TokenInterval: 100 * time.Microsecond, Retention: time.Minute, Faults: faults},
+	}, ledger)
+	back := s.Handler()
+	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if rest, ok := strings.CutPrefix(r.URL.Path, "/v1/resume/"); ok {
+			r.URL.Path = "/v1/streams/" + rest
+			back.ServeHTTP(w, r)
+			return
+		}
+		id := r.Header.Get(standin.HeaderKey)
+		if id == "" {
+			id = r.URL.String() + time.Now().String()
+		}
+		id = strings.Map(func(c rune) rune {
+			if c == '/' || c == ' ' || c == '?' || c == '+' || c == ':' {
+				return '-'
+			}
+			return c
+		}, id)
+		r.Header.Set(standin.HeaderRequest, id)
+		w.Header().Set(standin.HeaderRequest, id)
+		back.ServeHTTP(w, r)
+	}))
+	t.Cleanup(front.Close)
+	admin := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = w.Write([]byte(`{"config.epoch":{"value":1},"config.revision":{"value":7},"control.bytes.in":{"count":10}}`))
+	}))
+	t.Cleanup(admin.Close)
+	path := filepath.Join(t.TempDir(), "trace.jsonl")
+	f, err := os.Create(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := trace.Profiles()["maracas"]
+	p.Duration, p.Rate, p.ResendPart = time.Second, 60, 0
+	if err := trace.Write(f, trace.Generate(p, 4)); err != nil {
+		t.Fatal(err)
+	}
+	_ = f.Close()
+	return Settings{
+		Trace: path, Speed: 1, Seed: 1, Patience: 10 * time.Second,
+		Routers: []Router{{Name: "router-1", Address: front.Listener.Addr().String(), Admin: admin.Listener.Addr().String()}},
+		Ledgers: []string{front.URL + "/ledger"},
+	}
+}
+
+func play(t *testing.T, conf Settings) Report {
+	t.Helper()
+	o, err := Play(context.Background(), conf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(o.Results) != len(o.Records) || len(o.Records) == 0 {
+		t.Fatalf("%d results of %d records", len(o.Results), len(o.Records))
+	}
+	return NewReport(o)
+}
+
+func TestPlayOfASoundServer(t *testing.T) {
+	r := play(t, fleetOfOne(t, standin.Faults{}))
+	if r.Violations() != 0 {
+		t.Fatalf("violations: %+v", r.Promises)
+	}
+	if r.Finals["model / completed"] == 0 || r.Finals["once / completed"] == 0 || r.CacheReuse <= 0 || len(r.Latencies) == 0 {
+		t.Fatalf("report %+v", r)
+	}
+	var text strings.Builder
+	r.WriteText(&text)
+	for _, want := range []string{"cache reuse", "own answer, whole", "model / completed", "control traffic"} {
+		if !strings.Contains(text.String(), want) {
+			t.Errorf("the text lacks %q", want)
+		}
+	}
+}
+
+func TestPlayResumesCutStreams(t *testing.T) {
+	conf := fleetOfOne(t, standin.Faults{Cut: 0.5})
+	o, err := Play(context.Background(), conf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := NewReport(o)
+	if r.Resumes == 0 {
+		t.Fatal("no stream was resumed")
+	}
+	for _, p := range r.Promises {
+		if p.Name == "own answer, whole" && len(p.Violations) > 0 {
+			t.Fatalf("violations: %v", p.Violations)
+		}
+	}
+	for _, res := range o.Results {
+		if o.Records[res.Record].Kind == trace.Model && res.Final != FinalWhole {
+			t.Fatalf("record %d ended %s", res.Record, res.Final)
+		}
+	}
+}
+
+func TestPlayFindsAnothersAnswer(t *testing.T) {
+	r := play(t, fleetOfOne(t, standin.Faults{Misanswer: 0.1}))
+	for _, p := range r.Promises {
+		if p.Name == "own answer, whole" && len(p.Violations) == 0 {
+			t.Fatal("another caller's answer went unseen")
+		}
+	}
+}
+
+func TestUnrollRenamesLaterRounds(t *testing.T) {
+	records := []trace.Record{{AtMs: 0, Kind: trace.Once, Key: "k"}, {AtMs: 1000, Kind: trace.Model, Chat: "c"}}
+	got := unroll(records, 2*time.Second, 2)
+	if len(got) < 6 || got[2].Key != "k-r1" || got[3].Chat != "c-r1" || got[3].AtMs != 1000 {
+		t.Fatalf("unrolled: %+v", got)
+	}
+}
--- /dev/null
+++ b/internal/replay/skew.go
@@ -0,0 +1,156 @@
+package replay
+
+import (
+	"sort"
+	"time"
+
+	"github.com/kumquathollow/kumquathollow/internal/standin"
+)
+
+// pool is the servers of a service in one data centre.
+type pool struct{ service, dataCentre string }
+
+// Skew is how unevenly a pool was loaded.
+type Skew struct {
+	Service    string `json:"service"`
+	DataCentre string `json:"dataCentre"`
+	Servers    int    `json:"servers"`
+	// Mean and Max are the servers' averages of runs in flight over the whole time.
+	Mean float64 `json:"mean"`
+	Max  float64 `json:"max"`
+	// WorstWindow is the highest ratio of a server to the mean in any window
+	// whose mean reached the floor; 0 if none did.
+	WorstWindow float64 `json:"worstWindow"`
+	// Windows is how many windows reached the floor.
+	Windows int `json:"windows"`
+}
+
+// load holds, per server and window, the time integral of runs in flight.
+type load struct {
+	start  time.Time
+	window time.Duration
+	pools  map[pool]map[string][]time.Duration
+}
+
+// skewSlack is one place: a limit on whole places cannot be finer.
+const skewSlack = 1.0
+
+func newLoad(entries []standin.Entry, window time.Duration) load {
+	l := load{window: window, pools: map[pool]map[string][]time.Duration{}}
+	type runID struct {
+		incarnation
+		run uint64
+	}
+	begun := map[runID]standin.Entry{}
+	for _, e := range entries {
+		if e.Event == standin.EventBegin && (l.start.IsZero() || e.Time().Before(l.start)) {
+			l.start = e.Time()
+		}
+	}
+	for _, e := range entries {
+		id := runID{incarnation{e.Server, e.Incarnation}, e.Run}
+		switch e.Event {
+		case standin.EventState:
+			l.server(e)
+		case standin.EventBegin:
+			begun[id] = e
+		case standin.EventEnd:
+			if b, ok := begun[id]; ok {
+				l.add(e, b.Time(), e.Time())
+			}
+		}
+	}
+	return l
+}
+
+func (l load) server(e standin.Entry) pool {
+	p := pool{e.Service, e.DataCentre}
+	if l.pools[p] == nil {
+		l.pools[p] = map[string][]time.Duration{}
+	}
+	if _, ok := l.pools[p][e.Server]; !ok {
+		l.pools[p][e.Server] = nil
+	}
+	return p
+}
+
+// add spreads a run over the windows that it touches.
+func (l load) add(e standin.Entry, from, to time.Time) {
+	p := l.server(e)
+	busy := l.pools[p][e.Server]
+	for from.Before(to) {
+		i := int(from.Sub(l.start) / l.window)
+		end := l.start.Add(time.Duration(i+1) * l.window)
+		if end.After(to) {
+			end = to
+		}
+		for len(busy) <= i {
+			busy = append(busy, 0)
+		}
+		busy[i] += end.Sub(from)
+		from = end
+	}
+	l.pools[p][e.Server] = busy
+}
+
+// at returns the average in flight of a server in a window.
+func (l load) at(busy []time.Duration, i int) float64 {
+	if i >= len(busy) {
+		return 0
+	}
+	return float64(busy[i]) / float64(l.window)
+}
+
+// skews returns the skew of each pool, and every window over the bound.
+func (l load) skews(b Bounds, over func(p pool, window int, server string, load, mean float64)) []Skew {
+	var out []Skew
+	for p, servers := range l.pools {
+		s := Skew{Service: p.service, DataCentre: p.dataCentre, Servers: len(servers)}
+		n := 0
+		for _, busy := range servers {
+			n = max(n, len(busy))
+		}
+		totals := map[string]float64{}
+		for i := range n {
+			mean := 0.0
+			for name, busy := range servers {
+				mean += l.at(busy, i) / float64(len(servers))
+				totals[name] += l.at(busy, i)
+			}
+			if mean < b.SkewFloor {
+				continue
+			}
+			s.Windows++
+			for name, busy := range servers {
+				v := l.at(busy, i)
+				s.WorstWindow = max(s.WorstWindow, v/mean)
+				if v > b.SkewFactor*mean+skewSlack {
+					over(p, i, name, v, mean)
+				}
+			}
+		}
+		for _, t := range totals {
+			average := t / float64(max(1, n))
+			s.Mean += average / float64(len(servers))
+			s.Max = max(s.Max, average)
+		}
+		out = append(out, s)
+	}
+	sort.Slice(out, func(i, j int) bool {
+		return out[i].Service+"/"+out[i].DataCentre < out[j].Service+"/"+out[j].DataCentre
+	})
+	return out
+}
+
+// checkSkew: no server is loaded beyond a set multiple of its pool's mean.
+func checkSkew(o Observation) Promise {
+	p := Promise{Name: "no server beyond a set multiple of its pool's mean load"}
+	l := newLoad(o.Ledger, o.Bounds.SkewWindow)
+	skews := l.skews(o.Bounds, func(pl pool, window int, server string, load, mean float64) {
+		p.violate("%s had %.1f in flight in window %d, the mean of %s in %s was %.1f", server, load, window, pl.service, pl.dataCentre, mean)
+	})
+	for _, s := range skews {
+		p.Checked += s.Windows * s.Servers
+	}
+	return p
+}
--- a/internal/trace/generate.go
+++ b/internal/trace/generate.go
@@ -18,6 +18,8 @@
 	workspace string
 	name      string
 	messages  []int
+	// free is when the chat may return.
+	free time.Duration
 }
 
 type generator struct {
@@ -28,6 +30,7 @@
 	chats   []*chat // least recently used first
 	opened  int
 	keys    int
+	now     time.Duration
 }
 
 // Generate returns a trace of the profile; equal seeds give equal traces.
@@ -41,6 +44,7 @@
 	}
 	var out []Record
 	for at := g.gap(); at < p.Duration; at += g.gap() {
+		g.now = at
 		r := g.record()
 		r.AtMs = at.Milliseconds()
 		out = append(out, r)
@@ -85,6 +89,7 @@
 		Messages: append([]int(nil), c.messages...), MaxTokens: answer, Stream: g.rand.Float64() < g.p.StreamPart,
 	}
 	c.messages = append(c.messages, answer)
+	c.free = g.now + g.p.MinPause
 	return r
 }
 
@@ -99,6 +104,9 @@
 	}
 	i := lo + g.rand.IntN(len(g.chats)-lo)
 	c := g.chats[i]
+	if c.free > g.now {
+		return g.open()
+	}
 	g.chats = append(g.chats[:i], g.chats[i+1:]...)
 	if len(c.messages) >= g.p.MaxMessages {
 		return g.open()
--- a/internal/trace/profile.go
+++ b/internal/trace/profile.go
@@ -24,6 +24,8 @@
 	Chats int
 	// NewChat is the part of model calls that open a new chat.
 	NewChat float64
+	// MinPause is the least time from a chat's request to its next.
+	MinPause time.Duration
 	// RecentChats: a return picks one of that many chats that were used last, mostly.
 	RecentChats int
 	// System, Question and Output are the lengths of a workspace's prompt, a
@@ -51,8 +53,9 @@
 		Rate:        70,
 		Skew:        1.1,
 		Chats:       2000,
-		NewChat:     0.25,
-		RecentChats: 150,
+		NewChat:     0.15,
+		MinPause:    1500 * time.Millisecond,
+		RecentChats: 400,
 		System:      Length{Median: 256, Sigma: 0.4, Max: 1024},
 		Question:    Length{Median: 40, Sigma: 0.8, Max: 400},
 		Output:      Length{Median: 40, Sigma: 0.7, Max: 250},
--- a/internal/trace/record.go
+++ b/internal/trace/record.go
@@ -147,3 +147,15 @@
 	defer func() { _ = f.Close() }()
 	return Read(f)
 }
+
+// Rename gives the record names of its own for one more round of the trace, so
+// that a key or a chat of an earlier round does not come again.
+func (r *Record) Rename(round int) {
+	suffix := "-r" + strconv.Itoa(round)
+	if r.Chat != "" {
+		r.Chat += suffix
+	}
+	if r.Key != "" {
+		r.Key += suffix
+	}
+}
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -5,6 +5,7 @@
 	"reflect"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/kumquathollow/kumquathollow/internal/standin"
 )
@@ -25,6 +26,7 @@
 	p := Profiles()["maracas"]
 	kinds, resends, returns := map[Kind]int{}, 0, 0
 	workspaces, keys := map[string]int{}, map[string]Record{}
+	lastTurn := map[string]time.Duration{}
 	records := Generate(p, 1)
 	for _, r := range records {
 		kinds[r.Kind]++
@@ -32,6 +34,12 @@
 		if len(r.Messages) > 2 {
 			returns++
 		}
+		if r.Kind == Model {
+			if before, ok := lastTurn[r.Chat]; ok && r.At()-before < p.MinPause-time.Millisecond {
+				t.Fatalf("%s returns after %v", r.Chat, r.At()-before)
+			}
+			lastTurn[r.Chat] = r.At()
+		}
 		if r.Kind != Once {
 			continue
 		}
