--- /dev/null
+++ b/internal/measure/metrics.go
@@ -0,0 +1,167 @@
+package measure
+
+import (
+	"math"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Bounds that a run is checked against.
+const (
+	maxLoadFactor = 1.25
+	loadFloor     = 2
+	// ratioScale is the resolution of recorded load ratios.
+	ratioScale = 1000
+	maxRatio   = 100 * ratioScale
+	maxFirstUs = 600_000_000
+	// outGrace is how long after an order a data centre may still receive new work.
+	outGrace = 5 * time.Second
+)
+
+// Metrics are the counts of one run.
+type Metrics struct {
+	requests           int64
+	refused            int64
+	refusedInteractive int64
+	lost               int64
+	retries            int64
+	open               int64
+	reused             int64
+	reusable           int64
+	moved              int64
+	memberships        int64
+	// controlBytes counts load reports, lists, asks and permits at all routers.
+	controlBytes int64
+	// overAtStart counts starts that put a server over its bound.
+	overAtStart int64
+	// overEver counts events at which some server was over its bound.
+	overEver   int64
+	coldOver   int64
+	outStarts  int64
+	skewEvents int64
+	ratios     *hdrhistogram.Histogram
+	first      map[int]*hdrhistogram.Histogram
+	pools      []*pool
+	outSince   map[int]time.Duration
+	inFlight   []int
+}
+
+// pool follows the load of one data centre's servers.
+type pool struct {
+	total   int
+	servers int
+	// byLoad counts servers at each load.
+	byLoad []int
+	max    int
+}
+
+func newMetrics(cfg FleetConfig) *Metrics {
+	m := &Metrics{
+		ratios:   hdrhistogram.New(1, maxRatio, 3),
+		first:    map[int]*hdrhistogram.Histogram{interactivePr: newFirst(), plannerPr: newFirst()},
+		outSince: map[int]time.Duration{},
+		inFlight: make([]int, cfg.Engines),
+	}
+	for range cfg.DataCentres {
+		m.pools = append(m.pools, &pool{})
+	}
+	return m
+}
+
+func newFirst() *hdrhistogram.Histogram { return hdrhistogram.New(1, maxFirstUs, 3) }
+
+// setPool counts anew after a change of the list of servers.
+func (m *Metrics) setPool(s *Sim) {
+	for i := range m.pools {
+		m.pools[i] = &pool{}
+	}
+	for _, e := range s.engines {
+		if e.up {
+			p := m.pools[e.dc]
+			p.servers++
+			p.put(m.inFlight[e.index])
+		}
+	}
+}
+
+func (p *pool) put(load int) {
+	for len(p.byLoad) <= load {
+		p.byLoad = append(p.byLoad, 0)
+	}
+	p.byLoad[load]++
+	p.total += load
+	p.max = max(p.max, load)
+}
+
+func (p *pool) move(from, to int) {
+	if from >= len(p.byLoad) || p.byLoad[from] == 0 {
+		return // the server is not part of the pool any more
+	}
+	p.byLoad[from]--
+	p.total -= from
+	p.put(to)
+	for p.max > 0 && p.byLoad[p.max] == 0 {
+		p.max--
+	}
+}
+
+func (p *pool) mean() float64 {
+	if p.servers == 0 {
+		return 0
+	}
+	return float64(p.total) / float64(p.servers)
+}
+
+// bound is the most that a server may carry now.
+func (p *pool) bound() int { return boundAt(p.mean()) }
+
+// boundAt is the most that a server may carry at the mean. Below the floor the
+// bound stays what it is at the floor, so that it never falls as load grows.
+func boundAt(mean float64) int {
+	return int(math.Ceil(maxLoadFactor * max(mean, loadFloor)))
+}
+
+func (m *Metrics) started(s *Sim, e *engine, _ *attempt) {
+	m.shift(e, 1)
+	p := m.pools[e.dc]
+	load := m.inFlight[e.index]
+	if load > p.bound() {
+		m.overAtStart++
+	}
+	if e.cold(s.now) && load > e.coldSlots {
+		m.coldOver++
+	}
+	if since, ok := m.outSince[e.dc]; ok && s.now > since+outGrace {
+		m.outStarts++
+	}
+}
+
+func (m *Metrics) left(_ *Sim, e *engine, a *attempt) {
+	if a.incarnation == e.incarnation {
+		m.shift(e, -1)
+	}
+}
+
+func (m *Metrics) shift(e *engine, by int) {
+	p := m.pools[e.dc]
+	was := m.inFlight[e.index]
+	m.inFlight[e.index] = was + by
+	if !e.up {
+		return
+	}
+	p.move(was, was+by)
+	if p.mean() <= loadFloor {
+		return
+	}
+	m.skewEvents++
+	if p.max > p.bound() {
+		m.overEver++
+	}
+	_ = m.ratios.RecordValue(min(int64(float64(p.max)/p.mean()*ratioScale), maxRatio))
+}
+
+func (m *Metrics) completed(a *attempt, first time.Duration) {
+	m.open--
+	_ = m.first[a.req.Priority].RecordValue(max(1, (first - a.arrived).Microseconds()))
+}
--- /dev/null
+++ b/internal/measure/report.go
@@ -0,0 +1,175 @@
+package measure
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+	"strings"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Size is one size of the fleet with the trace it is measured with.
+type Size struct {
+	Name  string
+	Fleet FleetConfig
+	Trace TraceConfig
+}
+
+// Sizes measured: today's, one data centre's of the target, the target's.
+// The larger ones have shorter traces and shorter pauses between turns.
+func Sizes() []Size {
+	size := func(name string, routers, engines, dcs int, rate float64, length, pause time.Duration, workspaces int) Size {
+		return Size{
+			Name:  name,
+			Fleet: FleetConfig{Routers: routers, Engines: engines, DataCentres: dcs, Slots: 16, ColdSlots: 2, CacheTokens: 120_000},
+			Trace: TraceConfig{Seed: 20261203, Length: length, Rate: rate, Workspaces: workspaces, PauseMedian: pause},
+		}
+	}
+	return []Size{
+		size("8 routers, 20 runners, 10 workspaces, 30 min", 8, 20, 3, 22, 30*time.Minute, 2*time.Minute, 10),
+		size("50 routers, 300 runners, 1,400 workspaces, 5 min", 50, 300, 1, 330, 5*time.Minute, 40*time.Second, 1400),
+		size("330 routers, 2,400 runners, 11,000 workspaces, 75 s", 330, 2400, 8, 2640, 75*time.Second, 12*time.Second, 11000),
+	}
+}
+
+// Result is what one policy did in one scenario at one size.
+type Result struct {
+	Size     string
+	Scenario string
+	Policy   string
+	// Reuse is the part of reusable prompt tokens that engines had cached.
+	Reuse float64
+	// SkewMax and SkewP99 are the highest server's load over its pool's mean.
+	SkewMax, SkewP99 float64
+	// OverAtStart counts starts beyond a server's bound, OverEver the events at which some server was beyond it.
+	OverAtStart, OverEver int64
+	ColdOver, OutStarts   int64
+	Requests              int64
+	Refused               int64
+	Retries               int64
+	// P50, P95, P99 are of the interactive requests' first token.
+	P50, P95, P99 time.Duration
+	PlannerP95    time.Duration
+	// MovedChats is the part of chats that a join or leave moves, in percent.
+	BytesPerRouter float64
+}
+
+// Run measures every policy in every scenario at the sizes given, in parallel.
+// The outcome depends on the seeds alone.
+func Run(sizes []Size) ([]Result, error) {
+	type job struct {
+		size     Size
+		scenario Scenario
+		policy   int
+	}
+	var jobs []job
+	names := policyNames()
+	for _, sz := range sizes {
+		for _, sc := range Scenarios() {
+			for p := range names {
+				jobs = append(jobs, job{sz, sc, p})
+			}
+		}
+	}
+	results := make([]Result, len(jobs))
+	var g errgroup.Group
+	g.SetLimit(runtime.GOMAXPROCS(0))
+	for i, j := range jobs {
+		g.Go(func() error {
+			r, err := runOne(j.size, j.scenario, policies()[j.policy])
+			results[i] = r
+			return err
+		})
+	}
+	return results, g.Wait()
+}
+
+func policyNames() []string {
+	var out []string
+	for _, p := range policies() {
+		out = append(out, p.Name())
+	}
+	return out
+}
+
+func runOne(sz Size, sc Scenario, p Policy) (Result, error) {
+	tc := sz.Trace
+	if sc.Surge {
+		tc.SurgeFactor, tc.SurgeWorkspaces = 20, 2
+		tc.SurgeFrom, tc.SurgeTo = tc.Length/3, 2*tc.Length/3
+	}
+	fc := sz.Fleet
+	fc.ReportLag = sc.Lag
+	s := newSim(fc, Generate(tc), tc.Seed)
+	if sc.play != nil {
+		sc.play(s, tc.Length)
+	}
+	m := s.run(p)
+	return summarise(sz, sc, p, m, tc.Length), nil
+}
+
+func summarise(sz Size, sc Scenario, p Policy, m *Metrics, length time.Duration) Result {
+	us := func(prio int, q float64) time.Duration {
+		return time.Duration(m.first[prio].ValueAtQuantile(q)) * time.Microsecond
+	}
+	return Result{
+		Size: sz.Name, Scenario: sc.Name, Policy: p.Name(),
+		Reuse:   float64(m.reused) / float64(max(1, m.reusable)),
+		SkewMax: float64(m.ratios.Max()) / ratioScale, SkewP99: float64(m.ratios.ValueAtQuantile(99)) / ratioScale,
+		OverAtStart: m.overAtStart, OverEver: m.overEver, ColdOver: m.coldOver, OutStarts: m.outStarts,
+		Requests: m.requests, Refused: m.refused, Retries: m.retries,
+		P50: us(interactivePr, 50), P95: us(interactivePr, 95), P99: us(interactivePr, 99),
+		PlannerP95:     us(plannerPr, 95),
+		BytesPerRouter: float64(m.controlBytes) / float64(sz.Fleet.Routers) / length.Seconds(),
+	}
+}
+
+// WriteMarkdown writes the tables of the results.
+func WriteMarkdown(w io.Writer, results []Result) error {
+	var b strings.Builder
+	b.WriteString("# Placement, measured by replay in virtual time\n\n")
+	b.WriteString("Reproduce with `make measure`; the figures depend on the seeds alone.\n\n")
+	b.WriteString(legend)
+	size, scenario := "", ""
+	for _, r := range results {
+		if r.Size != size {
+			size = r.Size
+			fmt.Fprintf(&b, "\n## %s\n", size)
+			scenario = ""
+		}
+		if r.Scenario != scenario {
+			scenario = r.Scenario
+			fmt.Fprintf(&b, "\n### %s\n\n", scenario)
+			b.WriteString("| policy | reuse % | of oracle % | skew max | skew p99 | over at start | over ever | cold over | out starts | refused | retries | first p50 ms | p95 | p99 | planner p95 | control B/s per router |\n")
+			b.WriteString("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n")
+		}
+		writeRow(&b, r, oracleReuse(results, r))
+	}
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+const legend = `- **reuse**: cached prompt tokens over those that had been seen before; **of oracle**: relative to the policy that knows every cache.
+- **skew**: the most loaded server of a data centre over the mean, sampled at every start and end while the mean is over 2.
+- **over at start**: requests sent to a server beyond 1.25 × the mean (rounded up); **over ever**: events at which some server was beyond it, also because the mean fell.
+- **cold over**: requests sent to a cold server beyond what it bears; **out starts**: requests sent to a data centre later than 5 s after it was taken out.
+- **refused**, **retries**: counts; **first**: time to the first token of interactive requests, virtual milliseconds.
+`
+
+func writeRow(b *strings.Builder, r Result, oracle float64) {
+	ms := func(d time.Duration) string { return fmt.Sprintf("%.0f", float64(d)/float64(time.Millisecond)) }
+	fmt.Fprintf(b, "| %s | %.1f | %.1f | %.2f | %.2f | %d | %d | %d | %d | %d | %d | %s | %s | %s | %s | %.0f |\n",
+		r.Policy, 100*r.Reuse, 100*r.Reuse/oracle, r.SkewMax, r.SkewP99, r.OverAtStart, r.OverEver, r.ColdOver, r.OutStarts,
+		r.Refused, r.Retries, ms(r.P50), ms(r.P95), ms(r.P99), ms(r.PlannerP95), r.BytesPerRouter)
+}
+
+func oracleReuse(results []Result, r Result) float64 {
+	for _, o := range results {
+		if o.Size == r.Size && o.Scenario == r.Scenario && o.Policy == oracleName {
+			return o.Reuse
+		}
+	}
+	return 1
+}
