--- a/internal/measure/metrics.go
+++ b/internal/measure/metrics.go
@@ -29,8 +29,11 @@
 	open               int64
 	reused             int64
 	reusable           int64
-	moved              int64
-	memberships        int64
+	// moved counts returns of a chat to another server while its last one was there.
+	moved int64
+	// returns counts requests of chats that had run before.
+	returns     int64
+	memberships int64
 	// controlBytes counts load reports, lists, asks and permits at all routers.
 	controlBytes int64
 	// overAtStart counts starts that put a server over its bound.
@@ -45,6 +48,7 @@
 	pools      []*pool
 	outSince   map[int]time.Duration
 	inFlight   []int
+	lastServer map[uint64]int
 }
 
 // pool follows the load of one data centre's servers.
@@ -60,7 +64,7 @@
 	m := &Metrics{
 		ratios:   hdrhistogram.New(1, maxRatio, 3),
 		first:    map[int]*hdrhistogram.Histogram{interactivePr: newFirst(), plannerPr: newFirst()},
-		outSince: map[int]time.Duration{},
+		outSince: map[int]time.Duration{}, lastServer: map[uint64]int{},
 		inFlight: make([]int, cfg.Engines),
 	}
 	for range cfg.DataCentres {
@@ -122,8 +126,9 @@
 	return int(math.Ceil(maxLoadFactor * max(mean, loadFloor)))
 }
 
-func (m *Metrics) started(s *Sim, e *engine, _ *attempt) {
+func (m *Metrics) started(s *Sim, e *engine, a *attempt) {
 	m.shift(e, 1)
+	m.follow(s, e, a.req.Chat)
 	p := m.pools[e.dc]
 	load := m.inFlight[e.index]
 	if load > p.bound() {
@@ -137,6 +142,17 @@
 	}
 }
 
+// follow counts whether the chat has come back to its last server.
+func (m *Metrics) follow(s *Sim, e *engine, chat uint64) {
+	if last, ok := m.lastServer[chat]; ok {
+		m.returns++
+		if last != e.index && s.engines[last].up && !s.outDC[s.engines[last].dc] {
+			m.moved++
+		}
+	}
+	m.lastServer[chat] = e.index
+}
+
 func (m *Metrics) left(_ *Sim, e *engine, a *attempt) {
 	if a.incarnation == e.incarnation {
 		m.shift(e, -1)
--- a/internal/measure/report.go
+++ b/internal/measure/report.go
@@ -52,7 +52,10 @@
 	// P50, P95, P99 are of the interactive requests' first token.
 	P50, P95, P99 time.Duration
 	PlannerP95    time.Duration
-	// MovedChats is the part of chats that a join or leave moves, in percent.
+	// Moved is the part of returns that went to another server although the last one was there.
+	Moved float64
+	// Changes counts joins, leaves, and data centres taken out or back.
+	Changes        int64
 	BytesPerRouter float64
 }
 
@@ -120,6 +123,7 @@
 		SkewMax: float64(m.ratios.Max()) / ratioScale, SkewP99: float64(m.ratios.ValueAtQuantile(99)) / ratioScale,
 		OverAtStart: m.overAtStart, OverEver: m.overEver, ColdOver: m.coldOver, OutStarts: m.outStarts,
 		Requests: m.requests, Refused: m.refused, Retries: m.retries,
+		Moved: float64(m.moved) / float64(max(1, m.returns)), Changes: m.memberships,
 		P50: us(interactivePr, 50), P95: us(interactivePr, 95), P99: us(interactivePr, 99),
 		PlannerP95:     us(plannerPr, 95),
 		BytesPerRouter: float64(m.controlBytes) / float64(sz.Fleet.Routers) / length.Seconds(),
@@ -142,8 +146,8 @@
 		if r.Scenario != scenario {
 			scenario = r.Scenario
 			fmt.Fprintf(&b, "\n### %s\n\n", scenario)
-			b.WriteString("| policy | reuse % | of oracle % | skew max | skew p99 | over at start | over ever | cold over | out starts | refused | retries | first p50 ms | p95 | p99 | planner p95 | control B/s per router |\n")
-			b.WriteString("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n")
+			b.WriteString("| policy | reuse % | of oracle % | skew max | skew p99 | over at start | over ever | cold over | out starts | refused | retries | moved % | changes | first p50 ms | p95 | p99 | planner p95 | control B/s per router |\n")
+			b.WriteString("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n")
 		}
 		writeRow(&b, r, oracleReuse(results, r))
 	}
@@ -155,14 +159,14 @@
 - **skew**: the most loaded server of a data centre over the mean, sampled at every start and end while the mean is over 2.
 - **over at start**: requests sent to a server beyond 1.25 × the mean (rounded up); **over ever**: events at which some server was beyond it, also because the mean fell.
 - **cold over**: requests sent to a cold server beyond what it bears; **out starts**: requests sent to a data centre later than 5 s after it was taken out.
-- **refused**, **retries**: counts; **first**: time to the first token of interactive requests, virtual milliseconds.
+- **refused**, **retries**: counts; **moved**: returns of a chat that went to another server although its last one was there, in a run with so many **changes** of the list of servers; **first**: time to the first token of interactive requests, virtual milliseconds.
 `
 
 func writeRow(b *strings.Builder, r Result, oracle float64) {
 	ms := func(d time.Duration) string { return fmt.Sprintf("%.0f", float64(d)/float64(time.Millisecond)) }
-	fmt.Fprintf(b, "| %s | %.1f | %.1f | %.2f | %.2f | %d | %d | %d | %d | %d | %d | %s | %s | %s | %s | %.0f |\n",
+	fmt.Fprintf(b, "| %s | %.1f | %.1f | %.2f | %.2f | %d | %d | %d | %d | %d | %d | %.1f | %d | %s | %s | %s | %s | %.0f |\n",
 		r.Policy, 100*r.Reuse, 100*r.Reuse/oracle, r.SkewMax, r.SkewP99, r.OverAtStart, r.OverEver, r.ColdOver, r.OutStarts,
-		r.Refused, r.Retries, ms(r.P50), ms(r.P95), ms(r.P99), ms(r.PlannerP95), r.BytesPerRouter)
+		r.Refused, r.Retries, 100*r.Moved, r.Changes, ms(r.P50), ms(r.P95), ms(r.P99), ms(r.PlannerP95), r.BytesPerRouter)
 }
 
 func oracleReuse(results []Result, r Result) float64 {
