--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/kumquathollow/kumquathollow/api/controlpb"
-	"github.com/kumquathollow/kumquathollow/api/grantpb"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 )
 
@@ -73,7 +72,7 @@
 		t.Errorf("request id %q at caller, %q at server", id, got.Header.Get(HeaderRequestID))
 	}
 	p := rig.permits.permits[0]
-	if p.started != 1 || len(p.results) != 1 || p.results[0].Outcome != grantpb.Outcome_OUTCOME_COMPLETED {
+	if p.started != 1 || len(p.results) != 1 || p.results[0].Outcome != errkind.Completed {
 		t.Errorf("permit: started %d, results %v", p.started, p.results)
 	}
 	if a := rig.permits.asks[0]; a.Model != "large" || a.Workspace != "club" || a.Service != "runners" {
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -55,14 +55,17 @@
 	results         []RunResult
 }
 
-func (p *fakePermit) Server() string     { return p.server }
-func (p *fakePermit) Address() string    { return p.address }
-func (p *fakePermit) StartBy() time.Time { return p.startBy }
+func (p *fakePermit) Server() string  { return p.server }
+func (p *fakePermit) Address() string { return p.address }
 
-func (p *fakePermit) Started() {
+func (p *fakePermit) Started() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !time.Now().Before(p.startBy) {
+		return errkind.New(errkind.StartTooLate, "late")
+	}
 	p.started++
+	return nil
 }
 
 func (p *fakePermit) Done(r RunResult) {
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -9,6 +9,7 @@
 	"github.com/kumquathollow/kumquathollow/api/controlpb"
 	"github.com/kumquathollow/kumquathollow/api/grantpb"
 	"github.com/kumquathollow/kumquathollow/internal/config"
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/telemetry"
 )
 
@@ -22,21 +23,20 @@
 type Permit interface {
 	Server() string
 	Address() string
-	// StartBy is when the permit may no longer be started.
-	StartBy() time.Time
-	// Started tells that the first byte has left.
-	Started()
+	// Started is called immediately before the first byte is sent; an error means
+	// that the permit may not be used any more. It must not wait.
+	Started() error
 	Done(res RunResult)
 }
 
 // RunResult is what became of a permit's run.
 type RunResult struct {
-	Outcome grantpb.Outcome
+	Outcome errkind.Outcome
 	// FirstByte is the time from sending to the answer's header; 0 without one.
 	FirstByte time.Duration
 	Duration  time.Duration
 	// OutputTokens is the number of streamed events.
-	OutputTokens uint32
+	OutputTokens int
 }
 
 // Claims records requests that may not be repeated, on a quorum.
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -7,7 +7,6 @@
 	"strings"
 	"time"
 
-	"github.com/kumquathollow/kumquathollow/api/grantpb"
 	"github.com/kumquathollow/kumquathollow/internal/config"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 )
@@ -61,7 +60,7 @@
 	}
 	run := newRun(x, permit)
 	run.sentAt = time.Now()
-	run.result.Outcome = grantpb.Outcome_OUTCOME_UNKNOWN
+	run.result.Outcome = errkind.Unknown
 	defer func() {
 		run.result.Duration = time.Since(run.sentAt)
 		permit.Done(run.result)
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -10,7 +10,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/kumquathollow/kumquathollow/api/grantpb"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 )
 
@@ -35,21 +34,15 @@
 	return r
 }
 
-// mayStart is asked immediately before the first byte. Both clocks must allow
-// it, since one of them may stand still while the VM is paused.
+// mayStart is asked immediately before the first byte.
 func (r *run) mayStart() bool {
-	now, by := time.Now(), r.permit.StartBy()
-	if !now.Before(by) || !now.Round(0).Before(by.Round(0)) {
-		r.late = true
-		return false
-	}
-	r.permit.Started()
-	return true
+	r.late = r.permit.Started() != nil
+	return !r.late
 }
 
 func (r *run) do() attemptResult {
 	r.sentAt = time.Now()
-	r.result.Outcome = grantpb.Outcome_OUTCOME_UNKNOWN
+	r.result.Outcome = errkind.Unknown
 	defer func() {
 		r.result.Duration = time.Since(r.sentAt)
 		r.permit.Done(r.result)
@@ -98,7 +91,7 @@
 	if r.sending.mayHaveLeft() {
 		return attemptResult{err: r.lost(err), mayHaveRun: true, again: true}
 	}
-	r.result.Outcome = grantpb.Outcome_OUTCOME_NOT_RUN
+	r.result.Outcome = errkind.NotRun
 	if r.x.ctx.Err() != nil {
 		return attemptResult{err: r.x.endedBeforeSending()}
 	}
@@ -127,7 +120,7 @@
 		return attemptResult{err: errkind.New(errkind.BackendCrossed, "the server's answer named another attempt"), mayHaveRun: true, again: true}
 	}
 	if resp.Header.Get(HeaderRan) == ranNo {
-		r.result.Outcome = grantpb.Outcome_OUTCOME_NOT_RUN
+		r.result.Outcome = errkind.NotRun
 		stale := resp.Header.Get(HeaderStaleFence) != ""
 		return attemptResult{err: refusedBy(resp), again: !stale}
 	}
@@ -166,12 +159,8 @@
 
 // ended sets the permit's outcome for a whole answer.
 func (r *run) ended(status int) errkind.Outcome {
-	o := outcomeOf(status)
-	r.result.Outcome = grantpb.Outcome_OUTCOME_COMPLETED
-	if o == errkind.Failed {
-		r.result.Outcome = grantpb.Outcome_OUTCOME_FAILED
-	}
-	return o
+	r.result.Outcome = outcomeOf(status)
+	return r.result.Outcome
 }
 
 // drain reads to the end so that the connection can serve again.
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -98,7 +98,7 @@
 	s.offset += int64(len(p))
 	s.total += int64(len(p))
 	s.tries = 0
-	s.result.OutputTokens += uint32(bytes.Count(p, eventEnd))
+	s.result.OutputTokens += bytes.Count(p, eventEnd)
 	s.kept = s.x.claim.keep(s.x.q, s.kept, p)
 	if s.callerErr != nil {
 		return nil
