--- a/internal/config/change.go
+++ b/internal/config/change.go
@@ -149,3 +149,19 @@
 func (r Revision) PB() *controlpb.Revision {
 	return &controlpb.Revision{Epoch: r.Epoch, Number: r.Number}
 }
+
+// With returns a set with the objects added or replaced; s stays as it is. The
+// revision is that of s. Objects must not be changed afterwards.
+func (s *Set) With(objs ...Declared) *Set {
+	next := *s
+	next.sources, next.filled = nil, false
+	kinds := map[string]bool{}
+	for _, o := range objs {
+		kinds[o.key().Kind] = true
+	}
+	next.own(kinds)
+	for _, o := range objs {
+		next.put(o)
+	}
+	return &next
+}
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -24,9 +24,6 @@
 func (s *Set) check() settings.Faults {
 	c := &check{set: s}
 	for _, k := range s.Keys() {
-		if s.sources[k].broken {
-			continue
-		}
 		c.key = k
 		c.name("name", k.Name)
 		c.object(s.get(k))
@@ -59,6 +56,9 @@
 
 // fault records a fault of a field of the object being looked at.
 func (c *check) fault(field, format string, args ...any) {
+	if c.set.sources[c.key].faulted[topField(field)] {
+		return
+	}
 	f := settings.Fault{Object: c.key.String(), Field: field, Message: fmt.Sprintf(format, args...)}
 	if src, ok := c.set.sources[c.key]; ok {
 		f.File, f.Line = src.file, src.line
--- a/internal/config/check_set.go
+++ b/internal/config/check_set.go
@@ -10,9 +10,6 @@
 	first := map[place]string{}
 	for _, name := range sortedNames(c.set.Services) {
 		c.key = Key{KindService, name}
-		if c.set.sources[c.key].broken {
-			continue
-		}
 		for i, r := range c.set.Services[name].Routes {
 			for _, m := range r.withDefaults().Methods {
 				at := fmt.Sprintf("routes[%d]", i)
@@ -34,9 +31,6 @@
 	addressOf, nameOf := map[string]string{}, map[string]string{}
 	for _, dc := range sortedNames(c.set.DataCentres) {
 		c.key = Key{KindDataCentre, dc}
-		if c.set.sources[c.key].broken {
-			continue
-		}
 		for i, v := range c.set.DataCentres[dc].LeaseVoters {
 			at := fmt.Sprintf("leaseVoters[%d]", i)
 			if a, ok := addressOf[v.Name]; ok && a != v.Address {
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -26,8 +26,9 @@
 	line int
 	// fields maps the path of a field to its line.
 	fields map[string]int
-	// broken is true when the object could not be decoded in full.
-	broken bool
+	// faulted holds the top-level fields that could not be decoded; their
+	// values are not checked.
+	faulted map[string]bool
 }
 
 // LoadDir reads the declarations from all files *.yaml and *.yml under the
@@ -163,7 +164,10 @@
 		l.fault(file, n.Line, k.String(), "declared twice; first in %s:%d; remove or rename one", first.file, first.line)
 		return
 	}
-	src := source{file: file, line: n.Line, fields: map[string]int{}, broken: len(faults) > 0}
+	src := source{file: file, line: n.Line, fields: map[string]int{}, faulted: map[string]bool{}}
+	for _, f := range faults {
+		src.faulted[topField(f.Field)] = true
+	}
 	noteLines(rest, "", src.fields)
 	l.set.sources[k] = src
 	l.set.put(o)
@@ -183,6 +187,14 @@
 	return kind, &c
 }
 
+// topField returns the top-level field of a field's path.
+func topField(path string) string {
+	if i := strings.IndexAny(path, ".["); i >= 0 {
+		return path[:i]
+	}
+	return path
+}
+
 // noteLines records the line of each field by its path.
 func noteLines(n *yaml.Node, path string, lines map[string]int) {
 	switch n.Kind {
--- a/internal/config/object.go
+++ b/internal/config/object.go
@@ -18,6 +18,10 @@
 // String returns the key as kind/name.
 func (k Key) String() string { return k.Kind + "/" + k.Name }
 
+// Declared is an object of any kind: *DataCentre, *Service, *BackendServer,
+// *Workspace or *Policy.
+type Declared interface{ object }
+
 // object is a declared object of any kind.
 type object interface {
 	key() Key
--- /dev/null
+++ b/internal/ctl/fake_test.go
@@ -0,0 +1,174 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+
+	"storj.io/drpc/drpcmux"
+
+	"github.com/kumquathollow/kumquathollow/api/controlpb"
+	"github.com/kumquathollow/kumquathollow/internal/config"
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/rpc"
+)
+
+// fakeControl is a control group of one process that can be told to fail.
+type fakeControl struct {
+	controlpb.DRPCControlUnimplementedServer
+
+	mu      sync.Mutex
+	sets    []*config.Set
+	changes map[string]*controlpb.ApplyResponse
+	entries []*controlpb.AuditEntry
+	nodes   []*controlpb.NodeStatus
+	// applies counts the calls of Apply.
+	applies int
+	// before and after run around the acceptance of a change; an error is the
+	// answer. dropped ends the call without an answer.
+	before, after func(n int) error
+}
+
+func newFake() *fakeControl {
+	return &fakeControl{
+		sets:    []*config.Set{config.NewSet(config.Revision{Epoch: 1, Number: 1})},
+		changes: map[string]*controlpb.ApplyResponse{},
+	}
+}
+
+func (f *fakeControl) newest() *config.Set { return f.sets[len(f.sets)-1] }
+
+func (f *fakeControl) Get(_ context.Context, req *controlpb.GetRequest) (*controlpb.GetResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.sets {
+		if req.At == nil && s != f.newest() || req.At != nil && s.Revision != config.FromPB(req.At) {
+			continue
+		}
+		objs, err := s.Objects()
+		return &controlpb.GetResponse{Revision: s.Revision.PB(), Objects: objs}, err
+	}
+	return nil, errkind.New(errkind.NotFound, "no such revision")
+}
+
+func (f *fakeControl) Apply(_ context.Context, req *controlpb.ApplyRequest) (*controlpb.ApplyResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.applies++
+	if f.before != nil {
+		if err := f.before(f.applies); err != nil {
+			return nil, err
+		}
+	}
+	res, err := f.accept(req)
+	if err == nil && f.after != nil {
+		err = f.after(f.applies)
+	}
+	return res, err
+}
+
+func (f *fakeControl) accept(req *controlpb.ApplyRequest) (*controlpb.ApplyResponse, error) {
+	if res, ok := f.changes[req.ChangeId]; ok {
+		return &controlpb.ApplyResponse{Revision: res.Revision, RepeatedChange: true}, nil
+	}
+	base := f.newest()
+	if base.Revision != config.FromPB(req.Base) {
+		return nil, errkind.New(errkind.RevisionConflict, "the newest revision is another")
+	}
+	rev := config.Revision{Epoch: 1, Number: base.Revision.Number + 1}
+	next, err := base.Apply(rev, req.Upserts, req.Deletes)
+	if err != nil {
+		return nil, err
+	}
+	f.sets = append(f.sets, next)
+	f.entries = append([]*controlpb.AuditEntry{{Revision: rev.PB(), Base: req.Base, ChangeId: req.ChangeId, Action: req.Action, Comment: req.Comment}}, f.entries...)
+	f.changes[req.ChangeId] = &controlpb.ApplyResponse{Revision: rev.PB()}
+	return f.changes[req.ChangeId], nil
+}
+
+func (f *fakeControl) History(_ context.Context, req *controlpb.HistoryRequest) (*controlpb.HistoryResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	res := &controlpb.HistoryResponse{}
+	for _, e := range f.entries {
+		if req.Before != nil && !config.FromPB(e.Revision).Less(config.FromPB(req.Before)) {
+			continue
+		}
+		if len(res.Entries) < int(req.Limit) {
+			res.Entries = append(res.Entries, e)
+		}
+	}
+	return res, nil
+}
+
+func (f *fakeControl) Status(context.Context, *controlpb.StatusRequest) (*controlpb.StatusResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return &controlpb.StatusResponse{Revision: f.newest().Revision.PB(), Leader: "c1", Nodes: f.nodes}, nil
+}
+
+// lostConn is an error on which the fake's server closes the connection.
+type lostConn struct{}
+
+func (lostConn) Error() string { return "connection closed by the test" }
+
+// bench is a fake control process with kqctl pointed at it.
+type bench struct {
+	*fakeControl
+	t     *testing.T
+	dir   string
+	flags []string
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	b := &bench{fakeControl: newFake(), t: t, dir: t.TempDir()}
+	mux := drpcmux.New()
+	if err := controlpb.DRPCRegisterControl(mux, b); err != nil {
+		t.Fatal(err)
+	}
+	l, err := rpc.Listen("127.0.0.1:0", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = rpc.Serve(ctx, l, mux) }()
+	t.Cleanup(func() { cancel(); <-done })
+	b.flags = []string{"--control", l.Addr().String(), "--state", filepath.Join(b.dir, "state"), "--timeout", "700ms"}
+	return b
+}
+
+// declare writes the declarations and returns their folder.
+func (b *bench) declare(text string) string {
+	b.t.Helper()
+	dir := filepath.Join(b.dir, "declarations")
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		b.t.Fatal(err)
+	}
+	if err := os.WriteFile(filepath.Join(dir, "a.yaml"), []byte(text), 0o644); err != nil {
+		b.t.Fatal(err)
+	}
+	return dir
+}
+
+// run runs kqctl and returns its exit code and output.
+func (b *bench) run(args ...string) (code int, stdout, stderr string) {
+	b.t.Helper()
+	var out, errs bytes.Buffer
+	code = Main(context.Background(), append(args, b.flags...), &out, &errs)
+	return code, out.String(), errs.String()
+}
+
+// want runs kqctl and fails the test on another exit code.
+func (b *bench) want(code int, args ...string) (stdout, stderr string) {
+	b.t.Helper()
+	got, out, errs := b.run(args...)
+	if got != code {
+		b.t.Fatalf("kqctl %v: exit code %d, want %d\n%s%s", args, got, code, out, errs)
+	}
+	return out, errs
+}
--- /dev/null
+++ b/internal/ctl/jsonview.go
@@ -0,0 +1,86 @@
+package ctl
+
+import (
+	"github.com/kumquathollow/kumquathollow/api/controlpb"
+	"github.com/kumquathollow/kumquathollow/internal/config"
+)
+
+// groupView is the status in kqctl's JSON output.
+type groupView struct {
+	Revision    config.Revision `json:"revision"`
+	Leader      string          `json:"leader"`
+	Term        uint64          `json:"term"`
+	CommitIndex uint64          `json:"commitIndex"`
+	Claims      uint64          `json:"claims"`
+	Voters      []voterView     `json:"voters"`
+	Nodes       []nodeView      `json:"nodes"`
+}
+
+type voterView struct {
+	ID         string `json:"id"`
+	Address    string `json:"address"`
+	Leader     bool   `json:"leader"`
+	MatchIndex uint64 `json:"matchIndex"`
+	SilentMs   uint64 `json:"silentMs"`
+}
+
+type nodeView struct {
+	Name        string          `json:"name"`
+	Role        string          `json:"role"`
+	DataCentre  string          `json:"dataCentre"`
+	Incarnation string          `json:"incarnation"`
+	InForce     config.Revision `json:"inForce"`
+	SilentMs    uint64          `json:"silentMs"`
+	Isolated    bool            `json:"isolated"`
+	Ready       bool            `json:"ready"`
+	Address     string          `json:"address"`
+}
+
+func statusView(res *controlpb.StatusResponse) groupView {
+	v := groupView{
+		Revision: config.FromPB(res.Revision), Leader: res.Leader, Term: res.Term,
+		CommitIndex: res.CommitIndex, Claims: res.Claims, Voters: []voterView{}, Nodes: []nodeView{},
+	}
+	for _, o := range res.Voters {
+		v.Voters = append(v.Voters, voterView{o.Id, o.Address, o.Leader, o.MatchIndex, o.SilentMs})
+	}
+	for _, n := range res.Nodes {
+		v.Nodes = append(v.Nodes, nodeView{
+			Name: n.Name, Role: n.Role, DataCentre: n.DataCentre, Incarnation: n.Incarnation,
+			InForce: config.FromPB(n.InForce), SilentMs: n.SilentMs, Isolated: n.Isolated, Ready: n.Ready, Address: n.Address,
+		})
+	}
+	return v
+}
+
+// auditView is one accepted change in kqctl's JSON output.
+type auditView struct {
+	Revision config.Revision `json:"revision"`
+	Base     config.Revision `json:"base"`
+	ChangeID string          `json:"changeId"`
+	Actor    string          `json:"actor"`
+	Action   string          `json:"action"`
+	Comment  string          `json:"comment,omitempty"`
+	Time     string          `json:"time"`
+	Upserted []string        `json:"upserted,omitempty"`
+	Deleted  []string        `json:"deleted,omitempty"`
+}
+
+func auditViews(entries []*controlpb.AuditEntry) []auditView {
+	out := []auditView{}
+	for _, e := range entries {
+		out = append(out, auditView{
+			Revision: config.FromPB(e.Revision), Base: config.FromPB(e.Base), ChangeID: e.ChangeId, Actor: e.Actor,
+			Action: e.Action, Comment: e.Comment, Time: entryTime(e), Upserted: keyTexts(e.Upserted), Deleted: keyTexts(e.Deleted),
+		})
+	}
+	return out
+}
+
+func keyTexts(keys []*controlpb.ObjectKey) []string {
+	var out []string
+	for _, k := range keys {
+		out = append(out, k.Kind+"/"+k.Name)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/ctl/view.go
@@ -0,0 +1,175 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/kumquathollow/kumquathollow/api/controlpb"
+	"github.com/kumquathollow/kumquathollow/internal/config"
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
+)
+
+// get prints declarations as YAML that apply accepts, or as JSON.
+func (a *app) get() error {
+	s, err := a.setAt(a.at)
+	if err != nil {
+		return err
+	}
+	keys := matching(s, a.target)
+	if len(keys) == 0 && a.target != "" {
+		return errkind.New(errkind.NotFound, "nothing matches %q", a.target)
+	}
+	text, err := s.YAML(keys)
+	if err != nil {
+		return err
+	}
+	if a.json {
+		objs, err := s.Objects()
+		if err != nil {
+			return err
+		}
+		a.printJSON(a.stdout, objectViews(objs, keys))
+		return nil
+	}
+	_, err = a.stdout.Write(text)
+	return err
+}
+
+// objectView is one object in kqctl's JSON output.
+type objectView struct {
+	Kind string          `json:"kind"`
+	Name string          `json:"name"`
+	Body json.RawMessage `json:"body"`
+}
+
+func objectViews(objs []*controlpb.Object, keys []config.Key) []objectView {
+	want := map[config.Key]bool{}
+	for _, k := range keys {
+		want[k] = true
+	}
+	out := []objectView{}
+	for _, o := range objs {
+		if want[config.Key{Kind: o.Kind, Name: o.Name}] {
+			out = append(out, objectView{o.Kind, o.Name, o.Body})
+		}
+	}
+	return out
+}
+
+// matching returns the keys that WHAT selects: all, a kind, or kind/name. The
+// kind is compared without regard to case.
+func matching(s *config.Set, what string) []config.Key {
+	kind, name, named := strings.Cut(what, "/")
+	var keys []config.Key
+	for _, k := range s.Keys() {
+		if what != "" && !strings.EqualFold(k.Kind, kind) {
+			continue
+		}
+		if named && k.Name != name {
+			continue
+		}
+		keys = append(keys, k)
+	}
+	return keys
+}
+
+// export writes one file per kind.
+func (a *app) export() error {
+	s, err := a.setAt(a.at)
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(a.path, 0o755); err != nil {
+		return errkind.Wrap(err, errkind.Usage, "create the folder")
+	}
+	byKind := map[string][]config.Key{}
+	for _, k := range s.Keys() {
+		byKind[k.Kind] = append(byKind[k.Kind], k)
+	}
+	for kind, keys := range byKind {
+		text, err := s.YAML(keys)
+		if err != nil {
+			return err
+		}
+		file := filepath.Join(a.path, strings.ToLower(kind)+".yaml")
+		if err := os.WriteFile(file, text, 0o644); err != nil {
+			return errkind.Wrap(err, errkind.Usage, "write declarations")
+		}
+	}
+	a.show(map[string]any{"revision": s.Revision, "objects": s.Len()}, func(w io.Writer) {
+		fmt.Fprintf(w, "%d objects of revision %s written to %s\n", s.Len(), revisionText(s.Revision), a.path)
+	})
+	return nil
+}
+
+func (a *app) entries() ([]*controlpb.AuditEntry, error) {
+	req := &controlpb.HistoryRequest{Limit: uint32(max(0, a.limit))}
+	if a.before != "" {
+		rev, err := parseRevision(a.before)
+		if err != nil {
+			return nil, err
+		}
+		req.Before = rev.PB()
+	}
+	var res *controlpb.HistoryResponse
+	err := a.client.call(a.ctx, func(ctx context.Context, c controlpb.DRPCControlClient) (err error) {
+		res, err = c.History(ctx, req)
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	return res.Entries, nil
+}
+
+func (a *app) history() error {
+	entries, err := a.entries()
+	if err != nil {
+		return err
+	}
+	a.show(auditViews(entries), func(w io.Writer) {
+		for _, e := range entries {
+			fmt.Fprintf(w, "%s  %s  %s  %s  +%d -%d  %s\n", revisionText(config.FromPB(e.Revision)), entryTime(e),
+				orElse(e.Actor, "unidentified"), e.Action, len(e.Upserted), len(e.Deleted), e.Comment)
+		}
+	})
+	return nil
+}
+
+func (a *app) audit() error {
+	entries, err := a.entries()
+	if err != nil {
+		return err
+	}
+	a.show(auditViews(entries), func(w io.Writer) {
+		for _, e := range entries {
+			printAudit(w, e)
+		}
+	})
+	return nil
+}
+
+func printAudit(w io.Writer, e *controlpb.AuditEntry) {
+	fmt.Fprintf(w, "revision %s from %s\n  at       %s\n  by       %s\n  action   %s\n  change   %s\n",
+		revisionText(config.FromPB(e.Revision)), revisionText(config.FromPB(e.Base)), entryTime(e),
+		orElse(e.Actor, "unidentified"), e.Action, e.ChangeId)
+	if e.Comment != "" {
+		fmt.Fprintf(w, "  comment  %s\n", e.Comment)
+	}
+	for _, k := range e.Upserted {
+		fmt.Fprintf(w, "  set      %s/%s\n", k.Kind, k.Name)
+	}
+	for _, k := range e.Deleted {
+		fmt.Fprintf(w, "  deleted  %s/%s\n", k.Kind, k.Name)
+	}
+}
+
+func entryTime(e *controlpb.AuditEntry) string {
+	return time.UnixMilli(e.UnixMs).UTC().Format(time.RFC3339)
+}
--- a/internal/distribution/relay.go
+++ b/internal/distribution/relay.go
@@ -4,8 +4,6 @@
 	"sync"
 	"time"
 
-	"storj.io/drpc/drpcerr"
-
 	"github.com/kumquathollow/kumquathollow/api/controlpb"
 	"github.com/kumquathollow/kumquathollow/internal/config"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
@@ -84,7 +82,7 @@
 	for {
 		updates, at, changed, err := r.since(have)
 		if err != nil {
-			return drpcerr.WithCode(err, errkind.Lookup(errkind.Of(err)).Code)
+			return err
 		}
 		for _, u := range updates {
 			if err := stream.Send(u); err != nil {
