--- /dev/null
+++ b/internal/admission/pool.go
@@ -0,0 +1,174 @@
+package admission
+
+import (
+	"math"
+	"slices"
+
+	"github.com/kumquathollow/kumquathollow/api/grantpb"
+	"github.com/kumquathollow/kumquathollow/internal/routing"
+)
+
+// poolKey names the servers that serve one model of a service.
+type poolKey struct{ service, model string }
+
+// pool is the servers that serve one model of a service, and the asks that
+// wait for them.
+type pool struct {
+	key     poolKey
+	service *service
+	// members are indexes into Core.servers, in the order of names.
+	members []int32
+	// warm counts the members that are ready at full capacity, and warmLive
+	// what runs there: together the mean load.
+	warm     int
+	warmLive int
+	// usable counts the members with a limit above zero.
+	usable int
+	// places is the sum of the members' limits.
+	places  int
+	tenants map[string]*tenant
+	queue   queue
+	runs    runs
+}
+
+// candidate is what a decision reads of a server, kept together.
+type candidate struct {
+	hash uint64
+	// live counts permits and unexplained running requests.
+	live int32
+	// limit is the bound that doesn't depend on other servers.
+	limit int32
+	warm  bool
+}
+
+// loadLimit returns the largest load that the bound allows a member after one
+// more request was granted: the multiple of the mean once the mean exceeds the
+// floor. Loads are whole numbers, so the bound is never below the mean's next
+// whole number; otherwise an even pool with a small mean could take nothing.
+func (p *pool) loadLimit() int32 {
+	if p.warm == 0 {
+		return math.MaxInt32
+	}
+	return LoadLimit(p.warmLive+1, p.warm, p.service.maxLoadFactor, p.service.loadFloor)
+}
+
+// LoadLimit returns the bound on one server's requests in flight when the pool
+// of n servers has total in flight.
+func LoadLimit(total, n int, factor, floor float64) int32 {
+	mean := float64(total) / float64(n)
+	if mean <= floor {
+		return int32(math.Ceil(factor * floor))
+	}
+	even := (total + n - 1) / n
+	return int32(max(int(factor*mean), even))
+}
+
+// place returns the server for the ask: the first with room in the chat's
+// order, within the workspace's subset if possible; -1 if none has room.
+func (c *Core) place(p *pool, t *tenant, a *grantpb.Ask) int32 {
+	limit := p.loadLimit()
+	best, spill := int32(-1), int32(-1)
+	var bestScore, spillScore uint64
+	restricted := a.Adapter != "" || len(a.Excluded) > 0 || a.Server != ""
+	for _, i := range p.members {
+		h := &c.hot[i]
+		if h.live >= h.limit || h.live >= limit {
+			continue
+		}
+		if restricted && !c.accepts(i, a) {
+			continue
+		}
+		score := routing.Mix(a.Chat, h.hash)
+		if score < bestScore {
+			continue
+		}
+		if t.contains(h.hash) {
+			best, bestScore = i, score
+		} else if score >= spillScore {
+			spill, spillScore = i, score
+		}
+	}
+	if best >= 0 {
+		return best
+	}
+	return spill
+}
+
+// accepts reports whether the ask's own restrictions admit the server.
+func (c *Core) accepts(i int32, a *grantpb.Ask) bool {
+	s := c.servers[i]
+	if a.Server != "" && a.Server != s.name {
+		return false
+	}
+	if a.Adapter != "" && !slices.Contains(s.adapters, a.Adapter) {
+		return false
+	}
+	return !slices.Contains(a.Excluded, s.name)
+}
+
+// poolOf returns the pool of an ask, creating it on first use.
+func (c *Core) poolOf(service, model string) *pool {
+	s := c.serviceOf(service)
+	if s == nil || !s.hasModel(model) {
+		return nil
+	}
+	if model == "" && len(s.models) > 0 {
+		model = s.models[0]
+	}
+	key := poolKey{service, model}
+	if p, ok := c.pools[key]; ok {
+		return p
+	}
+	p := &pool{key: key, service: s, tenants: map[string]*tenant{}}
+	c.pools[key] = p
+	c.poolOrder = append(c.poolOrder, p)
+	c.gatherAll()
+	return p
+}
+
+// gatherAll finds the members of every pool again.
+func (c *Core) gatherAll() {
+	for _, s := range c.servers {
+		s.pools = s.pools[:0]
+	}
+	for _, p := range c.poolOrder {
+		c.gather(p)
+	}
+}
+
+// gather finds the pool's members again.
+func (c *Core) gather(p *pool) {
+	p.members = p.members[:0]
+	for i, s := range c.servers {
+		if s.service == p.key.service && s.serves(p.key.model) {
+			p.members = append(p.members, int32(i))
+			s.pools = append(s.pools, p)
+		}
+	}
+	slices.SortFunc(p.members, func(a, b int32) int {
+		if c.servers[a].name < c.servers[b].name {
+			return -1
+		}
+		return 1
+	})
+	for _, t := range p.tenants {
+		c.chooseSubset(p, t)
+	}
+	p.recount(c)
+}
+
+// recount adds the members up again.
+func (p *pool) recount(c *Core) {
+	p.warm, p.warmLive, p.usable, p.places = 0, 0, 0, 0
+	for _, i := range p.members {
+		h := &c.hot[i]
+		if h.limit > 0 {
+			p.usable++
+			p.places += int(h.limit)
+		}
+		if h.warm {
+			p.warm++
+			p.warmLive += int(h.live)
+		}
+	}
+}
