Replicate a log: pure core with voters bound to their disks

Cause: the control group needs its own replication; no promise may rest on clocks or on a disk that has forgotten what it promised.

--- /dev/null
+++ b/internal/replication/replicate.go
@@ -0,0 +1,354 @@
+package replication
+
+import (
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/kumquathollow/kumquathollow/api/replicationpb"
+)
+
+// Propose appends a command to the leader's log and returns its index and term.
+// On an error nothing was accepted.
+func (c *Core) Propose(data []byte) (index, term uint64, err error) {
+	if c.role != Leader {
+		return 0, 0, ErrNotLeader
+	}
+	if c.uncommitted > c.cfg.MaxUncommittedBytes {
+		return 0, 0, ErrBusy
+	}
+	return c.appendLocal(pb.EntryType_COMMAND, data), c.term, nil
+}
+
+// ProposeVoters appends a new voter set, which takes effect when committed.
+func (c *Core) ProposeVoters(next *pb.VoterSet) (index, term uint64, err error) {
+	switch {
+	case c.role != Leader:
+		return 0, 0, ErrNotLeader
+	case c.pendingVoters > c.commit || c.commit < c.termStart:
+		return 0, 0, ErrChangePending
+	case !oneApart(c.voters, next) || len(next.Voters) == 0:
+		return 0, 0, ErrTooFar
+	}
+	data, err := proto.Marshal(next)
+	if err != nil {
+		return 0, 0, err
+	}
+	c.pendingVoters = c.appendLocal(pb.EntryType_VOTERS, data)
+	return c.pendingVoters, c.term, nil
+}
+
+// Match returns how much of the log a follower is known to hold, and since when
+// it was last heard from; ok is false unless this process leads.
+func (c *Core) Match(id string) (match uint64, silent int64, ok bool) {
+	if c.role != Leader {
+		return 0, 0, false
+	}
+	if id == c.cfg.ID {
+		return c.durableLast, 0, true
+	}
+	p := c.progress[id]
+	if p == nil {
+		return 0, 0, false
+	}
+	return p.match, (c.now - p.lastContact).Milliseconds(), true
+}
+
+func (c *Core) appendLocal(t pb.EntryType, data []byte) uint64 {
+	e := &pb.Entry{Term: c.term, Index: c.log.last() + 1, Type: t, Data: data}
+	c.log.append([]*pb.Entry{e})
+	c.uncommitted += entrySize(e)
+	c.broadcastAppend()
+	return e.Index
+}
+
+func (c *Core) members() []*pb.Voter {
+	return append(slices.Clone(c.voters.Voters), c.voters.Learners...)
+}
+
+func (c *Core) broadcastAppend() {
+	for _, v := range c.members() {
+		if p := c.progress[v.Id]; p != nil {
+			c.sendAppend(v, p, false)
+		}
+	}
+}
+
+// sendAppend sends what the follower lacks, as far as its window allows; an
+// empty message is sent only if force is true.
+func (c *Core) sendAppend(v *pb.Voter, p *progress, force bool) {
+	for !p.blocked(c.cfg.Window) {
+		prevTerm, ok := c.log.term(p.next - 1)
+		if !ok {
+			c.sendSnapshot(v, p)
+			return
+		}
+		es := c.log.slice(p.next, c.log.last(), c.cfg.MaxAppendBytes)
+		if len(es) == 0 && !force {
+			return
+		}
+		m := &pb.Message{Type: pb.MessageType_APPEND, Index: p.next - 1, LogTerm: prevTerm, Entries: es, Commit: c.commit}
+		c.out.Early = append(c.out.Early, c.fill(v, m))
+		if len(es) == 0 {
+			return
+		}
+		p.sent(es[len(es)-1].Index)
+		force = false
+	}
+}
+
+func (c *Core) sendSnapshot(v *pb.Voter, p *progress) {
+	if c.snapshot == nil || c.now-p.lastContact > c.cfg.ElectionTimeout {
+		return
+	}
+	p.becomeInstall(c.snapshot.Index, c.now)
+	c.out.Early = append(c.out.Early, c.fill(v, &pb.Message{Type: pb.MessageType_SNAPSHOT, Snapshot: c.snapshot}))
+}
+
+// SnapshotFailed tells the leader that a snapshot did not reach the follower.
+func (c *Core) SnapshotFailed(id string) {
+	if p := c.progress[id]; p != nil && p.state == installing {
+		p.becomeProbe()
+		p.paused = true
+	}
+}
+
+func (c *Core) heartbeat() {
+	c.heartbeatDue = c.now + c.cfg.Heartbeat
+	c.round++
+	marks := c.markList()
+	for _, v := range c.members() {
+		p := c.progress[v.Id]
+		if p == nil {
+			continue
+		}
+		m := &pb.Message{Type: pb.MessageType_HEARTBEAT, Round: c.round, Commit: min(c.commit, p.match), Marks: marks}
+		m.Shown = &pb.Mark{Disk: c.cfg.Disk, Term: c.term, Index: c.durableLast}
+		c.out.Early = append(c.out.Early, c.fill(v, m))
+	}
+	c.readsUnsent = false
+	for i := range c.reads {
+		if c.reads[i].round == 0 {
+			c.reads[i].round = c.round
+		}
+	}
+	c.confirmReads()
+}
+
+func (c *Core) onAppend(m *pb.Message) {
+	reply := &pb.Message{Type: pb.MessageType_APPEND_REPLY}
+	defer c.send(sender(m), reply)
+	if m.Index < c.commit && m.Index+uint64(len(m.Entries)) <= c.commit {
+		reply.Index = c.commit
+		return
+	}
+	if m.Index < c.log.base {
+		m = trimmed(m, c.log.base, c.log.baseTerm)
+	}
+	if t, ok := c.log.term(m.Index); !ok || t != m.LogTerm {
+		reply.Reject, reply.Index, reply.Hint = true, m.Index, c.hint(m.Index)
+		return
+	}
+	c.takeEntries(m.Entries)
+	reply.Index = m.Index + uint64(len(m.Entries))
+	c.advanceCommit(min(m.Commit, reply.Index))
+	c.acked = max(c.acked, reply.Index)
+}
+
+// trimmed drops the entries up to base, which are committed.
+func trimmed(m *pb.Message, base, baseTerm uint64) *pb.Message {
+	return &pb.Message{
+		From: m.From, FromDisk: m.FromDisk, Index: base, LogTerm: baseTerm, Commit: m.Commit,
+		Entries: m.Entries[base-m.Index:],
+	}
+}
+
+// hint is where the leader should try next after a mismatch at index.
+func (c *Core) hint(index uint64) uint64 {
+	if index > c.log.last() {
+		return c.log.last()
+	}
+	t, _ := c.log.term(index)
+	for index > c.commit+1 {
+		if p, ok := c.log.term(index - 1); !ok || p != t {
+			break
+		}
+		index--
+	}
+	return index - 1
+}
+
+// takeEntries appends what is new and replaces what conflicts.
+func (c *Core) takeEntries(es []*pb.Entry) {
+	for i, e := range es {
+		t, ok := c.log.term(e.Index)
+		if ok && t == e.Term {
+			continue
+		}
+		if ok {
+			c.log.truncate(e.Index)
+			c.durableNext = min(c.durableNext, e.Index)
+		}
+		c.log.append(es[i:])
+		return
+	}
+}
+
+func (c *Core) onHeartbeat(m *pb.Message) {
+	c.advanceCommit(min(m.Commit, c.log.last()))
+	c.send(sender(m), &pb.Message{Type: pb.MessageType_HEARTBEAT_REPLY, Round: m.Round})
+}
+
+func (c *Core) onSnapshot(m *pb.Message) {
+	s := m.Snapshot
+	reply := &pb.Message{Type: pb.MessageType_APPEND_REPLY, Index: c.commit}
+	defer c.send(sender(m), reply)
+	if s.GetIndex() <= c.commit {
+		return
+	}
+	if t, ok := c.log.term(s.Index); ok && t == s.Term {
+		c.advanceCommit(s.Index)
+		reply.Index = c.commit
+		return
+	}
+	c.log = newLog(s.Index, s.Term, nil)
+	c.commit, c.gave, c.durableNext = s.Index, s.Index, s.Index+1
+	c.snapshot, c.voters = s, cloneSet(s.Voters)
+	c.out.Install, c.out.Committed = s, nil
+	reply.Index = s.Index
+	c.acked = max(c.acked, s.Index)
+}
+
+func (c *Core) fromMember(m *pb.Message) *progress {
+	p := c.progress[m.From]
+	if c.role != Leader || p == nil || p.disk != m.FromDisk {
+		return nil
+	}
+	p.lastContact = c.now
+	return p
+}
+
+func (c *Core) onAppendReply(m *pb.Message) {
+	p := c.fromMember(m)
+	if p == nil {
+		return
+	}
+	if m.Reject {
+		c.onReject(m, p)
+		return
+	}
+	if p.state == installing && m.Index < p.pending {
+		return
+	}
+	p.acked(m.Index, !m.Unconfirmed)
+	if p.state != replicating {
+		p.becomeReplicate()
+		p.next = max(p.next, m.Index+1)
+	}
+	c.maybeCommit()
+	c.sendAppend(sender(m), p, false)
+}
+
+func (c *Core) onReject(m *pb.Message, p *progress) {
+	if m.Index <= p.match && !m.Unconfirmed {
+		return
+	}
+	if m.Unconfirmed {
+		p.match = 0
+	}
+	p.becomeProbe()
+	p.next = max(p.match+1, min(m.Index, m.Hint+1))
+	p.next = max(p.next, 1)
+	c.sendAppend(sender(m), p, true)
+}
+
+func (c *Core) onHeartbeatReply(m *pb.Message) {
+	p := c.fromMember(m)
+	if p == nil {
+		return
+	}
+	p.paused = false
+	if !m.Unconfirmed {
+		p.round = max(p.round, m.Round)
+	}
+	if p.state == replicating && len(p.inflight) >= c.cfg.Window {
+		p.inflight = p.inflight[1:]
+	}
+	if p.match < c.log.last() {
+		c.sendAppend(sender(m), p, true)
+	}
+	c.confirmReads()
+}
+
+// maybeCommit commits what a majority of the voters holds, if of this term.
+func (c *Core) maybeCommit() {
+	var held []uint64
+	for _, v := range c.voters.Voters {
+		held = append(held, c.heldBy(v))
+	}
+	if len(held) == 0 {
+		return
+	}
+	slices.Sort(held)
+	index := held[len(held)-majority(len(held))]
+	if t, ok := c.log.term(index); !ok || t != c.term || index <= c.commit {
+		return
+	}
+	c.advanceCommit(index)
+	if c.role != Leader {
+		return
+	}
+	for _, v := range c.members() {
+		if p := c.progress[v.Id]; p != nil && p.state == replicating {
+			c.sendAppend(v, p, true)
+		}
+	}
+}
+
+func (c *Core) heldBy(v *pb.Voter) uint64 {
+	if v.Id == c.cfg.ID {
+		return c.durableLast
+	}
+	if p := c.progress[v.Id]; p != nil && p.disk == v.Disk {
+		return p.match
+	}
+	return 0
+}
+
+// advanceCommit moves the commit index and puts voter sets in force.
+func (c *Core) advanceCommit(to uint64) {
+	for c.commit < to {
+		c.commit++
+		e := c.log.entries[c.commit-c.log.base-1]
+		c.uncommitted = max(0, c.uncommitted-entrySize(e))
+		if e.Type != pb.EntryType_VOTERS {
+			continue
+		}
+		set := &pb.VoterSet{}
+		if err := proto.Unmarshal(e.Data, set); err == nil {
+			c.useVoters(set)
+		}
+	}
+}
+
+func (c *Core) useVoters(set *pb.VoterSet) {
+	c.voters = set
+	c.checkConfirmed()
+	if c.role != Leader {
+		return
+	}
+	c.syncProgress()
+	if !c.self() {
+		c.becomeFollower(c.term, "")
+	}
+}
+
+// Compact tells the core that a snapshot is durable; entries up to keepFrom may
+// be dropped from memory.
+func (c *Core) Compact(meta *pb.SnapshotMeta, keepFrom uint64) {
+	if meta.Index <= c.snapshot.GetIndex() {
+		return
+	}
+	c.snapshot = meta
+	c.log.compact(min(keepFrom, meta.Index))
+}
--- /dev/null
+++ b/internal/replication/sim_test.go
@@ -0,0 +1,371 @@
+package replication
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/kumquathollow/kumquathollow/api/replicationpb"
+)
+
+// simDisk is what survives a crash.
+type simDisk struct {
+	id    string
+	hs    *pb.HardState
+	snap  *pb.SnapshotMeta
+	log   []*pb.Entry
+	marks map[string]*pb.Mark
+}
+
+func (d *simDisk) clone() *simDisk {
+	c := *d
+	c.log = append([]*pb.Entry(nil), d.log...)
+	c.marks = map[string]*pb.Mark{}
+	for k, v := range d.marks {
+		c.marks[k] = v
+	}
+	return &c
+}
+
+func (d *simDisk) append(es []*pb.Entry) {
+	if len(es) == 0 {
+		return
+	}
+	at := es[0].Index - d.snap.GetIndex() - 1
+	d.log = append(d.log[:at:at], es...)
+}
+
+type simNode struct {
+	id      string
+	disk    *simDisk
+	core    *Core
+	applied uint64
+	boots   int
+}
+
+type flight struct {
+	at time.Duration
+	m  *pb.Message
+}
+
+// sim is a group in virtual time over a network that loses, delays, doubles,
+// reorders and cuts.
+type sim struct {
+	t       testing.TB
+	rng     *rand.Rand
+	seed    uint64
+	now     time.Duration
+	nodes   map[string]*simNode
+	order   []string
+	net     []flight
+	cut     map[[2]string]bool
+	lossPct int
+	// chosen is the one history of committed entries, by index.
+	chosen  []*pb.Entry
+	leaders map[uint64]string
+	next    int
+	// skipOrders stops the leader-completeness check of expected losses.
+	voterChanges bool
+}
+
+const simTick = 20 * time.Millisecond
+
+func simConfig(id, disk string) Config {
+	c := DefaultConfig(id, disk)
+	c.ElectionTimeout, c.Heartbeat = 200*time.Millisecond, 40*time.Millisecond
+	c.ConfirmTime, c.InstallTimeout = 600*time.Millisecond, 500*time.Millisecond
+	c.MaxAppendBytes, c.Window = 300, 4
+	return c
+}
+
+func newSim(t testing.TB, seed uint64, n int) *sim {
+	s := &sim{
+		t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]*simNode{},
+		cut: map[[2]string]bool{}, leaders: map[uint64]string{},
+	}
+	set := &pb.VoterSet{}
+	for i := range n {
+		id := string(rune('a' + i))
+		set.Voters = append(set.Voters, &pb.Voter{Id: id, Disk: id + "-1"})
+	}
+	data, _ := proto.Marshal(set)
+	first := &pb.Entry{Term: 1, Index: 1, Type: pb.EntryType_VOTERS, Data: data}
+	s.chosen = []*pb.Entry{first}
+	for _, v := range set.Voters {
+		d := &simDisk{id: v.Disk, hs: &pb.HardState{Term: 1, Commit: 1}, log: []*pb.Entry{first}, marks: map[string]*pb.Mark{}}
+		s.addNode(v.Id, d)
+	}
+	return s
+}
+
+func (s *sim) addNode(id string, d *simDisk) *simNode {
+	n := s.nodes[id]
+	if n == nil {
+		n = &simNode{id: id}
+		s.nodes[id] = n
+		s.order = append(s.order, id)
+	}
+	n.disk = d
+	s.boot(n)
+	return n
+}
+
+func (s *sim) boot(n *simNode) {
+	n.boots++
+	r := Restored{HardState: n.disk.hs, Snapshot: n.disk.snap, Entries: append([]*pb.Entry(nil), n.disk.log...)}
+	for _, m := range n.disk.marks {
+		r.Marks = append(r.Marks, m)
+	}
+	n.applied = n.disk.snap.GetIndex()
+	rng := rand.New(rand.NewPCG(s.rng.Uint64(), 2))
+	n.core = New(simConfig(n.id, n.disk.id), rng, s.now, r)
+}
+
+func (s *sim) fail(format string, args ...any) {
+	s.t.Helper()
+	s.t.Fatalf("seed %d at %v: %s", s.seed, s.now, fmt.Sprintf(format, args...))
+}
+
+// crash stops a node at a random point of its work: what is not on disk is lost.
+func (s *sim) crash(n *simNode) {
+	if n.core == nil {
+		return
+	}
+	r := n.core.Ready()
+	switch s.rng.IntN(3) {
+	case 0:
+	case 1:
+		s.post(r.Early)
+	case 2:
+		s.post(r.Early)
+		s.persist(n, r)
+	}
+	n.core = nil
+}
+
+func (s *sim) persist(n *simNode, r Ready) {
+	if r.Install != nil {
+		n.disk.snap, n.disk.log = r.Install, nil
+		n.applied = r.Install.Index
+	}
+	if r.HardState != nil {
+		n.disk.hs = r.HardState
+	}
+	n.disk.append(r.Entries)
+	for _, m := range r.Marks {
+		n.disk.marks[m.Disk] = m
+	}
+}
+
+func (s *sim) work(n *simNode) {
+	for n.core != nil {
+		r := n.core.Ready()
+		if r.Empty() {
+			break
+		}
+		s.post(r.Early)
+		s.persist(n, r)
+		n.core.Durable(r)
+		s.post(r.Messages)
+		for _, e := range r.Committed {
+			s.apply(n, e)
+		}
+	}
+	if n.core != nil && n.core.Role() == Leader {
+		s.checkLeader(n)
+	}
+}
+
+func (s *sim) apply(n *simNode, e *pb.Entry) {
+	if e.Index != n.applied+1 {
+		s.fail("%s applied %d after %d", n.id, e.Index, n.applied)
+	}
+	n.applied = e.Index
+	if int(e.Index) <= len(s.chosen) {
+		if c := s.chosen[e.Index-1]; c.Term != e.Term || string(c.Data) != string(e.Data) {
+			s.fail("%s applied another entry at %d", n.id, e.Index)
+		}
+		return
+	}
+	s.chosen = append(s.chosen, e)
+}
+
+// checkLeader is election safety and leader completeness.
+func (s *sim) checkLeader(n *simNode) {
+	term := n.core.Term()
+	if was, ok := s.leaders[term]; ok {
+		if was != n.disk.id {
+			s.fail("term %d has leaders %s and %s", term, was, n.disk.id)
+		}
+		return
+	}
+	s.leaders[term] = n.disk.id
+	for _, c := range s.chosen {
+		t, ok := n.core.log.term(c.Index)
+		if c.Index > n.core.log.base && (!ok || t != c.Term) {
+			s.fail("leader %s of term %d lacks committed entry %d", n.id, term, c.Index)
+		}
+	}
+}
+
+// checkLogs is log matching.
+func (s *sim) checkLogs() {
+	for _, a := range s.order {
+		for _, b := range s.order {
+			x, y := s.nodes[a].core, s.nodes[b].core
+			if a >= b || x == nil || y == nil {
+				continue
+			}
+			same := false
+			for i := min(x.log.last(), y.log.last()); i > max(x.log.base, y.log.base); i-- {
+				tx, _ := x.log.term(i)
+				ty, _ := y.log.term(i)
+				if same && tx != ty {
+					s.fail("logs of %s and %s differ at %d below a match", a, b, i)
+				}
+				same = same || tx == ty
+			}
+		}
+	}
+}
+
+func (s *sim) post(ms []*pb.Message) {
+	for _, m := range ms {
+		if s.cut[[2]string{m.From, m.To}] || s.rng.IntN(100) < s.lossPct {
+			continue
+		}
+		copies := 1
+		if s.lossPct > 0 && s.rng.IntN(20) == 0 {
+			copies = 2
+		}
+		for range copies {
+			d := time.Duration(s.rng.IntN(15)) * time.Millisecond
+			if s.lossPct > 0 && s.rng.IntN(10) == 0 {
+				d *= 20
+			}
+			s.net = append(s.net, flight{s.now + d, proto.Clone(m).(*pb.Message)})
+		}
+	}
+}
+
+// step lets one tick pass and delivers what is due, in random order.
+func (s *sim) step() {
+	s.now += simTick
+	var due, later []flight
+	for _, f := range s.net {
+		if f.at <= s.now {
+			due = append(due, f)
+		} else {
+			later = append(later, f)
+		}
+	}
+	s.net = later
+	s.rng.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
+	for _, f := range due {
+		n := s.nodes[f.m.To]
+		if n == nil || n.core == nil || s.cut[[2]string{f.m.From, f.m.To}] {
+			continue
+		}
+		n.core.advance(s.now)
+		n.core.Step(f.m)
+		if s.rng.IntN(3) > 0 {
+			s.work(n)
+		}
+	}
+	for _, id := range s.order {
+		if n := s.nodes[id]; n.core != nil {
+			n.core.Tick(s.now)
+			s.work(n)
+		}
+	}
+}
+
+func (s *sim) run(steps int) {
+	for range steps {
+		s.step()
+	}
+}
+
+func (s *sim) leader() *simNode {
+	var best *simNode
+	for _, id := range s.order {
+		n := s.nodes[id]
+		if n.core != nil && n.core.Role() == Leader && (best == nil || n.core.Term() > best.core.Term()) {
+			best = n
+		}
+	}
+	return best
+}
+
+// propose hands a command to every process that believes it leads.
+func (s *sim) propose() {
+	for _, id := range s.order {
+		if n := s.nodes[id]; n.core != nil && n.core.Role() == Leader {
+			s.next++
+			_, _, _ = n.core.Propose(fmt.Appendf(nil, "command %d by %s", s.next, id))
+		}
+	}
+}
+
+func (s *sim) compact(n *simNode) {
+	if n.core == nil || n.applied <= n.core.snapshot.GetIndex() || n.applied < n.core.log.base {
+		return
+	}
+	s.work(n)
+	term, ok := n.core.log.term(n.applied)
+	if !ok {
+		return
+	}
+	meta := &pb.SnapshotMeta{Index: n.applied, Term: term, Voters: cloneSet(n.core.Voters())}
+	keep := n.applied - min(n.applied, uint64(s.rng.IntN(3)))
+	n.disk.log = append([]*pb.Entry(nil), n.core.log.slice(n.applied+1, n.core.log.last(), 1<<30)...)
+	n.disk.snap = meta
+	n.core.Compact(meta, keep)
+}
+
+// heal ends all faults and restarts every process.
+func (s *sim) heal() {
+	s.lossPct = 0
+	s.cut = map[[2]string]bool{}
+	for _, id := range s.order {
+		if n := s.nodes[id]; n.core == nil {
+			s.boot(n)
+		}
+	}
+}
+
+// mustAgree requires that a healed group accepts a command and that all apply it.
+func (s *sim) mustAgree(members ...string) {
+	s.t.Helper()
+	if len(members) == 0 {
+		members = s.order
+	}
+	for range 60 {
+		s.run(10)
+		l := s.leader()
+		if l == nil {
+			continue
+		}
+		before := len(s.chosen)
+		s.propose()
+		s.run(20)
+		behind := 0
+		for _, id := range members {
+			if s.nodes[id].applied < uint64(len(s.chosen)) {
+				behind++
+			}
+		}
+		if len(s.chosen) > before && behind == 0 {
+			return
+		}
+	}
+	for _, id := range s.order {
+		if c := s.nodes[id].core; c != nil {
+			s.t.Logf("%s: role %d term %d last %d commit %d confirmed %v quarantined %v voters %v", id, c.role, c.term, c.log.last(), c.commit, c.confirmed, c.quarantined, c.voters)
+		}
+	}
+	s.fail("the healed group does not go on")
+}
