--- a/internal/replication/sim_test.go
+++ b/internal/replication/sim_test.go
@@ -67,8 +67,6 @@
 	chosen  []*pb.Entry
 	leaders map[uint64]string
 	next    int
-	// skipOrders stops the leader-completeness check of expected losses.
-	voterChanges bool
 }
 
 const simTick = 20 * time.Millisecond
