--- /dev/null
+++ b/internal/storage/storage_test.go
@@ -0,0 +1,277 @@
+package storage
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/cockroachdb/pebble/v2/vfs"
+	"github.com/cockroachdb/pebble/v2/vfs/errorfs"
+
+	pb "github.com/kumquathollow/kumquathollow/api/replicationpb"
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/replication"
+)
+
+const testDir = "/data/control"
+
+func entry(i, term uint64) *pb.Entry {
+	return &pb.Entry{Index: i, Term: term, Data: fmt.Appendf(nil, "entry %d of term %d", i, term)}
+}
+
+// promised is what a store has acknowledged.
+type promised struct {
+	term, snap uint64
+	entries    map[uint64]uint64
+	last       uint64
+	begun      bool
+}
+
+// work runs a fixed schedule of appends, truncations, snapshots and installs
+// until a file operation fails, and returns what was acknowledged.
+func work(fs vfs.FS, p *promised) {
+	s, r, err := Open(fs, testDir, "c1")
+	if err != nil {
+		return
+	}
+	defer s.Close()
+	term := r.HardState.Term + 1
+	last := r.Snapshot.GetIndex() + uint64(len(r.Entries))
+	for round := range uint64(4) {
+		p.begun = true
+		first := last + 1
+		if round == 2 && first > p.snap+2 {
+			first--
+		}
+		var es []*pb.Entry
+		for i := first; i < first+3; i++ {
+			es = append(es, entry(i, term))
+		}
+		if s.Append(&pb.HardState{Term: term, Commit: first - 1}, es, nil) != nil {
+			return
+		}
+		p.term, last, p.last = term, first+2, first+2
+		for _, e := range es {
+			p.entries[e.Index] = e.Term
+		}
+		if round%2 == 1 && !snapshotAt(s, p, last-1) {
+			return
+		}
+		term++
+	}
+	if !installAt(s, p, last+10, term) {
+		return
+	}
+	if s.Append(nil, []*pb.Entry{entry(last+11, term)}, nil) == nil {
+		p.last = last + 11
+		p.entries[p.last] = term
+	}
+}
+
+func snapshotAt(s *Store, p *promised, i uint64) bool {
+	meta := &pb.SnapshotMeta{Index: i, Term: p.entries[i]}
+	err := s.SaveSnapshot(meta, func(w io.Writer) error {
+		_, err := fmt.Fprintf(w, "state at %d", i)
+		return err
+	})
+	if err == nil {
+		p.snap = i
+	}
+	return err == nil
+}
+
+func installAt(s *Store, p *promised, i, term uint64) bool {
+	rec, err := s.ReceiveSnapshot(func(w io.Writer) error {
+		return WriteSnapshot(w, &pb.SnapshotMeta{Index: i, Term: term}, func(w io.Writer) error {
+			_, err := fmt.Fprintf(w, "state at %d", i)
+			return err
+		})
+	})
+	if err != nil || s.InstallSnapshot(rec) != nil {
+		return false
+	}
+	p.snap, p.last = i, i
+	return true
+}
+
+func check(t *testing.T, at string, r replication.Restored, p *promised) {
+	t.Helper()
+	if r.HardState.Term < p.term {
+		t.Fatalf("%s: term %d was acknowledged, %d restored", at, p.term, r.HardState.Term)
+	}
+	base := r.Snapshot.GetIndex()
+	if base < p.snap || base+uint64(len(r.Entries)) < p.last {
+		t.Fatalf("%s: acknowledged to %d with snapshot %d, restored %d with snapshot %d", at, p.last, p.snap, base+uint64(len(r.Entries)), base)
+	}
+	for i := base + 1; i <= p.last; i++ {
+		if e := r.Entries[i-base-1]; e.Term < p.entries[i] || e.Index != i {
+			t.Fatalf("%s: entry %d has term %d, acknowledged %d", at, i, e.Term, p.entries[i])
+		}
+	}
+}
+
+// TestCrashAtEachOperation crashes before each file operation in turn, twice in
+// a row, with none, some or all of the unsynced data kept. Nothing that was
+// acknowledged may be lost, and the folder must open.
+func TestCrashAtEachOperation(t *testing.T) {
+	crashes := 0
+	for _, keep := range []int{0, 50, 100} {
+		for first := 0; ; first++ {
+			done := false
+			for second := range 8 {
+				rng := rand.New(rand.NewPCG(uint64(first), uint64(second)))
+				p := &promised{entries: map[uint64]uint64{}}
+				mem := vfs.NewCrashableMem()
+				var crashed bool
+				for _, at := range []int{first, second * 7} {
+					mem, crashed = crashAt(mem, at, keep, rng, p)
+					_, r, err := Open(mem.CrashClone(vfs.CrashCloneCfg{}), testDir, "c1")
+					if err != nil {
+						t.Fatalf("keep %d%%, crash at %d, then %d: %v", keep, first, second*7, err)
+					}
+					check(t, fmt.Sprintf("keep %d%%, crash at %d, then %d", keep, first, second*7), r, p)
+					crashes++
+					if at == first && !crashed {
+						done = true
+					}
+				}
+			}
+			if done {
+				break
+			}
+		}
+	}
+	t.Logf("%d crashes", crashes)
+	if crashes < 1000 {
+		t.Fatalf("only %d crashes were brought about", crashes)
+	}
+}
+
+// crashAt works until the file operation with that number, and returns what a
+// crash there leaves.
+func crashAt(mem *vfs.MemFS, at, keep int, rng *rand.Rand, p *promised) (*vfs.MemFS, bool) {
+	n, crashed := 0, false
+	var left *vfs.MemFS
+	fs := errorfs.Wrap(mem, errorfs.InjectorFunc(func(op errorfs.Op) error {
+		if crashed || op.Kind.ReadOrWrite() == errorfs.OpIsWrite {
+			n++
+		}
+		if n > at && !crashed {
+			crashed = true
+			left = mem.CrashClone(vfs.CrashCloneCfg{UnsyncedDataPercent: keep, RNG: rng})
+		}
+		if crashed {
+			return errors.New("crashed")
+		}
+		return nil
+	}))
+	work(fs, p)
+	if !crashed {
+		left = mem.CrashClone(vfs.CrashCloneCfg{UnsyncedDataPercent: keep, RNG: rng})
+	}
+	return left, crashed
+}
+
+// logBytes writes a log of n batches and returns the file.
+func logBytes(t testing.TB, n int) []byte {
+	fs := vfs.NewMem()
+	s, _, err := Open(fs, testDir, "c1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range uint64(n) {
+		if err := s.Append(&pb.HardState{Term: 1, Commit: i}, []*pb.Entry{entry(i+1, 1)}, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	data, err := readWhole(fs, fs.PathJoin(testDir, numbered(logPrefix, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// TestDamagedMiddle flips a bit in every byte: before the last record it is
+// refused, in the last record the tail is cut.
+func TestDamagedMiddle(t *testing.T) {
+	const n = 12
+	data := logBytes(t, n)
+	lastAt := len(logBytes(t, n-1))
+	for at := range data {
+		bad := bytes.Clone(data)
+		bad[at] ^= 0x10
+		next, err := readLog(bad, 1, func(*pb.LogBatch) error { return nil })
+		if at < lastAt && !errkind.Is(err, errkind.DamagedStorage) {
+			t.Fatalf("byte %d of %d: damage gave %v and sequence %d", at, len(data), err, next)
+		}
+		if at >= lastAt && (err != nil || next != n) {
+			t.Fatalf("byte %d: a damaged tail gave %v and sequence %d", at, err, next)
+		}
+	}
+	for cut := range data {
+		if _, err := readLog(data[:cut], 1, func(*pb.LogBatch) error { return nil }); err != nil {
+			t.Fatalf("cut at %d: %v", cut, err)
+		}
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	fs := vfs.NewMem()
+	s, _, err := Open(fs, testDir, "c1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range uint64(6) {
+		if err := s.Append(&pb.HardState{Term: 1}, []*pb.Entry{entry(i+1, 1)}, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, i := range []uint64{6, 8} {
+		if err := s.SaveSnapshot(&pb.SnapshotMeta{Index: i, Term: 1}, func(io.Writer) error { return nil }); err != nil {
+			t.Fatal(err)
+		}
+		if err := s.Append(nil, []*pb.Entry{entry(i+1, 1), entry(i+2, 1)}, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	_ = s.Close()
+	for _, tc := range []struct {
+		name string
+		harm func(*vfs.MemFS) string
+		kind errkind.Kind
+	}{
+		{"other node", func(*vfs.MemFS) string { return "c2" }, errkind.WrongDisk},
+		{"no identity", func(m *vfs.MemFS) string { _ = m.Remove(testDir + "/identity"); return "c1" }, errkind.DamagedStorage},
+		{"no snapshot", func(m *vfs.MemFS) string { _ = m.Remove(testDir + "/" + numbered(snapPrefix, 8)); return "c1" }, errkind.DamagedStorage},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := vfs.NewMem()
+			if ok, err := vfs.Clone(fs, c, testDir, testDir); !ok || err != nil {
+				t.Fatal(ok, err)
+			}
+			node := tc.harm(c)
+			if _, _, err := Open(c, testDir, node); !errkind.Is(err, tc.kind) {
+				t.Fatalf("got %v, want kind %s", err, tc.kind)
+			}
+		})
+	}
+}
+
+func FuzzReadLog(f *testing.F) {
+	whole := logBytes(f, 5)
+	f.Add(whole)
+	f.Add(whole[:len(whole)-3])
+	f.Fuzz(func(t *testing.T, data []byte) {
+		l := &loader{head: &pb.LogBatch{}}
+		next, err := readLog(data, 1, l.take)
+		if err != nil && !errkind.Is(err, errkind.DamagedStorage) {
+			t.Fatalf("an error without its kind: %v", err)
+		}
+		if uint64(len(l.entries)) > 0 && next == 1 && err == nil {
+			t.Fatal("entries without a record")
+		}
+	})
+}
