Count the bytes between the fleet's processes; match request ids by base

A request id names the server of its attempt, so the check of "not run" compares the part that all attempts share.

--- a/internal/replay/check.go
+++ b/internal/replay/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
@@ -59,7 +60,8 @@
 	for _, e := range entries {
 		switch e.Event {
 		case standin.EventBegin:
-			l.byRequest[e.Request] = append(l.byRequest[e.Request], e)
+			base := baseID(e.Request)
+			l.byRequest[base] = append(l.byRequest[base], e)
 			if e.Key != "" {
 				k := runKey{e.Workspace, e.Key}
 				l.byKey[k] = append(l.byKey[k], e)
@@ -72,6 +74,13 @@
 	return l
 }
 
+// baseID returns the part of a request id that stays the same over the attempts
+// of a request; the rest tells where an attempt runs.
+func baseID(id string) string {
+	base, _, _ := strings.Cut(id, "~")
+	return base
+}
+
 // checkOwnAnswer: a caller gets its own answer, whole, or sees that it did not.
 func checkOwnAnswer(o Observation) Promise {
 	p := Promise{Name: "own answer, whole"}
@@ -122,7 +131,7 @@
 			continue
 		}
 		p.Checked++
-		if runs := l.byRequest[e.RequestID]; len(runs) > 0 {
+		if runs := l.byRequest[baseID(e.RequestID)]; len(runs) > 0 {
 			p.violate("%s was told that request %s did not run (%s), but %s ran it", describe(o, e), e.RequestID, e.Kind, runs[0].Server)
 		}
 	}
--- a/internal/replay/check_test.go
+++ b/internal/replay/check_test.go
@@ -44,13 +44,13 @@
 func good(t *testing.T) Observation {
 	t.Helper()
 	begin, end := entry(standin.EventBegin, 100, 1), entry(standin.EventEnd, 300, 1)
-	begin.Key, begin.Request, begin.Hash = "k1", "r1", onceHash(t)
+	begin.Key, begin.Request, begin.Hash = "k1", "r1~entries~b~s1", onceHash(t)
 	end.Hash, end.Outcome = begin.Hash, standin.RunCompleted
 	return Observation{
 		Records: []trace.Record{once},
 		Exchanges: []Exchange{
 			{Router: "router-1", RequestID: "r0", Sent: at(0), Ended: at(50), Status: 503, Outcome: errkind.NotRun, Kind: errkind.QueueFull, Verdict: AnswerNone},
-			{Router: "router-2", RequestID: "r1", Sent: at(90), Ended: at(310), Status: 200, Outcome: errkind.Completed, Verdict: AnswerWhole},
+			{Router: "router-2", RequestID: "r1~entries~b~s1", Sent: at(90), Ended: at(310), Status: 200, Outcome: errkind.Completed, Verdict: AnswerWhole},
 		},
 		Ledger:  []standin.Entry{state(standin.Cold, 0), state(standin.Ready, 50), begin, end},
 		Samples: []Sample{{At: at(0), Router: "router-1", Reached: true, Revision: config.Revision{Epoch: 1, Number: 2}}},
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -47,6 +47,9 @@
 // Dialer gives pooled connections to the fleet's processes. It is safe for
 // concurrent use.
 type Dialer struct {
+	// Traffic counts the bytes of the connections.
+	Traffic *Traffic
+
 	conf *tls.Config
 	pool *drpcpool.Pool[string, drpcpool.Conn]
 }
@@ -54,7 +57,8 @@
 // NewDialer returns a Dialer; conf is nil for plain TCP.
 func NewDialer(conf *tls.Config) *Dialer {
 	return &Dialer{
-		conf: conf,
+		Traffic: &Traffic{},
+		conf:    conf,
 		pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
 			Expiration:  idleExpiry,
 			Capacity:    poolCapacity,
@@ -78,6 +82,7 @@
 	if err != nil {
 		return nil, errkind.Wrap(err, errkind.Unreachable, "dial %s", addr)
 	}
+	raw = d.Traffic.conn(raw)
 	if d.conf == nil {
 		return drpcconn.New(raw), nil
 	}
--- /dev/null
+++ b/internal/rpc/traffic_test.go
@@ -0,0 +1,43 @@
+package rpc
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+)
+
+func TestTrafficCountsBothDirections(t *testing.T) {
+	l, err := Listen("127.0.0.1:0", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var server Traffic
+	counted := server.Listener(l)
+	defer func() { _ = counted.Close() }()
+	go func() {
+		c, err := counted.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		_, _ = io.ReadFull(c, make([]byte, 5))
+		_, _ = c.Write([]byte("abc"))
+	}()
+	raw, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var client Traffic
+	c := client.conn(raw)
+	defer func() { _ = c.Close() }()
+	if _, err := c.Write([]byte("hello")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadAll(c); err != nil {
+		t.Fatal(err)
+	}
+	if client.Out() != 5 || client.In() != 3 || server.In() != 5 || server.Out() != 3 {
+		t.Fatalf("client %d/%d, server %d/%d", client.Out(), client.In(), server.In(), server.Out())
+	}
+}
