--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -56,7 +56,7 @@
 
 // fault records a fault of a field of the object being looked at.
 func (c *check) fault(field, format string, args ...any) {
-	if c.set.sources[c.key].faulted[topField(field)] {
+	if src := c.set.sources[c.key]; src.undecoded || src.faulted[topField(field)] {
 		return
 	}
 	f := settings.Fault{Object: c.key.String(), Field: field, Message: fmt.Sprintf(format, args...)}
--- a/internal/config/check_set.go
+++ b/internal/config/check_set.go
@@ -14,12 +14,13 @@
 			for _, m := range r.withDefaults().Methods {
 				at := fmt.Sprintf("routes[%d]", i)
 				p := place{m, r.Path}
+				this := fmt.Sprintf("%s %s", c.key, at)
 				other, taken := first[p]
-				if taken {
+				if taken && other != this {
 					c.fault(at+".path", "%s %s is also taken by %s; give each method and path to one route", m, r.Path, other)
 					continue
 				}
-				first[p] = fmt.Sprintf("%s %s", c.key, at)
+				first[p] = this
 			}
 		}
 	}
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -29,6 +29,8 @@
 	// faulted holds the top-level fields that could not be decoded; their
 	// values are not checked.
 	faulted map[string]bool
+	// undecoded is true when no field could be decoded.
+	undecoded bool
 }
 
 // LoadDir reads the declarations from all files *.yaml and *.yml under the
@@ -101,6 +103,9 @@
 
 // finish adds the faults of the set as a whole.
 func (l *loader) finish() (*Set, error) {
+	if len(l.faults) == 0 && l.set.Len() == 0 {
+		l.fault("", 0, "", "nothing is declared; an empty set would delete every object")
+	}
 	l.faults = append(l.faults, l.set.check()...)
 	if len(l.faults) == 0 {
 		return l.set, nil
@@ -149,15 +154,13 @@
 		return
 	}
 	faults := settings.Decode(rest, o)
-	k := o.key()
+	k := Key{kind.Value, nameOf(rest)}
 	for _, f := range faults {
 		f.File, f.Object = file, k.String()
 		l.faults = append(l.faults, f)
 	}
 	if k.Name == "" {
-		if len(faults) == 0 {
-			l.fault(file, n.Line, kind.Value, "the field name is missing")
-		}
+		l.fault(file, n.Line, kind.Value, "the field name is missing")
 		return
 	}
 	if first, ok := l.set.sources[k]; ok {
@@ -169,10 +172,25 @@
 		src.faulted[topField(f.Field)] = true
 	}
 	noteLines(rest, "", src.fields)
+	if o.key() != k {
+		// Nothing could be decoded; the name alone keeps references to it sound.
+		o = named(k)
+		src.undecoded = true
+	}
 	l.set.sources[k] = src
 	l.set.put(o)
 }
 
+// nameOf returns the value of the field name, or "" if it is no text.
+func nameOf(n *yaml.Node) string {
+	for i := 0; i+1 < len(n.Content); i += 2 {
+		if n.Content[i].Value == "name" && n.Content[i+1].Kind == yaml.ScalarNode {
+			return n.Content[i+1].Value
+		}
+	}
+	return ""
+}
+
 // splitKind returns the value of the field kind, and the mapping without it.
 func splitKind(n *yaml.Node) (kind, rest *yaml.Node) {
 	c := *n
--- a/internal/config/object.go
+++ b/internal/config/object.go
@@ -56,6 +56,21 @@
 	return nil
 }
 
+// named returns an object of the key's kind that has only its name.
+func named(k Key) object {
+	switch k.Kind {
+	case KindDataCentre:
+		return &DataCentre{Name: k.Name}
+	case KindService:
+		return &Service{Name: k.Name}
+	case KindBackendServer:
+		return &BackendServer{Name: k.Name}
+	case KindWorkspace:
+		return &Workspace{Name: k.Name}
+	}
+	return &Policy{Name: k.Name}
+}
+
 // NewSet returns an empty set.
 func NewSet(rev Revision) *Set {
 	return &Set{
--- a/internal/config/yaml.go
+++ b/internal/config/yaml.go
@@ -12,6 +12,9 @@
 
 // YAML returns the named objects as declarations that LoadDir reads.
 func (s *Set) YAML(keys []Key) ([]byte, error) {
+	if len(keys) == 0 {
+		return nil, nil
+	}
 	var b bytes.Buffer
 	enc := yaml.NewEncoder(&b)
 	enc.SetIndent(yamlIndent)
