Check roles per call; document every field of the declarations

Cause: any certificate of the fleet could make any call, and nothing kept a page of the fields true. Change: a drpc handler wrapper checks the caller's role against one table per method; a test keeps the table complete for the four services.

--- /dev/null
+++ b/internal/ctl/page_test.go
@@ -0,0 +1,136 @@
+package ctl
+
+import (
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/kumquathollow/kumquathollow/internal/config"
+)
+
+// pageRows reads the tables of docs/CONFIGURATION.md: for each heading of level
+// three, the fields in order with their defaults.
+func pageRows(t *testing.T) map[string][][2]string {
+	t.Helper()
+	data, err := os.ReadFile("../../docs/CONFIGURATION.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	rows := map[string][][2]string{}
+	heading := ""
+	for _, line := range strings.Split(string(data), "\n") {
+		if h, ok := strings.CutPrefix(line, "### "); ok {
+			heading = h
+		}
+		cells := strings.Split(line, "|")
+		if len(cells) == 6 && strings.HasPrefix(cells[1], " `") {
+			field := strings.Trim(cells[1], " `")
+			rows[heading] = append(rows[heading], [2]string{field, strings.Trim(cells[3], " `")})
+		}
+	}
+	return rows
+}
+
+// fieldRows lists the YAML fields of v in order, with the values that it holds
+// as their defaults.
+func fieldRows(v reflect.Value, prefix string) [][2]string {
+	var rows [][2]string
+	for i := range v.NumField() {
+		f := v.Type().Field(i)
+		name, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
+		if name == "" || name == "-" {
+			continue
+		}
+		fv := v.Field(i)
+		rows = append(rows, [2]string{prefix + name, textOf(fv)})
+		switch {
+		case fv.Kind() == reflect.Struct:
+			rows = append(rows, fieldRows(fv, prefix+name+".")...)
+		case fv.Kind() == reflect.Slice && fv.Type().Elem().Kind() == reflect.Struct:
+			rows = append(rows, fieldRows(fv.Index(0), prefix+name+"[].")...)
+		}
+	}
+	return rows
+}
+
+// textOf returns a default as the page writes it.
+func textOf(v reflect.Value) string {
+	if d, ok := v.Interface().(config.Duration); ok && d != 0 {
+		return d.String()
+	}
+	if v.Kind() == reflect.Pointer && !v.IsNil() {
+		v = v.Elem()
+	}
+	switch {
+	case v.Kind() == reflect.Struct:
+		return "mapping"
+	case v.Kind() == reflect.Slice && v.Len() == 1 && v.Type().Elem().Kind() == reflect.String:
+		return v.Index(0).String()
+	case v.Kind() == reflect.Slice && v.Len() > 0:
+		return "list"
+	case v.Kind() == reflect.Bool:
+		return fmt.Sprint(v.Bool())
+	case v.IsZero():
+		return "none"
+	}
+	return fmt.Sprint(v.Interface())
+}
+
+// sameDefault compares a default of the page with the one of the code. A
+// required field and a mapping have none to compare.
+func sameDefault(page, code string) bool {
+	switch page {
+	case "required":
+		return code == "none" || code == "list"
+	case "see below":
+		return true
+	}
+	if d, err := time.ParseDuration(page); err == nil {
+		if c, err := time.ParseDuration(code); err == nil {
+			return d == c
+		}
+	}
+	return page == code || page == "none" && (code == "mapping" || code == "none")
+}
+
+func TestConfigurationPageMatchesTheCode(t *testing.T) {
+	set := config.NewSet(config.Revision{}).With(
+		&config.DataCentre{LeaseVoters: []config.LeaseVoter{{}}},
+		&config.Service{Type: config.Model, Routes: []config.Route{{}}},
+		&config.BackendServer{}, &config.Workspace{}, &config.Policy{},
+	).WithDefaults()
+	set.Services[""].Type = ""
+	pages := map[string]any{
+		"DataCentre":    *set.DataCentres[""],
+		"Service":       *set.Services[""],
+		"BackendServer": *set.BackendServers[""],
+		"Workspace":     *set.Workspaces[""],
+		"Policy":        *set.Policies[""],
+		"kqctl":         Settings{Timeout: config.Duration(defaultTimeout)},
+	}
+	rows := pageRows(t)
+	for heading, v := range pages {
+		want := fieldRows(reflect.ValueOf(v), "")
+		got := rows[heading]
+		for i := range max(len(want), len(got)) {
+			if i >= len(want) || i >= len(got) || want[i][0] != got[i][0] {
+				t.Errorf("%s: the page lists %v, the code has %v", heading, names(got), names(want))
+				break
+			}
+			if !sameDefault(got[i][1], want[i][1]) {
+				t.Errorf("%s: %s: the page says default %q, the code %q", heading, got[i][0], got[i][1], want[i][1])
+			}
+		}
+	}
+}
+
+func names(rows [][2]string) []string {
+	var out []string
+	for _, r := range rows {
+		out = append(out, r[0])
+	}
+	return out
+}
--- /dev/null
+++ b/internal/keys/keys_test.go
@@ -0,0 +1,201 @@
+package keys
+
+import (
+	"context"
+	"crypto/tls"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"storj.io/drpc/drpcmux"
+
+	"github.com/kumquathollow/kumquathollow/api/controlpb"
+	"github.com/kumquathollow/kumquathollow/api/grantpb"
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/rpc"
+	"github.com/kumquathollow/kumquathollow/internal/settings"
+)
+
+// authority makes an authority and returns a function that issues identities.
+func authority(t *testing.T) func(role, name string) settings.TLS {
+	t.Helper()
+	dir := t.TempDir()
+	if err := Init(dir, time.Hour); err != nil {
+		t.Fatal(err)
+	}
+	return func(role, name string) settings.TLS {
+		cert, key, err := Issue(dir, filepath.Join(dir, "issued"), role, name, time.Hour)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return settings.TLS{CA: filepath.Join(dir, CACertFile), Cert: cert, Key: key}
+	}
+}
+
+// whoServer answers with the identity that the caller proved.
+type whoServer struct {
+	controlpb.DRPCControlUnimplementedServer
+}
+
+func (*whoServer) Status(ctx context.Context, _ *controlpb.StatusRequest) (*controlpb.StatusResponse, error) {
+	name, role, ok := Peer(ctx)
+	if !ok {
+		name = "nobody"
+	}
+	return &controlpb.StatusResponse{Leader: role + "/" + name}, nil
+}
+
+func (*whoServer) Apply(context.Context, *controlpb.ApplyRequest) (*controlpb.ApplyResponse, error) {
+	return &controlpb.ApplyResponse{}, nil
+}
+
+func serve(t *testing.T, conf *tls.Config) string {
+	t.Helper()
+	l, err := rpc.Listen("127.0.0.1:0", conf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	mux := drpcmux.New()
+	if err := controlpb.DRPCRegisterControl(mux, &whoServer{}); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = rpc.Serve(ctx, l, Guard(mux, FleetRoles, conf != nil)) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return l.Addr().String()
+}
+
+// ask calls Status and Apply over a new connection.
+func ask(t *testing.T, addr string, conf *tls.Config) (who string, statusErr, applyErr error) {
+	t.Helper()
+	d := rpc.NewDialer(conf)
+	defer d.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	c := controlpb.NewDRPCControlClient(d.Conn(ctx, addr))
+	res, statusErr := c.Status(ctx, &controlpb.StatusRequest{})
+	_, applyErr = c.Apply(ctx, &controlpb.ApplyRequest{})
+	return res.GetLeader(), statusErr, applyErr
+}
+
+func must(t *testing.T) func(c *tls.Config, err error) *tls.Config {
+	return func(c *tls.Config, err error) *tls.Config {
+		t.Helper()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+}
+
+func TestRolesAreProvedAndCheckedPerCall(t *testing.T) {
+	issue := authority(t)
+	addr := serve(t, must(t)(ServerConfig(issue(RoleControl, "c1"))))
+	for _, tc := range []struct {
+		role  string
+		apply errkind.Kind
+	}{{RoleOperator, ""}, {RoleRouter, errkind.Unauthorised}, {RoleControl, errkind.Unauthorised}} {
+		who, err, applyErr := ask(t, addr, must(t)(ClientConfig(issue(tc.role, "n-"+tc.role))))
+		if who != tc.role+"/n-"+tc.role || err != nil {
+			t.Errorf("%s: seen as %q, %v", tc.role, who, err)
+		}
+		if errkind.Of(applyErr) != tc.apply {
+			t.Errorf("%s: Apply gave %v, want kind %q", tc.role, applyErr, tc.apply)
+		}
+	}
+}
+
+func TestStrangersAreRefused(t *testing.T) {
+	issue, other := authority(t), authority(t)
+	addr := serve(t, must(t)(ServerConfig(issue(RoleControl, "c1"))))
+	mixed := other(RoleOperator, "intruder")
+	mixed.CA = issue(RoleRouter, "r1").CA
+	for name, conf := range map[string]*tls.Config{
+		"no TLS":          nil,
+		"other authority": must(t)(ClientConfig(mixed)),
+	} {
+		if _, err, _ := ask(t, addr, conf); err == nil {
+			t.Errorf("%s: the call was answered", name)
+		}
+	}
+	// The client, too, refuses a server of another authority or of an operator.
+	client := must(t)(ClientConfig(issue(RoleRouter, "r2")))
+	for name, id := range map[string]settings.TLS{"stranger": other(RoleControl, "c9"), "operator": issue(RoleOperator, "ana")} {
+		if _, err, _ := ask(t, serve(t, must(t)(ServerConfig(id))), client); !errkind.Is(err, errkind.Unauthenticated) {
+			t.Errorf("%s as server: %v", name, err)
+		}
+	}
+}
+
+func TestCertificateFilesAreReadAgain(t *testing.T) {
+	issue := authority(t)
+	id := issue(RoleControl, "c1")
+	f, err := open(id)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Now()
+	f.now = func() time.Time { return now }
+	before := f.current().cert.Leaf.SerialNumber
+
+	issue(RoleControl, "c1")
+	later := time.Now().Add(time.Minute)
+	for _, p := range []string{id.Cert, id.Key} {
+		if err := os.Chtimes(p, later, later); err != nil {
+			t.Fatal(err)
+		}
+	}
+	now = now.Add(2 * recheckInterval)
+	renewed := f.current().cert.Leaf.SerialNumber
+	if renewed.Cmp(before) == 0 {
+		t.Error("the renewed certificate is not used")
+	}
+	if err := os.WriteFile(id.Key, []byte("torn"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	now = now.Add(2 * recheckInterval)
+	if f.current().cert.Leaf.SerialNumber.Cmp(renewed) != 0 {
+		t.Error("files that do not fit together replaced the identity")
+	}
+}
+
+func TestIncompleteIdentityIsRefused(t *testing.T) {
+	if c, err := ServerConfig(settings.TLS{}); c != nil || err != nil {
+		t.Errorf("no files gave %v, %v", c, err)
+	}
+	if _, err := ClientConfig(settings.TLS{CA: "ca.pem"}); !errkind.Is(err, errkind.InvalidSettings) {
+		t.Errorf("one file gave %v", err)
+	}
+}
+
+// TestEveryCallHasItsRoles keeps the table of roles complete.
+func TestEveryCallHasItsRoles(t *testing.T) {
+	type description interface {
+		NumMethods() int
+	}
+	check := func(d description, name func(int) string) {
+		for i := range d.NumMethods() {
+			if len(FleetRoles.rolesOf(name(i))) == 0 {
+				t.Errorf("%s has no roles", name(i))
+			}
+		}
+	}
+	check(controlpb.DRPCControlDescription{}, func(i int) string {
+		m, _, _, _, _ := controlpb.DRPCControlDescription{}.Method(i)
+		return m
+	})
+	check(controlpb.DRPCDistributionDescription{}, func(i int) string {
+		m, _, _, _, _ := controlpb.DRPCDistributionDescription{}.Method(i)
+		return m
+	})
+	check(grantpb.DRPCGrantorDescription{}, func(i int) string {
+		m, _, _, _, _ := grantpb.DRPCGrantorDescription{}.Method(i)
+		return m
+	})
+	check(grantpb.DRPCLeaseVoterDescription{}, func(i int) string {
+		m, _, _, _, _ := grantpb.DRPCLeaseVoterDescription{}.Method(i)
+		return m
+	})
+}
