Prove that a node never steps back; drop what waited through a pause

Cause: the watcher's rules had no test under bad order, and a message that waited in a stalled process or stream passed for fresh news. After a pause of 2 s the streams are opened again. The data folder's own entry is synced.

--- a/internal/distribution/store.go
+++ b/internal/distribution/store.go
@@ -45,7 +45,7 @@
 	if err := s.fs.Rename(tmp, s.fs.PathJoin(s.dir, storeFile)); err != nil {
 		return errors.Wrap(err, "replace the configuration")
 	}
-	return errors.Wrap(s.syncDir(), "sync the data folder")
+	return errors.Wrap(syncDir(s.fs, s.dir), "sync the data folder")
 }
 
 func (s *store) write(path string, body []byte) (err error) {
@@ -61,8 +61,8 @@
 	return f.Sync()
 }
 
-func (s *store) syncDir() (err error) {
-	d, err := s.fs.OpenDir(s.dir)
+func syncDir(fs vfs.FS, dir string) (err error) {
+	d, err := fs.OpenDir(dir)
 	if err != nil {
 		return err
 	}
@@ -76,6 +76,9 @@
 	if err := s.fs.MkdirAll(s.dir, 0o755); err != nil {
 		return nil, errkind.Wrap(err, errkind.InvalidSettings, "create the data folder")
 	}
+	if err := syncDir(s.fs, s.fs.PathDir(s.dir)); err != nil {
+		return nil, errkind.Wrap(err, errkind.InvalidSettings, "sync the folder of the data folder")
+	}
 	f, err := s.fs.Open(s.fs.PathJoin(s.dir, storeFile))
 	if oserror.IsNotExist(err) {
 		return nil, nil
--- a/internal/distribution/stream.go
+++ b/internal/distribution/stream.go
@@ -87,7 +87,8 @@
 		return endOf(ctx, err)
 	}
 	defer stream.Close()
-	if !w.send(ctx, event{source: address, cancel: cancel}) {
+	h := &streamHandle{source: address, cancel: cancel}
+	if !w.send(ctx, event{stream: h}) {
 		return endOf(ctx, ctx.Err())
 	}
 	for {
@@ -96,7 +97,7 @@
 			return endOf(ctx, err)
 		}
 		silence.Reset(silentKeepalives * w.opts.Keepalive)
-		if !w.send(ctx, event{source: address, update: u}) {
+		if !w.send(ctx, event{stream: h, update: u}) {
 			return endOf(ctx, ctx.Err())
 		}
 	}
--- a/internal/distribution/watch_test.go
+++ b/internal/distribution/watch_test.go
@@ -111,3 +111,60 @@
 		t.Errorf("the configuration came in %d parts; the test wants several", len(parts))
 	}
 }
+
+func TestARestartDoesNotStepBackToALaggingSource(t *testing.T) {
+	sets := history(t, 1, 30)
+	dir := t.TempDir()
+	ahead, behind := NewRelay(0), NewRelay(0)
+	publish(t, ahead, sets[29])
+	publish(t, behind, sets[9])
+	w := NewWatcher(Options{Node: "n", Sources: []string{serve(t, ahead)}, DataDir: dir, Dialer: rpc.NewDialer(nil)})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = w.Run(ctx) }()
+	eventually(t, "the newest revision", func() bool { return w.Current() != nil })
+	cancel()
+	<-done
+
+	again := start(t, Options{Node: "n", Sources: []string{serve(t, behind)}, DataDir: dir})
+	eventually(t, "readiness", again.Ready)
+	if !same(t, again.Declared(), sets[29]) {
+		t.Errorf("after the restart %v is in force", again.Declared().Revision)
+	}
+}
+
+func TestAStaleSourceIsLeftForAFreshOne(t *testing.T) {
+	sets := history(t, 1, 30)
+	stale, fresh, empty := NewRelay(0), NewRelay(0), NewRelay(0)
+	if err := stale.Publish(sets[9]); err != nil {
+		t.Fatal(err)
+	}
+	publish(t, fresh, sets[29])
+	w := start(t, Options{Node: "n", Sources: []string{serve(t, stale), serve(t, empty)}, Fallback: []string{serve(t, fresh)}})
+	eventually(t, "the newest revision", func() bool { return w.Declared() != nil && w.Declared().Revision == sets[29].Revision })
+	eventually(t, "news from the fallback", func() bool { return !w.Isolated() })
+}
+
+func TestSubscribersSeeEveryRevisionOnceAndInOrder(t *testing.T) {
+	sets := history(t, 1, 30)
+	root := NewRelay(0)
+	publish(t, root, sets[0])
+	w := start(t, Options{Node: "n", Sources: []string{serve(t, root)}})
+	seen := make(chan config.Revision, len(sets))
+	w.Subscribe(func(s *config.Set) { seen <- s.Revision })
+	for _, s := range sets[1:] {
+		publish(t, root, s)
+	}
+	last := config.Revision{}
+	for last != sets[29].Revision {
+		select {
+		case rev := <-seen:
+			if !last.Less(rev) {
+				t.Fatalf("%v after %v", rev, last)
+			}
+			last = rev
+		case <-time.After(waitBound):
+			t.Fatalf("only up to %v", last)
+		}
+	}
+}
--- a/internal/distribution/watcher.go
+++ b/internal/distribution/watcher.go
@@ -29,6 +29,10 @@
 // stateInterval is how often isolation and readiness are looked at.
 const stateInterval = 250 * time.Millisecond
 
+// pauseLimit is how long the process may stand still before the age of what its
+// streams hold is in doubt.
+const pauseLimit = 2 * time.Second
+
 // Options are a Watcher's parameters. Node, Dialer and one source are needed.
 type Options struct {
 	// Node is the name under which the node asks.
@@ -63,8 +67,9 @@
 
 	// core belongs to the goroutine of Run.
 	core *core
-	// streams holds how to end the open stream of a source; of Run's goroutine.
-	streams map[string]context.CancelCauseFunc
+	// streams holds the open stream of each source; of Run's goroutine. Messages
+	// of any other stream are dropped.
+	streams map[string]*streamHandle
 
 	current   atomic.Pointer[config.Set]
 	declared  atomic.Pointer[config.Set]
@@ -77,9 +82,14 @@
 
 // event is what a stream tells the goroutine that owns the core.
 type event struct {
-	source string
+	stream *streamHandle
+	// update is nil when the stream has just been opened.
 	update *controlpb.ConfigUpdate
-	// cancel is set when a stream has been opened.
+}
+
+// streamHandle stands for one open stream.
+type streamHandle struct {
+	source string
 	cancel context.CancelCauseFunc
 }
 
@@ -99,7 +109,7 @@
 		opts:    o,
 		sources: newSources(o.Node, o.Sources, o.Fallback),
 		events:  make(chan event),
-		streams: map[string]context.CancelCauseFunc{},
+		streams: map[string]*streamHandle{},
 	}
 	quorum := min(o.Parallel, len(o.Sources)+len(o.Fallback))
 	w.core = newCore(o.IsolationBound, o.StartupWait, quorum, time.Now())
@@ -175,15 +185,25 @@
 	tick := time.NewTicker(stateInterval)
 	defer tick.Stop()
 	isolated := true
+	last := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case e := <-w.events:
-			w.handle(e)
+			if now := time.Now(); now.Sub(last) <= pauseLimit {
+				w.handle(e, now)
+			} else {
+				e.stream.cancel(errResync)
+			}
 		case <-tick.C:
 		}
 		now := time.Now()
+		if now.Sub(last) > pauseLimit {
+			w.opts.Log.Warn("process was paused; asking all sources again", "pause", now.Sub(last))
+			w.dropStreams()
+		}
+		last = now
 		if !w.ready.Load() && w.core.ready(now) {
 			w.ready.Store(true)
 			w.opts.Log.Info("configuration ready", "epoch", w.core.revision().Epoch, "revision", w.core.revision().Number)
@@ -195,15 +215,29 @@
 	}
 }
 
-func (w *Watcher) handle(e event) {
-	if e.cancel != nil {
-		w.core.opened(e.source)
-		w.streams[e.source] = e.cancel
+// dropStreams ends all streams, because what they hold may have waited for long
+// and its age can't be told.
+func (w *Watcher) dropStreams() {
+	for source, h := range w.streams {
+		h.cancel(errResync)
+		delete(w.streams, source)
+	}
+}
+
+func (w *Watcher) handle(e event, now time.Time) {
+	source := e.stream.source
+	if e.update == nil {
+		w.core.opened(source)
+		w.streams[source] = e.stream
+		return
+	}
+	if w.streams[source] != e.stream {
+		e.stream.cancel(errResync)
 		return
 	}
-	fx := w.core.receive(e.source, e.update, time.Now())
+	fx := w.core.receive(source, e.update, now)
 	if fx.err != nil {
-		w.opts.Log.Error("update refused", "source", e.source, "error", fx.err)
+		w.opts.Log.Error("update refused", "source", source, "error", fx.err)
 	}
 	if fx.publish {
 		w.keep()
@@ -217,7 +251,8 @@
 		}
 	}
 	if reason := fx.endsStream(); reason != nil {
-		w.streams[e.source](reason)
+		e.stream.cancel(reason)
+		delete(w.streams, source)
 	}
 }
 
