Run the control group: replicated state, claims, processes

Cause: routers and operators need the control group itself. Conclusion: loss of the leader, resends through another process, a wiped voter with a second loss after its replacement, and a restore hold in tests with real processes and files.

--- /dev/null
+++ b/internal/control/cluster_test.go
@@ -0,0 +1,297 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/pebble/v2/vfs"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/kumquathollow/kumquathollow/api/controlpb"
+	"github.com/kumquathollow/kumquathollow/internal/config"
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/replication"
+	"github.com/kumquathollow/kumquathollow/internal/rpc"
+)
+
+// patience bounds every wait for a real process.
+const patience = 30 * time.Second
+
+// cluster is a control group of real processes on loopback, in this process.
+type cluster struct {
+	t      testing.TB
+	confs  []*Settings
+	procs  []*running
+	dialer *rpc.Dialer
+	opt    func(*replication.Options)
+}
+
+type running struct {
+	p    *Process
+	stop context.CancelFunc
+	done chan error
+}
+
+func newCluster(t testing.TB, n int, opt func(*replication.Options)) *cluster {
+	t.Helper()
+	c := &cluster{t: t, dialer: rpc.NewDialer(nil), opt: opt}
+	t.Cleanup(c.close)
+	var voters []VoterSetting
+	var ls []net.Listener
+	for i := range n {
+		l := listen(t, "127.0.0.1:0")
+		ls = append(ls, l)
+		voters = append(voters, VoterSetting{ID: fmt.Sprintf("c%d", i+1), Address: l.Addr().String()})
+	}
+	for i, v := range voters {
+		c.confs = append(c.confs, &Settings{
+			Node: v.ID, DataCentre: "dc", Address: v.Address, Admin: "127.0.0.1:0",
+			Data: filepath.Join(t.TempDir(), "data"), Voters: voters,
+		})
+		c.procs = append(c.procs, nil)
+		c.start(i, ls[i])
+	}
+	return c
+}
+
+func listen(t testing.TB, addr string) net.Listener {
+	t.Helper()
+	end := time.Now().Add(patience)
+	for {
+		l, err := net.Listen("tcp", addr)
+		if err == nil {
+			return l
+		}
+		if time.Now().After(end) {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func noCheck(_, _ *config.Set) error { return nil }
+
+func (c *cluster) start(i int, l net.Listener) {
+	c.t.Helper()
+	if l == nil {
+		l = listen(c.t, c.confs[i].Address)
+	}
+	p, err := Open(vfs.Default, c.confs[i], hclog.NewNullLogger(), Options{Fleet: l, Check: noCheck, Replication: c.opt})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	r := &running{p: p, stop: stop, done: make(chan error, 1)}
+	go func() { r.done <- p.Run(ctx) }()
+	c.procs[i] = r
+}
+
+func (c *cluster) kill(i int) {
+	if r := c.procs[i]; r != nil {
+		r.stop()
+		if err := <-r.done; err != nil {
+			c.t.Error(err)
+		}
+		c.procs[i] = nil
+	}
+}
+
+func (c *cluster) close() {
+	for i := range c.procs {
+		c.kill(i)
+	}
+	_ = c.dialer.Close()
+}
+
+func (c *cluster) client(i int) controlpb.DRPCControlClient {
+	return controlpb.NewDRPCControlClient(c.dialer.Conn(context.Background(), c.confs[i].Address))
+}
+
+// leader waits until a running process leads, and returns its number.
+func (c *cluster) leader() int {
+	c.t.Helper()
+	end := time.Now().Add(patience)
+	for time.Now().Before(end) {
+		for i, r := range c.procs {
+			if r != nil && r.p.group.Status().Leading {
+				return i
+			}
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	c.t.Fatal("no leader")
+	return 0
+}
+
+func workspace(name, policy string) *controlpb.Object {
+	return &controlpb.Object{Kind: config.KindWorkspace, Name: name, Body: fmt.Appendf(nil, `{"name":%q,"policy":%q}`, name, policy)}
+}
+
+func change(id string, base *controlpb.Revision, objs ...*controlpb.Object) *controlpb.ApplyRequest {
+	return &controlpb.ApplyRequest{ChangeId: id, Base: base, Upserts: objs, Action: "apply"}
+}
+
+// apply sends a change until it is surely accepted.
+func (c *cluster) apply(i int, req *controlpb.ApplyRequest) *controlpb.ApplyResponse {
+	c.t.Helper()
+	end := time.Now().Add(patience)
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		resp, err := c.client(i).Apply(ctx, req)
+		cancel()
+		if err == nil {
+			return resp
+		}
+		if k := errkind.Of(err); k == errkind.RevisionConflict || k == errkind.ChangeConflict || time.Now().After(end) {
+			c.t.Fatal(err)
+		}
+	}
+}
+
+func (c *cluster) newest(i int) *controlpb.GetResponse {
+	c.t.Helper()
+	end := time.Now().Add(patience)
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		resp, err := c.client(i).Get(ctx, &controlpb.GetRequest{})
+		cancel()
+		if err == nil {
+			return resp
+		}
+		if time.Now().After(end) {
+			c.t.Fatal(err)
+		}
+	}
+}
+
+func firstBase() *controlpb.Revision { return &controlpb.Revision{Epoch: 1} }
+
+// TestLostAnswerThroughAnother resends a change through another process after
+// the leader that took it was lost, and after all were restarted.
+func TestLostAnswerThroughAnother(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	l := c.leader()
+	other := (l + 1) % 3
+	req := change("change-1", firstBase(), workspace("w", "p"))
+	first := c.apply(other, req)
+	c.kill(l)
+	again := c.apply((l+2)%3, req)
+	if !again.RepeatedChange || again.Revision.Number != first.Revision.Number {
+		t.Fatalf("the resend was answered %v, the first time %v", again, first)
+	}
+	second := c.apply(other, change("change-2", first.Revision, workspace("w", "q")))
+	c.start(l, nil)
+	for i := range c.procs {
+		c.kill(i)
+	}
+	for i := range c.procs {
+		c.start(i, nil)
+	}
+	got := c.newest(l)
+	if got.Revision.Number != second.Revision.Number || len(got.Objects) != 1 {
+		t.Fatalf("after the restart of all: %v", got)
+	}
+	if r := c.apply(l, req); !r.RepeatedChange || r.Revision.Number != first.Revision.Number {
+		t.Fatalf("the resend after the restart was answered %v", r)
+	}
+}
+
+// TestReplaceWipedVoter loses a disk, replaces the voter and then loses another.
+func TestReplaceWipedVoter(t *testing.T) {
+	c := newCluster(t, 3, func(o *replication.Options) { o.SnapshotEntries, o.KeepEntries = 10, 3 })
+	base := firstBase()
+	for i := range 30 {
+		base = c.apply(0, change(fmt.Sprint("change-", i), base, workspace(fmt.Sprint("w", i), "p"))).Revision
+	}
+	l := c.leader()
+	lost := (l + 1) % 3
+	c.kill(lost)
+	if err := os.RemoveAll(c.confs[lost].Data); err != nil {
+		t.Fatal(err)
+	}
+	c.start(lost, nil)
+	base = c.apply(l, change("without", base, workspace("x", "p"))).Revision
+	if s := c.procs[lost].p.group.Status(); s.LastIndex != 0 {
+		t.Fatalf("the wiped disk took part: %+v", s)
+	}
+	id, addr := c.confs[lost].Node, c.confs[lost].Address
+	c.changeVoter(l, &controlpb.ChangeVoterRequest{Id: id})
+	c.changeVoter(l, &controlpb.ChangeVoterRequest{Add: true, Id: id, Address: addr})
+	c.kill((l + 2) % 3)
+	base = c.apply(l, change("second-loss", base, workspace("y", "p"))).Revision
+	c.kill(l)
+	c.start((l+2)%3, nil)
+	if got := c.newest(lost); got.Revision.Number != base.Number {
+		t.Fatalf("after both losses the newest is %v, accepted %v", got.Revision, base)
+	}
+}
+
+func (c *cluster) changeVoter(i int, req *controlpb.ChangeVoterRequest) {
+	c.t.Helper()
+	end := time.Now().Add(patience)
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		_, err := c.client(i).ChangeVoter(ctx, req)
+		cancel()
+		if err == nil {
+			return
+		}
+		if time.Now().After(end) {
+			c.t.Fatal(err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// TestRestore founds a new group from a saved snapshot in a new epoch.
+func TestRestore(t *testing.T) {
+	c := newCluster(t, 1, nil)
+	rev := c.apply(0, change("change-1", firstBase(), workspace("w", "p"))).Revision
+	file := filepath.Join(t.TempDir(), "saved")
+	c.save(0, file)
+	conf := *c.confs[0]
+	if _, err := RestoreFile(vfs.Default, &conf, file, time.Now()); !errkind.Is(err, errkind.WrongDisk) {
+		t.Fatalf("a restore over state gave %v", err)
+	}
+	c.kill(0)
+	conf.Data = filepath.Join(t.TempDir(), "new")
+	at, err := RestoreFile(vfs.Default, &conf, file, time.Now())
+	if err != nil || at.Epoch <= rev.Epoch {
+		t.Fatalf("restored at %v: %v", at, err)
+	}
+	c.confs[0] = &conf
+	c.start(0, nil)
+	got := c.newest(0)
+	if config.FromPB(got.Revision) != at || len(got.Objects) != 1 {
+		t.Fatalf("restored %v", got)
+	}
+	if r := c.apply(0, change("change-1", firstBase(), workspace("w", "p"))); !r.RepeatedChange {
+		t.Fatal("the restore forgot a change id")
+	}
+}
+
+func (c *cluster) save(i int, file string) {
+	c.t.Helper()
+	c.newest(i)
+	stream, err := c.client(i).SaveSnapshot(context.Background(), &controlpb.SaveSnapshotRequest{})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	defer stream.Close()
+	var data []byte
+	for {
+		chunk, err := stream.Recv()
+		if err != nil {
+			break
+		}
+		data = append(data, chunk.Data...)
+	}
+	if err := os.WriteFile(file, data, 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/internal/control/restore.go
@@ -0,0 +1,96 @@
+package control
+
+import (
+	"io"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/cockroachdb/errors/oserror"
+	"github.com/cockroachdb/pebble/v2/vfs"
+
+	"github.com/kumquathollow/kumquathollow/api/controlpb"
+	pb "github.com/kumquathollow/kumquathollow/api/replicationpb"
+	"github.com/kumquathollow/kumquathollow/internal/config"
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/storage"
+)
+
+// Summary is what a saved snapshot holds.
+type Summary struct {
+	Revision config.Revision
+	Objects  int
+	Changes  int
+	Claims   int
+	// ClockMs is the time, in Unix ms, up to which the snapshot goes.
+	ClockMs int64
+	// Last is the newest change, nil if there is none.
+	Last *controlpb.AuditEntry
+}
+
+// Inspect reads a saved snapshot whole and tells what it holds. Errors have kind
+// damaged-storage.
+func Inspect(r io.Reader) (*Summary, error) {
+	s, err := readSaved(r)
+	if err != nil {
+		return nil, err
+	}
+	out := &Summary{Revision: s.set.Revision, Objects: len(s.objects), Changes: len(s.history.entries), Claims: len(s.claims.byKey), ClockMs: s.clockMs}
+	if n := len(s.history.entries); n > 0 {
+		out.Last = s.history.entries[n-1].Entry
+	}
+	return out, nil
+}
+
+func readSaved(r io.Reader) (*State, error) {
+	sr, err := storage.ReadSnapshot(r)
+	if err != nil {
+		return nil, err
+	}
+	s := NewState()
+	if err := s.Restore(sr); err != nil {
+		return nil, err
+	}
+	_, err = io.Copy(io.Discard, sr)
+	return s, err
+}
+
+// RestoreFile founds a new group from a saved snapshot: this process is its only
+// voter, and a new epoch begins, so that every node takes it as newer. The data
+// folder must be empty. It returns the revision that begins the epoch.
+func RestoreFile(fs vfs.FS, conf *Settings, path string, now time.Time) (config.Revision, error) {
+	none := config.Revision{}
+	names, err := fs.List(conf.Data)
+	if err != nil && !oserror.IsNotExist(err) {
+		return none, errors.Wrap(err, "list the data folder")
+	}
+	if len(names) > 0 {
+		return none, errkind.New(errkind.WrongDisk, "the data folder %s is not empty; a restore never overwrites state: move the folder away first", conf.Data)
+	}
+	f, err := os.Open(path)
+	if err != nil {
+		return none, errkind.Wrap(err, errkind.Usage, "open the snapshot")
+	}
+	defer f.Close()
+	s, err := readSaved(f)
+	if err != nil {
+		return none, err
+	}
+	// Two restores of one file get two epochs: the time is part of them.
+	s.beginEpoch(uint64(now.Unix()), now.UnixMilli())
+	return s.set.Revision, writeFounder(fs, conf, s)
+}
+
+func writeFounder(fs vfs.FS, conf *Settings, s *State) error {
+	store, _, err := storage.Open(fs, conf.Data, conf.Node)
+	if err != nil {
+		return err
+	}
+	defer store.Close()
+	self := &pb.Voter{Id: conf.Node, Address: conf.Address, Disk: store.Disk()}
+	meta := &pb.SnapshotMeta{Index: 1, Term: 1, Voters: &pb.VoterSet{Voters: []*pb.Voter{self}}}
+	if err := store.SaveSnapshot(meta, s.Snapshot); err != nil {
+		return err
+	}
+	return store.Append(&pb.HardState{Term: 1, Commit: 1}, nil, nil)
+}
--- /dev/null
+++ b/internal/control/settings.go
@@ -0,0 +1,76 @@
+package control
+
+import (
+	"net"
+
+	pb "github.com/kumquathollow/kumquathollow/api/replicationpb"
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/settings"
+)
+
+// Settings is the YAML file of a control process.
+type Settings struct {
+	// Node is the process's name, and its id as a voter.
+	Node string `yaml:"node"`
+	// DataCentre is the data centre that the process runs in.
+	DataCentre string `yaml:"dataCentre"`
+	// Address is where the other processes and operators reach it, host:port.
+	Address string `yaml:"address"`
+	// Admin is the HTTP address of /metrics, /healthz and /readyz.
+	Admin string `yaml:"admin"`
+	// Data is the folder that holds the replicated state, and nothing else.
+	Data string `yaml:"data"`
+	// Voters lists the founding voters, this one included; the same on all.
+	Voters []VoterSetting `yaml:"voters"`
+	TLS    settings.TLS   `yaml:"tls,omitempty"`
+	Log    settings.Log   `yaml:"log,omitempty"`
+}
+
+// VoterSetting is one voter of the control group.
+type VoterSetting struct {
+	ID      string `yaml:"id"`
+	Address string `yaml:"address"`
+}
+
+// LoadSettings reads and checks a settings file. Errors have kind invalid-settings.
+func LoadSettings(path string) (*Settings, error) {
+	s := &Settings{}
+	if err := settings.Load(path, s); err != nil {
+		return nil, err
+	}
+	return s, s.check()
+}
+
+func (s *Settings) check() error {
+	for _, f := range []struct{ name, value string }{
+		{"node", s.Node}, {"dataCentre", s.DataCentre}, {"address", s.Address}, {"admin", s.Admin}, {"data", s.Data},
+	} {
+		if f.value == "" {
+			return errkind.New(errkind.InvalidSettings, "%s is missing", f.name)
+		}
+	}
+	for _, a := range []string{s.Address, s.Admin} {
+		if _, _, err := net.SplitHostPort(a); err != nil {
+			return errkind.Wrap(err, errkind.InvalidSettings, "address %q", a)
+		}
+	}
+	seen := map[string]bool{}
+	for _, v := range s.Voters {
+		if v.ID == "" || seen[v.ID] {
+			return errkind.New(errkind.InvalidSettings, "voters: id %q is empty or given twice", v.ID)
+		}
+		if _, _, err := net.SplitHostPort(v.Address); err != nil {
+			return errkind.Wrap(err, errkind.InvalidSettings, "voters: address %q", v.Address)
+		}
+		seen[v.ID] = true
+	}
+	return nil
+}
+
+func (s *Settings) declared() []*pb.Voter {
+	var out []*pb.Voter
+	for _, v := range s.Voters {
+		out = append(out, &pb.Voter{Id: v.ID, Address: v.Address})
+	}
+	return out
+}
--- a/internal/keys/role.go
+++ b/internal/keys/role.go
@@ -30,6 +30,7 @@
 	"/kumquathollow.grant.v1.Grantor/GrantorStatus":  {RoleOperator, RoleRouter},
 	"/kumquathollow.grant.v1.LeaseVoter/":            {RoleRouter, RoleControl},
 	"/kumquathollow.replication.v1.Peer/":            {RoleControl},
+	"/kumquathollow.replication.v1.Forward/":         {RoleControl},
 }
 
 // rolesOf returns the roles that may call the method.
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -12,6 +12,7 @@
 
 	pb "github.com/kumquathollow/kumquathollow/api/replicationpb"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/replication"
 )
 
 // snapshotPart is the size of the records that a snapshot is split into.
@@ -191,7 +192,7 @@
 
 // ReceiveSnapshot stores a snapshot file that comes from another process under
 // a temporary name, and checks it whole.
-func (s *Store) ReceiveSnapshot(write func(io.Writer) error) (*Received, error) {
+func (s *Store) ReceiveSnapshot(write func(io.Writer) error) (*replication.Received, error) {
 	path := s.fs.PathJoin(s.dir, numbered("received-", 0)+tempSuffix)
 	f, err := s.fs.Create(path, vfs.WriteCategoryUnspecified)
 	if err != nil {
@@ -207,7 +208,7 @@
 	return s.checkReceived(path)
 }
 
-func (s *Store) checkReceived(path string) (*Received, error) {
+func (s *Store) checkReceived(path string) (*replication.Received, error) {
 	f, err := s.fs.Open(path)
 	if err != nil {
 		return nil, err
@@ -220,19 +221,13 @@
 	if _, err := io.Copy(io.Discard, r); err != nil {
 		return nil, err
 	}
-	return &Received{Meta: r.Meta, path: path}, nil
-}
-
-// Received is a snapshot that was taken in and checked, but not yet put in use.
-type Received struct {
-	Meta *pb.SnapshotMeta
-	path string
+	return &replication.Received{Meta: r.Meta, Path: path}, nil
 }
 
 // InstallSnapshot puts a received snapshot in place of the log.
-func (s *Store) InstallSnapshot(r *Received) error {
+func (s *Store) InstallSnapshot(r *replication.Received) error {
 	final := s.fs.PathJoin(s.dir, numbered(snapPrefix, r.Meta.Index))
-	err := s.fs.Rename(r.path, final)
+	err := s.fs.Rename(r.Path, final)
 	if err == nil {
 		err = syncDir(s.fs, s.dir)
 	}
@@ -283,3 +278,21 @@
 	s.snapshot = r.Meta
 	return nil
 }
+
+// LoadSnapshot gives the newest snapshot's data to read, and checks it whole.
+func (s *Store) LoadSnapshot(read func(io.Reader) error) error {
+	f, _, err := s.OpenSnapshot()
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	r, err := ReadSnapshot(f)
+	if err != nil {
+		return err
+	}
+	if err := read(r); err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, r)
+	return err
+}
