Run the router process: listeners, readiness, graceful shutdown

kqrouter joins the callers' and announce listeners with the configuration watcher, the grantor and its client, claims and heartbeats. A shutdown fails readiness first, goes on serving while the balancer learns of it, lets requests in flight finish, records outcomes and releases the lease, each step bounded; the exit code tells what could not be done.

A table of broken answers, cut at every byte over three framings, and broken requests compares what callers were told with what ran.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -21,6 +21,7 @@
 	budget    budget
 	routes    atomic.Pointer[routeTable]
 	draining  atomic.Bool
+	closing   atomic.Bool
 	inFlight  atomic.Int64
 	bodyBytes atomic.Int64
 	metrics   *meters
@@ -47,6 +48,10 @@
 	return d
 }
 
+// CloseConnections asks callers, with every later answer, to close their
+// connections, so that they come back through another router.
+func (d *Dispatcher) CloseConnections() { d.closing.Store(true) }
+
 // Drain makes every later request be refused as not run.
 func (d *Dispatcher) Drain() { d.draining.Store(true) }
 
@@ -66,6 +71,9 @@
 func (d *Dispatcher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	d.inFlight.Add(1)
 	defer d.inFlight.Add(-1)
+	if d.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	x := &exchange{d: d, w: w, rc: http.NewResponseController(w), began: d.opts.Now()}
 	err := d.serve(x, r)
 	d.metrics.done(err, d.opts.Now().Sub(x.began))
@@ -76,9 +84,6 @@
 	if x.headerSent {
 		panic(http.ErrAbortHandler)
 	}
-	if d.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	writeRefusal(w, x.shownID(), err)
 }
 
--- /dev/null
+++ b/internal/dispatch/truth_test.go
@@ -0,0 +1,246 @@
+package dispatch
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
+)
+
+// rawServer is a backend server on bare TCP that breaks its connection at a
+// chosen point and counts the requests that it ran.
+type rawServer struct {
+	listener net.Listener
+	ran      atomic.Int64
+	serve    func(s *rawServer, conn net.Conn, r *bufio.Reader)
+}
+
+func newRawServer(t *testing.T, serve func(s *rawServer, conn net.Conn, r *bufio.Reader)) *rawServer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &rawServer{listener: l, serve: serve}
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			wg.Go(func() {
+				defer func() { _ = conn.Close() }()
+				r := bufio.NewReader(conn)
+				if p, _ := r.Peek(len(askPrefix)); string(p) == askPrefix {
+					_, _ = io.WriteString(conn, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+					return
+				}
+				s.serve(s, conn, r)
+			})
+		}
+	})
+	t.Cleanup(func() {
+		_ = l.Close()
+		wg.Wait()
+	})
+	return s
+}
+
+// askPrefix begins a question about an attempt, which this server cannot answer.
+const askPrefix = "GET /v1/attempts"
+
+// run reads one whole request, runs it, and returns its attempt id.
+func (s *rawServer) run(r *bufio.Reader) (attempt string, ok bool) {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return "", false
+	}
+	if _, err := io.ReadAll(req.Body); err != nil {
+		return "", false
+	}
+	s.ran.Add(1)
+	return req.Header.Get(HeaderAttempt), true
+}
+
+// told is what a caller was told.
+type told struct {
+	broken  bool // no whole answer
+	outcome errkind.Outcome
+	body    string
+}
+
+func tell(t *testing.T, req *http.Request) told {
+	t.Helper()
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return told{broken: true}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return told{broken: true}
+	}
+	return told{outcome: errkind.Outcome(resp.Header.Get(HeaderOutcome)), body: string(body)}
+}
+
+// checkTruth compares what was told with what ran.
+func checkTruth(t *testing.T, at string, got told, ran int64, answer string) {
+	t.Helper()
+	if ran > 1 {
+		t.Errorf("%s: ran %d times", at, ran)
+	}
+	switch {
+	case got.broken:
+	case got.outcome == errkind.NotRun && ran > 0:
+		t.Errorf("%s: told not-run, but it ran", at)
+	case got.outcome == errkind.Completed && (ran != 1 || got.body != answer):
+		t.Errorf("%s: told completed, ran %d, answer %q", at, ran, got.body)
+	case got.outcome == errkind.Failed:
+		t.Errorf("%s: told failed, which no server said", at)
+	case got.outcome == "":
+		t.Errorf("%s: told nothing: %q", at, got.body)
+	}
+}
+
+// rawAnswer is a whole answer of each framing.
+func rawAnswer(framing, attempt, body string) string {
+	head := "HTTP/1.1 200 OK\r\nX-Kq-Attempt: " + attempt + "\r\n"
+	switch framing {
+	case "length":
+		return head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
+	case "chunked":
+		return head + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	default: // until the connection closes
+		return head + "Connection: close\r\n\r\n" + body
+	}
+}
+
+func TestOutcomeIsTrueWhenTheAnswerBreaksAtAnyByte(t *testing.T) {
+	const body = "the answer"
+	for _, framing := range []string{"length", "chunked", "close"} {
+		for _, once := range []bool{true, false} {
+			size := len(rawAnswer(framing, strings.Repeat("x", 43), body))
+			for cut := 0; cut <= size; cut++ {
+				s := newRawServer(t, func(s *rawServer, conn net.Conn, r *bufio.Reader) {
+					if attempt, ok := s.run(r); ok {
+						answer := rawAnswer(framing, attempt, body)
+						_, _ = io.WriteString(conn, answer[:min(cut, len(answer))])
+					}
+				})
+				rig := newRig(t, s.listener.Addr().String())
+				req := rig.request("GET", "/v1/entries/1", "")
+				if once {
+					req = rig.confirm("k", "{}")
+				}
+				got := tell(t, req)
+				at := fmt.Sprintf("%s, cut at %d of %d, once %v", framing, cut, size, once)
+				checkTruth(t, at, got, s.ran.Load(), body)
+				whole := cut >= size && framing != "close"
+				if (got.outcome == errkind.Completed) != whole {
+					t.Errorf("%s: told %q", at, got.outcome)
+				}
+				rig.front.CloseClientConnections()
+			}
+		}
+	}
+}
+
+func TestOutcomeIsTrueWhenTheRequestBreaksAtAnyByte(t *testing.T) {
+	body := strings.Repeat("b", 100)
+	for _, reset := range []bool{true, false} {
+		for cut := 0; cut < 700; cut += 7 {
+			s := newRawServer(t, func(s *rawServer, conn net.Conn, r *bufio.Reader) {
+				var got []byte
+				for len(got) < cut && !bytes.HasSuffix(got, []byte(body)) {
+					b, err := r.ReadByte()
+					if err != nil {
+						return
+					}
+					got = append(got, b)
+				}
+				if req, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(got))); err == nil {
+					if b, err := io.ReadAll(req.Body); err == nil && int64(len(b)) == req.ContentLength {
+						s.ran.Add(1) // a whole request has arrived
+					}
+				}
+				if reset {
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				}
+			})
+			rig := newRig(t, s.listener.Addr().String())
+			got := tell(t, rig.confirm("k", body))
+			at := fmt.Sprintf("reading %d bytes, reset %v", cut, reset)
+			checkTruth(t, at, got, s.ran.Load(), "")
+			if got.outcome != errkind.Unknown && got.outcome != errkind.NotRun {
+				t.Errorf("%s: told %q", at, got.outcome)
+			}
+		}
+	}
+}
+
+func TestNothingIsSentTwiceOnAStaleConnection(t *testing.T) {
+	for _, method := range []string{"GET", "POST"} {
+		// The first request on each connection is answered; a second one is run, and
+		// the connection closed before its answer, as an idle timeout would.
+		s := newRawServer(t, func(s *rawServer, conn net.Conn, r *bufio.Reader) {
+			for n := 0; n < 2; n++ {
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				_, _ = io.ReadAll(req.Body)
+				s.ran.Add(1)
+				if n == 0 {
+					_, _ = io.WriteString(conn, rawAnswer("length", req.Header.Get(HeaderAttempt), "x"))
+				}
+			}
+		})
+		rig := newRig(t, s.listener.Addr().String())
+		rig.fund()
+		call := func(key string) told {
+			if method == "GET" {
+				return tell(t, rig.request("GET", "/v1/entries/1", ""))
+			}
+			return tell(t, rig.confirm(key, ""))
+		}
+		if got := call("k1"); got.outcome != errkind.Completed {
+			t.Fatalf("%s: first: %+v", method, got)
+		}
+		got := call("k2")
+		if method == "POST" && (s.ran.Load() != 2 || got.outcome != errkind.Unknown) {
+			t.Errorf("POST: ran %d, told %+v", s.ran.Load(), got)
+		}
+		// A repeatable request may be tried again, but only by the dispatcher, which
+		// counts it.
+		if attempts := rig.d.metrics.attempts.Count(); attempts != s.ran.Load() {
+			t.Errorf("%s: %d attempts, %d runs", method, attempts, s.ran.Load())
+		}
+	}
+}
+
+func TestUnreachableServerIsNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = l.Close()
+	rig := newRig(t, l.Addr().String())
+	if got := tell(t, rig.confirm("k", "{}")); got.outcome != errkind.NotRun {
+		t.Errorf("told %+v", got)
+	}
+	if rig.claims.records["club/k"] != nil {
+		t.Error("the claim was not given back")
+	}
+	if r := rig.permits.permits[0].results; len(r) != 1 || r[0].Outcome != errkind.NotRun {
+		t.Errorf("permit's results: %v", r)
+	}
+}
--- /dev/null
+++ b/internal/router/main.go
@@ -0,0 +1,33 @@
+package router
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/telemetry"
+)
+
+// Main runs a router from its settings file until a signal ends it, and returns
+// the exit code.
+func Main(path string, signals <-chan os.Signal, stderr io.Writer) int {
+	code, err := run(path, signals)
+	if err != nil {
+		fmt.Fprintln(stderr, "kqrouter:", err)
+		return errkind.Lookup(errkind.Of(err)).Exit
+	}
+	return code
+}
+
+func run(path string, signals <-chan os.Signal) (int, error) {
+	s, err := LoadSettings(path)
+	if err != nil {
+		return 0, err
+	}
+	r, err := New(*s, telemetry.NewLogger("kqrouter", s.Log))
+	if err != nil {
+		return 0, err
+	}
+	return r.Run(signals)
+}
