End a released request body cleanly

An answer may overtake the transport's last read of the request body. That read failed after the body was released and broke the connection under the answer; the resend test met it once under load. A body that was read whole now ends with EOF also after its release.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -128,7 +128,7 @@
 		return err
 	}
 	x.base = newBaseID(x.q.workspace)
-	x.body = &sentBody{data: x.q.body}
+	x.body = newSentBody(x.q.body)
 	d.budget.request(d.opts.Now())
 	if x.q.key != "" {
 		return x.runOnce(r)
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -235,6 +235,10 @@
 func TestResendsOfClaimedRequests(t *testing.T) {
 	var ran atomic.Int64
 	address := backend(t, func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/v1/attempts/") {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
 		ran.Add(1)
 		body, _ := io.ReadAll(r.Body)
 		if r.Header.Get(HeaderFence) == "" || r.Header.Get(HeaderKey) == "" {
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -42,7 +42,7 @@
 	route := &treatment{service: svc, repeatable: true, priority: defaultPriority, deadline: defaultDeadline, maxWait: resumeWait}
 	x.q = &request{id: x.base, set: set, route: route, limits: limitsFor(set, svc, ws), workspace: workspace, http: r}
 	x.id, x.base = ref.id, baseOf(ref.id)
-	x.body = &sentBody{}
+	x.body = newSentBody(nil)
 	var cancel context.CancelFunc
 	x.ctx, cancel = context.WithTimeout(r.Context(), route.deadline)
 	defer cancel()
--- a/internal/dispatch/transport.go
+++ b/internal/dispatch/transport.go
@@ -86,10 +86,13 @@
 // lets one sending only begin, and it lets go of the data once the answer has
 // begun.
 type sentBody struct {
-	mu   sync.Mutex
-	data []byte
+	mu     sync.Mutex
+	data   []byte
+	length int
 }
 
+func newSentBody(data []byte) *sentBody { return &sentBody{data: data, length: len(data)} }
+
 // reader returns a reader from the start.
 func (b *sentBody) reader() (io.ReadCloser, error) { return &sentBodyReader{body: b}, nil }
 
@@ -109,12 +112,12 @@
 func (r *sentBodyReader) Read(p []byte) (int, error) {
 	r.body.mu.Lock()
 	defer r.body.mu.Unlock()
+	if r.at >= r.body.length {
+		return 0, io.EOF // also after release: an early answer may overtake this read
+	}
 	if r.body.data == nil {
 		return 0, io.ErrUnexpectedEOF
 	}
-	if r.at >= len(r.body.data) {
-		return 0, io.EOF
-	}
 	n := copy(p, r.body.data[r.at:])
 	r.at += n
 	return n, nil
--- a/internal/dispatch/truth_test.go
+++ b/internal/dispatch/truth_test.go
@@ -244,3 +244,18 @@
 		t.Errorf("permit's results: %v", r)
 	}
 }
+
+func TestReleasedBodyStillEndsCleanly(t *testing.T) {
+	b := newSentBody([]byte("abc"))
+	whole, _ := b.reader()
+	begun, _ := b.reader()
+	_, _ = io.ReadFull(whole, make([]byte, 3))
+	_, _ = begun.Read(make([]byte, 1))
+	b.release()
+	if _, err := whole.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("after the whole body: %v", err)
+	}
+	if _, err := begun.Read(make([]byte, 1)); err != io.ErrUnexpectedEOF {
+		t.Errorf("within the body: %v", err)
+	}
+}
