--- a/internal/admission/ask.go
+++ b/internal/admission/ask.go
@@ -12,6 +12,8 @@
 
 // Ask answers an ask at once, or queues it.
 func (c *Core) Ask(now Instant, session SessionID, a *grantpb.Ask) {
+	c.observe(now)
+	c.heard(now, session)
 	if !c.holds(now) {
 		c.refuse(session, a.AskId, errkind.NoGrantor, noBackendWait, "the lease of the data centre has ended here")
 		return
@@ -97,7 +99,7 @@
 	case a.WaitMs == 0 || estimate > wait:
 		c.refuse(session, a.AskId, errkind.DeadlineUnmeetable, max(estimate-wait, minRetryAfter), "no place within the time that the request may wait")
 		return
-	case p.service.queued >= p.service.maxQueue:
+	case p.service.queued >= p.service.maxQueue && !c.displace(p, t):
 		c.refuse(session, a.AskId, errkind.QueueFull, p.wait(p.queue.count), "the queue of the service is full")
 		return
 	}
@@ -112,6 +114,22 @@
 	c.pump(now, p)
 }
 
+// displace makes room in a full queue for a workspace that has less than its
+// part of it: the newest ask of the workspace with the most is refused.
+func (c *Core) displace(p *pool, t *tenant) bool {
+	most := p.queue.longest()
+	if most == nil || most.queued*t.workspace.weight <= (t.queued+1)*most.workspace.weight {
+		return false
+	}
+	for n := range most.lines {
+		if ln := most.lines[n]; ln != nil && ln.tail != nil {
+			c.giveUp(p, ln.tail, errkind.QueueFull, p.wait(p.queue.count), "the queue is full and other workspaces have less than their part of it")
+			return true
+		}
+	}
+	return false
+}
+
 // queued is a waiter and the pool that it waits for.
 type queued struct {
 	pool   *pool
--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -49,7 +49,13 @@
 	maxInFlight int
 	overrides   map[string]Override
 
+	// lastEvent is the time of the latest event; after a pause, reports are not
+	// trusted until trustFrom, since they may have waited as long.
+	lastEvent Instant
+	trustFrom Instant
+
 	nextRefresh Instant
+	nextSweep   Instant
 	nextResize  Instant
 
 	effects []Effect
@@ -69,7 +75,9 @@
 	ejectAfter    int
 	ejectTime     time.Duration
 	maxSubset     int
-	queued        int
+	// maxRun is the longest deadline of the service's routes.
+	maxRun time.Duration
+	queued int
 }
 
 // New returns the core of a tenure that began at now under the term.
@@ -105,8 +113,10 @@
 func (c *Core) Expire() { c.leaseUntil = 0 }
 
 // opening reports whether servers may still be unconfirmed only because the
-// tenure is young.
-func (c *Core) opening(now Instant) bool { return now < c.OpensAt()+confirmGrace }
+// tenure is young, or silent only because this process was paused.
+func (c *Core) opening(now Instant) bool {
+	return now < c.OpensAt()+confirmGrace || now < c.trustFrom
+}
 
 func (c *Core) holds(now Instant) bool { return now < c.leaseUntil }
 
@@ -165,6 +175,11 @@
 	s.ejectAfter = orDefault(p.EjectAfter, defaultEjectAfter)
 	s.ejectTime = orDefault(p.EjectTime.D(), defaultEjectTime)
 	s.maxSubset = p.MaxServersPerWorkspace
+	s.maxRun = 0
+	for _, r := range d.Routes {
+		s.maxRun = max(s.maxRun, orDefault(r.Deadline.D(), defaultDeadline))
+	}
+	s.maxRun = orDefault(s.maxRun, defaultDeadline)
 	return s
 }
 
@@ -180,15 +195,30 @@
 	return model == "" || len(s.models) == 0 || slices.Contains(s.models, model)
 }
 
+// observe notes an event's time, and a pause of the process before it. It
+// brings up to date what changes by time alone.
+func (c *Core) observe(now Instant) {
+	if now-c.lastEvent > c.options.Margin/2 && c.lastEvent > 0 {
+		c.trustFrom = now + c.options.Margin
+	}
+	c.lastEvent = now
+	if now >= c.nextRefresh {
+		c.nextRefresh = now + refreshEvery
+		c.refresh(now)
+	}
+}
+
 // Tick does what depends on time alone: waits that have ended, deadlines,
 // ramps, silence. Call it often; it returns quickly when nothing is due.
 func (c *Core) Tick(now Instant) {
+	c.observe(now)
 	if !c.holds(now) {
 		return
 	}
-	if now >= c.nextRefresh {
-		c.nextRefresh = now + refreshEvery
+	if now >= c.nextSweep {
+		c.nextSweep = now + refreshEvery
 		c.expirePermits(now)
+		c.settle(now)
 		c.refresh(now)
 		c.pumpAll(now)
 		c.expireWaiters(now)
--- /dev/null
+++ b/internal/admission/core_test.go
@@ -0,0 +1,297 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/kumquathollow/kumquathollow/api/grantpb"
+	"github.com/kumquathollow/kumquathollow/internal/config"
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/routing"
+)
+
+// bench is one core with one session, driven step by step.
+type bench struct {
+	core  *Core
+	now   Instant
+	asks  uint64
+	sets  *config.Set
+	seq   uint64
+	names []string
+}
+
+func newBench(servers, capacity int) *bench {
+	b := &bench{sets: &config.Set{
+		DataCentres:    map[string]*config.DataCentre{"dc": {Name: "dc"}},
+		Services:       map[string]*config.Service{"s": {Name: "s", Policy: "p"}},
+		Policies:       map[string]*config.Policy{"p": {Name: "p", ColdRamp: config.Duration(10 * time.Second), EjectAfter: 3}},
+		Workspaces:     map[string]*config.Workspace{},
+		BackendServers: map[string]*config.BackendServer{},
+	}}
+	b.core = New(DefaultOptions(), "dc", b.sets, 1, 0, time.Hour*1000)
+	b.core.Open(0, 1, &grantpb.Hello{Router: "r"})
+	b.now = b.core.OpensAt() + time.Millisecond
+	for i := range servers {
+		b.names = append(b.names, fmt.Sprint("e", i))
+	}
+	b.announceAll(capacity)
+	return b
+}
+
+func (b *bench) announceAll(capacity int) {
+	b.seq++
+	for _, name := range b.names {
+		b.core.Announce(b.now, b.announcement(name, capacity))
+	}
+}
+
+func (b *bench) announcement(name string, capacity int) *grantpb.Announcement {
+	return &grantpb.Announcement{
+		Name: name, Service: "s", DataCentre: "dc", Incarnation: "1", Sequence: b.seq, ReadyMs: 3600000,
+		State: grantpb.ServerState_SERVER_STATE_READY, Capacity: uint32(capacity), ColdCapacity: 1,
+	}
+}
+
+// ask returns the answer, or nil if the ask waits.
+func (b *bench) ask(workspace string, priority int32, wait time.Duration) *Effect {
+	b.send(workspace, priority, wait)
+	return b.one()
+}
+
+func (b *bench) send(workspace string, priority int32, wait time.Duration) {
+	b.asks++
+	b.core.Ask(b.now, 1, &grantpb.Ask{
+		AskId: b.asks, Service: "s", Workspace: workspace, Chat: routing.ChatHash(workspace, fmt.Sprint(b.asks)),
+		Priority: priority, WaitMs: uint32(wait / time.Millisecond), RunMs: 60000,
+	})
+}
+
+func (b *bench) one() *Effect {
+	for _, e := range b.core.Effects() {
+		return &e
+	}
+	return nil
+}
+
+func (b *bench) end(permit uint64, o grantpb.Outcome) {
+	b.core.Started(b.now, 1, permit)
+	b.core.Result(b.now, 1, &grantpb.Result{PermitId: permit, Term: 1, Outcome: o})
+}
+
+func TestLoadLimit(t *testing.T) {
+	for _, tc := range []struct {
+		total, n int
+		want     int32
+	}{
+		{1, 20, 3},   // below the floor: the bound at the floor
+		{41, 20, 3},  // the mean's next whole number, since 1.25 × 2.05 has no room
+		{80, 20, 5},  // 1.25 × 4
+		{100, 20, 6}, // 1.25 × 5 rounded down
+		{200, 20, 12},
+		{7, 1, 8},
+	} {
+		if got := LoadLimit(tc.total, tc.n, 1.25, 2); got != tc.want {
+			t.Errorf("LoadLimit(%d, %d) = %d, want %d", tc.total, tc.n, got, tc.want)
+		}
+	}
+}
+
+func TestOutTakesEffectAtOnce(t *testing.T) {
+	b := newBench(1, 1)
+	running := b.ask("w", 5, 0)
+	if b.ask("w", 5, time.Second) != nil {
+		t.Fatal("the second ask does not wait")
+	}
+	out := *b.sets
+	out.DataCentres = map[string]*config.DataCentre{"dc": {Name: "dc", State: config.Out}}
+	b.core.Configure(b.now, &out)
+	if e := b.one(); e == nil || e.ErrorKind != errkind.DataCentreOut {
+		t.Fatalf("the waiting ask got %+v, want data-centre-out at once", e)
+	}
+	b.end(running.Permit, grantpb.Outcome_OUTCOME_COMPLETED)
+	if e := b.ask("w", 5, time.Second); e == nil || e.ErrorKind != errkind.DataCentreOut {
+		t.Fatalf("a new ask got %+v", e)
+	}
+}
+
+func TestSurgeLeavesOthersTheirPart(t *testing.T) {
+	b := newBench(4, 4)
+	var running []uint64
+	waits := map[string]int{}
+	owner := map[uint64]string{}
+	note := func() {
+		for _, e := range b.core.Effects() {
+			if e.Kind == Granted {
+				running = append(running, e.Permit)
+				waits[owner[e.AskID]]++
+			}
+		}
+	}
+	send := func(workspace string) {
+		owner[b.asks+1] = workspace
+		b.send(workspace, 5, time.Minute)
+		note()
+	}
+	for range 400 {
+		for range 20 {
+			send("surge")
+		}
+		for calm := range 4 {
+			send(fmt.Sprint("calm", calm))
+		}
+		b.now += 10 * time.Millisecond
+		b.announceAll(4)
+		note()
+		for range 6 {
+			if len(running) == 0 {
+				break
+			}
+			b.end(running[0], grantpb.Outcome_OUTCOME_COMPLETED)
+			running = running[1:]
+			note()
+		}
+	}
+	for calm := range 4 {
+		if got := waits[fmt.Sprint("calm", calm)]; got < 390 {
+			t.Errorf("calm%d had %d of its 400 asks granted under the surge", calm, got)
+		}
+	}
+}
+
+func TestUrgentFirstAndPlannersNotStarved(t *testing.T) {
+	b := newBench(1, 1)
+	first := b.ask("w", 5, 0)
+	for range 40 {
+		b.ask("planner", 0, time.Hour)
+		b.ask("runner", 9, time.Hour)
+	}
+	order, permit := "", first.Permit
+	for range 40 {
+		b.end(permit, grantpb.Outcome_OUTCOME_COMPLETED)
+		e := b.one()
+		if e.AskID%2 == 0 {
+			order += "p"
+		} else {
+			order += "r"
+		}
+		permit = e.Permit
+	}
+	const want = "rrrrrrrp"
+	if order != want+want+want+want+want {
+		t.Errorf("order of places %s, want %s repeated", order, want)
+	}
+}
+
+func TestRefusesAtOnceWhatCannotBeServedInTime(t *testing.T) {
+	b := newBench(1, 1)
+	e := b.ask("w", 5, 0)
+	b.core.Started(b.now, 1, e.Permit)
+	b.now += 10 * time.Second
+	b.core.Result(b.now, 1, &grantpb.Result{PermitId: e.Permit, Term: 1, Outcome: grantpb.Outcome_OUTCOME_COMPLETED})
+	b.announceAll(1)
+	b.ask("w", 5, 0)
+	e = b.ask("w", 5, 3*time.Second)
+	if e == nil || e.ErrorKind != errkind.DeadlineUnmeetable || e.RetryAfter != 7*time.Second {
+		t.Fatalf("an ask that may wait 3 s for a place that takes 10 s got %+v, want a refusal with retry after 7 s", e)
+	}
+}
+
+func TestEjectionNeverEmptiesAPool(t *testing.T) {
+	b := newBench(4, 8)
+	for range 400 {
+		e := b.ask("w", 5, 0)
+		if e.Kind != Granted {
+			t.Fatalf("refused: %+v", e)
+		}
+		b.end(e.Permit, grantpb.Outcome_OUTCOME_FAILED)
+	}
+	usable := 0
+	for i := range b.core.hot {
+		if b.core.hot[i].limit > 0 {
+			usable++
+		}
+	}
+	if usable != 2 {
+		t.Errorf("%d of 4 servers are usable while all fail, want half", usable)
+	}
+}
+
+func TestTurnedColdAndFlapping(t *testing.T) {
+	b := newBench(2, 16)
+	limit := func() int32 { return b.core.hot[0].limit }
+	step := func(d time.Duration, change func(*grantpb.Announcement)) {
+		b.now += d
+		b.seq++
+		a := b.announcement("e0", 16)
+		a.CacheTokens = 50000
+		change(a)
+		b.core.Announce(b.now, a)
+	}
+	none := func(*grantpb.Announcement) {}
+	step(time.Second, none)
+	if limit() != 16 {
+		t.Fatalf("a ready server has limit %d", limit())
+	}
+	step(time.Second, func(a *grantpb.Announcement) { a.CacheTokens = 100 })
+	if limit() != 1 {
+		t.Fatalf("a server that lost its cache has limit %d, want its cold 1", limit())
+	}
+	for range 16 {
+		step(time.Second, none)
+	}
+	if limit() != 16 {
+		t.Fatalf("after the ramp the limit is %d", limit())
+	}
+	incarnation := 1
+	restart := func(a *grantpb.Announcement) { a.Incarnation = fmt.Sprint(incarnation) }
+	for incarnation = 2; incarnation <= 3; incarnation++ {
+		step(time.Second, restart)
+		if limit() != 1 {
+			t.Fatalf("incarnation %d has limit %d, want its cold 1", incarnation, limit())
+		}
+	}
+	step(time.Second, restart)
+	if limit() != 0 {
+		t.Fatalf("a flapping server has limit %d, want to be held down", limit())
+	}
+	step(time.Second, func(a *grantpb.Announcement) { a.Incarnation, a.Sequence = "2", 1 })
+	if b.core.servers[0].incarnation != "4" {
+		t.Fatal("a late announcement of a replaced incarnation was believed")
+	}
+}
+
+func BenchmarkDecision(b *testing.B) {
+	for _, n := range []int{20, 300} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			x := newBench(n, 16)
+			p := x.core.poolOf("s", "")
+			t := x.core.tenantOf(p, "w")
+			t.size = max(4, n/10)
+			x.core.chooseSubset(p, t)
+			a := &grantpb.Ask{Service: "s", Workspace: "w"}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				a.Chat = uint64(i) * 0x9E3779B97F4A7C15
+				if x.core.place(p, t, a) < 0 {
+					b.Fatal("no place")
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkAskToResult(b *testing.B) {
+	x := newBench(300, 16)
+	a := &grantpb.Ask{Service: "s", Workspace: "w", RunMs: 60000}
+	r := &grantpb.Result{Term: 1, Outcome: grantpb.Outcome_OUTCOME_COMPLETED}
+	b.ReportAllocs()
+	for i := range b.N {
+		a.AskId, a.Chat = uint64(i), uint64(i)*0x9E3779B97F4A7C15
+		x.core.Ask(x.now, 1, a)
+		r.PermitId = x.core.Effects()[0].Permit
+		x.core.Started(x.now, 1, r.PermitId)
+		x.core.Result(x.now, 1, r)
+	}
+}
--- a/internal/admission/options.go
+++ b/internal/admission/options.go
@@ -37,6 +37,7 @@
 	defaultEjectAfter    = 5
 	defaultEjectTime     = 10 * time.Second
 	defaultWeight        = 100
+	defaultDeadline      = 120 * time.Second
 )
 
 // Retry-After bounds of refusals.
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -66,40 +66,36 @@
 // place returns the server for the ask: the first with room in the chat's
 // order, within the workspace's subset if possible; -1 if none has room.
 func (c *Core) place(p *pool, t *tenant, a *grantpb.Ask) int32 {
+	if i := c.first(p, t, a, true); i >= 0 || t.subset == nil {
+		return i
+	}
+	return c.first(p, t, a, false)
+}
+
+// first returns the server with room that is first in the chat's order, of
+// those in the workspace's subset or of the others; -1 if none has room.
+func (c *Core) first(p *pool, t *tenant, a *grantpb.Ask, subset bool) int32 {
 	limit := p.loadLimit()
-	best, spill := int32(-1), int32(-1)
-	var bestScore, spillScore uint64
-	restricted := a.Adapter != "" || len(a.Excluded) > 0 || a.Server != ""
+	restricted := a.Adapter != "" || len(a.Excluded) > 0
+	best := int32(-1)
+	var bestScore uint64
 	for _, i := range p.members {
 		h := &c.hot[i]
-		if h.live >= h.limit || h.live >= limit {
-			continue
-		}
-		if restricted && !c.accepts(i, a) {
+		if h.live >= h.limit || h.live >= limit || t.contains(i) != subset {
 			continue
 		}
 		score := routing.Mix(a.Chat, h.hash)
-		if score < bestScore {
+		if (best >= 0 && score <= bestScore) || (restricted && !c.accepts(i, a)) {
 			continue
 		}
-		if t.contains(h.hash) {
-			best, bestScore = i, score
-		} else if score >= spillScore {
-			spill, spillScore = i, score
-		}
-	}
-	if best >= 0 {
-		return best
+		best, bestScore = i, score
 	}
-	return spill
+	return best
 }
 
 // accepts reports whether the ask's own restrictions admit the server.
 func (c *Core) accepts(i int32, a *grantpb.Ask) bool {
 	s := c.servers[i]
-	if a.Server != "" && a.Server != s.name {
-		return false
-	}
 	if a.Adapter != "" && !slices.Contains(s.adapters, a.Adapter) {
 		return false
 	}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -165,6 +165,20 @@
 	return dst
 }
 
+// longest returns the tenant with the most waiters for its weight.
+func (q *queue) longest() *tenant {
+	var most *tenant
+	for i := range q.levels {
+		for _, ln := range q.levels[i].lines {
+			t := ln.tenant
+			if most == nil || t.queued*most.workspace.weight > most.queued*t.workspace.weight {
+				most = t
+			}
+		}
+	}
+	return most
+}
+
 // ahead returns how many places go to others before an ask of the tenant that
 // joined now: all of higher priorities, and of its own priority those of its
 // own line and the fair part of the others.
--- a/internal/admission/result.go
+++ b/internal/admission/result.go
@@ -1,13 +1,12 @@
 package admission
 
 import (
-	"time"
-
 	"github.com/kumquathollow/kumquathollow/api/grantpb"
 )
 
 // Started notes that a permit's first byte went out.
 func (c *Core) Started(now Instant, session SessionID, id uint64) {
+	c.heard(now, session)
 	if i := c.find(c.term, id); i != 0 && c.permits[i].session == session {
 		c.permits[i].startedAt = now
 	}
@@ -16,6 +15,8 @@
 // Result ends a permit. One whose outcome is unknown may still run, so its
 // place stays taken until a report shows it gone or its deadline passes.
 func (c *Core) Result(now Instant, session SessionID, r *grantpb.Result) {
+	c.observe(now)
+	c.heard(now, session)
 	i := c.find(r.Term, r.PermitId)
 	if i == 0 || c.permits[i].session != session || c.permits[i].ended {
 		return
@@ -30,7 +31,7 @@
 		}
 		return
 	}
-	c.explain(now, &c.permits[i], time.Duration(r.DurationMs)*time.Millisecond)
+	c.explainEnd(&c.permits[i])
 	c.vacate(now, i)
 	c.pumpServer(now, server)
 }
--- a/internal/admission/server.go
+++ b/internal/admission/server.go
@@ -43,8 +43,11 @@
 	confirmed  bool
 	reported   int
 	measuredAt Instant
-	// ghosts are running requests that no permit explains.
-	ghosts int
+	// ghosts are running requests that no permit explains. They had started at
+	// ghostsFrom and must have ended at ghostsUntil.
+	ghosts      int
+	ghostsFrom  Instant
+	ghostsUntil Instant
 
 	declaredOut   bool
 	declaredLimit int
@@ -73,6 +76,7 @@
 
 // Announce takes in what a server said of itself.
 func (c *Core) Announce(now Instant, a *grantpb.Announcement) {
+	c.observe(now)
 	if a.DataCentre != c.dataCentre || a.Name == "" || c.set.Services[a.Service] == nil {
 		return
 	}
--- a/internal/admission/session.go
+++ b/internal/admission/session.go
@@ -19,6 +19,28 @@
 type session struct {
 	router  *router
 	waiters map[uint64]queued
+	// settled is the latest time of a message that another has followed at least
+	// a margin later: what had reached the router by then, it has passed on. mark
+	// is the time that becomes settled next.
+	settled Instant
+	mark    Instant
+}
+
+// Heard notes a sign of life on a session, such as the answer to a ping.
+func (c *Core) Heard(now Instant, id SessionID) {
+	c.observe(now)
+	c.heard(now, id)
+}
+
+// heard doesn't count what may have waited while this process was paused.
+func (c *Core) heard(now Instant, id SessionID) {
+	s := c.sessions[id]
+	if s == nil || now < c.trustFrom {
+		return
+	}
+	if now >= s.mark+c.options.Margin {
+		s.settled, s.mark = s.mark, now
+	}
 }
 
 // Open begins a session. The permits that the router says it holds are its own
@@ -35,7 +57,7 @@
 	}
 	c.routers[key] = r
 	r.session = id
-	c.sessions[id] = &session{router: r, waiters: map[uint64]queued{}}
+	c.sessions[id] = &session{router: r, waiters: map[uint64]queued{}, mark: now}
 	for _, held := range h.Held {
 		c.hold(now, id, held)
 	}
--- a/internal/admission/tenant.go
+++ b/internal/admission/tenant.go
@@ -37,15 +37,15 @@
 	load      float64
 	// size is the number of servers in the workspace's subset.
 	size int
-	// threshold is the least workspace score of a server in the subset.
-	threshold uint64
-	lines     [levels]*line
-	queued    int
+	// subset has a bit for each server in the workspace's subset; nil is all.
+	subset []uint64
+	lines  [levels]*line
+	queued int
 }
 
-// contains reports whether the server of that hash is in the subset.
-func (t *tenant) contains(server uint64) bool {
-	return t.threshold == 0 || routing.Mix(t.hash, server) >= t.threshold
+// contains reports whether the server of that index is in the subset.
+func (t *tenant) contains(server int32) bool {
+	return t.subset == nil || t.subset[server>>6]>>(server&63)&1 == 1
 }
 
 // tenantOf returns the workspace's tenant in the pool, creating it on first use.
@@ -84,14 +84,14 @@
 
 func (w *workspace) full() bool { return w.limit > 0 && w.live >= w.limit }
 
-// chooseSubset sets the threshold so that size members are in the subset.
+// chooseSubset puts the first size members of the workspace's order in the subset.
 func (c *Core) chooseSubset(p *pool, t *tenant) {
 	size := t.size
 	if most := p.service.maxSubset; most > 0 {
 		size = min(size, most)
 	}
 	if size >= len(p.members) {
-		t.threshold = 0
+		t.subset = nil
 		return
 	}
 	c.scores = c.scores[:0]
@@ -99,7 +99,13 @@
 		c.scores = append(c.scores, routing.Mix(t.hash, c.hot[i].hash))
 	}
 	slices.Sort(c.scores)
-	t.threshold = c.scores[len(c.scores)-size]
+	least := c.scores[len(c.scores)-size]
+	t.subset = make([]uint64, len(c.servers)/64+1)
+	for _, i := range p.members {
+		if routing.Mix(t.hash, c.hot[i].hash) >= least {
+			t.subset[i>>6] |= 1 << (i & 63)
+		}
+	}
 }
 
 // resize follows the workspace's load with its subset, and forgets idle ones.
--- a/internal/grantor/server.go
+++ b/internal/grantor/server.go
@@ -180,6 +180,8 @@
 		s.core.Cancel(id, k.Cancel.AskId)
 	case *grantpb.RouterMessage_Announcement:
 		s.core.Announce(now, k.Announcement)
+	case *grantpb.RouterMessage_Ping:
+		s.core.Heard(now, id)
 	}
 }
 
--- a/internal/lease/candidate.go
+++ b/internal/lease/candidate.go
@@ -81,11 +81,8 @@
 // such as the wall clock in milliseconds, so that terms grow across restarts of
 // every voter; safety does not depend on it.
 func (c *Candidate) Tick(now Instant, resumeFrom uint64) []Send {
+	c.lapse(now)
 	holds := c.Holds(now)
-	if !holds && c.holding {
-		c.holding = false
-		c.nextRound = now + c.backoff()
-	}
 	if now < c.nextRound || len(c.voters) == 0 || (!holds && c.othersHold(now)) {
 		return nil
 	}
@@ -98,6 +95,18 @@
 	return c.startRound(now, holds)
 }
 
+// lapse notes that the lease has ended. Late answers don't bring it back: the
+// next tenure has another term.
+func (c *Candidate) lapse(now Instant) {
+	if !c.holding || c.Holds(now) {
+		return
+	}
+	c.holding = false
+	clear(c.granted)
+	clear(c.sentAt)
+	c.nextRound = now + c.backoff()
+}
+
 func (c *Candidate) startRound(now Instant, holds bool) []Send {
 	c.round++
 	c.sentAt[c.round] = now
@@ -120,6 +129,7 @@
 
 // Answer takes a voter's response to the round's request.
 func (c *Candidate) Answer(now Instant, voter string, round uint64, r Response) {
+	c.lapse(now)
 	c.highest = max(c.highest, r.Term)
 	sent, known := c.sentAt[round]
 	if r.Granted && known && r.Term == c.term {
