Check histories of changes and claims, and let a message hold a whole set

Cause: the state machine and the process had directed tests only; and a change or a configuration over 4 MiB could not pass between processes, so an entry of that size would have stalled every follower. Messages may hold 32 MiB, a change 8 MiB.

--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -28,7 +28,7 @@
 	// maxKeptAnswer bounds the body of one answer kept with a claim.
 	maxKeptAnswer = 256 << 10
 	// maxChangeBytes bounds one change.
-	maxChangeBytes = 16 << 20
+	maxChangeBytes = 8 << 20
 )
 
 // Server answers the Control service. On a process that does not lead it
--- /dev/null
+++ b/internal/control/state_test.go
@@ -0,0 +1,231 @@
+package control
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/kumquathollow/kumquathollow/api/controlpb"
+	"github.com/kumquathollow/kumquathollow/api/statepb"
+	"github.com/kumquathollow/kumquathollow/internal/config"
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
+)
+
+const (
+	granted    = controlpb.ClaimState_CLAIM_STATE_GRANTED
+	inProgress = controlpb.ClaimState_CLAIM_STATE_IN_PROGRESS
+	completed  = controlpb.ClaimState_CLAIM_STATE_COMPLETED
+	unknown    = controlpb.ClaimState_CLAIM_STATE_UNKNOWN
+	conflict   = controlpb.ClaimState_CLAIM_STATE_KEY_CONFLICT
+	tooLate    = controlpb.ClaimState_CLAIM_STATE_TOO_LATE
+	gaveBack   = controlpb.ClaimState_CLAIM_STATE_UNSPECIFIED
+)
+
+func (s *State) do(t testing.TB, at int64, cmd *statepb.Command) result {
+	t.Helper()
+	data, err := marshalCommand(at, cmd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s.Apply(data).(result)
+}
+
+func (s *State) applyChange(t testing.TB, at int64, req *controlpb.ApplyRequest) result {
+	t.Helper()
+	digest, answer, err := s.accept(req, noCheck)
+	if answer != nil || err != nil {
+		return result{msg: answer, err: err}
+	}
+	return s.do(t, at, &statepb.Command{Op: &statepb.Command_Change{Change: &statepb.Change{Request: req, Digest: digest}}})
+}
+
+func claimCmd(key, body, attempt string) *statepb.Command {
+	return &statepb.Command{Op: &statepb.Command_Claim{Claim: &controlpb.ClaimRequest{
+		Key: &controlpb.ClaimKey{Service: "s", Workspace: "w", IdempotencyKey: key}, BodyHash: []byte(body), AttemptId: attempt, RetentionMs: 1000, RunMs: 200,
+	}}}
+}
+
+func settleCmd(key, attempt string, st controlpb.ClaimState) *statepb.Command {
+	return &statepb.Command{Op: &statepb.Command_Settle{Settle: &controlpb.SettleRequest{
+		Key: &controlpb.ClaimKey{Service: "s", Workspace: "w", IdempotencyKey: key}, AttemptId: attempt, State: st,
+		Answer: &controlpb.RecordedAnswer{Status: 200, Body: []byte("answer of " + attempt)},
+	}}}
+}
+
+// keyAt returns a key of version 7 with the time in Unix ms.
+func keyAt(ms int64) string {
+	u := uuid.UUID{}
+	for i := range 6 {
+		u[i] = byte(ms >> (8 * (5 - i)))
+	}
+	u[6], u[8], u[15] = 0x70, 0x80, 1
+	return u.String()
+}
+
+func TestClaims(t *testing.T) {
+	type step struct {
+		at   int64
+		cmd  *statepb.Command
+		want controlpb.ClaimState
+		kind errkind.Kind
+	}
+	old := keyAt(100)
+	for name, steps := range map[string][]step{
+		"resend of the same call":       {{0, claimCmd("k", "b", "1"), granted, ""}, {1, claimCmd("k", "b", "1"), granted, ""}},
+		"another attempt while it runs": {{0, claimCmd("k", "b", "1"), granted, ""}, {1, claimCmd("k", "b", "2"), inProgress, ""}},
+		"another body":                  {{0, claimCmd("k", "b", "1"), granted, ""}, {1, claimCmd("k", "c", "2"), conflict, ""}},
+		"completed":                     {{0, claimCmd("k", "b", "1"), granted, ""}, {1, settleCmd("k", "1", completed), 0, ""}, {2, claimCmd("k", "b", "2"), completed, ""}, {3, claimCmd("k", "b", "1"), completed, ""}},
+		"given back":                    {{0, claimCmd("k", "b", "1"), granted, ""}, {1, settleCmd("k", "1", gaveBack), 0, ""}, {2, claimCmd("k", "b", "2"), granted, ""}, {3, settleCmd("k", "1", completed), 0, errkind.KeyConflict}},
+		"another attempt settles":       {{0, claimCmd("k", "b", "1"), granted, ""}, {1, settleCmd("k", "2", completed), 0, errkind.KeyConflict}, {2, claimCmd("k", "b", "3"), inProgress, ""}},
+		"given back after completion":   {{0, claimCmd("k", "b", "1"), granted, ""}, {1, settleCmd("k", "1", completed), 0, ""}, {2, settleCmd("k", "1", gaveBack), 0, errkind.KeyConflict}},
+		"the router is gone":            {{0, claimCmd("k", "b", "1"), granted, ""}, {200, claimCmd("k", "b", "2"), unknown, ""}, {201, claimCmd("k", "b", "1"), unknown, ""}},
+		"the router wakes up late":      {{0, claimCmd("k", "b", "1"), granted, ""}, {200, claimCmd("k", "b", "2"), unknown, ""}, {300, settleCmd("k", "1", completed), 0, ""}, {301, claimCmd("k", "b", "2"), completed, ""}},
+		"forgotten, key without a time": {{0, claimCmd("k", "b", "1"), granted, ""}, {1000, claimCmd("k", "b", "1"), tooLate, ""}, {1001, settleCmd("k", "1", completed), 0, errkind.NotFound}},
+		"forgotten, key with a time":    {{150, claimCmd(old, "b", "1"), granted, ""}, {1150, claimCmd(old, "b", "2"), tooLate, ""}, {1151, claimCmd(keyAt(99), "b", "3"), tooLate, ""}, {1152, claimCmd(keyAt(1000), "b", "4"), granted, ""}},
+		"a clock that steps back":       {{500, claimCmd("k", "b", "1"), granted, ""}, {0, claimCmd("k", "b", "2"), inProgress, ""}, {700, claimCmd("k", "b", "2"), unknown, ""}, {0, claimCmd("k", "b", "2"), unknown, ""}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := NewState()
+			for i, st := range steps {
+				r := s.do(t, st.at, st.cmd)
+				if got := errkind.Of(r.err); got != st.kind {
+					t.Fatalf("step %d: error %v, want kind %q", i, r.err, st.kind)
+				}
+				if c, ok := r.msg.(*controlpb.ClaimResponse); ok && c.State != st.want {
+					t.Fatalf("step %d: %v, want %v", i, c.State, st.want)
+				}
+			}
+		})
+	}
+}
+
+// TestRestoredStateGoesOnAlike compares a state that ran on with one that was
+// restored from a snapshot in the middle, over random commands.
+func TestRestoredStateGoesOnAlike(t *testing.T) {
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		a, b := NewState(), NewState()
+		now := int64(0)
+		for i := range 300 {
+			now += int64(rng.IntN(40))
+			cmd := randomCommand(rng, a)
+			ra, rb := a.do(t, now, cmd), b.do(t, now, cmd)
+			if !proto.Equal(ra.msg, rb.msg) || errkind.Of(ra.err) != errkind.Of(rb.err) {
+				t.Fatalf("seed %d, command %d: %v %v and %v %v", seed, i, ra.msg, ra.err, rb.msg, rb.err)
+			}
+			if rng.IntN(30) == 0 {
+				next := NewState()
+				if err := next.Restore(bytes.NewReader(saved(t, b))); err != nil {
+					t.Fatal(err)
+				}
+				b = next
+			}
+		}
+		if !bytes.Equal(saved(t, a), saved(t, b)) {
+			t.Fatalf("seed %d: the states differ", seed)
+		}
+	}
+}
+
+func saved(t testing.TB, s *State) []byte {
+	t.Helper()
+	var buf bytes.Buffer
+	if err := s.Snapshot(&buf); err != nil {
+		t.Fatal(err)
+	}
+	return buf.Bytes()
+}
+
+func randomCommand(rng *rand.Rand, s *State) *statepb.Command {
+	key, attempt := fmt.Sprint("k", rng.IntN(20)), fmt.Sprint("a", rng.IntN(3))
+	if rng.IntN(2) == 0 {
+		key = keyAt(int64(rng.IntN(3000)))
+	}
+	switch rng.IntN(4) {
+	case 0:
+		req := change(fmt.Sprint("change-", rng.IntN(40)), s.Newest().Revision.PB(), workspace(fmt.Sprint("w", rng.IntN(5)), fmt.Sprint(rng.IntN(9))))
+		if rng.IntN(3) == 0 {
+			req.Deletes = []*controlpb.ObjectKey{{Kind: config.KindWorkspace, Name: fmt.Sprint("w", rng.IntN(5))}}
+			req.Upserts = nil
+		}
+		return &statepb.Command{Op: &statepb.Command_Change{Change: &statepb.Change{Request: req, Digest: s.digestAfter(req)}}}
+	case 1:
+		return settleCmd(key, attempt, controlpb.ClaimState(rng.IntN(7)))
+	}
+	return claimCmd(key, "b", attempt)
+}
+
+func TestChanges(t *testing.T) {
+	s := NewState()
+	base := firstBase()
+	for i := range 600 {
+		r := s.applyChange(t, int64(i), change(fmt.Sprint("c", i), base, workspace(fmt.Sprint("w", i%7), fmt.Sprint(i))))
+		if r.err != nil {
+			t.Fatal(r.err)
+		}
+		base = r.msg.(*controlpb.ApplyResponse).Revision
+	}
+	late := change("late", &controlpb.Revision{Epoch: 1, Number: 599}, workspace("w1", "x"))
+	if r := s.applyChange(t, 0, late); !errkind.Is(r.err, errkind.RevisionConflict) {
+		t.Fatalf("a change of an old revision gave %v", r.err)
+	}
+	if r := s.applyChange(t, 0, change("c5", base, workspace("w1", "x"))); !errkind.Is(r.err, errkind.ChangeConflict) {
+		t.Fatalf("a change id used twice gave %v", r.err)
+	}
+	got, err := s.Get(&controlpb.Revision{Epoch: 1, Number: 3})
+	if err != nil || len(got.Objects) != 3 || string(got.Objects[2].Body) != string(workspace("w2", "2").Body) {
+		t.Fatalf("revision 3 is %v, %v", got, err)
+	}
+	if _, err := s.Get(&controlpb.Revision{Epoch: 1, Number: 601}); !errkind.Is(err, errkind.NotFound) {
+		t.Fatalf("a revision to come gave %v", err)
+	}
+	unchecked := &statepb.Change{Request: change("u", base, workspace("w1", "x")), Digest: 1}
+	if r := s.do(t, 0, &statepb.Command{Op: &statepb.Command_Change{Change: unchecked}}); !errkind.Is(r.err, errkind.PromiseBroken) {
+		t.Fatalf("a set that was not checked gave %v", r.err)
+	}
+	if h := s.History(&controlpb.HistoryRequest{Limit: 2}); len(h.Entries) != 2 || h.Entries[0].ChangeId != "c599" {
+		t.Fatalf("history %v", h)
+	}
+}
+
+func TestDamagedSnapshot(t *testing.T) {
+	s := NewState()
+	s.applyChange(t, 0, change("c", firstBase(), workspace("w", "p")))
+	data := saved(t, s)
+	for cut := range data {
+		if err := NewState().Restore(bytes.NewReader(data[:cut])); err == nil {
+			t.Fatalf("a snapshot cut at %d of %d was taken", cut, len(data))
+		}
+	}
+}
+
+func TestNodes(t *testing.T) {
+	n := newNodes()
+	now := time.Unix(1000, 0)
+	beat := func(name, inc string) error {
+		return n.beat(&controlpb.NodeStatus{Name: name, Incarnation: inc}, now)
+	}
+	for _, inc := range []string{"1", "2", "1"} {
+		if err := beat("r1", inc); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if l := n.list(now); len(l) != 1 || l[0].Incarnation != "2" {
+		t.Fatalf("a late heartbeat of the former incarnation counted: %v", l)
+	}
+	for i := range maxNodes {
+		_ = beat(fmt.Sprint("n", i), "1")
+	}
+	if err := beat("one more", "1"); !errkind.Is(err, errkind.QueueFull) {
+		t.Fatalf("node %d gave %v", maxNodes+1, err)
+	}
+	now = now.Add(nodeForgetTime + time.Second)
+	if err := beat("one more", "1"); err != nil || len(n.list(now)) != 1 {
+		t.Fatalf("silent nodes keep their places: %v", err)
+	}
+}
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -10,8 +10,10 @@
 	"github.com/cockroachdb/errors"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcpool"
 	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
 
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 )
@@ -21,6 +23,8 @@
 	idleExpiry      = 2 * time.Minute
 	poolCapacity    = 512
 	poolKeyCapacity = 16
+	// maxMessageBytes bounds one message; a whole configuration must fit.
+	maxMessageBytes = 32 << 20
 )
 
 // Listen opens a TCP listener, with TLS if conf is not nil. A taken address
@@ -41,7 +45,7 @@
 
 // Serve answers drpc calls on the listener until ctx ends.
 func Serve(ctx context.Context, l net.Listener, h drpc.Handler) error {
-	return drpcserver.New(h).Serve(ctx, l)
+	return drpcserver.NewWithOptions(h, drpcserver.Options{Manager: managerOptions()}).Serve(ctx, l)
 }
 
 // Dialer gives pooled connections to the fleet's processes. It is safe for
@@ -84,7 +88,7 @@
 	}
 	raw = d.Traffic.conn(raw)
 	if d.conf == nil {
-		return drpcconn.New(raw), nil
+		return newConn(raw), nil
 	}
 	tc := tls.Client(raw, d.conf)
 	hctx, cancel := context.WithTimeout(ctx, dialTimeout)
@@ -93,5 +97,13 @@
 		_ = raw.Close()
 		return nil, errkind.Wrap(err, errkind.Unauthenticated, "TLS with %s", addr)
 	}
-	return drpcconn.New(tc), nil
+	return newConn(tc), nil
+}
+
+func newConn(c net.Conn) drpcpool.Conn {
+	return drpcconn.NewWithOptions(c, drpcconn.Options{Manager: managerOptions()})
+}
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes}}
 }
