--- a/internal/ctl/commands.go
+++ b/internal/ctl/commands.go
@@ -154,7 +154,12 @@
 
 func stateCommands(f *flags) []*command {
 	save := newCommand("save", "save the replicated state to a file", (*app).snapshotSave)
-	save.sub.AddPositionalValue(&f.path, "FILE", 1, true, "file of the saved state")
+	inspect := newCommand("inspect", "show what a saved state holds", (*app).snapshotInspect)
+	restore := newCommand("restore", "begin a new epoch from a saved state, on the disk of a stopped control process", (*app).snapshotRestore)
+	for _, c := range []*command{save, inspect, restore} {
+		c.sub.AddPositionalValue(&f.path, "FILE", 1, true, "file of the saved state")
+	}
+	restore.sub.String(&f.target, "", "settings", "settings file of the control process that is to be the first voter")
 
 	kinit := newCommand("init", "create the fleet's certificate authority", (*app).keysInit)
 	kinit.sub.AddPositionalValue(&f.path, "DIR", 1, true, "folder of the authority")
@@ -176,7 +181,7 @@
 	remove.sub.AddPositionalValue(&f.target, "ID", 1, true, "id of the voter")
 
 	return []*command{
-		newCommand("snapshot", "save the replicated state", nil, save),
+		newCommand("snapshot", "save, inspect or restore the replicated state", nil, save, inspect, restore),
 		newCommand("keys", "make and show certificates", nil, kinit, issue, kinspect),
 		newCommand("voter", "change the voters of the control group", nil, add, remove),
 	}
--- a/internal/ctl/drain.go
+++ b/internal/ctl/drain.go
@@ -123,10 +123,10 @@
 	if st.HoldsLease {
 		return a.local, nil
 	}
-	if st.Holder == "" {
+	if st.HolderAddress == "" {
 		return "", errkind.New(errkind.NoGrantor, "%s knows no grantor of its data centre; ask another router", a.local)
 	}
-	return st.Holder, nil
+	return st.HolderAddress, nil
 }
 
 func (a *app) grantorStatus(ctx context.Context) (*grantpb.GrantorStatusResponse, error) {
--- a/internal/ctl/undo.go
+++ b/internal/ctl/undo.go
@@ -15,7 +15,7 @@
 	if err != nil {
 		return err
 	}
-	before, err := a.setAt(revisionText(config.FromPB(entry.Base)))
+	before, err := a.setBefore(entry)
 	if err != nil {
 		return err
 	}
@@ -44,6 +44,16 @@
 	return a.submit(req)
 }
 
+// setBefore returns the configuration that a change was made from, which is
+// empty for the first one.
+func (a *app) setBefore(entry *controlpb.AuditEntry) (*config.Set, error) {
+	base := config.FromPB(entry.Base)
+	if base == (config.Revision{}) {
+		return config.NewSet(base), nil
+	}
+	return a.setAt(revisionText(base))
+}
+
 // entryAt returns the audit entry of a revision; empty means the newest.
 func (a *app) entryAt(at string) (*controlpb.AuditEntry, error) {
 	a.limit, a.before = 1, ""
--- a/internal/grantor/session.go
+++ b/internal/grantor/session.go
@@ -240,7 +240,7 @@
 func (s *Server) GrantorStatus(ctx context.Context, _ *grantpb.GrantorStatusRequest) (*grantpb.GrantorStatusResponse, error) {
 	r := &grantpb.GrantorStatusResponse{DataCentre: s.options.DataCentre}
 	err := s.do(ctx, func() {
-		r.Holder, _ = s.candidate.Holder()
+		r.Holder, r.HolderAddress = s.candidate.Holder()
 		if s.core == nil {
 			return
 		}
--- a/internal/membership/sender.go
+++ b/internal/membership/sender.go
@@ -17,6 +17,8 @@
 const (
 	// DefaultInterval is the time between heartbeats.
 	DefaultInterval = 2 * time.Second
+	// pollInterval is how often the state is looked at for a change.
+	pollInterval = 100 * time.Millisecond
 	// callTimeout bounds one heartbeat.
 	callTimeout = time.Second
 )
@@ -67,30 +69,42 @@
 // Incarnation identifies this start of the process.
 func (s *Sender) Incarnation() string { return s.incarnation }
 
-// Run sends heartbeats until ctx ends. The intervals vary by a tenth, so that
-// nodes started together drift apart.
+// Run sends heartbeats until ctx ends: one each interval, and one at once when
+// the state has changed. The intervals vary by a tenth, so that nodes started
+// together drift apart.
 func (s *Sender) Run(ctx context.Context) error {
+	poll := time.NewTicker(min(pollInterval, s.opts.Interval))
+	defer poll.Stop()
+	var due time.Time
+	var sent State
 	for {
-		if err := s.beat(ctx); err != nil && ctx.Err() == nil {
-			s.opts.Log.Debug("heartbeat not answered", "kind", errkind.Of(err), "error", err)
+		if st := s.opts.State(); st != sent || !time.Now().Before(due) {
+			err := s.beat(ctx, st)
+			if err != nil && ctx.Err() == nil {
+				s.opts.Log.Debug("heartbeat not answered", "kind", errkind.Of(err), "error", err)
+			}
+			sent, due = st, time.Now().Add(s.nextInterval())
 		}
-		spread := time.Duration(rand.Int64N(int64(s.opts.Interval/5) + 1))
-		t := time.NewTimer(s.opts.Interval - s.opts.Interval/10 + spread)
 		select {
 		case <-ctx.Done():
-			t.Stop()
 			return nil
-		case <-t.C:
+		case <-poll.C:
 		}
 	}
 }
 
+// nextInterval returns the interval, more or less by a tenth.
+func (s *Sender) nextInterval() time.Duration {
+	spread := s.opts.Interval / 5
+	return s.opts.Interval - spread/2 + time.Duration(rand.Int64N(int64(spread)+1))
+}
+
 // beat sends one heartbeat, to each control process in turn until one answers.
-func (s *Sender) beat(ctx context.Context) error {
+func (s *Sender) beat(ctx context.Context, st State) error {
 	var err error
 	for range s.opts.Controls {
 		addr := s.opts.Controls[s.next%len(s.opts.Controls)]
-		if err = s.call(ctx, addr); err == nil {
+		if err = s.call(ctx, addr, st); err == nil {
 			return nil
 		}
 		s.next++
@@ -98,10 +112,9 @@
 	return err
 }
 
-func (s *Sender) call(ctx context.Context, addr string) error {
+func (s *Sender) call(ctx context.Context, addr string, st State) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	st := s.opts.State()
 	conn := s.opts.Dialer.Conn(ctx, addr)
 	defer conn.Close()
 	_, err := controlpb.NewDRPCControlClient(conn).Heartbeat(ctx, &controlpb.HeartbeatRequest{Node: &controlpb.NodeStatus{
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -217,7 +217,8 @@
 	if err := grantpb.DRPCRegisterLeaseVoter(mux, r.grantor); err != nil {
 		return err
 	}
-	g.Go(func() error { return rpc.Serve(ctx, r.fleet, mux) })
+	guarded := keys.Guard(mux, keys.FleetRoles, r.settings.FleetTLS.Enabled())
+	g.Go(func() error { return rpc.Serve(ctx, r.fleet, guarded) })
 	g.Go(func() error { return r.watcher.Run(ctx) })
 	g.Go(func() error { return r.heartbeats.Run(ctx) })
 	g.Go(func() error { return r.claims.Run(ctx) })
