Hold the load bound while a pool warms up; serve revision and control bytes

With no member at full capacity the mean is now that of all usable members. A test that failed with 14 in flight against a bound of 12 passes.

--- a/internal/admission/core_test.go
+++ b/internal/admission/core_test.go
@@ -261,6 +261,33 @@
 	}
 }
 
+// TestLoadBoundHoldsWhileThePoolWarmsUp starts every server of a pool at once,
+// so that none is at full capacity.
+func TestLoadBoundHoldsWhileThePoolWarmsUp(t *testing.T) {
+	b := newBench(4, 0)
+	b.seq++
+	for _, name := range b.names {
+		a := b.announcement(name, 60)
+		a.Incarnation, a.ReadyMs, a.ColdCapacity = "2", 0, 20
+		b.core.Announce(b.now, a)
+	}
+	const asks = 40
+	for i := range asks {
+		if e := b.ask("w", 5, 0); e == nil || e.Kind != Granted {
+			t.Fatalf("ask %d got %+v", i, e)
+		}
+	}
+	for i := range b.core.servers {
+		h := b.core.hot[i]
+		if h.warm {
+			t.Fatal("a server that was just started counts as warm")
+		}
+		if limit := LoadLimit(asks, len(b.names), defaultMaxLoadFactor, defaultLoadFloor); h.live > limit {
+			t.Errorf("%s has %d in flight, the bound is %d", b.names[i], h.live, limit)
+		}
+	}
+}
+
 func BenchmarkDecision(b *testing.B) {
 	for _, n := range []int{20, 300} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -45,11 +45,28 @@
 // more request was granted: the multiple of the mean once the mean exceeds the
 // floor. Loads are whole numbers, so the bound is never below the mean's next
 // whole number; otherwise an even pool with a small mean could take nothing.
-func (p *pool) loadLimit() int32 {
-	if p.warm == 0 {
-		return math.MaxInt32
+// The mean is that of the members at full capacity, or of all usable members
+// while none is, as after a start of the whole pool.
+func (c *Core) loadLimit(p *pool) int32 {
+	n, live := p.warm, p.warmLive
+	if n == 0 {
+		n, live = p.usable, c.usableLive(p)
 	}
-	return LoadLimit(p.warmLive+1, p.warm, p.service.maxLoadFactor, p.service.loadFloor)
+	if n == 0 {
+		return 0
+	}
+	return LoadLimit(live+1, n, p.service.maxLoadFactor, p.service.loadFloor)
+}
+
+// usableLive adds up what runs at the members with a limit above zero.
+func (c *Core) usableLive(p *pool) int {
+	live := 0
+	for _, i := range p.members {
+		if h := &c.hot[i]; h.limit > 0 {
+			live += int(h.live)
+		}
+	}
+	return live
 }
 
 // LoadLimit returns the bound on one server's requests in flight when the pool
@@ -75,7 +92,7 @@
 // first returns the server with room that is first in the chat's order, of
 // those in the workspace's subset or of the others; -1 if none has room.
 func (c *Core) first(p *pool, t *tenant, a *grantpb.Ask, subset bool) int32 {
-	limit := p.loadLimit()
+	limit := c.loadLimit(p)
 	restricted := a.Adapter != "" || len(a.Excluded) > 0
 	best := int32(-1)
 	var bestScore uint64
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -44,7 +44,9 @@
 	settings Settings
 	log      hclog.Logger
 	metrics  *telemetry.Registry
-	ready    *telemetry.Readiness
+	// fleetTraffic and announceTraffic count the bytes of control traffic.
+	fleetTraffic, announceTraffic rpc.Traffic
+	ready                         *telemetry.Readiness
 
 	callers, announce, fleet, admin net.Listener
 
@@ -80,28 +82,43 @@
 		return nil, err
 	}
 	r.dialer = rpc.NewDialer(clientTLS)
+	r.dialer.Traffic = &r.fleetTraffic
 	r.assembleFleet()
 	r.assembleTraffic()
+	r.registerMetrics()
 	return r, nil
 }
 
+// registerMetrics serves the revision in force and the bytes of control
+// traffic: connections of the fleet's processes, and announcements.
+func (r *Router) registerMetrics() {
+	revision := func() config.Revision { return r.state().InForce }
+	r.metrics.Gauge("config.epoch", func() int64 { return int64(revision().Epoch) })
+	r.metrics.Gauge("config.revision", func() int64 { return int64(revision().Number) })
+	r.metrics.Gauge("control.bytes.fleet_in", r.fleetTraffic.In)
+	r.metrics.Gauge("control.bytes.fleet_out", r.fleetTraffic.Out)
+	r.metrics.Gauge("control.bytes.announce_in", r.announceTraffic.In)
+	r.metrics.Gauge("control.bytes.announce_out", r.announceTraffic.Out)
+}
+
 func (r *Router) listen() error {
 	for _, l := range []struct {
 		to      *net.Listener
 		address string
 		tls     settings.TLS
 		conf    func(settings.TLS) (*tls.Config, error)
+		traffic *rpc.Traffic
 	}{
-		{&r.callers, r.settings.Listen.Callers, r.settings.CallersTLS, callersTLS},
-		{&r.announce, r.settings.Listen.Announce, r.settings.AnnounceTLS, callersTLS},
-		{&r.fleet, r.settings.Listen.Fleet, r.settings.FleetTLS, keys.ServerConfig},
-		{&r.admin, r.settings.Listen.Admin, settings.TLS{}, keys.ServerConfig},
+		{&r.callers, r.settings.Listen.Callers, r.settings.CallersTLS, callersTLS, nil},
+		{&r.announce, r.settings.Listen.Announce, r.settings.AnnounceTLS, callersTLS, &r.announceTraffic},
+		{&r.fleet, r.settings.Listen.Fleet, r.settings.FleetTLS, keys.ServerConfig, &r.fleetTraffic},
+		{&r.admin, r.settings.Listen.Admin, settings.TLS{}, keys.ServerConfig, nil},
 	} {
 		conf, err := l.conf(l.tls)
 		if err != nil {
 			return err
 		}
-		if *l.to, err = rpc.Listen(l.address, conf); err != nil {
+		if *l.to, err = rpc.ListenCounted(l.address, conf, l.traffic); err != nil {
 			return err
 		}
 	}
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -30,6 +30,12 @@
 // Listen opens a TCP listener, with TLS if conf is not nil. A taken address
 // gives an error of kind address-in-use.
 func Listen(addr string, conf *tls.Config) (net.Listener, error) {
+	return ListenCounted(addr, conf, nil)
+}
+
+// ListenCounted is Listen with the bytes of all connections counted in t, which
+// may be nil. They are counted below TLS.
+func ListenCounted(addr string, conf *tls.Config, t *Traffic) (net.Listener, error) {
 	l, err := net.Listen("tcp", addr)
 	if errors.Is(err, syscall.EADDRINUSE) {
 		return nil, errkind.Wrap(err, errkind.AddressInUse, "listen on %s: another process has it; stop it or change the settings", addr)
@@ -37,6 +43,9 @@
 	if err != nil {
 		return nil, errkind.Wrap(err, errkind.InvalidSettings, "listen on %s", addr)
 	}
+	if t != nil {
+		l = t.Listener(l)
+	}
 	if conf != nil {
 		l = tls.NewListener(l, conf)
 	}
