Tell the grantor the time to the first byte of streams only

In the demo whole servers fell back to their cold limit although none had turned cold: the time to the first byte of an answer that does not stream is the time of its whole run, so a long one after short streams looked like a jump. At one point six of seven runners of a data centre were held at 2 of 8 places, and the 95th percentile of the first byte was 5.3 s. The time is now that of a stream's first byte of body.

--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -32,7 +32,8 @@
 // RunResult is what became of a permit's run.
 type RunResult struct {
 	Outcome errkind.Outcome
-	// FirstByte is the time from sending to the answer's header; 0 without one.
+	// FirstByte is the time from sending to the first byte of a stream. It is 0
+	// for other answers, whose first byte comes when the whole run is done.
 	FirstByte time.Duration
 	Duration  time.Duration
 	// OutputTokens is the number of streamed events.
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -52,7 +52,6 @@
 		return r.broken(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	r.result.FirstByte = time.Since(r.sentAt)
 	return r.receive(resp)
 }
 
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -95,6 +95,9 @@
 // pass writes one chunk through to the caller.
 func (s *streaming) pass(p []byte) error {
 	s.begin()
+	if s.offset == 0 {
+		s.result.FirstByte = time.Since(s.sentAt)
+	}
 	s.offset += int64(len(p))
 	s.total += int64(len(p))
 	s.tries = 0
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -17,6 +17,7 @@
 try 30 ctl apply -m "first declarations" "$EXAMPLE/declarations" || fail "the declarations were not accepted"
 say "declarations applied"
 
+sleep 3 # the grantors open, the servers leave their cold start
 bin/kqreplay play -c "$EXAMPLE/settings/replay.yaml" -e "$EVENTS" -d "$RUN/details.json" >"$RUN/report.txt" 2>"$RUN/replay.log" &
 REPLAY=$!
 PIDS[replay]=$REPLAY
