Tell a broken handshake from a refused identity

Cause: a control process killed during a TLS handshake made kqctl end with 'no valid certificate', and a refused certificate could show as a lost answer. Change: a broken connection is unreachable; a TLS alert is unauthenticated, also when it comes after the client's side of the handshake.

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -50,6 +50,9 @@
 			if k == "" || k == errkind.ChangeUnknown {
 				lost = true
 			}
+			if k == errkind.Unauthenticated {
+				e = errkind.Wrap(e, k, "%s", addr)
+			}
 			if !worthAsking(k) {
 				return lost, e
 			}
@@ -74,6 +77,9 @@
 // answerKind returns the kind that the control process, or the failed dial,
 // stated; empty if the connection broke without an answer.
 func answerKind(err error) errkind.Kind {
+	if rpc.IsTLSAlert(err) {
+		return errkind.Unauthenticated
+	}
 	k := errkind.Of(err)
 	var own *errkind.Error
 	if k == errkind.Internal && !errors.As(err, &own) && !hasCode(err) {
--- a/internal/keys/keys_test.go
+++ b/internal/keys/keys_test.go
@@ -120,6 +120,9 @@
 			t.Errorf("%s: the call was answered", name)
 		}
 	}
+	if _, err, _ := ask(t, addr, must(t)(ClientConfig(mixed))); !rpc.IsTLSAlert(err) {
+		t.Errorf("a refused certificate shows as %v", err)
+	}
 	// The client, too, refuses a server of another authority or of an operator.
 	client := must(t)(ClientConfig(issue(RoleRouter, "r2")))
 	for name, id := range map[string]settings.TLS{"stranger": other(RoleControl, "c9"), "operator": issue(RoleOperator, "ana")} {
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -104,11 +105,29 @@
 	defer cancel()
 	if err := tc.HandshakeContext(hctx); err != nil {
 		_ = raw.Close()
-		return nil, errkind.Wrap(err, errkind.Unauthenticated, "TLS with %s", addr)
+		return nil, errkind.Wrap(err, handshakeKind(err), "TLS with %s", addr)
 	}
 	return newConn(tc), nil
 }
 
+// handshakeKind tells a refused identity from a connection that broke.
+func handshakeKind(err error) errkind.Kind {
+	var op *net.OpError
+	broken := errors.As(err, &op) && !IsTLSAlert(err)
+	if broken || errors.Is(err, io.EOF) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
+		return errkind.Unreachable
+	}
+	return errkind.Unauthenticated
+}
+
+// IsTLSAlert reports whether the other side ended the connection with a TLS
+// alert. A server that refuses a client's certificate does so after the client's
+// handshake is done, so a call can fail with it.
+func IsTLSAlert(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "remote error"
+}
+
 func newConn(c net.Conn) drpcpool.Conn {
 	return drpcconn.NewWithOptions(c, drpcconn.Options{Manager: managerOptions()})
 }
