Change voters under faults in the schedules; keep lagging voters able to vote

Cause: schedules with random replacements of voters found two ways in which a restarted voter could not be confirmed for ever and the group stood still: an uncommitted entry that removed it, and a known voter set all of whose disks had been replaced meanwhile. Change: the set to ask is one that has the process in it; a reply tells the newer set; a candidate that is not known is asked as well. A connection pool keeps 128 idle connections per address, since 16 made every further call dial.

--- a/internal/replication/confirm.go
+++ b/internal/replication/confirm.go
@@ -52,13 +52,18 @@
 	}
 }
 
-// reference is the newest voter set in the log, committed or not: one that this
-// process may be counted in already.
+// reference is the newest voter set in the log, committed or not, that has this
+// process in it: one that it may be counted in. An uncommitted removal may yet be
+// overwritten, and must not keep a voter from voting. A newer set that another
+// process told of comes first: those known here may all have been replaced.
 func (c *Core) reference() *pb.VoterSet {
+	if c.told.GetIndex() > c.commit {
+		return c.told.Voters
+	}
 	for i := c.log.last(); i > c.commit; i-- {
 		e := c.log.entries[i-c.log.base-1]
 		set := &pb.VoterSet{}
-		if e.Type == pb.EntryType_VOTERS && proto.Unmarshal(e.Data, set) == nil {
+		if e.Type == pb.EntryType_VOTERS && proto.Unmarshal(e.Data, set) == nil && c.isIn(set) {
 			return set
 		}
 	}
@@ -114,8 +119,17 @@
 	return c.bootNonce
 }
 
+// askCandidate asks a process that this one does not know of, and that counts it
+// as a voter.
+func (c *Core) askCandidate(m *pb.Message) {
+	if !c.confirmed && !c.confirms[m.FromDisk] && c.isIn(c.reference()) {
+		c.send(sender(m), &pb.Message{Type: pb.MessageType_HELLO, Round: c.nonce()})
+	}
+}
+
 func (c *Core) onHello(m *pb.Message) {
 	reply := &pb.Message{Type: pb.MessageType_HELLO_REPLY, Round: m.Round}
+	reply.Snapshot = &pb.SnapshotMeta{Index: c.commit, Voters: c.voters}
 	if k := c.marks[m.FromDisk]; k != nil {
 		reply.Marks = []*pb.Mark{k}
 	}
@@ -123,9 +137,12 @@
 }
 
 func (c *Core) onHelloReply(m *pb.Message) {
-	if m.Round != c.nonce() || !isMember(c.reference().Voters, m.From, m.FromDisk) {
+	if m.Round != c.nonce() || c.confirmed {
 		return
 	}
+	if t := m.Snapshot; t.GetIndex() > max(c.commit, c.told.GetIndex()) && c.isIn(t.Voters) {
+		c.told = t
+	}
 	c.confirms[m.FromDisk] = true
 	c.checkConfirmed()
 }
--- a/internal/replication/core.go
+++ b/internal/replication/core.go
@@ -113,9 +113,11 @@
 	reads         []pendingRead
 	readsUnsent   bool
 
-	confirmed  bool
-	confirms   map[string]bool
-	bootNonce  uint64
+	confirmed bool
+	confirms  map[string]bool
+	bootNonce uint64
+	// told is a newer voter set than the one known here, learned from a reply.
+	told       *pb.SnapshotMeta
 	helloDue   time.Duration
 	confirmDue time.Duration
 
--- a/internal/replication/election.go
+++ b/internal/replication/election.go
@@ -43,7 +43,11 @@
 // settleTerm compares terms and reports whether the message is to be handled.
 func (c *Core) settleTerm(m *pb.Message) bool {
 	isRequest := m.Type == pb.MessageType_PRE_VOTE || m.Type == pb.MessageType_VOTE
-	if isRequest && (c.hasLiveLeader() || !c.mayVote()) {
+	if isRequest && !c.mayVote() {
+		c.askCandidate(m)
+		return false
+	}
+	if isRequest && c.hasLiveLeader() {
 		return false
 	}
 	switch {
--- a/internal/replication/sim_test.go
+++ b/internal/replication/sim_test.go
@@ -367,3 +367,11 @@
 	}
 	s.fail("the healed group does not go on")
 }
+
+func decodeSet(s *sim, e *pb.Entry) *pb.VoterSet {
+	set := &pb.VoterSet{}
+	if err := proto.Unmarshal(e.Data, set); err != nil {
+		s.fail("entry %d: %v", e.Index, err)
+	}
+	return set
+}
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -22,8 +22,8 @@
 const (
 	dialTimeout     = 2 * time.Second
 	idleExpiry      = 2 * time.Minute
-	poolCapacity    = 512
-	poolKeyCapacity = 16
+	poolCapacity    = 1024
+	poolKeyCapacity = 128
 	// maxMessageBytes bounds one message; a whole configuration must fit.
 	maxMessageBytes = 32 << 20
 )
