--- a/internal/dispatch/body.go
+++ b/internal/dispatch/body.go
@@ -23,7 +23,12 @@
 		return nil, func() {}, nil
 	}
 	_ = x.rc.SetReadDeadline(time.Now().Add(d.limits.BodyTime))
-	defer func() { _ = x.rc.SetReadDeadline(time.Time{}) }()
+	defer func() {
+		if err == nil {
+			x.bodyRead = true
+			_ = x.rc.SetReadDeadline(time.Time{})
+		}
+	}()
 	held := int64(0)
 	release = func() { d.bodyBytes.Add(-held) }
 	body = make([]byte, 0, min(max(r.ContentLength, 0)+1, bodyStep))
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -84,6 +84,10 @@
 	if x.headerSent {
 		panic(http.ErrAbortHandler)
 	}
+	if !x.bodyRead && r.ContentLength != 0 {
+		// Without this, net/http reads the rest of the body before it answers.
+		w.Header().Set("Connection", "close")
+	}
 	writeRefusal(w, x.shownID(), err)
 }
 
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -32,6 +32,8 @@
 	// mayHaveRun is true once an attempt may have run, at the server with address.
 	mayHaveRun bool
 	address    string
+	// bodyRead is true once the caller's body has been read to its end.
+	bodyRead bool
 	// headerSent is true once the caller has been sent a status.
 	headerSent bool
 }
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -123,7 +123,6 @@
 		stale := resp.Header.Get(HeaderStaleFence) != ""
 		return attemptResult{err: refusedBy(resp), again: !stale}
 	}
-	r.x.body.release()
 	switch {
 	case resp.StatusCode == http.StatusSwitchingProtocols:
 		return r.unreadable("the server switched protocols")
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -52,6 +52,7 @@
 	if !isFramed(resp) {
 		return r.unreadable("the server's stream has no frames, so a cut would not show")
 	}
+	r.x.body.release() // a stream may last long, and its server has read the request
 	err := s.copy()
 	if err == nil {
 		return attemptResult{}
