Document every settings field and check the page and the examples

Cause: the page of fields left out the settings of routers and control, and the strict reader of settings had no test of its own. Change: the page lists them; the test compares fields and defaults for three kinds of settings and reads every example. The router fills in all its defaults in one place.

--- a/internal/ctl/page_test.go
+++ b/internal/ctl/page_test.go
@@ -3,12 +3,16 @@
 import (
 	"fmt"
 	"os"
+	"path/filepath"
 	"reflect"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/kumquathollow/kumquathollow/internal/config"
+	"github.com/kumquathollow/kumquathollow/internal/control"
+	"github.com/kumquathollow/kumquathollow/internal/router"
+	"github.com/kumquathollow/kumquathollow/internal/settings"
 )
 
 // pageRows reads the tables of docs/CONFIGURATION.md: for each heading of level
@@ -84,7 +88,7 @@
 func sameDefault(page, code string) bool {
 	switch page {
 	case "required":
-		return code == "none" || code == "list"
+		return code == "none" || code == "list" || code == "mapping"
 	case "see below":
 		return true
 	}
@@ -110,6 +114,8 @@
 		"Workspace":     *set.Workspaces[""],
 		"Policy":        *set.Policies[""],
 		"kqctl":         Settings{Timeout: config.Duration(defaultTimeout)},
+		"kqrouter":      routerDefaults(t),
+		"kqcontrol":     control.Settings{Voters: []control.VoterSetting{{}}, Log: settings.Log{}.WithDefaults()},
 	}
 	rows := pageRows(t)
 	for heading, v := range pages {
@@ -127,6 +133,24 @@
 	}
 }
 
+// routerDefaults returns a router's settings with what its defaults fill in.
+func routerDefaults(t *testing.T) router.Settings {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "r.yaml")
+	minimal := `{name: r, dataCentre: d, control: ["127.0.0.1:1"],
+		listen: {callers: "127.0.0.1:1", announce: "127.0.0.1:1", fleet: "127.0.0.1:1", admin: "127.0.0.1:1"}}`
+	if err := os.WriteFile(path, []byte(minimal), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s, err := router.LoadSettings(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Name, s.DataCentre, s.Control, s.Listen = "", "", nil, router.Addresses{}
+	s.Log = s.Log.WithDefaults()
+	return *s
+}
+
 func names(rows [][2]string) []string {
 	var out []string
 	for _, r := range rows {
@@ -134,3 +158,26 @@
 	}
 	return out
 }
+
+func TestExampleSettingsAreRead(t *testing.T) {
+	files, err := filepath.Glob("../../examples/*/settings/*.yaml")
+	if err != nil || len(files) < 20 {
+		t.Fatal(files, err)
+	}
+	for _, file := range files {
+		name := filepath.Base(file)
+		switch {
+		case name == "kqctl.yaml":
+			err = settings.Load(file, &Settings{})
+		case name[0] == 'c':
+			_, err = control.LoadSettings(file)
+		case name[0] == 'r' && name != "replay.yaml":
+			_, err = router.LoadSettings(file)
+		default:
+			err = nil
+		}
+		if err != nil {
+			t.Error(err)
+		}
+	}
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -37,7 +37,7 @@
 	}
 	d := &Dispatcher{
 		opts:      opts,
-		limits:    opts.Limits.withDefaults(),
+		limits:    opts.Limits.WithDefaults(),
 		transport: newTransport(),
 		metrics:   newMeters(opts.Metrics),
 		closed:    make(chan struct{}),
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -69,7 +69,8 @@
 	defaultResumeTries = 4
 )
 
-func (l Limits) withDefaults() Limits {
+// WithDefaults returns the limits with the defaults filled in.
+func (l Limits) WithDefaults() Limits {
 	if l.BodyTime <= 0 {
 		l.BodyTime = defaultBodyTime
 	}
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/kumquathollow/kumquathollow/internal/config"
+	"github.com/kumquathollow/kumquathollow/internal/dispatch"
+	"github.com/kumquathollow/kumquathollow/internal/distribution"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/settings"
 )
@@ -131,6 +133,9 @@
 	if s.Limits.HeaderBytes <= 0 {
 		s.Limits.HeaderBytes = defaultHeaderBytes
 	}
+	setDuration(&s.IsolationBound, distribution.DefaultIsolationBound)
+	body := dispatch.Limits{BodyTime: s.Limits.BodyTime.D(), StallTime: s.Limits.StallTime.D(), BodyBytes: s.Limits.BodyBytes}.WithDefaults()
+	s.Limits.BodyTime, s.Limits.StallTime, s.Limits.BodyBytes = config.Duration(body.BodyTime), config.Duration(body.StallTime), body.BodyBytes
 }
 
 func setDuration(d *config.Duration, def time.Duration) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -35,6 +35,17 @@
 	Format string `yaml:"format,omitempty"`
 }
 
+// WithDefaults returns the settings with the defaults filled in.
+func (l Log) WithDefaults() Log {
+	if l.Level == "" {
+		l.Level = "info"
+	}
+	if l.Format == "" {
+		l.Format = "text"
+	}
+	return l
+}
+
 // Load reads the YAML file at path into the struct that into points to. The
 // error has kind invalid-settings and lists every fault.
 func Load(path string, into any) error {
