Drive the real cores of admission and routing in the measurement

Cause: the baselines and the oracle had nothing of ours to stand beside. Change: a policy that asks one grantor core per data centre, with the ways and sizes of its messages.

--- a/internal/measure/engine.go
+++ b/internal/measure/engine.go
@@ -87,8 +87,10 @@
 	dc    int
 	slots int
 	// coldSlots is what the engine bears until coldUntil.
-	coldSlots   int
-	coldUntil   time.Duration
+	coldSlots int
+	coldUntil time.Duration
+	// silentCold is true if the engine does not say that it is cold.
+	silentCold  bool
 	incarnation int
 	// up is true while the engine exists.
 	up       bool
--- a/internal/measure/policy.go
+++ b/internal/measure/policy.go
@@ -221,4 +221,4 @@
 }
 
 // policies returns a fresh instance of each policy, in the order of the tables.
-func policies() []Policy { return append(baselines(), &oracle{}) }
+func policies() []Policy { return append(baselines(), newPermits(), &oracle{}) }
--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -21,6 +21,7 @@
 	churnEvery = 5 * time.Second
 	awayTime   = 15 * time.Second
 	coldTime   = 10 * time.Second
+	returnRamp = 30 * time.Second
 )
 
 // Scenarios in the order of the tables.
@@ -88,6 +89,7 @@
 				e := s.engines[s.rng.IntN(len(s.engines))]
 				e.cache.clear()
 				e.coldUntil = s.now + coldTime
+				e.silentCold = true
 			}
 		})
 	}
@@ -113,6 +115,7 @@
 
 func (s *Sim) rejoin(e *engine) {
 	e.up = true
+	e.silentCold = false
 	e.coldUntil = s.now + coldTime
 	s.m.memberships++
 	s.publish()
