--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 LDFLAGS := -X github.com/kumquathollow/kumquathollow/internal/version.Version=$(VERSION)
 GOFILES := $(shell find . -name '*.go' -not -name '*.pb.go' -not -path './$(BIN)/*')
 
-.PHONY: build test lint format unit generate bench demo soak clean
+.PHONY: build test lint format unit generate bench measure demo soak clean
 
 build:
 	$(GO) build -ldflags "$(LDFLAGS)" -o $(BIN)/ ./cmd/...
@@ -33,6 +33,11 @@
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
 
+# measure compares ways of placing requests, in virtual time.
+measure:
+	mkdir -p docs/measurements
+	$(GO) run ./cmd/kqreplay measure -o docs/measurements/routing.md
+
 # demo starts an example fleet on loopback; FLEET is maracas or brinco.
 FLEET ?= maracas
 demo: build
--- a/cmd/kqreplay/main.go
+++ b/cmd/kqreplay/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -14,6 +15,7 @@
 	"github.com/integrii/flaggy"
 
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/measure"
 	"github.com/kumquathollow/kumquathollow/internal/replay"
 	"github.com/kumquathollow/kumquathollow/internal/trace"
 	"github.com/kumquathollow/kumquathollow/internal/version"
@@ -30,6 +32,9 @@
 	seed     uint64
 	generate *flaggy.Subcommand
 	play     *flaggy.Subcommand
+	measure  *flaggy.Subcommand
+	output   string
+	size     int
 }
 
 func main() {
@@ -54,6 +59,12 @@
 	o.seed = 1
 	o.generate.UInt64(&o.seed, "s", "seed", "seed")
 	flaggy.AttachSubcommand(o.generate, 1)
+
+	o.measure = flaggy.NewSubcommand("measure")
+	o.measure.Description = "compare ways of placing requests in virtual time"
+	o.measure.String(&o.output, "o", "output", "file for the tables; default standard output")
+	o.measure.Int(&o.size, "s", "size", "measure only the size of this number, from 1; 0 is all")
+	flaggy.AttachSubcommand(o.measure, 1)
 	flaggy.Parse()
 
 	if err := run(o); err != nil {
@@ -72,8 +83,38 @@
 		return trace.Write(os.Stdout, trace.Generate(p, o.seed))
 	case o.play.Used:
 		return play(o)
+	case o.measure.Used:
+		return measurePlacement(o)
+	}
+	return errkind.New(errkind.Usage, "name a command: play, generate or measure; see --help")
+}
+
+// measurePlacement writes the tables that compare ways of placing.
+func measurePlacement(o options) error {
+	sizes := measure.Sizes()
+	if o.size < 0 || o.size > len(sizes) {
+		return errkind.New(errkind.Usage, "there are %d sizes", len(sizes))
+	}
+	if o.size > 0 {
+		sizes = sizes[o.size-1 : o.size]
+	}
+	results, err := measure.Run(sizes)
+	if err != nil {
+		return errkind.Wrap(err, errkind.Internal, "measure")
 	}
-	return errkind.New(errkind.Usage, "name a command: play or generate; see --help")
+	var page bytes.Buffer
+	if err := measure.WriteMarkdown(&page, results); err != nil {
+		return errkind.Wrap(err, errkind.Internal, "write the tables")
+	}
+	if o.output == "" {
+		_, err = os.Stdout.Write(page.Bytes())
+	} else {
+		err = os.WriteFile(o.output, page.Bytes(), 0o644)
+	}
+	if err != nil {
+		return errkind.Wrap(err, errkind.Internal, "write the tables")
+	}
+	return nil
 }
 
 func play(o options) error {
