--- a/internal/claims/client.go
+++ b/internal/claims/client.go
@@ -128,7 +128,8 @@
 	err := c.call(ctx, func(ctx context.Context, address string) error {
 		return c.opts.Group.Settle(ctx, address, q.req)
 	})
-	if err != nil {
+	giveBack := q.req.State == controlpb.ClaimState_CLAIM_STATE_UNSPECIFIED
+	if err != nil && !(giveBack && errkind.Is(err, errkind.NotFound)) {
 		c.drop(q.req, err)
 		return
 	}
--- a/internal/dispatch/once.go
+++ b/internal/dispatch/once.go
@@ -64,6 +64,7 @@
 		AttemptId:   c.attempt,
 		Router:      x.d.opts.Router,
 		RetentionMs: uint64(q.limits.claimRetention.Milliseconds()),
+		RunMs:       uint64((q.route.deadline + askBeyond).Milliseconds()),
 	})
 	if err != nil {
 		// The claim may stand without our knowing it; nothing was sent, so give it back.
--- a/internal/router/main.go
+++ b/internal/router/main.go
@@ -9,10 +9,15 @@
 	"github.com/kumquathollow/kumquathollow/internal/telemetry"
 )
 
-// Main runs a router from its settings file until a signal ends it, and returns
-// the exit code.
-func Main(path string, signals <-chan os.Signal, stderr io.Writer) int {
-	code, err := run(path, signals)
+// Main runs a router until a signal ends it, and returns the exit code. path is
+// its settings file, or for a standalone process the folder with settings and
+// declarations.
+func Main(path string, standalone bool, signals <-chan os.Signal, stderr io.Writer) int {
+	start := run
+	if standalone {
+		start = runStandalone
+	}
+	code, err := start(path, signals)
 	if err != nil {
 		fmt.Fprintln(stderr, "kqrouter:", err)
 		return errkind.Lookup(errkind.Of(err)).Exit
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -209,7 +209,9 @@
 		MaxHeaderBytes:    r.settings.Limits.HeaderBytes,
 		IdleTimeout:       r.settings.Limits.IdleTime.D(),
 		ErrorLog:          r.log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
-		TLSNextProto:      map[string]func(*http.Server, *tls.Conn, http.Handler){},
+		// OPTIONS * is no route either.
+		DisableGeneralOptionsHandler: true,
+		TLSNextProto:                 map[string]func(*http.Server, *tls.Conn, http.Handler){},
 	}
 }
 
