Let servers state how long they have been ready; compare load with like servers

After a change of the grantor a server counted as just started if its router had not known it for long. An announcement may now say readyMs. The replay's check of load skew takes the mean of the servers past the declared ramp, as the grantor does. The demo also lets a runner leave and restarts a router gracefully, so each promise has cases.

--- a/internal/registry/announcement.go
+++ b/internal/registry/announcement.go
@@ -39,6 +39,9 @@
 	Sequence      uint64 `json:"sequence"`
 	ChecksFence   bool   `json:"checksFence,omitempty"`
 	CacheTokens   uint32 `json:"cacheTokens,omitempty"`
+	// ReadyMs is how long the server has been ready, in milliseconds; without it
+	// a router counts from the first announcement that it has seen itself.
+	ReadyMs uint64 `json:"readyMs,omitempty"`
 }
 
 var serverStates = map[string]grantpb.ServerState{
@@ -147,5 +150,6 @@
 		Sequence:      a.Sequence,
 		ChecksFence:   a.ChecksFence,
 		CacheTokens:   a.CacheTokens,
+		ReadyMs:       a.ReadyMs,
 	}
 }
--- a/internal/registry/handler_test.go
+++ b/internal/registry/handler_test.go
@@ -91,3 +91,11 @@
 		t.Errorf("status %d", w.Code)
 	}
 }
+
+func TestStatedReadinessIsPassedOn(t *testing.T) {
+	a := valid()
+	a.ReadyMs = 90_000
+	if got := a.message().ReadyMs; got != 90_000 {
+		t.Errorf("ready for %d ms, want 90000", got)
+	}
+}
--- a/internal/replay/check_test.go
+++ b/internal/replay/check_test.go
@@ -211,3 +211,38 @@
 		}
 	}
 }
+
+// TestMeanLeavesOutServersThatWarmUp: s1 and s2 carry two runs each, s3 joins idle.
+func TestMeanLeavesOutServersThatWarmUp(t *testing.T) {
+	var ledger []standin.Entry
+	for i, server := range []string{"s1", "s2", "s3"} {
+		ready := state(standin.Ready, 0)
+		ready.Server = server
+		if server == "s3" {
+			ready = state(standin.Ready, 10_000)
+			ready.Server = server
+		}
+		ledger = append(ledger, ready)
+		for run := range uint64(2 * min(1, 2-i)) {
+			b, e := entry(standin.EventBegin, 100, run), entry(standin.EventEnd, 40_000, run)
+			b.Server, e.Server = server, server
+			ledger = append(ledger, b, e)
+		}
+	}
+	l := newLoad(ledger, 2*time.Second)
+	servers := l.pools[pool{"entries", "b"}]
+	for _, tc := range []struct {
+		window int
+		ramp   time.Duration
+		want   int
+	}{
+		{2, 3 * time.Second, 2},  // s3 is not there yet
+		{6, 5 * time.Second, 2},  // s3 warms up
+		{10, 5 * time.Second, 3}, // s3 is warm
+		{6, time.Hour, 3},        // none is warm, so all count
+	} {
+		if got := len(l.members(servers, tc.window, tc.ramp)); got != tc.want {
+			t.Errorf("window %d, ramp %v: %d members, want %d", tc.window, tc.ramp, got, tc.want)
+		}
+	}
+}
--- a/internal/replay/observation.go
+++ b/internal/replay/observation.go
@@ -142,6 +142,8 @@
 	// SkewFactor and SkewFloor bound a server's load: the factor times its pool's
 	// mean, from that mean up.
 	SkewFactor, SkewFloor float64
+	// ColdRamp is how long a server that became ready takes to its full capacity.
+	ColdRamp time.Duration
 	// SkewWindow is the length of the windows that loads are averaged over.
 	SkewWindow time.Duration
 }
@@ -154,6 +156,7 @@
 		ColdNotice:    2 * time.Second,
 		SkewFactor:    1.25,
 		SkewFloor:     2,
+		ColdRamp:      30 * time.Second,
 		SkewWindow:    2 * time.Second,
 	}
 }
--- a/internal/replay/settings.go
+++ b/internal/replay/settings.go
@@ -25,9 +25,11 @@
 	Seed uint64 `yaml:"seed"`
 	// Patience is how long a caller keeps trying; default 20s.
 	Patience time.Duration `yaml:"patience"`
-	// SkewFactor and SkewFloor are those of the declared policy; default 1.25 and 2.
-	SkewFactor float64 `yaml:"skewFactor"`
-	SkewFloor  float64 `yaml:"skewFloor"`
+	// SkewFactor, SkewFloor and ColdRamp are those of the declared policy; default
+	// 1.25, 2 and 30s.
+	SkewFactor float64       `yaml:"skewFactor"`
+	SkewFloor  float64       `yaml:"skewFloor"`
+	ColdRamp   time.Duration `yaml:"coldRamp"`
 }
 
 // Router is one entry VM.
@@ -66,5 +68,8 @@
 	if s.SkewFloor > 0 {
 		b.SkewFloor = s.SkewFloor
 	}
+	if s.ColdRamp > 0 {
+		b.ColdRamp = s.ColdRamp
+	}
 	return b
 }
--- a/internal/replay/skew.go
+++ b/internal/replay/skew.go
@@ -30,13 +30,14 @@
 	start  time.Time
 	window time.Duration
 	pools  map[pool]map[string][]time.Duration
+	states map[string][]standin.Entry
 }
 
 // skewSlack is one place: a limit on whole places cannot be finer.
 const skewSlack = 1.0
 
 func newLoad(entries []standin.Entry, window time.Duration) load {
-	l := load{window: window, pools: map[pool]map[string][]time.Duration{}}
+	l := load{window: window, pools: map[pool]map[string][]time.Duration{}, states: map[string][]standin.Entry{}}
 	type runID struct {
 		incarnation
 		run uint64
@@ -52,6 +53,7 @@
 		switch e.Event {
 		case standin.EventState:
 			l.server(e)
+			l.states[e.Server] = append(l.states[e.Server], e)
 		case standin.EventBegin:
 			begun[id] = e
 		case standin.EventEnd:
@@ -101,40 +103,49 @@
 	return float64(busy[i]) / float64(l.window)
 }
 
+// readiness returns whether the server was ready over the whole window, and
+// whether it had its full capacity by then.
+func (l load) readiness(server string, i int, ramp time.Duration) (ready, warm bool) {
+	from := l.start.Add(time.Duration(i) * l.window)
+	to := from.Add(l.window)
+	var last standin.Entry
+	for _, e := range l.states[server] {
+		if e.Time().After(to) {
+			break
+		}
+		if e.Time().After(from) {
+			return false, false // it changed within the window
+		}
+		last = e
+	}
+	ready = last.State == standin.Ready
+	return ready, ready && from.Sub(last.Time()) >= ramp
+}
+
+// members returns the servers whose mean bounds a window: those at full
+// capacity, or all that are ready while none is.
+func (l load) members(servers map[string][]time.Duration, i int, ramp time.Duration) []string {
+	var ready, warm []string
+	for name := range servers {
+		r, w := l.readiness(name, i, ramp)
+		if r {
+			ready = append(ready, name)
+		}
+		if w {
+			warm = append(warm, name)
+		}
+	}
+	if len(warm) > 0 {
+		return warm
+	}
+	return ready
+}
+
 // skews returns the skew of each pool, and every window over the bound.
 func (l load) skews(b Bounds, over func(p pool, window int, server string, load, mean float64)) []Skew {
 	var out []Skew
 	for p, servers := range l.pools {
-		s := Skew{Service: p.service, DataCentre: p.dataCentre, Servers: len(servers)}
-		n := 0
-		for _, busy := range servers {
-			n = max(n, len(busy))
-		}
-		totals := map[string]float64{}
-		for i := range n {
-			mean := 0.0
-			for name, busy := range servers {
-				mean += l.at(busy, i) / float64(len(servers))
-				totals[name] += l.at(busy, i)
-			}
-			if mean < b.SkewFloor {
-				continue
-			}
-			s.Windows++
-			for name, busy := range servers {
-				v := l.at(busy, i)
-				s.WorstWindow = max(s.WorstWindow, v/mean)
-				if v > b.SkewFactor*mean+skewSlack {
-					over(p, i, name, v, mean)
-				}
-			}
-		}
-		for _, t := range totals {
-			average := t / float64(max(1, n))
-			s.Mean += average / float64(len(servers))
-			s.Max = max(s.Max, average)
-		}
-		out = append(out, s)
+		out = append(out, l.skew(p, servers, b, over))
 	}
 	sort.Slice(out, func(i, j int) bool {
 		return out[i].Service+"/"+out[i].DataCentre < out[j].Service+"/"+out[j].DataCentre
@@ -142,6 +153,42 @@
 	return out
 }
 
+func (l load) skew(p pool, servers map[string][]time.Duration, b Bounds, over func(p pool, window int, server string, load, mean float64)) Skew {
+	s := Skew{Service: p.service, DataCentre: p.dataCentre, Servers: len(servers)}
+	n := 0
+	for _, busy := range servers {
+		n = max(n, len(busy))
+	}
+	for i := range n {
+		members := l.members(servers, i, b.ColdRamp)
+		mean := 0.0
+		for _, name := range members {
+			mean += l.at(servers[name], i) / float64(len(members))
+		}
+		if len(members) == 0 || mean < b.SkewFloor {
+			continue
+		}
+		s.Windows++
+		for name, busy := range servers {
+			v := l.at(busy, i)
+			s.WorstWindow = max(s.WorstWindow, v/mean)
+			if v > b.SkewFactor*mean+skewSlack {
+				over(p, i, name, v, mean)
+			}
+		}
+	}
+	for _, busy := range servers {
+		total := 0.0
+		for i := range busy {
+			total += l.at(busy, i)
+		}
+		average := total / float64(max(1, n))
+		s.Mean += average / float64(len(servers))
+		s.Max = max(s.Max, average)
+	}
+	return s
+}
+
 // checkSkew: no server is loaded beyond a set multiple of its pool's mean.
 func checkSkew(o Observation) Promise {
 	p := Promise{Name: "no server beyond a set multiple of its pool's mean load"}
--- a/internal/standin/announce.go
+++ b/internal/standin/announce.go
@@ -29,6 +29,8 @@
 	Sequence      uint64   `json:"sequence"`
 	ChecksFence   bool     `json:"checksFence,omitempty"`
 	CacheTokens   int      `json:"cacheTokens"`
+	// ReadyMs is how long the server has been ready.
+	ReadyMs int64 `json:"readyMs,omitempty"`
 }
 
 // Announcement returns the next heartbeat.
@@ -45,6 +47,7 @@
 		Capacity: p.Capacity, ColdCapacity: p.ColdCapacity, Models: p.Models, Adapters: p.Adapters,
 		Running: load.Running, Queued: load.Queued, MeasuredMsAgo: load.Age.Milliseconds(),
 		Sequence: s.sequence, ChecksFence: p.ChecksFence, CacheTokens: p.CacheTokens,
+		ReadyMs: s.engine.ReadyFor(now).Milliseconds(),
 	}
 }
 
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -128,6 +128,9 @@
 	return Ready
 }
 
+// ReadyFor returns how long the engine has been ready; 0 while it is cold.
+func (e *Engine) ReadyFor(now time.Time) time.Duration { return max(0, now.Sub(e.readyAt)) }
+
 // Fallen reports whether every run fails at now.
 func (e *Engine) Fallen(now time.Time) bool { return now.Before(e.fallenUntil) }
 
--- a/internal/standin/engine_test.go
+++ b/internal/standin/engine_test.go
@@ -97,6 +97,9 @@
 	if !e.Fallen(start) || e.Fallen(start.Add(3*time.Second)) {
 		t.Fatal("a cold engine must fall over under more than it bears, and get up again")
 	}
+	if got := e.ReadyFor(start.Add(4 * time.Second)); got != 3*time.Second {
+		t.Fatalf("ready for %v, want 3s", got)
+	}
 	e.TurnCold(start.Add(5 * time.Second))
 	if e.State(start.Add(5500*time.Millisecond)) != Cold || e.State(start.Add(6*time.Second)) != Ready {
 		t.Fatal("a turn to cold lasts the cold time")
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Starts an example fleet on loopback, replays its trace, and meanwhile takes a
-# data centre out and back and kills a router and a control process. Exits
+# data centre out and back, lets a runner leave, kills a router and a control
+# process and restarts a router gracefully. Exits
 # non-zero if a promise broke. FLEET is maracas or brinco; KQ_DEMO_BREAK=1 makes
 # the stand-ins give callers another's answer, which must be found; KQ_KEEP=1
 # keeps the logs.
@@ -22,7 +23,10 @@
 REPLAY=$!
 PIDS[replay]=$REPLAY
 say "replaying; the report follows in about half a minute"
-sleep 6
+sleep 3
+leave "$(sed -n 's/^admin: "\(.*\):.*/\1/p' "$EXAMPLE/settings/standins.yaml")" "$(sed -n 's/^ *- {prefix.*address: "[^:]*:\([0-9]*\)", profile: runner}/\1/p' "$EXAMPLE/settings/standins.yaml" | head -n 1)"
+say "the first runner says that it is leaving"
+sleep 3
 ctl drain "dc/$OUT" -m "demo" >/dev/null || fail "drain was refused"
 note drain "$OUT"
 say "$OUT taken out"
@@ -41,6 +45,11 @@
 sleep 1
 relaunch "${CONTROLS[0]}"
 say "control process ${CONTROLS[0]} started again"
+sleep 2
+LAST=${ROUTERS[-1]}
+graceful "$LAST"
+relaunch "$LAST"
+say "router $LAST restarted gracefully"
 
 code=0
 wait "$REPLAY" || code=$?
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -58,6 +58,14 @@
 	note stopped "$1"
 }
 
+# leave HOST PORT lets a stand-in announce that it is leaving.
+leave() {
+	exec 3<>"/dev/tcp/$1/$2"
+	printf 'POST /standin/leave HTTP/1.0\r\nContent-Length: 0\r\n\r\n' >&3
+	cat <&3 >/dev/null
+	exec 3>&-
+}
+
 pause() {
 	note pause "$1"
 	kill -STOP "${PIDS[$1]}"
