Count unconfirmed servers in the mean load at the start of a tenure

A server that is known as warm now counts in the mean before its first report of the tenure; it still takes no work. A test that failed with 8 in flight against a bound of 3 passes.

--- a/internal/admission/core_test.go
+++ b/internal/admission/core_test.go
@@ -288,6 +288,36 @@
 	}
 }
 
+// TestFirstConfirmedServersDoNotGetTheLoadOfAll: at the start of a tenure the
+// reports of a pool's servers come one by one, and many requests wait.
+func TestFirstConfirmedServersDoNotGetTheLoadOfAll(t *testing.T) {
+	b := newBench(0, 0)
+	for i := range 6 {
+		b.names = append(b.names, fmt.Sprint("e", i))
+	}
+	b.seq++
+	for i, name := range b.names {
+		a := b.announcement(name, 8)
+		if i >= 2 {
+			a.MeasuredMsAgo = 60_000 // from before this tenure
+		}
+		b.core.Announce(b.now, a)
+	}
+	for range 16 {
+		b.ask("w", 5, time.Minute)
+	}
+	limit := LoadLimit(16, len(b.names), defaultMaxLoadFactor, defaultLoadFloor)
+	for i := range b.names {
+		if h := b.core.hot[i]; h.live > limit {
+			t.Errorf("%s has %d in flight, the bound is %d", b.names[i], h.live, limit)
+		}
+	}
+	b.announceAll(8)
+	if b.core.live != 16 {
+		t.Errorf("%d of 16 granted once all servers are confirmed", b.core.live)
+	}
+}
+
 func BenchmarkDecision(b *testing.B) {
 	for _, n := range []int{20, 300} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
--- a/internal/admission/server.go
+++ b/internal/admission/server.go
@@ -227,11 +227,22 @@
 	return lifted
 }
 
-// limit returns the server's own bound, and whether it is at full capacity.
+// limit returns the server's own bound, and whether it is at full capacity. One
+// that is not confirmed yet takes no work but counts in the mean of its pool,
+// so the few that are confirmed first don't get the load of all.
 func (c *Core) limit(now Instant, s *server) (limit int32, warm bool) {
+	limit, warm = c.confirmedLimit(now, s)
+	if !s.confirmed {
+		limit = 0
+	}
+	return limit, warm
+}
+
+// confirmedLimit is limit for a server that is confirmed, or as if it were.
+func (c *Core) confirmedLimit(now Instant, s *server) (limit int32, warm bool) {
 	sv := c.services[s.service]
 	switch {
-	case c.out || s.declaredOut || !s.confirmed || sv == nil:
+	case c.out || s.declaredOut || sv == nil:
 		return 0, false
 	case s.state == grantpb.ServerState_SERVER_STATE_LEAVING || c.isSilent(now, s):
 		return 0, false
