Don't take an empty list of nodes for 'in force everywhere'

Change: Status says whether a quorum has just confirmed the leader; kqctl waits for the nodes known before the change and the declared candidates, and a status without a quorum ends with the exit code of no-quorum.

--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -23,6 +23,8 @@
 const (
 	// callTimeout bounds a call whose client gave no deadline.
 	callTimeout = 10 * time.Second
+	// statusBarrier bounds the proof that Status is the view of a quorum.
+	statusBarrier = time.Second
 	// maxKeyBytes bounds each part of a claim's key, and the attempt's id.
 	maxKeyBytes = 256
 	// maxKeptAnswer bounds the body of one answer kept with a claim.
@@ -261,12 +263,18 @@
 // Status reports the group and every known node. Without a leader it tells what
 // this process knows.
 func (s *Server) Status(ctx context.Context, req *controlpb.StatusRequest) (*controlpb.StatusResponse, error) {
-	out, err := route(ctx, s, "Status", req, &controlpb.StatusResponse{}, func(context.Context, string, *controlpb.StatusRequest) (*controlpb.StatusResponse, error) {
+	out, err := route(ctx, s, "Status", req, &controlpb.StatusResponse{}, func(ctx context.Context, _ string, _ *controlpb.StatusRequest) (*controlpb.StatusResponse, error) {
+		ctx, cancel := context.WithTimeout(ctx, statusBarrier)
+		defer cancel()
+		if err := s.group.ReadBarrier(ctx); err != nil {
+			return nil, err
+		}
 		return s.statusHere(), nil
 	})
 	if err != nil {
 		return s.statusHere(), nil
 	}
+	out.Quorum = true
 	return out, nil
 }
 
--- a/internal/ctl/change.go
+++ b/internal/ctl/change.go
@@ -82,11 +82,18 @@
 	Nodes    *inForceIn `json:"nodes,omitempty"`
 }
 
-// submit sends the change, waits for it if asked to, and reports.
-func (a *app) submit(req *controlpb.ApplyRequest) error {
+// submit sends the change from base, waits for it if asked to, and reports.
+func (a *app) submit(base *config.Set, req *controlpb.ApplyRequest) error {
 	if !a.json {
 		fmt.Fprintf(a.stderr, "change id %s\n", req.ChangeId)
 	}
+	var expected map[string]bool
+	if a.wait {
+		var err error
+		if expected, err = a.expectedNodes(base); err != nil {
+			return err
+		}
+	}
 	res, err := a.send(req)
 	if err != nil {
 		return err
@@ -94,7 +101,7 @@
 	out := accepted{ChangeID: req.ChangeId, Revision: config.FromPB(res.Revision), Changed: true, Repeated: res.RepeatedChange}
 	var late error
 	if a.wait {
-		out.Nodes, late = a.awaitInForce(out.Revision)
+		out.Nodes, late = a.awaitInForce(out.Revision, expected)
 	}
 	a.show(out, func(w io.Writer) {
 		fmt.Fprintf(w, "accepted as revision %s", revisionText(out.Revision))
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -140,12 +140,28 @@
 		{Name: "r1", InForce: &controlpb.Revision{Epoch: 1, Number: 2}},
 		{Name: "r2", InForce: &controlpb.Revision{Epoch: 1, Number: 1}},
 	}
+	b.want(errkind.ExitOK, "status")
 	out, errs := b.want(errkind.ExitNotInForce, "apply", b.declare(declared), "--wait", "--wait-for", "10ms")
 	if !strings.Contains(out, "accepted as revision 1.2") || !strings.Contains(errs, "not in force at r2") {
 		t.Errorf("printed %q and %q", out, errs)
 	}
 }
 
+func TestWaitDoesNotTakeALeaderThatHasHeardNobodyForSuccess(t *testing.T) {
+	b := newBench(t)
+	b.want(errkind.ExitOK, "apply", b.declare(declared))
+	_, errs := b.want(errkind.ExitNotInForce, "drain", "dc/tt-north-a", "--wait", "--wait-for", "10ms")
+	if !strings.Contains(errs, "not in force at r1") {
+		t.Errorf("printed %q", errs)
+	}
+	b.cutOff = true
+	_, errs = b.want(errkind.ExitNotInForce, "undrain", "dc/tt-north-a", "--wait", "--wait-for", "10ms")
+	if !strings.Contains(errs, "was accepted, but no control process said where it is in force") {
+		t.Errorf("printed %q", errs)
+	}
+	b.want(errkind.ExitUnreachable, "status")
+}
+
 func TestFaultsAreAllPrintedWithTheirPlaces(t *testing.T) {
 	b := newBench(t)
 	dir := b.declare(declared + "---\nkind: Workspace\nname: Big\npolicy: none\nweihgt: 3\n")
--- a/internal/ctl/declarations.go
+++ b/internal/ctl/declarations.go
@@ -70,7 +70,7 @@
 	if err := a.votersMayChange(base, next); err != nil {
 		return err
 	}
-	return a.submit(req)
+	return a.submit(base, req)
 }
 
 // votersMayChange refuses a change of lease voters while some node may still
@@ -80,7 +80,11 @@
 	if len(changed) == 0 || a.force {
 		return nil
 	}
-	nodes, err := a.inForce(base.Revision)
+	expected, err := a.expectedNodes(base)
+	if err != nil {
+		return err
+	}
+	nodes, err := a.inForce(base.Revision, expected)
 	if err != nil {
 		return err
 	}
--- a/internal/ctl/drain.go
+++ b/internal/ctl/drain.go
@@ -64,7 +64,7 @@
 	if req == nil {
 		return a.unchanged(base.Revision)
 	}
-	return a.submit(req)
+	return a.submit(base, req)
 }
 
 // withState returns base with the object's state set. A server that is not
--- a/internal/ctl/fake_test.go
+++ b/internal/ctl/fake_test.go
@@ -25,6 +25,8 @@
 	changes map[string]*controlpb.ApplyResponse
 	entries []*controlpb.AuditEntry
 	nodes   []*controlpb.NodeStatus
+	// cutOff is true when the process has no leader to ask.
+	cutOff bool
 	// applies counts the calls of Apply.
 	applies int
 	// before and after run around the acceptance of a change; an error is the
@@ -107,7 +109,7 @@
 func (f *fakeControl) Status(context.Context, *controlpb.StatusRequest) (*controlpb.StatusResponse, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return &controlpb.StatusResponse{Revision: f.newest().Revision.PB(), Leader: "c1", Nodes: f.nodes}, nil
+	return &controlpb.StatusResponse{Revision: f.newest().Revision.PB(), Leader: "c1", Nodes: f.nodes, Quorum: !f.cutOff}, nil
 }
 
 // lostConn is an error on which the fake's server closes the connection.
--- a/internal/ctl/pending.go
+++ b/internal/ctl/pending.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/kumquathollow/kumquathollow/api/controlpb"
+	"github.com/kumquathollow/kumquathollow/internal/config"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 )
 
@@ -86,5 +87,11 @@
 	if a.forget {
 		return a.forgetPending(req.ChangeId)
 	}
-	return a.submit(req)
+	base := config.NewSet(config.FromPB(req.Base))
+	if a.wait {
+		if base, err = a.newest(); err != nil {
+			return err
+		}
+	}
+	return a.submit(base, req)
 }
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -17,6 +17,9 @@
 // pollInterval is how often apply --wait asks.
 const pollInterval = 200 * time.Millisecond
 
+// errNoQuorumView qualifies what a control process without a leader has shown.
+var errNoQuorumView = errkind.New(errkind.NoQuorum, "the control group has no leader; what is shown is the view of one control process and may be old")
+
 // inForceIn says which known nodes have a revision in force.
 type inForceIn struct {
 	InForce []string `json:"inForce"`
@@ -41,18 +44,29 @@
 	return res, err
 }
 
-// inForce asks once which known nodes have at least the revision in force.
-func (a *app) inForce(rev config.Revision) (*inForceIn, error) {
+// inForce asks once which nodes have at least the revision in force: those that
+// the leader knows, and the expected ones, which it may not have heard yet.
+func (a *app) inForce(rev config.Revision, expected map[string]bool) (*inForceIn, error) {
 	res, err := a.statusResponse()
 	if err != nil {
 		return nil, err
 	}
-	out := &inForceIn{InForce: []string{}, Missing: []string{}}
+	if !res.Quorum {
+		return nil, errNoQuorumView
+	}
+	has := map[string]bool{}
+	for name := range expected {
+		has[name] = false
+	}
 	for _, n := range res.Nodes {
-		if config.FromPB(n.InForce).Less(rev) {
-			out.Missing = append(out.Missing, n.Name)
+		has[n.Name] = !config.FromPB(n.InForce).Less(rev)
+	}
+	out := &inForceIn{InForce: []string{}, Missing: []string{}}
+	for name, ok := range has {
+		if ok {
+			out.InForce = append(out.InForce, name)
 		} else {
-			out.InForce = append(out.InForce, n.Name)
+			out.Missing = append(out.Missing, name)
 		}
 	}
 	sort.Strings(out.InForce)
@@ -60,13 +74,33 @@
 	return out, nil
 }
 
-// awaitInForce waits until every known node has the revision in force. An error
-// of kind not-in-force names those that have not.
-func (a *app) awaitInForce(rev config.Revision) (*inForceIn, error) {
+// expectedNodes returns the nodes that must have a change in force: those that
+// the leader knows now and the declared candidates for the grantor's duty. A new
+// leader hears the nodes only with their next heartbeats.
+func (a *app) expectedNodes(set *config.Set) (map[string]bool, error) {
+	expected := map[string]bool{}
+	for _, d := range set.DataCentres {
+		for _, v := range d.LeaseVoters {
+			expected[v.Name] = true
+		}
+	}
+	res, err := a.statusResponse()
+	if err != nil {
+		return nil, err
+	}
+	for _, n := range res.Nodes {
+		expected[n.Name] = true
+	}
+	return expected, nil
+}
+
+// awaitInForce waits until every expected and every known node has the revision
+// in force. An error of kind not-in-force names those that have not.
+func (a *app) awaitInForce(rev config.Revision, expected map[string]bool) (*inForceIn, error) {
 	start := time.Now()
 	var last *inForceIn
 	for {
-		n, err := a.inForce(rev)
+		n, err := a.inForce(rev, expected)
 		waited := time.Since(start)
 		if err == nil {
 			n.Waited = waited.Milliseconds()
@@ -96,6 +130,9 @@
 		return err
 	}
 	a.show(statusView(res), func(w io.Writer) { printStatus(w, res) })
+	if !res.Quorum {
+		return errNoQuorumView
+	}
 	return nil
 }
 
--- a/internal/ctl/undo.go
+++ b/internal/ctl/undo.go
@@ -41,7 +41,7 @@
 	if req == nil {
 		return a.unchanged(base.Revision)
 	}
-	return a.submit(req)
+	return a.submit(base, req)
 }
 
 // setBefore returns the configuration that a change was made from, which is
