Measure the slopes of declarations and their distribution

Cause: the capacity page needs costs per workspace and per watcher. Probes run at three sizes in one process.

--- /dev/null
+++ b/internal/capacity/probe_config.go
@@ -0,0 +1,188 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+	"storj.io/drpc"
+
+	"github.com/kumquathollow/kumquathollow/api/controlpb"
+	"github.com/kumquathollow/kumquathollow/internal/config"
+	"github.com/kumquathollow/kumquathollow/internal/distribution"
+)
+
+var workspaceSizes = []int{1000, 4000, 11000}
+
+// declared returns a set of the target's shape with so many workspaces.
+func declared(workspaces int) *config.Set {
+	s := config.NewSet(config.Revision{Epoch: 1, Number: 1})
+	s.Policies["standard"] = &config.Policy{Name: "standard"}
+	s.Services["chat"] = &config.Service{
+		Name: "chat", Type: config.Model, Policy: "standard",
+		Models: []string{"m1", "m2", "m3", "m4", "m5", "m6", "m7", "m8", "m9"},
+		Routes: []config.Route{{Path: "/v1/chat/completions", Repeatable: true}},
+	}
+	for i := range 8 {
+		name := fmt.Sprintf("dc-%d", i)
+		s.DataCentres[name] = &config.DataCentre{Name: name, Region: fmt.Sprintf("region-%d", i%3), LeaseVoters: []config.LeaseVoter{
+			{Name: "v1", Address: "127.0.0.1:1", Candidate: true},
+			{Name: "v2", Address: "127.0.0.1:2", Candidate: true},
+			{Name: "v3", Address: "127.0.0.1:3", Candidate: true},
+		}}
+	}
+	for i := range workspaces {
+		w := workspace(i)
+		s.Workspaces[w.Name] = w
+	}
+	return s
+}
+
+func workspace(i int) *config.Workspace {
+	return &config.Workspace{Name: fmt.Sprintf("workspace-%05d", i), Services: []string{"chat"}, MaxInFlight: 50, KeyHash: fmt.Sprintf("%064x", i)}
+}
+
+// oneChange returns the change of one workspace.
+func oneChange(i, limit int) ([]*controlpb.Object, error) {
+	w := workspace(i)
+	w.MaxInFlight = limit
+	s := config.NewSet(config.Revision{})
+	s.Workspaces[w.Name] = w
+	return s.Objects()
+}
+
+func configProbes() []Probe {
+	return []Probe{
+		{"config.bytes_per_workspace", "B", workspaceSizes, func(n int) (float64, error) {
+			objs, err := declared(n).Objects()
+			if err != nil {
+				return 0, err
+			}
+			v, err := heapOf(func() (*config.Set, error) { return config.FromObjects(config.Revision{Epoch: 1, Number: 1}, objs) })
+			runtime.KeepAlive(objs) // so that their memory counts neither before nor after
+			return v, err
+		}},
+		{"config.apply_ns_per_workspace", "ns", workspaceSizes, func(n int) (float64, error) {
+			s := declared(n)
+			up, err := oneChange(1, 60)
+			if err != nil {
+				return 0, err
+			}
+			return medianTime(func() error {
+				_, err := s.Apply(config.Revision{Epoch: 1, Number: 2}, up, nil)
+				return err
+			})
+		}},
+		{"config.check_ns_per_workspace", "ns", workspaceSizes, func(n int) (float64, error) {
+			s := declared(n)
+			return medianTime(s.Check)
+		}},
+		{"config.diff_ns_per_workspace", "ns", workspaceSizes, func(n int) (float64, error) {
+			s := declared(n)
+			up, err := oneChange(1, 60)
+			if err != nil {
+				return 0, err
+			}
+			next, err := s.Apply(config.Revision{Epoch: 1, Number: 2}, up, nil)
+			if err != nil {
+				return 0, err
+			}
+			return medianTime(func() error {
+				_, _, err := config.Diff(s, next)
+				return err
+			})
+		}},
+		{"config.snapshot_bytes_per_workspace", "B", workspaceSizes, func(n int) (float64, error) {
+			objs, err := declared(n).Objects()
+			if err != nil {
+				return 0, err
+			}
+			return float64(proto.Size(&controlpb.ConfigUpdate{Upserts: objs})), nil
+		}},
+	}
+}
+
+// watchStream is the server's end of a Watch that counts what it is sent.
+type watchStream struct {
+	drpc.Stream
+	ctx   context.Context
+	mu    sync.Mutex
+	bytes int
+	seen  chan uint64
+}
+
+func (w *watchStream) Context() context.Context { return w.ctx }
+
+func (w *watchStream) Send(u *controlpb.ConfigUpdate) error {
+	if u.Keepalive {
+		return nil
+	}
+	w.mu.Lock()
+	w.bytes += proto.Size(u) + frameBytes
+	w.mu.Unlock()
+	w.seen <- u.Revision.Number
+	return nil
+}
+
+// frameBytes is what drpc and TLS add to a small message on the wire.
+const frameBytes = 40
+
+// distributeChanges publishes so many changes to so many watchers, one after the
+// other, and returns the bytes per watcher.
+func distributeChanges(watchers, changes int) (bytes float64, err error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	relay := distribution.NewRelay(0)
+	set := declared(100)
+	if err := relay.Publish(set); err != nil {
+		return 0, err
+	}
+	have := set.Revision.PB()
+	streams := make([]*watchStream, watchers)
+	for i := range streams {
+		streams[i] = &watchStream{ctx: ctx, seen: make(chan uint64, 1)}
+		go func() { _ = relay.Watch(&controlpb.WatchRequest{Have: have}, streams[i]) }()
+	}
+	for c := range changes {
+		up, err := oneChange(c%100, c+1)
+		if err != nil {
+			return 0, err
+		}
+		if set, err = set.Apply(config.Revision{Epoch: 1, Number: uint64(c + 2)}, up, nil); err != nil {
+			return 0, err
+		}
+		if err := relay.Publish(set); err != nil {
+			return 0, err
+		}
+		for _, s := range streams {
+			for n := uint64(0); n < set.Revision.Number; {
+				n = <-s.seen
+			}
+		}
+	}
+	total := 0
+	for _, s := range streams {
+		s.mu.Lock()
+		total += s.bytes
+		s.mu.Unlock()
+	}
+	return float64(total) / float64(watchers), nil
+}
+
+func distributionProbes() []Probe {
+	const rounds = 40
+	return []Probe{
+		{"distribution.bytes_per_change", "B", []int{50, 200, 800}, func(n int) (float64, error) {
+			return distributeChanges(1, n)
+		}},
+		{"distribution.relay_ns_per_watcher_per_change", "ns", []int{8, 40, 330}, func(n int) (float64, error) {
+			ns, err := medianTime(func() error {
+				_, err := distributeChanges(n, rounds)
+				return err
+			})
+			return ns / rounds, err
+		}},
+	}
+}
