--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -131,7 +131,9 @@
 	if x.q, err = mapRequest(set, route, r, body, x.base); err != nil {
 		return err
 	}
-	x.base = newBaseID(x.q.workspace)
+	if x.q.workspace != r.Header.Get(HeaderWorkspace) {
+		x.base = newBaseID(x.q.workspace) // the body named the workspace
+	}
 	x.body = newSentBody(x.q.body)
 	d.budget.request(d.opts.Now())
 	if x.q.key != "" {
--- a/internal/dispatch/requestid.go
+++ b/internal/dispatch/requestid.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
-	"fmt"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -12,10 +11,9 @@
 )
 
 const (
-	idRandomBytes  = 16
-	idHintSep      = "~"
-	maxRequestID   = 512
-	idWorkspaceLen = 8
+	idRandomBytes = 16
+	idHintSep     = "~"
+	maxRequestID  = 512
 )
 
 // newBaseID returns the part of a request id that is known before a server is
@@ -29,7 +27,8 @@
 }
 
 func workspaceTag(random, workspace string) string {
-	return fmt.Sprintf("%016x", xxhash.Sum64String(random+workspace))[:idWorkspaceLen]
+	sum := xxhash.Sum64String(random + workspace)
+	return hex.EncodeToString([]byte{byte(sum >> 56), byte(sum >> 48), byte(sum >> 40), byte(sum >> 32)})
 }
 
 // withServer adds where the request runs, so that any router can find it.
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	streamBufferBytes = 2 << 10
+	streamBufferBytes = 1 << 10
 	resumeBackoff     = 50 * time.Millisecond
 	maxResumeBackoff  = time.Second
 	eventStreamType   = "text/event-stream"
--- a/internal/dispatch/transport.go
+++ b/internal/dispatch/transport.go
@@ -11,11 +11,12 @@
 )
 
 const (
-	dialTimeout         = 2 * time.Second
-	idleConnTimeout     = 30 * time.Second
-	idleConnsPerServer  = 256
-	maxAnswerHeader     = 64 << 10
-	transportBufferSize = 4 << 10
+	dialTimeout          = 2 * time.Second
+	idleConnTimeout      = 30 * time.Second
+	idleConnsPerServer   = 256
+	maxAnswerHeader      = 64 << 10
+	transportReadBuffer  = 1 << 10
+	transportWriteBuffer = 2 << 10
 )
 
 // newTransport returns the transport to backend servers: HTTP/1.1, no proxy, no
@@ -35,8 +36,8 @@
 		MaxIdleConnsPerHost:    idleConnsPerServer,
 		IdleConnTimeout:        idleConnTimeout,
 		MaxResponseHeaderBytes: maxAnswerHeader,
-		ReadBufferSize:         transportBufferSize,
-		WriteBufferSize:        transportBufferSize,
+		ReadBufferSize:         transportReadBuffer,
+		WriteBufferSize:        transportWriteBuffer,
 	}
 }
 
