--- a/internal/ctl/change.go
+++ b/internal/ctl/change.go
@@ -149,10 +149,23 @@
 	return false
 }
 
-// unchanged reports that there is nothing to do.
-func (a *app) unchanged(rev config.Revision) error {
-	a.show(accepted{Revision: rev}, func(w io.Writer) {
-		fmt.Fprintf(w, "nothing to change; revision %s stands\n", revisionText(rev))
+// unchanged reports that there is nothing to do. If asked to, it waits until the
+// revision that stands is in force.
+func (a *app) unchanged(base *config.Set) error {
+	out := accepted{Revision: base.Revision}
+	var late error
+	if a.wait {
+		expected, err := a.expectedNodes(base)
+		if err != nil {
+			return err
+		}
+		out.Nodes, late = a.awaitInForce(base.Revision, expected)
+	}
+	a.show(out, func(w io.Writer) {
+		fmt.Fprintf(w, "nothing to change; revision %s stands\n", revisionText(base.Revision))
+		if out.Nodes != nil {
+			out.Nodes.print(w)
+		}
 	})
-	return nil
+	return late
 }
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -154,6 +154,10 @@
 	if !strings.Contains(errs, "not in force at r1") {
 		t.Errorf("printed %q", errs)
 	}
+	b.want(errkind.ExitNotInForce, "drain", "dc/tt-north-a", "--wait", "--wait-for", "10ms")
+	if len(b.sets) != 3 {
+		t.Error("a drain of what is out made a new revision")
+	}
 	b.cutOff = true
 	_, errs = b.want(errkind.ExitNotInForce, "undrain", "dc/tt-north-a", "--wait", "--wait-for", "10ms")
 	if !strings.Contains(errs, "was accepted, but no control process said where it is in force") {
--- a/internal/ctl/declarations.go
+++ b/internal/ctl/declarations.go
@@ -65,7 +65,7 @@
 		return err
 	}
 	if req == nil {
-		return a.unchanged(base.Revision)
+		return a.unchanged(base)
 	}
 	if err := a.votersMayChange(base, next); err != nil {
 		return err
--- a/internal/ctl/drain.go
+++ b/internal/ctl/drain.go
@@ -62,7 +62,7 @@
 		return err
 	}
 	if req == nil {
-		return a.unchanged(base.Revision)
+		return a.unchanged(base)
 	}
 	return a.submit(base, req)
 }
--- a/internal/ctl/undo.go
+++ b/internal/ctl/undo.go
@@ -39,7 +39,7 @@
 		return err
 	}
 	if req == nil {
-		return a.unchanged(base.Revision)
+		return a.unchanged(base)
 	}
 	return a.submit(base, req)
 }
--- a/internal/distribution/sources.go
+++ b/internal/distribution/sources.go
@@ -10,7 +10,9 @@
 
 const (
 	minBackoff = 100 * time.Millisecond
-	maxBackoff = 5 * time.Second
+	// maxBackoff bounds the rest of a source that failed, so that a node learns
+	// soon that control is back.
+	maxBackoff = 2 * time.Second
 	// emptyBackoff bounds the rest of a source that has no news yet.
 	emptyBackoff = 500 * time.Millisecond
 )
