--- a/internal/grantor/permit.go
+++ b/internal/grantor/permit.go
@@ -46,7 +46,10 @@
 // it returns an error, which has the kind no-grantor, the permit must not be
 // used; Done must be called all the same, with the outcome not-run.
 func (p *Permit) Started() error {
-	if !time.Now().Before(p.startBy) {
+	// The monotonic clock may stand still while a VM is suspended, so the wall
+	// clock must allow the start as well.
+	now := time.Now()
+	if !now.Before(p.startBy) || !now.Round(0).Before(p.startBy.Round(0)) {
 		return errkind.New(errkind.NoGrantor, "the permit for %s was not started in time", p.Server)
 	}
 	p.link.started(p)
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -62,16 +62,17 @@
 
 // fleet is a control process, one router and one backend server.
 type fleet struct {
-	t       *testing.T
+	t       testing.TB
 	router  *Router
 	signals chan os.Signal
 	code    chan int
 	ran     atomic.Int64
+	server  string        // the backend server's address
 	hold    chan struct{} // the server's held path waits for it
 	entered chan struct{}
 }
 
-func listen(t *testing.T) net.Listener {
+func listen(t testing.TB) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -108,7 +109,7 @@
 	}
 }
 
-func startFleet(t *testing.T) *fleet {
+func startFleet(t testing.TB) *fleet {
 	t.Helper()
 	f := &fleet{t: t, signals: make(chan os.Signal, 2), code: make(chan int, 1), hold: make(chan struct{}), entered: make(chan struct{}, 16)}
 	reserved := listen(t)
@@ -165,13 +166,14 @@
 		_, _ = io.WriteString(w, r.URL.Path)
 	}))
 	f.t.Cleanup(s.Close)
+	f.server = s.Listener.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
 	f.t.Cleanup(cancel)
 	go func() {
 		for sequence := uint64(1); ctx.Err() == nil; sequence++ {
 			body, _ := json.Marshal(registry.Announcement{
 				Name: "server-1", Service: "entries", DataCentre: "a", Address: s.Listener.Addr().String(),
-				Incarnation: "i", State: "ready", Capacity: 8, ColdCapacity: 4, Sequence: sequence,
+				Incarnation: "i", State: "ready", Capacity: 4096, ColdCapacity: 4096, Sequence: sequence,
 			})
 			resp, err := http.Post("http://"+f.router.announce.Addr().String()+registry.Path, "application/json", bytes.NewReader(body))
 			if err == nil {
