--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/kumquathollow/kumquathollow/internal/config"
@@ -92,6 +93,10 @@
 	if len(a.controls) == 0 {
 		a.controls = s.Controls
 	}
+	a.controls = strings.Split(strings.Join(a.controls, ","), ",")
+	if a.controls[0] == "" {
+		a.controls = nil
+	}
 	if s.Timeout > 0 && a.timeout == defaultTimeout {
 		a.timeout = s.Timeout.D()
 	}
--- a/internal/ctl/commands.go
+++ b/internal/ctl/commands.go
@@ -59,7 +59,7 @@
 	f.timeout, f.waitFor, f.limit, f.valid = defaultTimeout, defaultWait, defaultLimit, defaultValidity
 	f.out = "."
 	p.String(&f.settings, "c", "config", "settings file (YAML); default $KQCTL_CONFIG")
-	p.StringSlice(&f.controls, "", "control", "fleet address of a control process; may be repeated")
+	p.StringSlice(&f.controls, "", "control", "fleet addresses of control processes, with commas; may be repeated")
 	p.String(&f.ca, "", "ca", "file of the authority's certificate")
 	p.String(&f.cert, "", "cert", "file of the operator's certificate")
 	p.String(&f.key, "", "key", "file of the operator's private key")
