Check the measurement by the promised bound, and start it warm

Cause: the oracle and the checks used a bound rounded up and a mean that counted cold servers, unlike the grantor; servers began cold for ours alone. Change: all use admission.LoadLimit over the ready servers of a data centre, which is stricter; the size with 300 runners has three data centres, so that one can be out; announcements tell the cache's size. Conclusion: the comparison is now between equals.

--- a/internal/measure/engine.go
+++ b/internal/measure/engine.go
@@ -90,7 +90,11 @@
 	coldSlots int
 	coldUntil time.Duration
 	// silentCold is true if the engine does not say that it is cold.
-	silentCold  bool
+	silentCold bool
+	// warmAt is when the ramp after the latest announced cold start is over, and
+	// pooled is true while the engine counts in its pool's mean.
+	warmAt      time.Duration
+	pooled      bool
 	incarnation int
 	// up is true while the engine exists.
 	up       bool
--- a/internal/measure/metrics.go
+++ b/internal/measure/metrics.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/kumquathollow/kumquathollow/internal/admission"
 )
 
 // Bounds that a run is checked against.
@@ -51,7 +53,8 @@
 	lastServer map[uint64]int
 }
 
-// pool follows the load of one data centre's servers.
+// pool follows the load of one data centre's ready servers: those that have
+// not said that they are cold, and whose ramp is over.
 type pool struct {
 	total   int
 	servers int
@@ -81,7 +84,8 @@
 		m.pools[i] = &pool{}
 	}
 	for _, e := range s.engines {
-		if e.up {
+		e.pooled = e.up && s.now >= e.warmAt
+		if e.pooled {
 			p := m.pools[e.dc]
 			p.servers++
 			p.put(m.inFlight[e.index])
@@ -117,13 +121,12 @@
 	return float64(p.total) / float64(p.servers)
 }
 
-// bound is the most that a server may carry now.
-func (p *pool) bound() int { return boundAt(p.mean()) }
-
-// boundAt is the most that a server may carry at the mean. Below the floor the
-// bound stays what it is at the floor, so that it never falls as load grows.
-func boundAt(mean float64) int {
-	return int(math.Ceil(maxLoadFactor * max(mean, loadFloor)))
+// bound is the most that a server may carry with so many requests added.
+func (p *pool) bound(added int) int {
+	if p.servers == 0 {
+		return math.MaxInt
+	}
+	return int(admission.LoadLimit(p.total+added, p.servers, maxLoadFactor, loadFloor))
 }
 
 func (m *Metrics) started(s *Sim, e *engine, a *attempt) {
@@ -131,7 +134,7 @@
 	m.follow(s, e, a.req.Chat)
 	p := m.pools[e.dc]
 	load := m.inFlight[e.index]
-	if load > p.bound() {
+	if load > p.bound(0) {
 		m.overAtStart++
 	}
 	if e.cold(s.now) && load > e.coldSlots {
@@ -163,7 +166,7 @@
 	p := m.pools[e.dc]
 	was := m.inFlight[e.index]
 	m.inFlight[e.index] = was + by
-	if !e.up {
+	if !e.pooled {
 		return
 	}
 	p.move(was, was+by)
@@ -171,7 +174,7 @@
 		return
 	}
 	m.skewEvents++
-	if p.max > p.bound() {
+	if p.max > p.bound(0) {
 		m.overEver++
 	}
 	_ = m.ratios.RecordValue(min(int64(float64(p.max)/p.mean()*ratioScale), maxRatio))
--- a/internal/measure/permits.go
+++ b/internal/measure/permits.go
@@ -78,7 +78,7 @@
 		}
 		p.cores = append(p.cores, c)
 	}
-	p.announce(s)
+	p.announce(s, farFuture)
 	for _, c := range p.cores {
 		c.Tick(s.now)
 		c.Effects()
@@ -94,7 +94,7 @@
 		Services:    map[string]*config.Service{serviceName: {Name: serviceName, Type: config.Model, Policy: policyName}},
 		Workspaces:  map[string]*config.Workspace{},
 		Policies: map[string]*config.Policy{policyName: {
-			Name: policyName, MaxLoadFactor: maxLoadFactor, LoadFloor: loadFloor, ColdRamp: config.Duration(coldTime),
+			Name: policyName, MaxLoadFactor: maxLoadFactor, LoadFloor: loadFloor, ColdRamp: config.Duration(coldRamp),
 		}},
 	}
 	for dc := range s.cfg.DataCentres {
@@ -109,11 +109,11 @@
 		p.boot(s)
 		return
 	}
-	p.announce(s)
+	p.announce(s, 0)
 	s.m.controlBytes += pingBytes * int64(s.cfg.Routers*s.cfg.DataCentres)
 }
 
-func (p *permits) announce(s *Sim) {
+func (p *permits) announce(s *Sim, readyFor time.Duration) {
 	p.seq++
 	for _, e := range s.engines {
 		if !e.up {
@@ -127,6 +127,7 @@
 			Name: e.name, Service: serviceName, DataCentre: dcName(e.dc), Address: "10.0.0.1:80",
 			Incarnation: strconv.Itoa(e.incarnation), State: state, Capacity: uint32(e.slots), ColdCapacity: uint32(e.coldSlots),
 			Running: uint32(e.reported(s.now - s.cfg.ReportLag)), MeasuredMsAgo: uint32(s.cfg.ReportLag.Milliseconds()), Sequence: p.seq,
+			ReadyMs: uint64(readyFor.Milliseconds()), CacheTokens: uint32(e.cache.used),
 		}
 		s.m.controlBytes += int64(proto.Size(a) + messageOverhead)
 		p.cores[e.dc].Announce(s.now, a)
--- a/internal/measure/policy.go
+++ b/internal/measure/policy.go
@@ -215,9 +215,7 @@
 	if e.cold(s.now) {
 		n = e.coldSlots
 	}
-	p := s.m.pools[e.dc]
-	after := float64(p.total+1) / float64(max(1, p.servers))
-	return min(n, boundAt(after))
+	return min(n, s.m.pools[e.dc].bound(1))
 }
 
 // policies returns a fresh instance of each policy, in the order of the tables.
--- a/internal/measure/report.go
+++ b/internal/measure/report.go
@@ -17,7 +17,7 @@
 	Trace TraceConfig
 }
 
-// Sizes measured: today's, one data centre's of the target, the target's.
+// Sizes measured: today's, one between, the target's.
 // The larger ones have shorter traces and shorter pauses between turns.
 func Sizes() []Size {
 	size := func(name string, routers, engines, dcs int, rate float64, length, pause time.Duration, workspaces int) Size {
@@ -29,7 +29,7 @@
 	}
 	return []Size{
 		size("8 routers, 20 runners, 10 workspaces, 30 min", 8, 20, 3, 22, 30*time.Minute, 2*time.Minute, 10),
-		size("50 routers, 300 runners, 1,400 workspaces, 5 min", 50, 300, 1, 330, 5*time.Minute, 40*time.Second, 1400),
+		size("50 routers, 300 runners, 1,400 workspaces, 5 min", 50, 300, 3, 330, 5*time.Minute, 40*time.Second, 1400),
 		size("330 routers, 2,400 runners, 11,000 workspaces, 75 s", 330, 2400, 8, 2640, 75*time.Second, 12*time.Second, 11000),
 	}
 }
@@ -157,7 +157,7 @@
 
 const legend = `- **reuse**: cached prompt tokens over those that had been seen before; **of oracle**: relative to the policy that knows every cache.
 - **skew**: the most loaded server of a data centre over the mean, sampled at every start and end while the mean is over 2.
-- **over at start**: requests sent to a server beyond 1.25 × the mean (rounded up); **over ever**: events at which some server was beyond it, also because the mean fell.
+- **over at start**: requests sent to a server beyond 1.25 × the mean of its data centre's ready servers (admission.LoadLimit); **over ever**: events at which some server was beyond it, also because the mean fell.
 - **cold over**: requests sent to a cold server beyond what it bears; **out starts**: requests sent to a data centre later than 5 s after it was taken out.
 - **refused**, **retries**: counts; **moved**: returns of a chat that went to another server although its last one was there, in a run with so many **changes** of the list of servers; **first**: time to the first token of interactive requests, virtual milliseconds.
 `
--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -21,6 +21,7 @@
 	churnEvery = 5 * time.Second
 	awayTime   = 15 * time.Second
 	coldTime   = 10 * time.Second
+	coldRamp   = 10 * time.Second
 	returnRamp = 30 * time.Second
 )
 
@@ -68,7 +69,7 @@
 		for _, e := range s.engines {
 			if e.dc == 0 {
 				e.cache.clear()
-				e.coldUntil = s.now + coldTime
+				s.coolDown(e)
 			}
 		}
 		delete(s.outDC, 0)
@@ -113,10 +114,17 @@
 	s.policy.Changed(s)
 }
 
+// coolDown makes an engine cold, and says so.
+func (s *Sim) coolDown(e *engine) {
+	e.coldUntil = s.now + coldTime
+	e.warmAt = e.coldUntil + coldRamp
+	s.after(coldTime+coldRamp, func() { s.m.setPool(s) })
+}
+
 func (s *Sim) rejoin(e *engine) {
 	e.up = true
 	e.silentCold = false
-	e.coldUntil = s.now + coldTime
+	s.coolDown(e)
 	s.m.memberships++
 	s.publish()
 	s.policy.Changed(s)
