Remember detours of chats in a table of fixed size

Cause: a chat that found its first server full came back to it the next time, although its newest prefix was elsewhere.

--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -28,6 +28,7 @@
 	places  int
 	tenants map[string]*tenant
 	queue   queue
+	detours detours
 	runs    runs
 }
 
@@ -80,34 +81,54 @@
 	return int32(max(int(factor*mean), even))
 }
 
-// place returns the server for the ask: the first with room in the chat's
-// order, within the workspace's subset if possible; -1 if none has room.
+// place returns the server for the ask, -1 if none has room: the one of the
+// chat's latest detour, else the first with room in the chat's order, within
+// the workspace's subset if possible.
 func (c *Core) place(p *pool, t *tenant, a *grantpb.Ask) int32 {
-	if i := c.first(p, t, a, true); i >= 0 || t.subset == nil {
+	limit := c.loadLimit(p)
+	restricted := a.Adapter != "" || len(a.Excluded) > 0
+	if i := p.detours.of(a.Chat); i >= 0 && c.hasRoom(i, limit) && c.servers[i].inPool(p) && (!restricted || c.accepts(i, a)) {
 		return i
 	}
-	return c.first(p, t, a, false)
+	best, home := c.first(p, t, a, limit, restricted, true)
+	if best < 0 && t.subset != nil {
+		best, _ = c.first(p, t, a, limit, restricted, false)
+	}
+	if best >= 0 {
+		p.detours.note(a.Chat, best, best == home)
+	}
+	return best
+}
+
+func (c *Core) hasRoom(i, limit int32) bool {
+	h := &c.hot[i]
+	return h.live < h.limit && h.live < limit
 }
 
 // first returns the server with room that is first in the chat's order, of
-// those in the workspace's subset or of the others; -1 if none has room.
-func (c *Core) first(p *pool, t *tenant, a *grantpb.Ask, subset bool) int32 {
-	limit := c.loadLimit(p)
-	restricted := a.Adapter != "" || len(a.Excluded) > 0
-	best := int32(-1)
-	var bestScore uint64
+// those in the workspace's subset or of the others; -1 if none has room. home
+// is the first of them that takes work at all.
+func (c *Core) first(p *pool, t *tenant, a *grantpb.Ask, limit int32, restricted, subset bool) (best, home int32) {
+	best, home = -1, -1
+	var bestScore, homeScore uint64
 	for _, i := range p.members {
 		h := &c.hot[i]
-		if h.live >= h.limit || h.live >= limit || t.contains(i) != subset {
+		if h.limit == 0 || t.contains(i) != subset {
 			continue
 		}
 		score := routing.Mix(a.Chat, h.hash)
-		if (best >= 0 && score <= bestScore) || (restricted && !c.accepts(i, a)) {
+		if home < 0 || score > homeScore {
+			home, homeScore = i, score
+		}
+		if (best >= 0 && score <= bestScore) || h.live >= h.limit || h.live >= limit {
+			continue
+		}
+		if restricted && !c.accepts(i, a) {
 			continue
 		}
 		best, bestScore = i, score
 	}
-	return best
+	return best, home
 }
 
 // accepts reports whether the ask's own restrictions admit the server.
--- a/internal/admission/server.go
+++ b/internal/admission/server.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -74,6 +75,9 @@
 	return model == "" || len(s.models) == 0 || slices.Contains(s.models, model)
 }
 
+// inPool reports whether the server is a member of the pool.
+func (s *server) inPool(p *pool) bool { return slices.Contains(s.pools, p) }
+
 // Announce takes in what a server said of itself.
 func (c *Core) Announce(now Instant, a *grantpb.Announcement) {
 	c.observe(now)
@@ -130,7 +134,7 @@
 
 func (c *Core) addServer(a *grantpb.Announcement) int32 {
 	i := int32(len(c.servers))
-	s := &server{name: a.Name, hash: routing.Hash(a.Name), service: a.Service}
+	s := &server{name: a.Name, hash: routing.Hash(a.Name), service: a.Service, measuredAt: math.MinInt64 / 2}
 	c.servers = append(c.servers, s)
 	c.hot = append(c.hot, candidate{hash: s.hash})
 	c.byName[a.Name] = i
