Send what finds its first server full to the least loaded of the subset

Cause: the second server of a chat's order is as likely to be full soon as any, while the grantor's counts are exact and cause no herd. Change: the first server, else the least loaded one with room in the subset; subsets begin at 8 servers instead of 4.

--- a/internal/admission/options.go
+++ b/internal/admission/options.go
@@ -22,7 +22,7 @@
 	return Options{
 		StartWindow: time.Second,
 		Margin:      500 * time.Millisecond,
-		MinSubset:   4,
+		MinSubset:   8,
 		SubsetSlack: 2,
 	}
 }
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -105,12 +105,15 @@
 	return h.live < h.limit && h.live < limit
 }
 
-// first returns the server with room that is first in the chat's order, of
-// those in the workspace's subset or of the others; -1 if none has room. home
-// is the first of them that takes work at all.
+// first returns the home, which is the first server of the chat's order that
+// takes work at all, and the best with room: the home, else the least loaded.
+// Only those in the workspace's subset, or only the others, are looked at. The
+// counts are exact, so there is no herd to the least loaded. best is -1 if none
+// has room.
 func (c *Core) first(p *pool, t *tenant, a *grantpb.Ask, limit int32, restricted, subset bool) (best, home int32) {
 	best, home = -1, -1
 	var bestScore, homeScore uint64
+	bestLive := int32(math.MaxInt32)
 	for _, i := range p.members {
 		h := &c.hot[i]
 		if h.limit == 0 || t.contains(i) != subset {
@@ -120,13 +123,16 @@
 		if home < 0 || score > homeScore {
 			home, homeScore = i, score
 		}
-		if (best >= 0 && score <= bestScore) || h.live >= h.limit || h.live >= limit {
+		if h.live >= h.limit || h.live >= limit || h.live > bestLive || (h.live == bestLive && score < bestScore) {
 			continue
 		}
 		if restricted && !c.accepts(i, a) {
 			continue
 		}
-		best, bestScore = i, score
+		best, bestLive, bestScore = i, h.live, score
+	}
+	if home >= 0 && c.hasRoom(home, limit) && (!restricted || c.accepts(home, a)) {
+		best = home
 	}
 	return best, home
 }
