Keep a chat's home while it is gone, and remember more detours

Cause: while a server was away the next in the order counted as the chat's home, so every chat went back to an empty cache when it returned. Change: the home is first of all members; 131072 detours (1 MiB) per pool.

--- a/internal/admission/detour.go
+++ b/internal/admission/detour.go
@@ -2,7 +2,7 @@
 
 const (
 	// detourBits gives the number of detours that a pool remembers.
-	detourBits = 15
+	detourBits = 17
 	detourMask = 1<<detourBits - 1
 )
 
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -105,8 +105,8 @@
 	return h.live < h.limit && h.live < limit
 }
 
-// first returns the home, which is the first server of the chat's order that
-// takes work at all, and the best with room: the home, else the least loaded.
+// first returns the home, which is the first server of the chat's order, also
+// while it is gone or takes no work, and the best with room: the home, else the least loaded.
 // Only those in the workspace's subset, or only the others, are looked at. The
 // counts are exact, so there is no herd to the least loaded. best is -1 if none
 // has room.
@@ -116,7 +116,7 @@
 	bestLive := int32(math.MaxInt32)
 	for _, i := range p.members {
 		h := &c.hot[i]
-		if h.limit == 0 || t.contains(i) != subset {
+		if t.contains(i) != subset {
 			continue
 		}
 		score := routing.Mix(a.Chat, h.hash)
