--- a/internal/measure/metrics.go
+++ b/internal/measure/metrics.go
@@ -47,6 +47,9 @@
 	skewEvents int64
 	ratios     *hdrhistogram.Histogram
 	first      map[int]*hdrhistogram.Histogram
+	// others holds interactive first tokens of the workspaces that never surge.
+	others     *hdrhistogram.Histogram
+	surging    func(workspace int) bool
 	pools      []*pool
 	outSince   map[int]time.Duration
 	inFlight   []int
@@ -67,6 +70,8 @@
 	m := &Metrics{
 		ratios:   hdrhistogram.New(1, maxRatio, 3),
 		first:    map[int]*hdrhistogram.Histogram{interactivePr: newFirst(), plannerPr: newFirst()},
+		others:   newFirst(),
+		surging:  func(int) bool { return false },
 		outSince: map[int]time.Duration{}, lastServer: map[uint64]int{},
 		inFlight: make([]int, cfg.Engines),
 	}
@@ -182,5 +187,9 @@
 
 func (m *Metrics) completed(a *attempt, first time.Duration) {
 	m.open--
-	_ = m.first[a.req.Priority].RecordValue(max(1, (first - a.arrived).Microseconds()))
+	us := max(1, (first - a.arrived).Microseconds())
+	_ = m.first[a.req.Priority].RecordValue(us)
+	if a.req.Priority == interactivePr && !m.surging(a.req.Workspace) {
+		_ = m.others.RecordValue(us)
+	}
 }
--- a/internal/measure/report.go
+++ b/internal/measure/report.go
@@ -52,6 +52,8 @@
 	// P50, P95, P99 are of the interactive requests' first token.
 	P50, P95, P99 time.Duration
 	PlannerP95    time.Duration
+	// OthersP95 is that of the workspaces outside the two that may surge.
+	OthersP95 time.Duration
 	// Moved is the part of returns that went to another server although the last one was there.
 	Moved float64
 	// Changes counts joins, leaves, and data centres taken out or back.
@@ -100,12 +102,13 @@
 func runOne(sz Size, sc Scenario, p Policy) (Result, error) {
 	tc := sz.Trace
 	if sc.Surge {
-		tc.SurgeFactor, tc.SurgeWorkspaces = 20, 2
+		tc.SurgeFactor, tc.SurgeWorkspaces = 20, surgeWorkspaces
 		tc.SurgeFrom, tc.SurgeTo = tc.Length/3, 2*tc.Length/3
 	}
 	fc := sz.Fleet
 	fc.ReportLag = sc.Lag
 	s := newSim(fc, Generate(tc), tc.Seed)
+	s.m.surging = tc.surges
 	if sc.play != nil {
 		sc.play(s, tc.Length)
 	}
@@ -126,6 +129,7 @@
 		Moved: float64(m.moved) / float64(max(1, m.returns)), Changes: m.memberships,
 		P50: us(interactivePr, 50), P95: us(interactivePr, 95), P99: us(interactivePr, 99),
 		PlannerP95:     us(plannerPr, 95),
+		OthersP95:      time.Duration(m.others.ValueAtQuantile(95)) * time.Microsecond,
 		BytesPerRouter: float64(m.controlBytes) / float64(sz.Fleet.Routers) / length.Seconds(),
 	}
 }
@@ -146,8 +150,8 @@
 		if r.Scenario != scenario {
 			scenario = r.Scenario
 			fmt.Fprintf(&b, "\n### %s\n\n", scenario)
-			b.WriteString("| policy | reuse % | of oracle % | skew max | skew p99 | over at start | over ever | cold over | out starts | refused | retries | moved % | changes | first p50 ms | p95 | p99 | planner p95 | control B/s per router |\n")
-			b.WriteString("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n")
+			b.WriteString("| policy | reuse % | of oracle % | skew max | skew p99 | over at start | over ever | cold over | out starts | refused | retries | moved % | changes | first p50 ms | p95 | p99 | others p95 | planner p95 | control B/s per router |\n")
+			b.WriteString("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n")
 		}
 		writeRow(&b, r, oracleReuse(results, r))
 	}
@@ -159,14 +163,14 @@
 - **skew**: the most loaded server of a data centre over the mean, sampled at every start and end while the mean is over 2.
 - **over at start**: requests sent to a server beyond 1.25 × the mean of its data centre's ready servers (admission.LoadLimit); **over ever**: events at which some server was beyond it, also because the mean fell.
 - **cold over**: requests sent to a cold server beyond what it bears; **out starts**: requests sent to a data centre later than 5 s after it was taken out.
-- **refused**, **retries**: counts; **moved**: returns of a chat that went to another server although its last one was there, in a run with so many **changes** of the list of servers; **first**: time to the first token of interactive requests, virtual milliseconds.
+- **refused**, **retries**: counts; **moved**: returns of a chat that went to another server although its last one was there, in a run with so many **changes** of the list of servers; **first**: time to the first token of interactive requests, virtual milliseconds; **others**: of the workspaces outside the two that surge in that scenario.
 `
 
 func writeRow(b *strings.Builder, r Result, oracle float64) {
 	ms := func(d time.Duration) string { return fmt.Sprintf("%.0f", float64(d)/float64(time.Millisecond)) }
-	fmt.Fprintf(b, "| %s | %.1f | %.1f | %.2f | %.2f | %d | %d | %d | %d | %d | %d | %.1f | %d | %s | %s | %s | %s | %.0f |\n",
+	fmt.Fprintf(b, "| %s | %.1f | %.1f | %.2f | %.2f | %d | %d | %d | %d | %d | %d | %.1f | %d | %s | %s | %s | %s | %s | %.0f |\n",
 		r.Policy, 100*r.Reuse, 100*r.Reuse/oracle, r.SkewMax, r.SkewP99, r.OverAtStart, r.OverEver, r.ColdOver, r.OutStarts,
-		r.Refused, r.Retries, 100*r.Moved, r.Changes, ms(r.P50), ms(r.P95), ms(r.P99), ms(r.PlannerP95), r.BytesPerRouter)
+		r.Refused, r.Retries, 100*r.Moved, r.Changes, ms(r.P50), ms(r.P95), ms(r.P99), ms(r.OthersP95), ms(r.PlannerP95), r.BytesPerRouter)
 }
 
 func oracleReuse(results []Result, r Result) float64 {
--- a/internal/measure/trace.go
+++ b/internal/measure/trace.go
@@ -61,6 +61,8 @@
 	plannerPr     = 1
 	// plannerShare is the part of chats that planners hold.
 	plannerShare = 0.15
+	// surgeWorkspaces is the number of workspaces that may surge.
+	surgeWorkspaces = 2
 )
 
 // Generate makes the trace; it depends on nothing but the configuration.
@@ -127,6 +129,13 @@
 	}
 }
 
+// surges reports whether the workspace is one of those that surge where the
+// scenario has a surge.
+func (c TraceConfig) surges(workspace int) bool {
+	first := c.Workspaces / 2
+	return workspace >= first && workspace < first+surgeWorkspaces
+}
+
 // surge adds chats of the surging workspaces, which are small in calm times.
 func (g *generator) surge() {
 	// The workspaces in the middle of the Zipf law are small but not idle.
