Keep the last places of a pool for workspaces below an even part

Cause: in a surge the others found every place taken, and waited for one. Change: while at most 1/32 of a pool's places are free, a workspace that has an even part of them waits.

--- a/internal/admission/ask.go
+++ b/internal/admission/ask.go
@@ -79,7 +79,7 @@
 
 // tryGrant grants the ask if the limits have room.
 func (c *Core) tryGrant(now Instant, p *pool, t *tenant, session SessionID, a *grantpb.Ask, enqueued Instant) bool {
-	if t.workspace.full() || (c.maxInFlight > 0 && c.live >= c.maxInFlight) {
+	if t.workspace.full() || t.mustYield() || (c.maxInFlight > 0 && c.live >= c.maxInFlight) {
 		return false
 	}
 	server := c.place(p, t, a)
--- a/internal/admission/permit.go
+++ b/internal/admission/permit.go
@@ -63,7 +63,7 @@
 		p.workspace.live++
 	}
 	if p.tenant != nil {
-		p.tenant.live++
+		p.tenant.use(1, 0)
 	}
 }
 
@@ -84,7 +84,7 @@
 		p.workspace.live--
 	}
 	if p.tenant != nil {
-		p.tenant.live--
+		p.tenant.use(-1, 0)
 	}
 	if p.pool != nil && p.startedAt != 0 {
 		p.pool.runs.add(now - p.grantedAt)
@@ -102,11 +102,11 @@
 	h := &c.hot[server]
 	h.live += int32(n)
 	c.live += n
-	if !h.warm {
-		return
-	}
 	for _, p := range c.servers[server].pools {
-		p.warmLive += n
+		p.live += n
+		if h.warm {
+			p.warmLive += n
+		}
 	}
 }
 
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -24,8 +24,11 @@
 	warmLive int
 	// usable counts the members with a limit above zero.
 	usable int
-	// places is the sum of the members' limits.
-	places  int
+	// places is the sum of the members' limits, and live what runs there.
+	places int
+	live   int
+	// active counts the workspaces that run or wait here.
+	active  int
 	tenants map[string]*tenant
 	queue   queue
 	detours detours
@@ -199,9 +202,10 @@
 
 // recount adds the members up again.
 func (p *pool) recount(c *Core) {
-	p.warm, p.warmLive, p.usable, p.places = 0, 0, 0, 0
+	p.warm, p.warmLive, p.usable, p.places, p.live = 0, 0, 0, 0, 0
 	for _, i := range p.members {
 		h := &c.hot[i]
+		p.live += int(h.live)
 		if h.limit > 0 {
 			p.usable++
 			p.places += int(h.limit)
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -109,7 +109,7 @@
 	ln.count++
 	lv.count++
 	q.count++
-	w.tenant.queued++
+	w.tenant.use(0, 1)
 }
 
 // remove takes a waiter out, wherever it stands.
@@ -132,7 +132,7 @@
 	ln.count--
 	ln.level.count--
 	q.count--
-	w.tenant.queued--
+	w.tenant.use(0, -1)
 }
 
 // serve takes out a waiter that got a place and charges its line.
--- a/internal/admission/tenant.go
+++ b/internal/admission/tenant.go
@@ -31,6 +31,7 @@
 // tenant is one workspace's use of one pool.
 type tenant struct {
 	name      string
+	pool      *pool
 	hash      uint64
 	workspace *workspace
 	live      int
@@ -48,12 +49,40 @@
 	return t.subset == nil || t.subset[server>>6]>>(server&63)&1 == 1
 }
 
+// use changes what the tenant runs and what waits.
+func (t *tenant) use(live, queued int) {
+	before := t.live+t.queued > 0
+	t.live += live
+	t.queued += queued
+	after := t.live+t.queued > 0
+	switch {
+	case after && !before:
+		t.pool.active++
+	case before && !after:
+		t.pool.active--
+	}
+}
+
+// reservePart is the part of a pool's places that is kept for workspaces that
+// have less than an even part of them.
+const reservePart = 32
+
+// mustYield reports whether the last places are not for this workspace, since
+// it has an even part of them already.
+func (t *tenant) mustYield() bool {
+	p := t.pool
+	if p.active <= 1 || p.places-p.live > p.places/reservePart {
+		return false
+	}
+	return (t.live+1)*p.active > p.places
+}
+
 // tenantOf returns the workspace's tenant in the pool, creating it on first use.
 func (c *Core) tenantOf(p *pool, name string) *tenant {
 	if t, ok := p.tenants[name]; ok {
 		return t
 	}
-	t := &tenant{name: name, hash: routing.Hash(name), workspace: c.workspaceOf(name), size: c.options.MinSubset}
+	t := &tenant{name: name, pool: p, hash: routing.Hash(name), workspace: c.workspaceOf(name), size: c.options.MinSubset}
 	t.workspace.users++
 	p.tenants[name] = t
 	c.chooseSubset(p, t)
