--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -295,3 +295,57 @@
 		c.t.Fatal(err)
 	}
 }
+
+// TestLostQuorum: without a majority nothing is accepted, and the error says
+// whether that is sure; afterwards the same change id tells.
+func TestLostQuorum(t *testing.T) {
+	c := newCluster(t, 3, quickElections)
+	base := c.apply(0, change("before", firstBase(), workspace("w", "p"))).Revision
+	l := c.leader()
+	c.kill((l + 1) % 3)
+	c.kill((l + 2) % 3)
+	req := change("without", base, workspace("w", "q"))
+	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+	defer cancel()
+	_, err := c.client(l).Apply(ctx, req)
+	switch k := errkind.Of(err); k {
+	case errkind.NoQuorum, errkind.NotLeader, errkind.ChangeUnknown:
+	default:
+		t.Fatalf("without a majority: %v", err)
+	}
+	if _, err := c.client(l).Get(ctx, &controlpb.GetRequest{}); err == nil {
+		t.Fatal("a read was answered without a majority")
+	}
+	c.start((l+1)%3, nil)
+	resp := c.apply((l+1)%3, req)
+	if resp.Revision.Number != base.Number+1 {
+		t.Fatalf("the change was accepted at %v after %v", resp.Revision, base)
+	}
+}
+
+// TestTwoOperatorsAtOneRevision lets operators race: one wins, the other is told.
+func TestTwoOperatorsAtOneRevision(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	base := c.apply(0, change("first", firstBase(), workspace("w", "p"))).Revision
+	errs := make(chan error, 3)
+	for i := range 3 {
+		go func() {
+			_, err := c.client(i).Apply(context.Background(), change(fmt.Sprint("operator-", i), base, workspace("w", fmt.Sprint(i))))
+			errs <- err
+		}()
+	}
+	won, told := 0, 0
+	for range 3 {
+		switch err := <-errs; {
+		case err == nil:
+			won++
+		case errkind.Is(err, errkind.RevisionConflict):
+			told++
+		default:
+			t.Error(err)
+		}
+	}
+	if won != 1 || told != 2 {
+		t.Fatalf("%d won and %d were told", won, told)
+	}
+}
