Refuse deadlines that outlast the record of a claim

Cause: a call that may not be repeated could be declared to run for up to an hour with claims kept for a minute; a resend after that would run it again. Change: such a route is a fault, for every policy that can be in force for it.

--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -132,6 +132,7 @@
 func (c *check) wholeSet() {
 	c.routesOverlap()
 	c.votersDiffer()
+	c.retentionCovers()
 }
 
 // sortedNames returns the names of a map in order, so that faults are too.
--- a/internal/config/check_set.go
+++ b/internal/config/check_set.go
@@ -1,6 +1,9 @@
 package config
 
-import "fmt"
+import (
+	"fmt"
+	"slices"
+)
 
 // routesOverlap finds routes of two services, or of one, that take the same
 // method and path. A longer prefix or an exact path within a prefix is no
@@ -44,3 +47,44 @@
 		}
 	}
 }
+
+// retentionCovers finds calls that may not be repeated and may run for longer
+// than the record of their claim is kept: a resend in between would run twice.
+func (c *check) retentionCovers() {
+	for _, name := range sortedNames(c.set.Services) {
+		s := c.set.Services[name]
+		shortest, policy := c.shortestRetention(s)
+		if policy == "" {
+			continue
+		}
+		c.key = Key{KindService, name}
+		for i, r := range s.Routes {
+			if r = r.withDefaults(); !r.Repeatable && r.Deadline > shortest {
+				c.fault(fmt.Sprintf("routes[%d].deadline", i), "%s is longer than claimRetention %s of policy %q, so a resend could run the call again; shorten it or lengthen claimRetention", r.Deadline, shortest, policy)
+			}
+		}
+	}
+}
+
+// shortestRetention returns the shortest claimRetention among the policies that
+// can be in force for the service, and that policy's name; "" if there is none.
+func (c *check) shortestRetention(s *Service) (shortest Duration, policy string) {
+	names := map[string]bool{s.Policy: true}
+	for _, w := range c.set.Workspaces {
+		if len(w.Services) == 0 || slices.Contains(w.Services, s.Name) {
+			names[w.Policy] = true
+		}
+	}
+	for _, n := range sortedNames(names) {
+		p, ok := c.set.Policies[n]
+		if !ok {
+			continue
+		}
+		d := p.ClaimRetention
+		fill(&d, Duration(DefaultClaimRetention))
+		if policy == "" || d < shortest {
+			shortest, policy = d, n
+		}
+	}
+	return shortest, policy
+}
--- a/internal/distribution/bench_test.go
+++ b/internal/distribution/bench_test.go
@@ -142,6 +142,15 @@
 	}
 }
 
+// BenchmarkStart measures how long the nodes of one data centre take that start
+// at once without a disk, until the last one has 11,000 workspaces in force.
+func BenchmarkStart(b *testing.B) {
+	set := workspaces(b, targetWorkspaces)
+	for b.Loop() {
+		newFleet(b, benchDataCentre, set)
+	}
+}
+
 // BenchmarkBytes measures the bytes, as they cross the network, of a node that
 // watches two sources: in each idle second, and for each change.
 func BenchmarkBytes(b *testing.B) {
