--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 LDFLAGS := -X github.com/kumquathollow/kumquathollow/internal/version.Version=$(VERSION)
 GOFILES := $(shell find . -name '*.go' -not -name '*.pb.go' -not -path './$(BIN)/*')
 
-.PHONY: build test lint format unit generate bench measure demo soak clean
+.PHONY: build test lint format unit generate bench measure measure-capacity demo soak clean
 
 build:
 	$(GO) build -ldflags "$(LDFLAGS)" -o $(BIN)/ ./cmd/...
@@ -38,6 +38,10 @@
 	mkdir -p docs/measurements
 	$(GO) run ./cmd/kqreplay measure -o docs/measurements/routing.md
 
+# measure-capacity measures the slopes of docs/CAPACITY.md and renews its tables.
+measure-capacity:
+	$(GO) run ./cmd/kqreplay capacity -r .
+
 # demo starts an example fleet on loopback; FLEET is maracas or brinco.
 FLEET ?= maracas
 demo: build
--- a/cmd/kqreplay/main.go
+++ b/cmd/kqreplay/main.go
@@ -14,6 +14,7 @@
 
 	"github.com/integrii/flaggy"
 
+	"github.com/kumquathollow/kumquathollow/internal/capacity"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/measure"
 	"github.com/kumquathollow/kumquathollow/internal/replay"
@@ -33,6 +34,8 @@
 	generate *flaggy.Subcommand
 	play     *flaggy.Subcommand
 	measure  *flaggy.Subcommand
+	capacity *flaggy.Subcommand
+	root     string
 	output   string
 	size     int
 }
@@ -65,6 +68,12 @@
 	o.measure.String(&o.output, "o", "output", "file for the tables; default standard output")
 	o.measure.Int(&o.size, "s", "size", "measure only the size of this number, from 1; 0 is all")
 	flaggy.AttachSubcommand(o.measure, 1)
+
+	o.capacity = flaggy.NewSubcommand("capacity")
+	o.capacity.Description = "measure the slopes of docs/CAPACITY.md and renew its tables"
+	o.root = "."
+	o.capacity.String(&o.root, "r", "root", "folder that holds docs/")
+	flaggy.AttachSubcommand(o.capacity, 1)
 	flaggy.Parse()
 
 	if err := run(o); err != nil {
@@ -85,8 +94,12 @@
 		return play(o)
 	case o.measure.Used:
 		return measurePlacement(o)
+	case o.capacity.Used:
+		return capacity.Regenerate(o.root, func(s capacity.Sample) {
+			fmt.Fprintf(os.Stderr, "%s at %g: %.4g %s\n", s.Slope, s.Size, s.Value, s.Unit)
+		})
 	}
-	return errkind.New(errkind.Usage, "name a command: play, generate or measure; see --help")
+	return errkind.New(errkind.Usage, "name a command: play, generate, measure or capacity; see --help")
 }
 
 // measurePlacement writes the tables that compare ways of placing.
--- a/internal/capacity/probe.go
+++ b/internal/capacity/probe.go
@@ -22,7 +22,7 @@
 
 // Probes are all that `make measure-capacity` runs.
 func Probes() []Probe {
-	return slices.Concat(configProbes(), distributionProbes())
+	return slices.Concat(configProbes(), distributionProbes(), grantorProbes(), controlProbes())
 }
 
 // Measure runs the probes one after the other, so that they do not disturb one
--- a/internal/capacity/probe_config.go
+++ b/internal/capacity/probe_config.go
@@ -14,6 +14,9 @@
 	"github.com/kumquathollow/kumquathollow/internal/distribution"
 )
 
+// appliesPerRound changes are timed together.
+const appliesPerRound = 50
+
 var workspaceSizes = []int{1000, 4000, 11000}
 
 // declared returns a set of the target's shape with so many workspaces.
@@ -64,16 +67,31 @@
 			runtime.KeepAlive(objs) // so that their memory counts neither before nor after
 			return v, err
 		}},
+		{"config.apply_bytes_per_workspace", "B", workspaceSizes, func(n int) (float64, error) {
+			s := declared(n)
+			up, err := oneChange(1, 60)
+			if err != nil {
+				return 0, err
+			}
+			v, err := heapOf(func() (*config.Set, error) { return s.Apply(config.Revision{Epoch: 1, Number: 2}, up, nil) })
+			runtime.KeepAlive(s) // so that the objects that both sets share do not count
+			return v, err
+		}},
 		{"config.apply_ns_per_workspace", "ns", workspaceSizes, func(n int) (float64, error) {
 			s := declared(n)
 			up, err := oneChange(1, 60)
 			if err != nil {
 				return 0, err
 			}
-			return medianTime(func() error {
-				_, err := s.Apply(config.Revision{Epoch: 1, Number: 2}, up, nil)
-				return err
+			ns, err := medianTime(func() error {
+				for range appliesPerRound {
+					if _, err := s.Apply(config.Revision{Epoch: 1, Number: 2}, up, nil); err != nil {
+						return err
+					}
+				}
+				return nil
 			})
+			return ns / appliesPerRound, err
 		}},
 		{"config.check_ns_per_workspace", "ns", workspaceSizes, func(n int) (float64, error) {
 			s := declared(n)
