--- a/internal/router/bench_test.go
+++ b/internal/router/bench_test.go
@@ -17,6 +17,8 @@
 const (
 	benchCallers = 32
 	maxLatencyUs = 10_000_000
+	// oneCallerCalls are sent one after the other, with no other load.
+	oneCallerCalls = 4000
 )
 
 // latencies collects microseconds from many goroutines.
@@ -65,6 +67,13 @@
 		rate := greatestRate(b, client, through, 2*time.Second)
 		direct, via := newLatencies(), newLatencies()
 		paced(b, client, map[string]*latencies{f.server: direct, through: via}, rate/2, 4*time.Second)
+		one, oneVia := newLatencies(), newLatencies()
+		for range oneCallerCalls {
+			one.add(shortCall(b, client, f.server))
+			oneVia.add(shortCall(b, client, through))
+		}
+		b.ReportMetric(oneVia.ms(50)-one.ms(50), "one-caller-added-p50-ms")
+		b.ReportMetric(oneVia.ms(99)-one.ms(99), "one-caller-added-p99-ms")
 		b.ReportMetric(rate, "req/s")
 		b.ReportMetric(direct.ms(50), "direct-p50-ms")
 		b.ReportMetric(direct.ms(99), "direct-p99-ms")
