Split the replay report by moves of data centres; shuffle the soak's faults

The users ask for the service while a data centre leaves and returns, so the report gives whole answers, times and cache reuse apart for it, and counts cuts at routers that nothing was done to. The soak now goes through a shuffled deck of faults, some two at once, and runners turn cold without warning.

--- a/internal/replay/check_config.go
+++ b/internal/replay/check_config.go
@@ -35,8 +35,7 @@
 			first[s.Revision] = s.At
 		}
 	}
-	away := append(windows(o.Events, ActionKill, ActionStart), windows(o.Events, ActionPause, ActionResume)...)
-	away = append(away, windows(o.Events, ActionStop, ActionStart)...)
+	away := disturbances(o.Events)
 	for rev, since := range first {
 		for _, s := range o.Samples {
 			late := s.At.Sub(since)
@@ -52,6 +51,12 @@
 	return p
 }
 
+// disturbances returns the times in which processes were killed, paused or stopped.
+func disturbances(events []Event) []window {
+	out := append(windows(events, ActionKill, ActionStart), windows(events, ActionPause, ActionResume)...)
+	return append(out, windows(events, ActionStop, ActionStart)...)
+}
+
 func hasRevision(s Sample) bool { return s.Reached && s.Revision != config.Revision{} }
 
 func wasAway(away []window, target string, from, to time.Time) bool {
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -134,3 +134,28 @@
 		t.Fatalf("unrolled: %+v", got)
 	}
 }
+
+func TestServiceIsSplitByMovesOfDataCentres(t *testing.T) {
+	o := good(t)
+	o.Results = []Result{{Record: 0, Final: FinalWhole, Total: time.Second}}
+	if r := NewReport(o); r.Quiet.Requests != 1 || r.Moving.Requests != 0 || r.Quiet.P50 < 999 {
+		t.Errorf("before the move: quiet %+v, moving %+v", r.Quiet, r.Moving)
+	}
+	o.Exchanges[0].Sent, o.Exchanges[1].Sent = at(25_000), at(25_100)
+	if r := NewReport(o); r.Moving.Requests != 1 || r.Moving.Whole != 1 {
+		t.Errorf("5 s after the return: quiet %+v, moving %+v", r.Quiet, r.Moving)
+	}
+}
+
+func TestCutsAtUndisturbedRoutersAreCounted(t *testing.T) {
+	o := good(t)
+	o.Events = append(o.Events, event(ActionKill, 100, "router-3"), event(ActionStart, 900, "router-3"))
+	cut := Exchange{Sent: at(50), Ended: at(110), Error: "unexpected EOF", Verdict: AnswerNone}
+	for _, name := range []string{"router-1", "router-3"} {
+		cut.Router = name
+		o.Exchanges = append(o.Exchanges, cut)
+	}
+	if r := NewReport(o); r.Broken != 2 || r.BrokenUndisturbed != 1 {
+		t.Errorf("%d cut, %d of them undisturbed; want 2 and 1", r.Broken, r.BrokenUndisturbed)
+	}
+}
--- a/internal/replay/report.go
+++ b/internal/replay/report.go
@@ -19,11 +19,16 @@
 	Seconds   float64        `json:"seconds"`
 	Finals    map[string]int `json:"finals"` // kind of request / final state
 	// Answers counts exchanges by status and error kind.
-	Answers   map[string]int `json:"answers"`
-	Resumes   int            `json:"resumes"`
-	Broken    int            `json:"broken"`
-	NotSent   int            `json:"notSent"`
-	Latencies []Latency      `json:"latencies"`
+	Answers map[string]int `json:"answers"`
+	Resumes int            `json:"resumes"`
+	Broken  int            `json:"broken"`
+	// BrokenUndisturbed counts those of Broken at routers that nothing was done to.
+	BrokenUndisturbed int       `json:"brokenUndisturbed"`
+	NotSent           int       `json:"notSent"`
+	Latencies         []Latency `json:"latencies"`
+	// Quiet and Moving tell the service outside and during moves of data centres.
+	Quiet  Service `json:"quiet"`
+	Moving Service `json:"moving"`
 	// CacheReuse is the part of prompt tokens that were in the engine's prefix cache.
 	CacheReuse   float64 `json:"cacheReuse"`
 	PromptTokens int64   `json:"promptTokens"`
@@ -64,8 +69,9 @@
 	for _, e := range o.Events {
 		r.Events[string(e.Action)]++
 	}
-	r.addExchanges(o.Exchanges)
+	r.addExchanges(o)
 	r.addLedger(o)
+	r.addService(o)
 	r.Latencies = latencies(o)
 	r.addControlBytes(o.Samples)
 	return r
@@ -80,14 +86,18 @@
 	return n
 }
 
-func (r *Report) addExchanges(all []Exchange) {
+func (r *Report) addExchanges(o Observation) {
+	disturbed := disturbances(o.Events)
 	var first, last time.Time
-	for _, e := range all {
+	for _, e := range o.Exchanges {
 		switch {
 		case e.NotSent:
 			r.NotSent++
 		case e.Error != "":
 			r.Broken++
+			if !wasAway(disturbed, e.Router, e.Sent, e.Ended) {
+				r.BrokenUndisturbed++
+			}
 		default:
 			r.Answers[fmt.Sprintf("%d %s", e.Status, e.Kind)]++
 		}
@@ -187,7 +197,7 @@
 // WriteText writes the report for people.
 func (r Report) WriteText(w io.Writer) {
 	p := func(format string, args ...any) { _, _ = fmt.Fprintf(w, format+"\n", args...) }
-	p("requests %d, HTTP exchanges %d, in %.1f s; streams resumed by callers %d, exchanges cut %d, connections refused %d", r.Requests, r.Exchanges, r.Seconds, r.Resumes, r.Broken, r.NotSent)
+	p("requests %d, HTTP exchanges %d, in %.1f s; streams resumed by callers %d, exchanges cut %d (%d at routers that nothing was done to), connections refused %d", r.Requests, r.Exchanges, r.Seconds, r.Resumes, r.Broken, r.BrokenUndisturbed, r.NotSent)
 	writeCounts(p, "how requests ended", r.Finals)
 	writeCounts(p, "answers by status and error kind", r.Answers)
 	writeCounts(p, "faults brought about by the stand-ins", r.Faults)
@@ -196,6 +206,13 @@
 	for _, l := range r.Latencies {
 		p("  %-32s %9d %8.1f %8.1f %8.1f %8.1f", l.Name, l.Count, l.P50, l.P95, l.P99, l.Max)
 	}
+	p("\nservice %37s %8s %8s %8s %12s", "requests", "whole", "p50", "p95", "cache reuse")
+	for _, v := range []struct {
+		name string
+		Service
+	}{{"while data centres stay", r.Quiet}, {"while one is out, and 10 s after", r.Moving}} {
+		p("  %-32s %9d %7.2f%% %8.1f %8.1f %11.1f%%", v.name, v.Requests, 100*v.Whole, v.P50, v.P95, 100*v.CacheReuse)
+	}
 	p("\ncache reuse: %.1f%% of %d prompt tokens", 100*r.CacheReuse, r.PromptTokens)
 	p("\nload, in flight per server %18s %8s %8s %8s %14s", "servers", "mean", "max", "max/mean", "worst window")
 	for _, s := range r.Skews {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -24,10 +24,10 @@
 PIDS[replay]=$REPLAY
 say "replaying; the report follows in about half a minute"
 sleep 3
-leave "$(sed -n 's/^admin: "\(.*\):.*/\1/p' "$EXAMPLE/settings/standins.yaml")" "$(sed -n 's/^ *- {prefix.*address: "[^:]*:\([0-9]*\)", profile: runner}/\1/p' "$EXAMPLE/settings/standins.yaml" | head -n 1)"
+standin "$(runner_ports | head -n 1)" leave
 say "the first runner says that it is leaving"
 sleep 3
-ctl drain "dc/$OUT" -m "demo" >/dev/null || fail "drain was refused"
+try 10 ctl drain "dc/$OUT" -m "demo" || fail "drain was refused"
 note drain "$OUT"
 say "$OUT taken out"
 sleep 4
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -58,14 +58,19 @@
 	note stopped "$1"
 }
 
-# leave HOST PORT lets a stand-in announce that it is leaving.
-leave() {
-	exec 3<>"/dev/tcp/$1/$2"
-	printf 'POST /standin/leave HTTP/1.0\r\nContent-Length: 0\r\n\r\n' >&3
+# standin PORT ACTION tells a stand-in to leave, or to turn cold.
+standin() {
+	exec 3<>"/dev/tcp/127.0.0.1/$1"
+	printf 'POST /standin/%s HTTP/1.0\r\nContent-Length: 0\r\n\r\n' "$2" >&3
 	cat <&3 >/dev/null
 	exec 3>&-
 }
 
+# runner_ports prints the first port of each group of runners.
+runner_ports() {
+	sed -n 's/^ *- {prefix.*address: "[^:]*:\([0-9]*\)", profile: runner}/\1/p' "$EXAMPLE/settings/standins.yaml"
+}
+
 pause() {
 	note pause "$1"
 	kill -STOP "${PIDS[$1]}"
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Disturbs an example fleet under load: routers and control processes are killed,
-# paused and restarted gracefully, stand-ins turn cold, data centres go out and
+# paused and restarted gracefully, runners turn cold, data centres go out and
 # back. Exits non-zero if a promise broke. SOAK_SECONDS bounds the load,
 # SOAK_SEED draws the faults.
 set -euo pipefail
@@ -72,7 +72,48 @@
 	fi
 }
 
-FAULTS=(kill_router kill_router pause_router pause_router restart_router restart_router restart_router kill_control pause_control restart_control move_data_centre)
+turn_cold() {
+	local ports
+	mapfile -t ports < <(runner_ports)
+	standin $((${ports[$((RANDOM % ${#ports[@]}))]} + RANDOM % 4)) turn-cold
+	count "runner turned cold without warning"
+}
+
+# two_at_once kills a router while a control process is paused.
+two_at_once() {
+	local c=${CONTROLS[$((RANDOM % ${#CONTROLS[@]}))]}
+	pause "$c"
+	count "control process paused"
+	kill_router
+	sleep $((RANDOM % 3))
+	resume "$c"
+}
+
+# restart_all restarts every router gracefully, one after another.
+restart_all() {
+	local r
+	for r in "${ROUTERS[@]}"; do
+		graceful "$r"
+		count "router restarted gracefully"
+		relaunch "$r"
+		sleep 1
+	done
+}
+
+FAULTS=(kill_router kill_router pause_router pause_router restart_router restart_router kill_control pause_control
+	restart_control move_data_centre turn_cold two_at_once restart_all)
+DECK=()
+
+# next_fault brings about the next fault of a shuffled deck, so that none is left out for long.
+next_fault() {
+	local i
+	[ ${#DECK[@]} -gt 0 ] || DECK=("${FAULTS[@]}")
+	i=$((RANDOM % ${#DECK[@]}))
+	local fault=${DECK[$i]}
+	unset "DECK[$i]"
+	DECK=("${DECK[@]}")
+	"$fault"
+}
 
 start_fleet
 mapfile -t DATA_CENTRES < <(sed -n 's/^name: //p' "$EXAMPLE/declarations/datacentres.yaml")
@@ -85,8 +126,8 @@
 sleep 5
 end=$((SECONDS + SOAK_SECONDS - 15))
 while [ $SECONDS -lt $end ] && alive replay; do
-	"${FAULTS[$((RANDOM % ${#FAULTS[@]}))]}"
-	sleep $((1 + RANDOM % 3))
+	next_fault
+	sleep $((RANDOM % 3))
 done
 
 code=0
