Don't take a server for restarted that a held permit named first

The new grantor knew them by the held permit, without an incarnation, so their first announcement counted as a restart, and as a return of a flapping server. A test that failed with limit 1 of 8 passes.

--- a/internal/admission/core_test.go
+++ b/internal/admission/core_test.go
@@ -318,6 +318,23 @@
 	}
 }
 
+// TestServerKnownByAHeldPermitKeepsItsWarmth: a new grantor hears of a server
+// first by a permit that a router holds, then by its announcement.
+func TestServerKnownByAHeldPermitKeepsItsWarmth(t *testing.T) {
+	b := newBench(0, 0)
+	b.names = []string{"e0"}
+	b.core.Open(b.now, 2, &grantpb.Hello{Router: "r2", Held: []*grantpb.Held{
+		{PermitId: 9, Term: 7, Server: "e0", Service: "s", Workspace: "w", RemainingMs: 60_000, RunningMs: 100},
+	}})
+	b.announceAll(8)
+	if h := b.core.hot[0]; h.limit != 8 || !h.warm {
+		t.Errorf("limit %d, warm %v; the server has been ready for an hour and has 8 places", h.limit, h.warm)
+	}
+	if s := b.core.servers[0]; s.flaps != 0 || len(s.replaced) != 0 {
+		t.Errorf("the first announcement counts as a restart: %d returns, %d incarnations replaced", s.flaps, len(s.replaced))
+	}
+}
+
 func BenchmarkDecision(b *testing.B) {
 	for _, n := range []int{20, 300} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
--- a/internal/admission/server.go
+++ b/internal/admission/server.go
@@ -89,6 +89,8 @@
 		i = c.addServer(a)
 	}
 	s := c.servers[i]
+	// One that only a permit of an earlier tenure has named was never heard.
+	known = known && s.incarnation != ""
 	if known && !s.isNews(a) {
 		return
 	}
