Keep the body until a stream's first byte; prove swapped and late answers

A stream cut before its first byte may be tried again, but its body had been let go of, so the second attempt could not be sent whole. The body is now released when the caller gets the first byte, and its memory is given back then rather than at the end of the stream. Answers 204 and 304 get no Content-Length.

--- a/internal/dispatch/body.go
+++ b/internal/dispatch/body.go
@@ -14,13 +14,13 @@
 const bodyStep = 16 << 10
 
 // readBody reads a request's whole body within the route's limit, the time for
-// bodies, and the memory for all bodies. release gives the memory back.
-func (d *Dispatcher) readBody(x *exchange, route *treatment, r *http.Request) (body []byte, release func(), err error) {
+// bodies, and the memory for all bodies. releaseBody gives the memory back.
+func (d *Dispatcher) readBody(x *exchange, route *treatment, r *http.Request) (body []byte, err error) {
 	if r.ContentLength > route.maxBody {
-		return nil, nil, tooLarge(route)
+		return nil, tooLarge(route)
 	}
 	if r.ContentLength == 0 {
-		return nil, func() {}, nil
+		return nil, nil
 	}
 	_ = x.rc.SetReadDeadline(time.Now().Add(d.limits.BodyTime))
 	defer func() {
@@ -29,36 +29,41 @@
 			_ = x.rc.SetReadDeadline(time.Time{})
 		}
 	}()
-	held := int64(0)
-	release = func() { d.bodyBytes.Add(-held) }
 	body = make([]byte, 0, min(max(r.ContentLength, 0)+1, bodyStep))
 	for {
 		if len(body) == cap(body) {
 			body = append(body, 0)[:len(body)]
 		}
-		if grown := int64(cap(body)) - held; grown > 0 {
-			held += grown
+		if grown := int64(cap(body)) - x.bodyHeld; grown > 0 {
+			x.bodyHeld += grown
 			if d.bodyBytes.Add(grown) > d.limits.BodyBytes {
-				release()
-				return nil, nil, errkind.New(errkind.QueueFull, "the router holds as many bodies as it may")
+				return nil, errkind.New(errkind.QueueFull, "the router holds as many bodies as it may")
 			}
 		}
 		n, err := r.Body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		if int64(len(body)) > route.maxBody {
-			release()
-			return nil, nil, tooLarge(route)
+			return nil, tooLarge(route)
 		}
 		if err == io.EOF {
-			return body, release, nil
+			return body, nil
 		}
 		if err != nil {
-			release()
-			return nil, nil, bodyError(err)
+			return nil, bodyError(err)
 		}
 	}
 }
 
+// releaseBody lets go of the body and gives its memory back.
+func (x *exchange) releaseBody() {
+	if x.body != nil {
+		x.body.release()
+		x.q.body = nil
+	}
+	x.d.bodyBytes.Add(-x.bodyHeld)
+	x.bodyHeld = 0
+}
+
 func tooLarge(route *treatment) error {
 	return errkind.New(errkind.TooLarge, "the body may have at most %d bytes", route.maxBody)
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -123,11 +123,11 @@
 }
 
 func (d *Dispatcher) serveRoute(x *exchange, set *config.Set, route *treatment, r *http.Request) error {
-	body, release, err := d.readBody(x, route, r)
+	defer x.releaseBody()
+	body, err := d.readBody(x, route, r)
 	if err != nil {
 		return err
 	}
-	defer release()
 	if x.q, err = mapRequest(set, route, r, body, x.base); err != nil {
 		return err
 	}
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -297,3 +298,82 @@
 		t.Errorf("ran %d, record %v", ran.Load(), rig.claims.records["club/k"])
 	}
 }
+
+func TestStreamCutBeforeItsFirstByteIsTriedAgain(t *testing.T) {
+	const body = `{"chat":"c","stream":true}`
+	serve := func(cut bool) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			got, _ := io.ReadAll(r.Body)
+			w.Header().Set("Content-Type", "text/event-stream")
+			w.WriteHeader(http.StatusOK)
+			w.(http.Flusher).Flush()
+			if cut {
+				panic(http.ErrAbortHandler)
+			}
+			_, _ = w.Write(got)
+		}
+	}
+	rig := newRig(t, backend(t, serve(true)), backend(t, serve(false)))
+	rig.fund()
+	if _, got := do(t, rig.request("POST", "/v1/chat/completions", body)); got != body {
+		t.Errorf("second attempt was sent %q", got)
+	}
+	if n := rig.d.bodyBytes.Load(); n != 0 {
+		t.Errorf("%d bytes of bodies still counted", n)
+	}
+}
+
+func TestAnswersWithoutBody(t *testing.T) {
+	for _, status := range []int{204, 304, 404} {
+		rig := newRig(t, backend(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }))
+		for _, method := range []string{"GET", "HEAD"} {
+			resp, body := do(t, rig.request(method, "/v1/entries/1", ""))
+			if resp.StatusCode != status || body != "" || resp.Header.Get(HeaderOutcome) != string(outcomeOf(status)) {
+				t.Errorf("%s %d: %d %q %v", method, status, resp.StatusCode, body, resp.Header)
+			}
+		}
+	}
+}
+
+func TestSwappedAnswersReachNobody(t *testing.T) {
+	var mu sync.Mutex
+	var attempts []string
+	both := make(chan struct{})
+	address := backend(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			w.WriteHeader(http.StatusNotFound) // cannot be asked
+			return
+		}
+		mine := r.Header.Get(HeaderAttempt)
+		mu.Lock()
+		if attempts = append(attempts, mine); len(attempts) == 2 {
+			close(both)
+		}
+		mu.Unlock()
+		<-both
+		other := attempts[0]
+		if other == mine {
+			other = attempts[1]
+		}
+		w.Header().Set(HeaderAttempt, other)
+		_, _ = io.WriteString(w, "the answer of "+other)
+	})
+	rig := newRig(t, address)
+	kinds := make(chan string, 2)
+	for i := range 2 {
+		go func() {
+			resp, err := http.DefaultTransport.RoundTrip(rig.confirm(fmt.Sprint("k", i), "{}"))
+			if err != nil {
+				kinds <- err.Error()
+				return
+			}
+			_ = resp.Body.Close()
+			kinds <- resp.Header.Get(HeaderErrorKind)
+		}()
+	}
+	for range 2 {
+		if k := <-kinds; k != string(errkind.BackendCrossed) {
+			t.Errorf("a caller whose answer was swapped was told %q", k)
+		}
+	}
+}
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -32,6 +32,8 @@
 	// mayHaveRun is true once an attempt may have run, at the server with address.
 	mayHaveRun bool
 	address    string
+	// bodyHeld is the memory counted for the caller's body.
+	bodyHeld int64
 	// bodyRead is true once the caller's body has been read to its end.
 	bodyRead bool
 	// headerSent is true once the caller has been sent a status.
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -52,7 +52,6 @@
 	if !isFramed(resp) {
 		return r.unreadable("the server's stream has no frames, so a cut would not show")
 	}
-	r.x.body.release() // a stream may last long, and its server has read the request
 	err := s.copy()
 	if err == nil {
 		return attemptResult{}
@@ -135,6 +134,7 @@
 	h.Set("Trailer", HeaderOutcome)
 	x.headerSent = true
 	x.w.WriteHeader(http.StatusOK)
+	x.releaseBody() // a stream may last long, and no attempt follows it
 }
 
 func (s *streaming) finish() error {
--- a/internal/dispatch/truth_test.go
+++ b/internal/dispatch/truth_test.go
@@ -259,3 +259,25 @@
 		t.Errorf("within the body: %v", err)
 	}
 }
+
+func TestLateAnswerIsNotTheNextOnes(t *testing.T) {
+	// The server answers the first request twice; the second copy comes when the
+	// next request has already been sent on the connection.
+	s := newRawServer(t, func(s *rawServer, conn net.Conn, r *bufio.Reader) {
+		first, ok := s.run(r)
+		if !ok {
+			return
+		}
+		_, _ = io.WriteString(conn, rawAnswer("length", first, "first"))
+		if _, ok := s.run(r); ok {
+			_, _ = io.WriteString(conn, rawAnswer("length", first, "first"))
+		}
+	})
+	rig := newRig(t, s.listener.Addr().String())
+	if got := tell(t, rig.confirm("k1", "{}")); got.body != "first" {
+		t.Fatalf("first: %+v", got)
+	}
+	if got := tell(t, rig.confirm("k2", "{}")); got.outcome != errkind.Unknown || strings.Contains(got.body, "first") {
+		t.Errorf("the next request was told %+v", got)
+	}
+}
--- a/internal/dispatch/whole.go
+++ b/internal/dispatch/whole.go
@@ -105,7 +105,7 @@
 	h := x.w.Header()
 	copyEndToEnd(h, resp.Header)
 	setOutcome(h, x.id, o)
-	if resp.ContentLength >= 0 && x.q.http.Method != http.MethodHead {
+	if resp.ContentLength >= 0 && x.q.http.Method != http.MethodHead && resp.StatusCode != http.StatusNoContent && resp.StatusCode != http.StatusNotModified {
 		h.Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 	}
 	x.headerSent = true
