Bound claims by forgetting early instead of refusing new work

Cause: at 500,000 records new calls that may not be repeated were refused, which at 24 h of retention is reached by 6 claims a second. Change: the record that would expire first is forgotten early, and a resend of its key is refused as too late, as for any forgotten key; claims in progress are kept. Histogram of commit times and a meter of failed proposals.

--- a/internal/control/claims.go
+++ b/internal/control/claims.go
@@ -16,7 +16,8 @@
 	defaultRetentionMs = 24 * 3600 * 1000
 	maxRetentionMs     = 30 * 24 * 3600 * 1000
 	defaultRunMs       = 15 * 60 * 1000
-	// maxClaims bounds the records; above it new claims are refused as not run.
+	// maxClaims bounds the records; above it the record that would expire first is
+	// forgotten early, so that a resend of its key is refused as too late.
 	maxClaims = 500_000
 	// maxAnswerBytes bounds the answers kept; above it the oldest are dropped and
 	// a resend is told that the answer was not kept.
@@ -30,6 +31,8 @@
 // claims is the records of requests that may not be repeated. They are a
 // deterministic function of the commands and the times that these carry.
 type claims struct {
+	// limit is maxClaims but in tests.
+	limit int
 	byKey map[claimID]*statepb.ClaimRecord
 	order expiryHeap
 	// answered lists records with an answer, oldest first.
@@ -49,7 +52,7 @@
 }
 
 func newClaims() claims {
-	return claims{byKey: map[claimID]*statepb.ClaimRecord{}, forgotten: newForgotten(), horizon: map[string]int64{}}
+	return claims{limit: maxClaims, byKey: map[claimID]*statepb.ClaimRecord{}, forgotten: newForgotten(), horizon: map[string]int64{}}
 }
 
 func (c *claims) claim(req *controlpb.ClaimRequest, now int64) result {
@@ -61,8 +64,8 @@
 	if c.wasForgotten(id) {
 		return result{msg: &controlpb.ClaimResponse{State: controlpb.ClaimState_CLAIM_STATE_TOO_LATE}}
 	}
-	if len(c.byKey) >= maxClaims {
-		return result{err: errkind.New(errkind.QueueFull, "the control group holds %d claims; nothing was recorded", len(c.byKey))}
+	if !c.makeRoom(now) {
+		return result{err: errkind.New(errkind.QueueFull, "too many claims are in progress; nothing was recorded")}
 	}
 	r := c.record(req, now)
 	return result{msg: &controlpb.ClaimResponse{State: controlpb.ClaimState_CLAIM_STATE_GRANTED, AttemptId: r.AttemptId, Fence: r.Fence}}
@@ -184,6 +187,30 @@
 	}
 }
 
+// makeRoom forgets the first record to expire if there is no room for another.
+// One that is still in progress is kept for longer instead. It fails if all that
+// it looked at are.
+func (c *claims) makeRoom(now int64) bool {
+	for tries := 0; len(c.byKey) >= c.limit && tries < expiredPerCommand; {
+		r := c.order[0]
+		if c.byKey[idOf(r.Key)] != r {
+			heap.Pop(&c.order)
+			continue
+		}
+		tries++
+		overdue(r, now)
+		if r.State == controlpb.ClaimState_CLAIM_STATE_IN_PROGRESS {
+			r.ExpiresMs = max(r.ExpiresMs, now) + defaultRetentionMs
+			heap.Fix(&c.order, 0)
+			continue
+		}
+		heap.Pop(&c.order)
+		c.remove(r)
+		c.forget(r, now)
+	}
+	return len(c.byKey) < c.limit
+}
+
 func (c *claims) forget(r *statepb.ClaimRecord, now int64) {
 	if t, ok := keyTime(r.Key.IdempotencyKey); ok && t <= now {
 		c.horizon[r.Key.Service] = max(c.horizon[r.Key.Service], t)
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -83,7 +83,7 @@
 	if err := p.openGroup(opt); err != nil {
 		return nil, errors.CombineErrors(err, p.close())
 	}
-	p.server = &Server{group: p.group, machine: p.machine, nodes: newNodes(), dialer: p.dialer, log: log, now: time.Now}
+	p.server = &Server{group: p.group, machine: p.machine, nodes: newNodes(), dialer: p.dialer, log: log, metrics: p.metrics, now: time.Now}
 	p.registerMetrics()
 	return p, nil
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -18,6 +18,7 @@
 	"github.com/kumquathollow/kumquathollow/internal/replication"
 	"github.com/kumquathollow/kumquathollow/internal/rpc"
 	"github.com/kumquathollow/kumquathollow/internal/storage"
+	"github.com/kumquathollow/kumquathollow/internal/telemetry"
 )
 
 const (
@@ -41,6 +42,7 @@
 	nodes   *nodes
 	dialer  *rpc.Dialer
 	log     hclog.Logger
+	metrics *telemetry.Registry
 	now     func() time.Time
 
 	// changes admits one change at a time.
@@ -67,10 +69,13 @@
 	if err != nil {
 		return nil, errkind.Wrap(err, errkind.BadRequest, "encode the command")
 	}
+	begun := time.Now()
 	out, err := s.group.Propose(ctx, data)
 	if err != nil {
+		s.metrics.Meter("control.proposals_failed").Mark(1)
 		return nil, err
 	}
+	s.metrics.Histogram("control.commit_us").Update(time.Since(begun).Microseconds())
 	r := out.(result)
 	return r.msg, r.err
 }
--- a/internal/control/state_test.go
+++ b/internal/control/state_test.go
@@ -110,6 +110,8 @@
 	for seed := range uint64(200) {
 		rng := rand.New(rand.NewPCG(seed, 3))
 		a, b := NewState(), NewState()
+		limit := 5 + rng.IntN(30)
+		a.claims.limit, b.claims.limit = limit, limit
 		now := int64(0)
 		for i := range 300 {
 			now += int64(rng.IntN(40))
@@ -124,6 +126,7 @@
 					t.Fatal(err)
 				}
 				b = next
+				b.claims.limit = limit
 			}
 		}
 		if !bytes.Equal(saved(t, a), saved(t, b)) {
@@ -229,3 +232,49 @@
 		t.Fatalf("silent nodes keep their places: %v", err)
 	}
 }
+
+// TestClaimsAreBounded fills the records: settled ones are forgotten early and
+// refused ever after, and those in progress are never forgotten for others.
+func TestClaimsAreBounded(t *testing.T) {
+	const limit = 50
+	s := NewState()
+	s.claims.limit = limit
+	key := func(i int64) string {
+		if i%2 == 0 {
+			return keyAt(i)
+		}
+		return fmt.Sprint("key-", i)
+	}
+	for i := range 5 {
+		s.do(t, 0, claimCmd(fmt.Sprint("early-", i), "b", "a"))
+	}
+	for i := range int64(4 * limit) {
+		if r := s.do(t, i, claimCmd(key(i), "b", "a")); r.err != nil {
+			t.Fatalf("claim %d: %v", i, r.err)
+		}
+		s.do(t, i, settleCmd(key(i), "a", completed))
+		if n := s.Claims(); n > limit {
+			t.Fatalf("%d records after %d claims", n, i)
+		}
+	}
+	for i := range 5 {
+		if got := s.do(t, 4*limit-1, claimCmd(fmt.Sprint("early-", i), "b", "b")).msg.(*controlpb.ClaimResponse).State; got != inProgress {
+			t.Fatalf("a claim in progress was forgotten for others: %v", got)
+		}
+	}
+	for i := range int64(4 * limit) {
+		want := completed
+		if i < 3*limit+5 {
+			want = tooLate
+		}
+		if got := s.do(t, 4*limit, claimCmd(key(i), "b", "a")).msg.(*controlpb.ClaimResponse).State; got != want {
+			t.Fatalf("a resend of key %d of %d gave %v", i, 4*limit, got)
+		}
+	}
+	for i := range int64(limit) {
+		s.do(t, 4*limit, claimCmd(fmt.Sprint("running-", i), "b", "a"))
+	}
+	if r := s.do(t, 4*limit, claimCmd("one more", "b", "a")); !errkind.Is(r.err, errkind.QueueFull) {
+		t.Fatalf("with %d claims in progress: %v", limit, r.err)
+	}
+}
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -275,3 +275,29 @@
 		}
 	})
 }
+
+// TestBoundedDisk appends for long with a snapshot now and then; files that are
+// not needed go.
+func TestBoundedDisk(t *testing.T) {
+	fs := vfs.NewMem()
+	s, _, err := Open(fs, testDir, "c1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	for i := uint64(1); i <= 2000; i++ {
+		if err := s.Append(&pb.HardState{Term: 1}, []*pb.Entry{entry(i, 1)}, nil); err != nil {
+			t.Fatal(err)
+		}
+		if i%100 != 0 {
+			continue
+		}
+		if err := s.SaveSnapshot(&pb.SnapshotMeta{Index: i - 10, Term: 1}, func(io.Writer) error { return nil }); err != nil {
+			t.Fatal(err)
+		}
+		names, _ := fs.List(testDir)
+		if len(names) > 6 {
+			t.Fatalf("after %d appends the folder holds %v", i, names)
+		}
+	}
+}
