End a grantor's tenure when its VM was suspended

Cause: the lease is counted on the monotonic clock, which stands still while a VM is suspended; a holder that resumes would take its lease for valid although the voters have elected another. Found by reading; ruled out that routers start such permits late: those check both clocks already.

--- a/internal/grantor/server.go
+++ b/internal/grantor/server.go
@@ -65,6 +65,7 @@
 	nextPing   admission.Instant
 	pings      uint64
 	overridden bool
+	pauses     pauseWatch
 
 	// background counts requests to voters that are under way.
 	background sync.WaitGroup
@@ -145,6 +146,7 @@
 }
 
 func (s *Server) handle(e event) {
+	s.noticePause()
 	switch {
 	case e.open != nil:
 		s.open(e.open)
@@ -187,6 +189,7 @@
 
 // tick renews the lease, follows the configuration and does timed work.
 func (s *Server) tick() {
+	s.noticePause()
 	now := s.now()
 	s.follow(now)
 	for _, send := range s.candidate.Tick(now, uint64(time.Now().UnixMilli())) {
--- a/internal/lease/candidate.go
+++ b/internal/lease/candidate.go
@@ -165,6 +165,15 @@
 // Holder returns the process believed to hold the lease, and its address.
 func (c *Candidate) Holder() (name, address string) { return c.holder, c.holderAddress }
 
+// Abandon forgets all votes, so that the lease is not held any more. The votes
+// run out at the voters, which are not told.
+func (c *Candidate) Abandon(now Instant) {
+	clear(c.granted)
+	clear(c.sentAt)
+	c.holding = false
+	c.nextRound = now + c.backoff()
+}
+
 // Release gives the lease up and returns the voters to tell. The caller must
 // have stopped granting.
 func (c *Candidate) Release(now Instant) (term uint64, voters []string) {
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -227,3 +227,39 @@
 		t.Fatal("does not hold with both majorities")
 	}
 }
+
+// TestAbandonedLeaseIsNotHeldAgainByLateAnswers: answers to requests from before
+// the lease was abandoned must not bring it back.
+func TestAbandonedLeaseIsNotHeldAgainByLateAnswers(t *testing.T) {
+	o := DefaultOptions()
+	c := NewCandidate(o, "a", "1", "addr", rand.New(rand.NewPCG(1, 1)))
+	c.SetVoters(0, []string{"v1", "v2", "v3"})
+	now := o.Lease
+	voters := map[string]*Voter{}
+	var late []Send
+	for _, s := range c.Tick(now, 1) {
+		voters[s.Voter] = NewVoter(0, o.Lease)
+		c.Answer(now, s.Voter, s.Round, voters[s.Voter].Vote(now, s.Request))
+		late = append(late, s)
+	}
+	if !c.Holds(now) {
+		t.Fatal("the lease was not granted")
+	}
+	c.Abandon(now)
+	for _, s := range late {
+		c.Answer(now, s.Voter, s.Round, voters[s.Voter].Vote(now, s.Request))
+	}
+	if c.Holds(now) {
+		t.Fatal("late answers brought an abandoned lease back")
+	}
+	now += 2 * o.Renew
+	for _, s := range c.Tick(now, 1) {
+		if s.Request.Term <= late[0].Request.Term {
+			t.Errorf("term %d again after it was abandoned", s.Request.Term)
+		}
+		c.Answer(now, s.Voter, s.Round, voters[s.Voter].Vote(now, s.Request))
+	}
+	if !c.Holds(now) {
+		t.Error("the lease was not granted again under a new term")
+	}
+}
