--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -377,3 +377,40 @@
 		}
 	}
 }
+
+func TestUnknownOutcomeIsSettledByTheServersWord(t *testing.T) {
+	for _, tc := range []struct {
+		words []AttemptState
+		want  errkind.Kind
+	}{
+		{[]AttemptState{AttemptRunning, AttemptCompleted}, errkind.AnswerNotKept},
+		{[]AttemptState{AttemptUnknown, AttemptFailed}, errkind.BackendFailed},
+		{nil, errkind.OutcomeUnknown},
+	} {
+		var asked atomic.Int64
+		address := backend(t, func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodPost {
+				panic(http.ErrAbortHandler)
+			}
+			n := int(asked.Add(1))
+			if n > len(tc.words) {
+				w.WriteHeader(http.StatusNotFound)
+				return
+			}
+			_, _ = fmt.Fprintf(w, `{"state":%q}`, tc.words[n-1])
+		})
+		rig := newRig(t, address)
+		resp, _ := do(t, rig.confirm("k", "{}"))
+		wantKind(t, "broken", resp, errkind.BackendLost)
+		for resp.Header.Get(HeaderErrorKind) != string(tc.want) {
+			time.Sleep(20 * time.Millisecond) // bounded by the test's own timeout
+			resp, _ = do(t, rig.confirm("k", "{}"))
+			if k := errkind.Kind(resp.Header.Get(HeaderErrorKind)); k != errkind.InProgress && k != tc.want {
+				t.Fatalf("while it is asked: told %q, want %q", k, tc.want)
+			}
+		}
+		if rig.d.metrics.attempts.Count() != 1 {
+			t.Errorf("%d attempts", rig.d.metrics.attempts.Count())
+		}
+	}
+}
