Measure bytes at the rates of change; look for fresh news less often

Change: a source without fresh news rests 2 s at most, as one that failed; the benchmark's control confirms each second, as the real one does.

--- a/internal/distribution/bench_test.go
+++ b/internal/distribution/bench_test.go
@@ -1,6 +1,7 @@
 package distribution
 
 import (
+	"context"
 	"fmt"
 	"runtime"
 	"sort"
@@ -84,9 +85,26 @@
 		f.watchers = append(f.watchers, f.start(b, o))
 	}
 	f.await(b, nodes)
+	go f.confirm(b.Context())
 	return f
 }
 
+// confirm gives the controls the word of a quorum each second, as control does.
+func (f *fleet) confirm(ctx context.Context) {
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case at := <-tick.C:
+			for _, r := range f.controls {
+				r.Confirm(at)
+			}
+		}
+	}
+}
+
 func (f *fleet) start(b *testing.B, o Options) *Watcher {
 	w := start(b, o)
 	f.dialers = append(f.dialers, w.opts.Dialer)
@@ -169,6 +187,20 @@
 		}
 		b.ReportMetric(float64(total(f)-before)/nodes/time.Since(start).Seconds(), "B/node/s")
 	})
+	for _, perDay := range []int{5200, 52000} {
+		b.Run(fmt.Sprintf("changes-a-day=%d", perDay), func(b *testing.B) {
+			set := workspaces(b, 10)
+			f := newFleet(b, nodes, set)
+			before, start := total(f), time.Now()
+			for b.Loop() {
+				set = nextOf(b, set)
+				f.publish(b, set)
+				f.await(b, nodes)
+				time.Sleep(24 * time.Hour / time.Duration(perDay))
+			}
+			b.ReportMetric(float64(total(f)-before)/nodes/time.Since(start).Seconds(), "B/node/s")
+		})
+	}
 	b.Run("change", func(b *testing.B) {
 		set := workspaces(b, 10)
 		f := newFleet(b, nodes, set)
--- a/internal/distribution/core_test.go
+++ b/internal/distribution/core_test.go
@@ -199,3 +199,27 @@
 		t.Error("a source that served well is not given out again")
 	}
 }
+
+func TestMessagesThatWaitedThroughAPauseAreDropped(t *testing.T) {
+	w := NewWatcher(Options{Node: "n", Sources: []string{"a"}})
+	var ended []error
+	open := func() *streamHandle {
+		h := &streamHandle{source: "a", cancel: func(err error) { ended = append(ended, err) }}
+		w.handle(event{stream: h}, begin)
+		return h
+	}
+	old := open()
+	w.dropStreams()
+	w.handle(event{stream: old, update: fullOf(t, history(t, 1, 3)[2], 0)}, begin)
+	if w.Current() != nil || len(ended) != 2 {
+		t.Fatalf("a message from before the pause counted; ended: %v", ended)
+	}
+	w.handle(event{stream: open(), update: fullOf(t, history(t, 1, 3)[2], 0)}, begin)
+	if w.Current() == nil {
+		t.Error("a message of the stream opened after the pause does not count")
+	}
+	w.handle(event{stream: old, update: fullOf(t, history(t, 1, 9)[8], 0)}, begin)
+	if w.Declared().Revision.Number != 3 {
+		t.Error("a message of a stream that was replaced counted")
+	}
+}
--- a/internal/distribution/stream.go
+++ b/internal/distribution/stream.go
@@ -50,7 +50,7 @@
 	switch {
 	case err == nil || errors.Is(err, errResync):
 		return 0
-	case errkind.Is(err, errkind.NotReady):
+	case errkind.Is(err, errkind.NotReady) && !errors.Is(err, errStale):
 		return emptyBackoff
 	}
 	return maxBackoff
