--- a/internal/grantor/client.go
+++ b/internal/grantor/client.go
@@ -40,6 +40,8 @@
 // running for asks to be answered. It is safe for concurrent use.
 type Client struct {
 	options ClientOptions
+	clock   *clock
+	pauses  pauseWatch
 	mu      sync.RWMutex
 	links   map[string]*link
 }
@@ -49,13 +51,14 @@
 	if o.Log == nil {
 		o.Log = hclog.NewNullLogger()
 	}
-	return &Client{options: o, links: map[string]*link{}}
+	return &Client{options: o, clock: newClock(time.Now()), links: map[string]*link{}}
 }
 
 // Run keeps the sessions until ctx ends.
 func (c *Client) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
 	defer wg.Wait()
+	wg.Go(func() { c.watch(ctx) })
 	ticker := time.NewTicker(reconcileEvery)
 	defer ticker.Stop()
 	cancels := map[string]context.CancelFunc{}
@@ -69,6 +72,19 @@
 	}
 }
 
+// watch notes pauses of the process.
+func (c *Client) watch(ctx context.Context) {
+	ticker := time.NewTicker(watchEvery)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		c.pauses.tick(c.clock.now())
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+}
+
 // reconcile starts links of declared data centres and ends those of others.
 func (c *Client) reconcile(ctx context.Context, wg *sync.WaitGroup, cancels map[string]context.CancelFunc) {
 	set := c.options.Config()
@@ -113,10 +129,12 @@
 }
 
 // Announce passes on what a backend server said of itself, and keeps it for a
-// new grantor. The announcement must not be changed afterwards.
+// new grantor. Its load figures count as older if it may have waited through a
+// pause of this process. The announcement must not be changed afterwards.
 func (c *Client) Announce(dataCentre string, a *grantpb.Announcement) {
+	waited := c.pauses.waited(c.clock.now())
 	if l := c.link(dataCentre); l != nil {
-		l.announce(a)
+		l.announce(a, waited)
 	}
 }
 
--- a/internal/grantor/link.go
+++ b/internal/grantor/link.go
@@ -54,7 +54,9 @@
 type keptAnnounce struct {
 	announcement *grantpb.Announcement
 	received     time.Time
-	readySince   time.Time
+	// waited is how long it may have waited before it was received.
+	waited     time.Duration
+	readySince time.Time
 }
 
 func newLink(o ClientOptions, dataCentre string) *link {
@@ -154,7 +156,7 @@
 }
 
 // announce keeps an announcement and passes it on.
-func (l *link) announce(a *grantpb.Announcement) {
+func (l *link) announce(a *grantpb.Announcement, waited time.Duration) {
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -169,14 +171,14 @@
 	case k.readySince.IsZero():
 		k.readySince = now
 	}
-	k.announcement, k.received = a, now
+	k.announcement, k.received, k.waited = a, now, waited
 	l.enqueue(&grantpb.RouterMessage{Kind: &grantpb.RouterMessage_Announcement{Announcement: k.replay(now)}})
 }
 
 // replay returns the announcement as of now.
 func (k *keptAnnounce) replay(now time.Time) *grantpb.Announcement {
 	a := proto.CloneOf(k.announcement)
-	a.MeasuredMsAgo += milliseconds(now.Sub(k.received))
+	a.MeasuredMsAgo += milliseconds(now.Sub(k.received) + k.waited)
 	if !k.readySince.IsZero() {
 		a.ReadyMs = max(a.ReadyMs, uint64(now.Sub(k.readySince).Milliseconds()))
 	}
