--- a/internal/admission/core_test.go
+++ b/internal/admission/core_test.go
@@ -335,6 +335,62 @@
 	}
 }
 
+func TestOverrideOutlivesItsGrantor(t *testing.T) {
+	b := newBench(2, 4)
+	b.core.Override(b.now, Override{Target: "backendServer/e0", Out: true, StampMS: 10})
+	b.core.Override(b.now, Override{Target: "backendServer/e0", StampMS: 9}) // late
+	for range 4 {
+		if e := b.ask("w", 5, 0); e.Server != "e1" {
+			t.Fatalf("got %+v while e0 is out", e)
+		}
+	}
+	next := newBench(2, 4)
+	hello := &grantpb.Hello{Router: "r2"}
+	for _, o := range b.core.Overrides() {
+		hello.Overrides = append(hello.Overrides, &grantpb.LocalOverride{Target: o.Target, Out: o.Out, StampMs: o.StampMS})
+	}
+	next.core.Open(next.now, 2, hello)
+	if e := next.ask("w", 5, 0); e.Server != "e1" {
+		t.Fatalf("the next grantor gave %+v while e0 is out", e)
+	}
+	next.core.Override(next.now, Override{Target: "dataCentre/dc", Out: true, StampMS: 11})
+	if e := next.ask("w", 5, time.Second); e.ErrorKind != errkind.DataCentreOut {
+		t.Fatalf("got %+v while the data centre is out", e)
+	}
+}
+
+func TestResumeAndExclusion(t *testing.T) {
+	b := newBench(2, 1)
+	a := &grantpb.Ask{AskId: 1, Service: "s", Workspace: "w", Excluded: []string{"e0"}, RunMs: 1000}
+	b.core.Ask(b.now, 1, a)
+	if e := b.one(); e.Server != "e1" {
+		t.Fatalf("got %+v with e0 excluded", e)
+	}
+	b.seq++
+	leaving := b.announcement("e0", 1)
+	leaving.State = grantpb.ServerState_SERVER_STATE_LEAVING
+	b.core.Announce(b.now, leaving)
+	if e := b.ask("w", 5, 0); e.Kind != Refused {
+		t.Fatalf("new work got %+v with e0 leaving and e1 full", e)
+	}
+	b.core.Ask(b.now, 1, &grantpb.Ask{AskId: 90, Service: "s", Workspace: "w", Server: "e0"})
+	if e := b.one(); e.Kind != Granted || e.Server != "e0" {
+		t.Fatalf("the rest of a stream at a leaving server got %+v", e)
+	}
+	b.core.Ask(b.now, 1, &grantpb.Ask{AskId: 91, Service: "s", Workspace: "w", Server: "e0"})
+	if e := b.one(); e.Kind != Refused {
+		t.Fatalf("a second place of one got %+v", e)
+	}
+}
+
+func TestHoldDownGrowsToItsMost(t *testing.T) {
+	for n, want := range map[int]time.Duration{1: 5 * time.Second, 2: 10 * time.Second, 5: 80 * time.Second, 6: 2 * time.Minute, 100: 2 * time.Minute} {
+		if got := holdDown(n); got != want {
+			t.Errorf("return %d in excess is held down for %v, want %v", n, got, want)
+		}
+	}
+}
+
 func BenchmarkDecision(b *testing.B) {
 	for _, n := range []int{20, 300} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
--- a/internal/admission/permit.go
+++ b/internal/admission/permit.go
@@ -128,9 +128,13 @@
 	pm := &c.permits[i]
 	id := (pm.id>>slotBits+1)<<slotBits | uint64(i)
 	wait := now - enqueued
+	run := time.Duration(a.RunMs) * time.Millisecond
+	if run == 0 {
+		run = p.service.maxRun
+	}
 	*pm = permit{
 		id: id, term: c.term, session: session, server: server, pool: p, tenant: t, workspace: t.workspace,
-		grantedAt: now, deadline: now + time.Duration(a.RunMs)*time.Millisecond + c.options.StartWindow + c.options.Margin,
+		grantedAt: now, deadline: now + run + c.options.StartWindow + c.options.Margin,
 	}
 	c.occupy(i)
 	c.granted++
--- a/internal/admission/server.go
+++ b/internal/admission/server.go
@@ -190,10 +190,19 @@
 	s.lastReturn = now
 	s.flaps++
 	if s.flaps > flapsAllowed {
-		s.heldUntil = now + min(firstHoldDown<<(s.flaps-flapsAllowed-1), maxHoldDown)
+		s.heldUntil = now + holdDown(s.flaps-flapsAllowed)
 	}
 }
 
+// holdDown returns how long the nth return in excess is held down.
+func holdDown(n int) time.Duration {
+	d := firstHoldDown
+	for i := 1; i < n && d < maxHoldDown; i++ {
+		d *= 2
+	}
+	return min(d, maxHoldDown)
+}
+
 // declare takes over what operators declared of the server.
 func (s *server) declare(c *Core) {
 	s.declaredOut, s.declaredLimit = c.overridden("backendServer/"+s.name), 0
--- a/internal/grantor/grantor_test.go
+++ b/internal/grantor/grantor_test.go
@@ -208,6 +208,10 @@
 	if err := <-gone; !errkind.Is(err, errkind.ClientGone) && !errkind.Is(err, errkind.DeadlineUnmeetable) {
 		t.Errorf("a cancelled ask got %v", err)
 	}
+	holder := f.servers[0]
+	if _, err := holder.Override(context.Background(), &grantpb.OverrideRequest{Target: "engine", Out: true}); !errkind.Is(err, errkind.BadRequest) {
+		t.Errorf("an override without a kind got %v", err)
+	}
 	p.startBy = time.Now()
 	if err := p.Started(); !errkind.Is(err, errkind.NoGrantor) {
 		t.Errorf("a permit was started after its window: %v", err)
--- a/internal/grantor/session.go
+++ b/internal/grantor/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -217,6 +218,10 @@
 // the control group. It lasts until the opposite override: routers remember it
 // for the next grantor.
 func (s *Server) Override(ctx context.Context, r *grantpb.OverrideRequest) (*grantpb.OverrideResponse, error) {
+	server, isServer := strings.CutPrefix(r.Target, "backendServer/")
+	if r.Target != "dataCentre/"+s.options.DataCentre && (!isServer || server == "") {
+		return nil, errkind.New(errkind.BadRequest, "target %q is neither dataCentre/%s nor backendServer/<name>", r.Target, s.options.DataCentre)
+	}
 	var err error
 	stamp := uint64(time.Now().UnixMilli())
 	if e := s.do(ctx, func() {
