Keep the last places from surges alone; look at one server per announcement

Cause: the reserve held back large workspaces that did not surge, where the fleet was full; each announcement looked at every server again. Change: a workspace yields with three times its usual load and an even part; an announcement recounts its own pools if its limit has changed. Pools that share a rescued server are recounted as well.

--- a/internal/admission/core_test.go
+++ b/internal/admission/core_test.go
@@ -412,6 +412,19 @@
 	}
 }
 
+func BenchmarkAnnounce300(b *testing.B) {
+	x := newBench(300, 16)
+	for _, model := range []string{"", "a", "b", "c", "d", "e", "f", "g", "h"} {
+		x.core.poolOf("s", model)
+	}
+	a := x.announcement("e7", 16)
+	b.ReportAllocs()
+	for range b.N {
+		a.Sequence++
+		x.core.Announce(x.now, a)
+	}
+}
+
 func BenchmarkAskToResult(b *testing.B) {
 	x := newBench(300, 16)
 	a := &grantpb.Ask{Service: "s", Workspace: "w", RunMs: 60000}
--- a/internal/admission/server.go
+++ b/internal/admission/server.go
@@ -100,7 +100,7 @@
 	if membership {
 		c.gatherAll()
 	}
-	c.refresh(now)
+	c.refreshServer(now, i)
 	c.pumpServer(now, i)
 }
 
@@ -221,10 +221,31 @@
 		c.hot[i].limit, c.hot[i].warm = c.limit(now, s)
 	}
 	for _, p := range c.poolOrder {
-		p.recount(c)
-		if p.usable == 0 && c.rescue(now, p) {
-			p.recount(c)
-		}
+		c.recount(now, p)
+	}
+}
+
+// refreshServer does the same for one server, if anything about it has changed.
+func (c *Core) refreshServer(now Instant, i int32) {
+	s, h := c.servers[i], &c.hot[i]
+	limit, warm := c.limit(now, s)
+	if limit == h.limit && warm == h.warm {
+		return
+	}
+	h.limit, h.warm = limit, warm
+	for _, p := range s.pools {
+		c.recount(now, p)
+	}
+}
+
+func (c *Core) recount(now Instant, p *pool) {
+	p.recount(c)
+	if p.usable > 0 || !c.rescue(now, p) {
+		return
+	}
+	// The servers may be members of other pools, too.
+	for _, other := range c.poolOrder {
+		other.recount(c)
 	}
 }
 
--- a/internal/admission/tenant.go
+++ b/internal/admission/tenant.go
@@ -10,6 +10,10 @@
 const (
 	// loadSmoothing is the part of a new sample in a workspace's smoothed load.
 	loadSmoothing = 0.2
+	// usualSmoothing is the same for the load over a long time, about half an hour.
+	usualSmoothing = 0.0005
+	// surgeFactor is how many times its usual load a workspace has in a surge.
+	surgeFactor = 3
 	// growAt and shrinkAt are the parts of a subset's places at which it grows
 	// or shrinks; the distance is the hysteresis.
 	growAt   = 1.0
@@ -36,6 +40,9 @@
 	workspace *workspace
 	live      int
 	load      float64
+	// usual is the load over a long time, from so many samples.
+	usual   float64
+	samples int
 	// size is the number of servers in the workspace's subset.
 	size int
 	// subset has a bit for each server in the workspace's subset; nil is all.
@@ -68,10 +75,10 @@
 const reservePart = 32
 
 // mustYield reports whether the last places are not for this workspace, since
-// it has an even part of them already.
+// it surges and has an even part of them already.
 func (t *tenant) mustYield() bool {
 	p := t.pool
-	if p.active <= 1 || p.places-p.live > p.places/reservePart {
+	if p.active <= 1 || t.load <= surgeFactor*t.usual || p.places-p.live > p.places/reservePart {
 		return false
 	}
 	return (t.live+1)*p.active > p.places
@@ -142,6 +149,8 @@
 	places := p.placesPerServer()
 	for name, t := range p.tenants {
 		t.load += loadSmoothing * (float64(t.live+t.queued) - t.load)
+		t.samples++
+		t.usual += max(usualSmoothing, 1/float64(t.samples)) * (t.load - t.usual)
 		if t.live == 0 && t.queued == 0 && t.load < idleLoad {
 			c.forget(p, name, t)
 			continue
