--- a/internal/grantor/client.go
+++ b/internal/grantor/client.go
@@ -40,8 +40,8 @@
 // running for asks to be answered. It is safe for concurrent use.
 type Client struct {
 	options ClientOptions
-	clock   *clock
-	pauses  pauseWatch
+	start   time.Time
+	waits   waitWatch
 	mu      sync.RWMutex
 	links   map[string]*link
 }
@@ -51,7 +51,7 @@
 	if o.Log == nil {
 		o.Log = hclog.NewNullLogger()
 	}
-	return &Client{options: o, clock: newClock(time.Now()), links: map[string]*link{}}
+	return &Client{options: o, start: time.Now(), links: map[string]*link{}}
 }
 
 // Run keeps the sessions until ctx ends.
@@ -77,7 +77,7 @@
 	ticker := time.NewTicker(watchEvery)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
-		c.pauses.tick(c.clock.now())
+		c.waits.tick(passed(c.start, time.Now()))
 		select {
 		case <-ctx.Done():
 		case <-ticker.C:
@@ -132,7 +132,7 @@
 // new grantor. Its load figures count as older if it may have waited through a
 // pause of this process. The announcement must not be changed afterwards.
 func (c *Client) Announce(dataCentre string, a *grantpb.Announcement) {
-	waited := c.pauses.waited(c.clock.now())
+	waited := c.waits.waited(passed(c.start, time.Now()))
 	if l := c.link(dataCentre); l != nil {
 		l.announce(a, waited)
 	}
--- a/internal/grantor/server.go
+++ b/internal/grantor/server.go
@@ -51,7 +51,7 @@
 // places. Register it for both drpc services. Run must be running.
 type Server struct {
 	options ServerOptions
-	clock   *clock
+	start   time.Time
 	events  chan event
 	voters  voters
 	holds   atomic.Bool
@@ -84,7 +84,7 @@
 	}
 	seed := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &Server{
-		options: o, clock: newClock(time.Now()),
+		options: o, start: time.Now(),
 		events:    make(chan event, eventLimit),
 		voters:    voters{byDataCentre: map[string]*lease.Voter{}, maxLease: o.Lease.Lease},
 		candidate: lease.NewCandidate(o.Lease, o.Name, o.Incarnation, o.Address, seed),
@@ -92,8 +92,8 @@
 	}
 }
 
-// now returns the time by which the lease is held.
-func (s *Server) now() admission.Instant { return s.clock.now() }
+// now returns the time since the start, on the monotonic clock.
+func (s *Server) now() admission.Instant { return time.Since(s.start) }
 
 // Holds reports whether this process held the lease at the last event.
 func (s *Server) Holds() bool { return s.holds.Load() }
--- a/internal/grantor/votes.go
+++ b/internal/grantor/votes.go
@@ -51,14 +51,14 @@
 func (s *Server) vote(dataCentre string, r lease.Request) lease.Response {
 	s.voters.mu.Lock()
 	defer s.voters.mu.Unlock()
-	return s.voters.of(dataCentre).Vote(s.clock.monotonic(), r)
+	return s.voters.of(dataCentre).Vote(s.now(), r)
 }
 
 // Release frees this process's vote.
 func (s *Server) Release(_ context.Context, r *grantpb.ReleaseRequest) (*grantpb.ReleaseResponse, error) {
 	s.voters.mu.Lock()
 	defer s.voters.mu.Unlock()
-	s.voters.of(r.DataCentre).Release(s.clock.monotonic(), r.Candidate, r.CandidateIncarnation, r.Term)
+	s.voters.of(r.DataCentre).Release(s.now(), r.Candidate, r.CandidateIncarnation, r.Term)
 	return &grantpb.ReleaseResponse{}, nil
 }
 
