Shorten repeated announcements between routers and grantors

Change: on a session, an announcement that differs from the last full one of its server in load figures only goes as a brief.

--- a/internal/grantor/connect.go
+++ b/internal/grantor/connect.go
@@ -118,12 +118,13 @@
 // write sends what is queued until the session ends.
 func (l *link) write(ctx context.Context, cancel func(), stream grantpb.DRPCGrantor_SessionClient, outgoing <-chan *grantpb.RouterMessage) {
 	defer cancel()
+	briefs := newBriefWriter()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case m := <-outgoing:
-			if stream.Send(m) != nil {
+			if stream.Send(briefs.shorten(m)) != nil {
 				return
 			}
 		}
--- a/internal/grantor/session.go
+++ b/internal/grantor/session.go
@@ -70,11 +70,15 @@
 // read passes the router's messages to the control goroutine.
 func (s *Server) read(ctx context.Context, stream grantpb.DRPCGrantor_SessionStream, session *serverSession) {
 	defer session.end()
+	briefs := newBriefReader()
 	for {
 		m, err := stream.Recv()
 		if err != nil {
 			return
 		}
+		if m = briefs.restore(m); m == nil {
+			return // a session that lost a message cannot be trusted
+		}
 		if s.put(ctx, event{session: session.id, message: m}) != nil {
 			return
 		}
