Age the news of a VM that was suspended

Cause: the monotonic clock stands still while a VM is suspended, so after it the news passed for fresh until the next keepalive. Change: a pause is seen by the wall clock as well; the news is made older by what the monotonic clock did not show. A step of the wall clock has the same effect, until the next keepalive.

--- a/internal/distribution/core.go
+++ b/internal/distribution/core.go
@@ -159,6 +159,13 @@
 	return true
 }
 
+// age makes the news older by a time that the clock has not shown.
+func (c *core) age(d time.Duration) {
+	if d > 0 && !c.confirmed.IsZero() {
+		c.confirmed = c.confirmed.Add(-d)
+	}
+}
+
 // isolated reports whether the news is older than the bound.
 func (c *core) isolated(now time.Time) bool { return isolatedAt(c.confirmed, c.bound, now) }
 
--- a/internal/distribution/core_test.go
+++ b/internal/distribution/core_test.go
@@ -223,3 +223,22 @@
 		t.Error("a message of a stream that was replaced counted")
 	}
 }
+
+func TestASuspendedVMsNewsIsOld(t *testing.T) {
+	last := time.Now()
+	// A moment whose wall clock has gone on by a minute, its monotonic one by 100 ms.
+	suspended := last.Add(100 * time.Millisecond)
+	wall := last.Round(0).Add(time.Minute)
+	if got := pauseBetween(last, suspended); got != 100*time.Millisecond {
+		t.Errorf("without a pause: %v", got)
+	}
+	if got := pauseBetween(last.Round(0), wall); got != time.Minute {
+		t.Errorf("a suspended minute counts as %v", got)
+	}
+	c := newCore(testBound, time.Second, 1, begin)
+	c.receive("a", fullOf(t, history(t, 1, 3)[2], 0), begin)
+	c.age(time.Minute - 100*time.Millisecond)
+	if !c.isolated(begin.Add(100 * time.Millisecond)) {
+		t.Error("news from before a suspended minute counts as fresh")
+	}
+}
--- a/internal/distribution/watcher.go
+++ b/internal/distribution/watcher.go
@@ -191,16 +191,18 @@
 		case <-ctx.Done():
 			return
 		case e := <-w.events:
-			if now := time.Now(); now.Sub(last) <= pauseLimit {
-				w.handle(e, now)
-			} else {
+			if now := time.Now(); pauseBetween(last, now) > pauseLimit {
 				e.stream.cancel(errResync)
+			} else {
+				w.handle(e, now)
 			}
 		case <-tick.C:
 		}
 		now := time.Now()
-		if now.Sub(last) > pauseLimit {
-			w.opts.Log.Warn("process was paused; asking all sources again", "pause", now.Sub(last))
+		if pause := pauseBetween(last, now); pause > pauseLimit {
+			w.opts.Log.Warn("process was paused; asking all sources again", "pause", pause)
+			w.core.age(pause - now.Sub(last))
+			w.storeConfirmed()
 			w.dropStreams()
 		}
 		last = now
@@ -215,6 +217,20 @@
 	}
 }
 
+// pauseBetween returns the time between two moments, which has to be short. The
+// wall clock counts besides the monotonic one, since the latter stands still
+// while a VM is suspended.
+func pauseBetween(last, now time.Time) time.Duration {
+	return max(now.Sub(last), now.Round(0).Sub(last.Round(0)))
+}
+
+// storeConfirmed makes the moment of the last confirmation visible to Isolated.
+func (w *Watcher) storeConfirmed() {
+	if at := w.core.confirmed; !at.IsZero() {
+		w.confirmed.Store(&at)
+	}
+}
+
 // dropStreams ends all streams, because what they hold may have waited for long
 // and its age can't be told.
 func (w *Watcher) dropStreams() {
@@ -244,10 +260,9 @@
 		w.publish()
 	}
 	if fx.confirmed {
-		at := w.core.confirmed
-		w.confirmed.Store(&at)
+		w.storeConfirmed()
 		if w.opts.Relay != nil {
-			w.opts.Relay.Confirm(at)
+			w.opts.Relay.Confirm(w.core.confirmed)
 		}
 	}
 	if reason := fx.endsStream(); reason != nil {
