--- a/internal/router/main.go
+++ b/internal/router/main.go
@@ -17,6 +17,10 @@
 	if standalone {
 		start = runStandalone
 	}
+	if path == "" {
+		fmt.Fprintln(stderr, "kqrouter: name the settings with --config; see --help")
+		return errkind.ExitUsage
+	}
 	code, err := start(path, signals)
 	if err != nil {
 		fmt.Fprintln(stderr, "kqrouter:", err)
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -266,6 +266,7 @@
 	for _, tc := range []struct{ name, text, want string }{
 		{"empty", "name: r", "dataCentre"},
 		{"unknown field", "name: r\nnope: 1", "nope"},
+		{"all at once", "name: r\ncontrol: [c1]\nlisten: {callers: 'x:1', admin: y}", `dataCentre is missing; listen.callers must be IP:port, not "x:1"; listen.announce must be IP:port, not ""; listen.fleet must be IP:port, not ""; listen.admin must be IP:port, not "y"; control must be IP:port, not "c1"`},
 		{"address", "name: r\ndataCentre: a\ncontrol: [127.0.0.1:1]\nlisten: {callers: localhost:1}", "listen.callers"},
 		{"control", "name: r\ndataCentre: a\nlisten: {callers: '127.0.0.1:1'}", "control"},
 	} {
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -1,7 +1,9 @@
 package router
 
 import (
+	"fmt"
 	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/kumquathollow/kumquathollow/internal/config"
@@ -99,29 +101,48 @@
 	return &s, nil
 }
 
+// check lists all faults at once.
 func (s *Settings) check() error {
-	if s.Name == "" || s.DataCentre == "" {
-		return errkind.New(errkind.InvalidSettings, "name and dataCentre are needed")
+	var faults []string
+	if s.Name == "" {
+		faults = append(faults, "name is missing")
+	}
+	if s.DataCentre == "" {
+		faults = append(faults, "dataCentre is missing")
 	}
 	if len(s.Control) == 0 {
-		return errkind.New(errkind.InvalidSettings, "control must list the fleet addresses of the control processes")
+		faults = append(faults, "control must list the fleet addresses of the control processes")
+	}
+	for _, f := range s.addresses() {
+		if _, err := netip.ParseAddrPort(f.address); err != nil {
+			faults = append(faults, fmt.Sprintf("%s must be IP:port, not %q", f.field, f.address))
+		}
 	}
-	for _, f := range []struct{ field, address string }{
+	if len(faults) > 0 {
+		return errkind.New(errkind.InvalidSettings, "%s", strings.Join(faults, "; "))
+	}
+	return nil
+}
+
+type addressField struct{ field, address string }
+
+func (s *Settings) addresses() []addressField {
+	out := []addressField{
 		{"listen.callers", s.Listen.Callers},
 		{"listen.announce", s.Listen.Announce},
 		{"listen.fleet", s.Listen.Fleet},
 		{"listen.admin", s.Listen.Admin},
-	} {
-		if _, err := netip.ParseAddrPort(f.address); err != nil {
-			return errkind.New(errkind.InvalidSettings, "%s must be IP:port, not %q", f.field, f.address)
-		}
 	}
-	for _, address := range append(append([]string{}, s.Control...), s.Relays...) {
-		if _, err := netip.ParseAddrPort(address); err != nil {
-			return errkind.New(errkind.InvalidSettings, "%q in control or relays must be IP:port", address)
-		}
+	if s.FleetAddress != "" {
+		out = append(out, addressField{"fleetAddress", s.FleetAddress})
 	}
-	return nil
+	for _, a := range s.Control {
+		out = append(out, addressField{"control", a})
+	}
+	for _, a := range s.Relays {
+		out = append(out, addressField{"relays", a})
+	}
+	return out
 }
 
 func (s *Settings) setDefaults() {
