Pass over workspaces at their limit without counting them as blocked

Cause: more than eight lines of workspaces at their limit hid the others behind them, so a free place stayed empty. A test with twelve fails before. Change: such lines are passed over.

--- a/internal/admission/ask.go
+++ b/internal/admission/ask.go
@@ -210,10 +210,14 @@
 }
 
 // firstFit grants the first line's head that fits. Lines whose heads do not fit
-// are passed over in the heap's order, at most maxBlocked of them.
+// are passed over in the heap's order, at most maxBlocked of them, besides those
+// of workspaces at their limit.
 func (c *Core) firstFit(now Instant, p *pool, lv *level, blocked *int) *waiter {
 	for i := 0; i < len(lv.lines) && *blocked < maxBlocked; i++ {
 		w := lv.lines[i].head
+		if w.tenant.workspace.full() {
+			continue
+		}
 		if c.tryGrant(now, p, w.tenant, w.session, w.ask, w.enqueued) {
 			return w
 		}
--- a/internal/admission/core_test.go
+++ b/internal/admission/core_test.go
@@ -359,6 +359,28 @@
 	}
 }
 
+func TestFullWorkspacesDoNotBlockTheQueue(t *testing.T) {
+	b := newBench(1, 12)
+	for i := range 12 {
+		b.sets.Workspaces[fmt.Sprint("full", i)] = &config.Workspace{MaxInFlight: 1}
+	}
+	first := b.ask("other", 5, 0)
+	for b.ask("filler", 5, 0).Kind == Granted {
+		continue
+	}
+	for i := range 12 {
+		b.send(fmt.Sprint("full", i), 5, time.Hour)
+	}
+	b.send("other", 5, time.Hour)
+	for name := range b.sets.Workspaces {
+		b.core.workspaces[name].live++ // each got its place elsewhere meanwhile
+	}
+	b.end(first.Permit, grantpb.Outcome_OUTCOME_COMPLETED)
+	if e := b.one(); e == nil || e.AskID != b.asks {
+		t.Fatalf("the place went to %+v, want the one workspace below its limit", e)
+	}
+}
+
 func TestResumeAndExclusion(t *testing.T) {
 	b := newBench(2, 1)
 	a := &grantpb.Ask{AskId: 1, Service: "s", Workspace: "w", Excluded: []string{"e0"}, RunMs: 1000}
