--- a/internal/replication/schedule_test.go
+++ b/internal/replication/schedule_test.go
@@ -9,7 +9,7 @@
 
 // Flags to run more schedules, or one again: -schedules 1 -first-seed N.
 var (
-	schedules = flag.Int("schedules", 2000, "schedules of each kind")
+	schedules = flag.Int("schedules", 3000, "schedules of each kind")
 	firstSeed = flag.Int("first-seed", 0, "seed of the first schedule")
 )
 
