--- a/internal/capacity/probe_grantor.go
+++ b/internal/capacity/probe_grantor.go
@@ -19,8 +19,9 @@
 	tenure          = 1000 * time.Hour
 	// asksPerRound is how many requests a timed step plays.
 	asksPerRound = 2000
-	// ticksPerRound looks are timed together; tickStep makes each one due.
-	ticksPerRound = 5
+	// ticksPerRound looks are timed together; tickStep makes each one due. All
+	// rounds together stay within the time after which servers count as silent.
+	ticksPerRound = 3
 	tickStep      = 100 * time.Millisecond
 )
 
