Ask another data centre while a grantor's tenure opens

Cause: after a change of grantor, which a graceful restart of its router brings too, the new one grants nothing until it knows what runs, about 2 s; asks of the chats at home there waited for it although other data centres had places. Ruled out: the lease itself passes in 30 ms. Change: an ask says whether its router has another data centre; if so the opening grantor refuses at once, and the router waits for it only after the others have refused.

--- a/internal/admission/ask.go
+++ b/internal/admission/ask.go
@@ -40,6 +40,10 @@
 		c.refuse(session, a.AskId, errkind.NoBackend, noBackendWait, "no backend server of the service takes work")
 		return
 	}
+	if p.usable == 0 && a.NotWhileOpening {
+		c.refuse(session, a.AskId, errkind.NoGrantor, noBackendWait, "the tenure has begun and what runs is not known yet")
+		return
+	}
 	if p.queue.count == 0 && c.tryGrant(now, p, t, session, a, now) {
 		return
 	}
--- a/internal/admission/core_test.go
+++ b/internal/admission/core_test.go
@@ -460,3 +460,27 @@
 		x.core.Result(x.now, 1, r)
 	}
 }
+
+// TestOpeningTenureRefusesThoseWhoHaveAnother: while a new tenure does not know
+// what runs, an ask waits unless it says that another data centre may help.
+func TestOpeningTenureRefusesThoseWhoHaveAnother(t *testing.T) {
+	b := newBench(0, 0)
+	b.names = []string{"e0", "e1"}
+	ask := func(id uint64, elsewhere bool) *Effect {
+		b.core.Ask(b.now, 1, &grantpb.Ask{AskId: id, Service: "s", Workspace: "w", WaitMs: 60000, RunMs: 60000, NotWhileOpening: elsewhere})
+		return b.one()
+	}
+	if e := ask(1, true); e == nil || e.Kind != Refused || e.ErrorKind != errkind.NoGrantor {
+		t.Fatalf("an ask with another data centre got %+v", e)
+	}
+	if e := ask(2, false); e != nil {
+		t.Fatalf("an ask without another got %+v", e)
+	}
+	b.announceAll(8)
+	if e := b.one(); e == nil || e.Kind != Granted || e.AskID != 2 {
+		t.Fatalf("the waiting ask got %+v", e)
+	}
+	if e := ask(3, true); e == nil || e.Kind != Granted {
+		t.Fatalf("after the opening an ask got %+v", e)
+	}
+}
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -124,24 +124,58 @@
 		return nil, "", errkind.New(errkind.DataCentreOut, "no data centre serves %s now", x.q.route.service.Name)
 	}
 	var first error
-	for _, dataCentre := range order {
-		permit, err := x.d.opts.Permits.Ask(x.ctx, dataCentre, x.newAsk(began))
+	var opening []string
+	for i, dataCentre := range order {
+		others := i < len(order)-1
+		permit, err := x.askIn(dataCentre, began, others)
 		if err == nil {
 			return permit, dataCentre, nil
 		}
-		if x.ctx.Err() != nil {
-			return nil, "", x.endedBeforeSending()
+		if !x.mayAskOn(err) {
+			return nil, "", err
 		}
 		if first == nil {
-			first = asRefusal(err)
+			first = err
 		}
-		if !elsewhere(errkind.Of(err)) {
-			return nil, "", asRefusal(err)
+		if others && errkind.Is(err, errkind.NoGrantor) {
+			opening = append(opening, dataCentre)
+		}
+	}
+	// No other could help, so wait for those whose grantor may be new.
+	for _, dataCentre := range opening {
+		permit, err := x.askIn(dataCentre, began, false)
+		if err == nil {
+			return permit, dataCentre, nil
+		}
+		if !x.mayAskOn(err) {
+			return nil, "", err
 		}
 	}
 	return nil, "", first
 }
 
+// mayAskOn reports whether another data centre may be asked after a refusal.
+func (x *exchange) mayAskOn(err error) bool {
+	return x.ctx.Err() == nil && elsewhere(errkind.Of(err))
+}
+
+// askIn asks one data centre. others says that there are more to ask, so that a
+// grantor whose tenure is still opening is not waited for. The error is of a
+// kind that states "not run".
+func (x *exchange) askIn(dataCentre string, began time.Time, others bool) (Permit, error) {
+	a := x.newAsk(began)
+	a.NotWhileOpening = others
+	permit, err := x.d.opts.Permits.Ask(x.ctx, dataCentre, a)
+	switch {
+	case err == nil:
+		return permit, nil
+	case x.ctx.Err() != nil:
+		return nil, x.endedBeforeSending()
+	default:
+		return nil, asRefusal(err)
+	}
+}
+
 func (x *exchange) newAsk(began time.Time) *grantpb.Ask {
 	left := x.deadline.Sub(x.d.opts.Now())
 	wait := min(x.q.route.maxWait-x.d.opts.Now().Sub(began), left)
