--- a/internal/admission/schedule_test.go
+++ b/internal/admission/schedule_test.go
@@ -131,7 +131,7 @@
 // TestSchedules checks every promise at every step of seeded random schedules.
 // KQ_SEEDS sets how many.
 func TestSchedules(t *testing.T) {
-	seeds := uint64(300)
+	seeds := uint64(2000)
 	if more, err := strconv.ParseUint(os.Getenv("KQ_SEEDS"), 10, 64); err == nil {
 		seeds = more
 	}
