Measure time across a suspended VM in one place

Cause: grantor and distribution each had the same function that takes the clock that has gone further. It is clock.Elapsed now; both call it, and the test of it keeps its assertions. A wrapper with one caller in dispatch is gone.

--- a/internal/dispatch/once.go
+++ b/internal/dispatch/once.go
@@ -120,9 +120,6 @@
 	return nil
 }
 
-// keeper starts the kept copy of an answer.
-func (c *heldClaim) keeper(q *request, p []byte) []byte { return c.keep(q, nil, p) }
-
 // keep appends to the kept copy, up to one byte over the limit.
 func (c *heldClaim) keep(q *request, kept, p []byte) []byte {
 	if c == nil {
--- a/internal/dispatch/whole.go
+++ b/internal/dispatch/whole.go
@@ -71,7 +71,7 @@
 // full, is used for the rest as well.
 func (r *run) passOn(resp *http.Response, buf []byte) attemptResult {
 	x := r.x
-	kept := x.claim.keeper(x.q, buf)
+	kept := x.claim.keep(x.q, nil, buf)
 	r.writeHeader(resp, outcomeOf(resp.StatusCode))
 	chunk, total, clientErr := buf, int64(0), error(nil)
 	for {
--- a/internal/distribution/core_test.go
+++ b/internal/distribution/core_test.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/pebble/v2/vfs"
 
 	"github.com/kumquathollow/kumquathollow/api/controlpb"
+	"github.com/kumquathollow/kumquathollow/internal/clock"
 	"github.com/kumquathollow/kumquathollow/internal/config"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 )
@@ -229,10 +230,10 @@
 	// A moment whose wall clock has gone on by a minute, its monotonic one by 100 ms.
 	suspended := last.Add(100 * time.Millisecond)
 	wall := last.Round(0).Add(time.Minute)
-	if got := pauseBetween(last, suspended); got != 100*time.Millisecond {
+	if got := clock.Elapsed(last, suspended); got != 100*time.Millisecond {
 		t.Errorf("without a pause: %v", got)
 	}
-	if got := pauseBetween(last.Round(0), wall); got != time.Minute {
+	if got := clock.Elapsed(last.Round(0), wall); got != time.Minute {
 		t.Errorf("a suspended minute counts as %v", got)
 	}
 	c := newCore(testBound, time.Second, 1, begin)
--- a/internal/distribution/watcher.go
+++ b/internal/distribution/watcher.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/kumquathollow/kumquathollow/api/controlpb"
+	"github.com/kumquathollow/kumquathollow/internal/clock"
 	"github.com/kumquathollow/kumquathollow/internal/config"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/rpc"
@@ -191,7 +192,7 @@
 		case <-ctx.Done():
 			return
 		case e := <-w.events:
-			if now := time.Now(); pauseBetween(last, now) > pauseLimit {
+			if now := time.Now(); clock.Elapsed(last, now) > pauseLimit {
 				e.stream.cancel(errResync)
 			} else {
 				w.handle(e, now)
@@ -199,7 +200,7 @@
 		case <-tick.C:
 		}
 		now := time.Now()
-		if pause := pauseBetween(last, now); pause > pauseLimit {
+		if pause := clock.Elapsed(last, now); pause > pauseLimit {
 			w.opts.Log.Warn("process was paused; asking all sources again", "pause", pause)
 			w.core.age(pause - now.Sub(last))
 			w.storeConfirmed()
@@ -217,13 +218,6 @@
 	}
 }
 
-// pauseBetween returns the time between two moments, which has to be short. The
-// wall clock counts besides the monotonic one, since the latter stands still
-// while a VM is suspended.
-func pauseBetween(last, now time.Time) time.Duration {
-	return max(now.Sub(last), now.Round(0).Sub(last.Round(0)))
-}
-
 // storeConfirmed makes the moment of the last confirmation visible to Isolated.
 func (w *Watcher) storeConfirmed() {
 	if at := w.core.confirmed; !at.IsZero() {
--- a/internal/grantor/client.go
+++ b/internal/grantor/client.go
@@ -8,6 +8,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/kumquathollow/kumquathollow/api/grantpb"
+	"github.com/kumquathollow/kumquathollow/internal/clock"
 	"github.com/kumquathollow/kumquathollow/internal/config"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/rpc"
@@ -77,7 +78,7 @@
 	ticker := time.NewTicker(watchEvery)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
-		c.waits.tick(passed(c.start, time.Now()))
+		c.waits.tick(clock.Elapsed(c.start, time.Now()))
 		select {
 		case <-ctx.Done():
 		case <-ticker.C:
@@ -132,7 +133,7 @@
 // new grantor. Its load figures count as older if it may have waited through a
 // pause of this process. The announcement must not be changed afterwards.
 func (c *Client) Announce(dataCentre string, a *grantpb.Announcement) {
-	waited := c.waits.waited(passed(c.start, time.Now()))
+	waited := c.waits.waited(clock.Elapsed(c.start, time.Now()))
 	if l := c.link(dataCentre); l != nil {
 		l.announce(a, waited)
 	}
--- a/internal/grantor/wait.go
+++ b/internal/grantor/wait.go
@@ -14,12 +14,6 @@
 	afterPause = 500 * time.Millisecond
 )
 
-// passed returns the time since start, by the clock that has gone further: the
-// monotonic one may stand still while the VM is suspended.
-func passed(start, now time.Time) time.Duration {
-	return max(now.Sub(start), now.Round(0).Sub(start.Round(0)))
-}
-
 // waitWatch knows how long a message that is handled now may have waited
 // because the process was paused.
 type waitWatch struct {
