Serve the users' platform: directory, edge router, adapter

Cause: the product spoke only its own interface; nothing on the platform was served. Ruled out: declared lease voters and data-centre grantors for the platform, since its members are unknown and change. Change: api/fleetpb; catalog, publication, inventory, directory (replicated configuration by highest version, members that are not declared), fleetview, placement, backend, forward, httpguard, edge; platform/ translates. Before: no request served.

--- /dev/null
+++ b/internal/directory/hub.go
@@ -0,0 +1,179 @@
+package directory
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/kumquathollow/kumquathollow/api/fleetpb"
+	"github.com/kumquathollow/kumquathollow/internal/inventory"
+)
+
+const (
+	// hubInbox bounds the events that wait for the hub.
+	hubInbox = 1024
+	// refreshInterval is how often routers are told which servers live on. It is
+	// well below the time after which routers give a silent server up.
+	refreshInterval = 300 * time.Millisecond
+	// expireInterval is how often silent servers are looked for.
+	expireInterval = 5 * time.Second
+	// sessionQueue bounds the updates that wait for one router; a router that
+	// takes none is disconnected and starts again.
+	sessionQueue = 64
+)
+
+// hub owns the list of servers and the routers' sessions. One goroutine runs it.
+type hub struct {
+	log   hclog.Logger
+	inbox chan func()
+	now   func() time.Time
+	// spread passes changed announcements to the other directory processes.
+	spread func([]*fleetpb.Announcement)
+
+	table    *inventory.Table
+	dirty    map[string]bool
+	sessions map[*session]bool
+	revision uint64
+	members  []string
+	// leader is true while a leader is heard.
+	leader bool
+}
+
+func newHub(log hclog.Logger, spread func([]*fleetpb.Announcement)) *hub {
+	return &hub{
+		log: log, inbox: make(chan func(), hubInbox), now: time.Now, spread: spread,
+		table: inventory.New(), dirty: map[string]bool{}, sessions: map[*session]bool{},
+	}
+}
+
+func (h *hub) run(ctx context.Context) error {
+	refresh := time.NewTicker(refreshInterval)
+	defer refresh.Stop()
+	expire := time.NewTicker(expireInterval)
+	defer expire.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case f := <-h.inbox:
+			f()
+		case <-refresh.C:
+			h.flush()
+		case <-expire.C:
+			h.table.Expire(h.now())
+		}
+	}
+}
+
+// do runs f on the hub's goroutine and waits for it.
+func (h *hub) do(ctx context.Context, f func()) error {
+	done := make(chan struct{})
+	select {
+	case h.inbox <- func() { f(); close(done) }:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// post hands f to the hub's goroutine without waiting for it.
+func (h *hub) post(ctx context.Context, f func()) {
+	select {
+	case h.inbox <- f:
+	case <-ctx.Done():
+	}
+}
+
+// merge takes an announcement in; first is true if it came from the server itself.
+func (h *hub) merge(s inventory.Server, first bool) {
+	change := h.table.Merge(s)
+	h.took(s.ID, change, first)
+}
+
+func (h *hub) leave(id string, born int64) {
+	_, change := h.table.Leave(id, born, h.now())
+	h.took(id, change, true)
+}
+
+func (h *hub) took(id string, change inventory.Change, first bool) {
+	switch change {
+	case inventory.Stale:
+		return
+	case inventory.Refreshed:
+		h.dirty[id] = true
+		return
+	}
+	s := h.table.Get(id)
+	h.log.Info("server changed", "server", s.ID, "service", s.Service, "address", s.Address, "data-centre", s.DataCentre,
+		"state", s.State.String(), "born", s.Born, "sequence", s.Sequence, "direct", first, "cold", max(0, s.ColdUntil.Sub(h.now())).Round(time.Millisecond))
+	news := []*fleetpb.Announcement{inventory.Encode(s, h.now())}
+	h.broadcast(&fleetpb.FollowUpdate{Announcements: news})
+	delete(h.dirty, id)
+	if first {
+		h.spread(news)
+	}
+}
+
+// flush tells all routers which servers were heard since the last flush.
+func (h *hub) flush() {
+	if len(h.dirty) == 0 {
+		return
+	}
+	u := &fleetpb.FollowUpdate{}
+	for id := range h.dirty {
+		if s := h.table.Get(id); s != nil {
+			u.Announcements = append(u.Announcements, inventory.Encode(s, h.now()))
+		}
+	}
+	clear(h.dirty)
+	h.broadcast(u)
+}
+
+func (h *hub) broadcast(u *fleetpb.FollowUpdate) {
+	u.Revision, u.InQuorum, u.Routers = h.revision, h.leader, uint32(len(h.sessions))
+	for s := range h.sessions {
+		s.push(u)
+	}
+}
+
+// open adds a session and tells it everything.
+func (h *hub) open(s *session) {
+	h.sessions[s] = true
+	u := &fleetpb.FollowUpdate{Revision: h.revision, InQuorum: h.leader, Members: h.members, Routers: uint32(len(h.sessions))}
+	h.table.All(func(sv *inventory.Server) { u.Announcements = append(u.Announcements, inventory.Encode(sv, h.now())) })
+	s.push(u)
+	h.log.Info("router follows", "router", s.router, "routers", len(h.sessions), "servers", len(u.Announcements), "revision", h.revision)
+	h.broadcast(&fleetpb.FollowUpdate{})
+}
+
+func (h *hub) close(s *session) {
+	if h.sessions[s] {
+		delete(h.sessions, s)
+		h.log.Info("router no longer follows", "router", s.router, "routers", len(h.sessions))
+		h.broadcast(&fleetpb.FollowUpdate{})
+	}
+}
+
+// stateChanged tells the routers of a new revision.
+func (h *hub) stateChanged(revision uint64) {
+	if revision != h.revision {
+		h.revision = revision
+		h.broadcast(&fleetpb.FollowUpdate{})
+	}
+}
+
+// groupChanged tells the routers of other members, or of a leader found or lost.
+func (h *hub) groupChanged(members []string, leader bool) {
+	if slices.Equal(members, h.members) && leader == h.leader {
+		return
+	}
+	h.members, h.leader = members, leader
+	h.broadcast(&fleetpb.FollowUpdate{Members: members})
+}
--- /dev/null
+++ b/internal/directory/operations.go
@@ -0,0 +1,171 @@
+package directory
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+	"storj.io/drpc/drpcerr"
+
+	"github.com/kumquathollow/kumquathollow/api/fleetpb"
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/inventory"
+	"github.com/kumquathollow/kumquathollow/internal/publication"
+)
+
+// Publish replicates a checked configuration document. It returns once a
+// majority holds it on disk, or a higher version.
+func (p *Process) Publish(ctx context.Context, version uint64, document []byte) error {
+	began := time.Now()
+	held := p.machine.State().Configuration.GetVersion()
+	packed, err := publication.Compress(document)
+	if err != nil {
+		return errkind.Wrap(err, errkind.Internal, "compress the configuration")
+	}
+	cmd := &fleetpb.Command{Op: &fleetpb.Command_Publish{Publish: &fleetpb.Publish{Version: version, Document: packed}}}
+	revision, err := p.server.change(ctx, cmd)
+	p.told("configuration received", began, err, "version", version, "held-version", held, "bytes", len(document), "revision", revision)
+	return err
+}
+
+// Evacuate takes a data centre's backend servers out, or back.
+func (p *Process) Evacuate(ctx context.Context, dataCentre string, out bool) error {
+	began := time.Now()
+	cmd := &fleetpb.Command{Op: &fleetpb.Command_Evacuate{Evacuate: &fleetpb.Evacuate{DataCentre: dataCentre, Out: out}}}
+	revision, err := p.server.change(ctx, cmd)
+	p.told("evacuation received", began, err, "data-centre", dataCentre, "out", out, "revision", revision)
+	return err
+}
+
+func (p *Process) told(what string, began time.Time, err error, fields ...any) {
+	fields = append(fields, "took", time.Since(began).Round(time.Microsecond))
+	p.metrics.Histogram("directory.change_us").Update(time.Since(began).Microseconds())
+	if err != nil {
+		p.metrics.Counter("directory.changes_failed").Inc(1)
+		p.log.Warn(what, append(fields, "outcome", errkind.Of(err), "error", err)...)
+		return
+	}
+	p.log.Info(what, append(fields, "outcome", "acknowledged")...)
+}
+
+// Configuration returns the newest configuration's document, confirmed by a
+// quorum after the call, or an error of kind not-found if there is none yet.
+func (p *Process) Configuration(ctx context.Context) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, barrierTimeout)
+	defer cancel()
+	newest, err := p.server.barrier(ctx)
+	if err != nil {
+		return nil, err
+	}
+	for {
+		s := p.machine.State()
+		switch {
+		case s.Revision >= newest && s.Configuration == nil:
+			return nil, errkind.New(errkind.NotReady, "no configuration has been accepted yet")
+		case s.Revision >= newest:
+			return publication.Uncompress(s.Configuration.Document)
+		}
+		select {
+		case <-time.After(leaderPoll):
+		case <-ctx.Done():
+			return nil, errkind.New(errkind.NotReady, "this process holds revision %d, the newest is %d", s.Revision, newest)
+		}
+	}
+}
+
+// Announce takes in what a backend server says of itself. It returns once the
+// routers that follow this process have been sent it.
+func (p *Process) Announce(ctx context.Context, s inventory.Server) error {
+	return p.hub.do(ctx, func() { p.hub.merge(s, true) })
+}
+
+// Leave takes in that a backend server is leaving.
+func (p *Process) Leave(ctx context.Context, id string, born int64) error {
+	return p.hub.do(ctx, func() { p.hub.leave(id, born) })
+}
+
+// change replicates a command here or at the leader.
+func (s *server) change(ctx context.Context, cmd *fleetpb.Command) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	address, leading, err := s.findLeader(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if leading {
+		return s.changeHere(ctx, cmd)
+	}
+	conn := s.dialer.Conn(ctx, address)
+	defer conn.Close()
+	resp, err := fleetpb.NewDRPCDirectoryClient(conn).Change(ctx, &fleetpb.ChangeRequest{Command: cmd})
+	if err != nil {
+		return 0, callError(err, errkind.ChangeUnknown)
+	}
+	return resp.Revision, nil
+}
+
+// callError keeps the answering process's word. A connection that broke leaves
+// open what became of the call.
+func callError(err error, broken errkind.Kind) error {
+	var known *errkind.Error
+	if drpcerr.Code(err) != 0 || errors.As(err, &known) {
+		return err
+	}
+	return errkind.Wrap(err, broken, "the connection to the leader broke before its answer")
+}
+
+func (s *server) changeHere(ctx context.Context, cmd *fleetpb.Command) (uint64, error) {
+	data, err := proto.Marshal(cmd)
+	if err != nil {
+		return 0, errkind.Wrap(err, errkind.BadRequest, "encode the change")
+	}
+	out, err := s.group.Propose(ctx, data)
+	if err != nil {
+		return 0, err
+	}
+	r := out.(publication.Result)
+	return r.Revision, r.Err
+}
+
+// findLeader waits a while for a leader to be known.
+func (s *server) findLeader(ctx context.Context) (address string, leading bool, err error) {
+	for {
+		if s.group.Status().Leading {
+			return "", true, nil
+		}
+		if _, address := s.group.LeaderAddress(); address != "" {
+			return address, false, nil
+		}
+		select {
+		case <-time.After(leaderPoll):
+		case <-ctx.Done():
+			return "", false, errkind.Wrap(ctx.Err(), errkind.NoQuorum, "the directory has no leader; nothing was accepted")
+		}
+	}
+}
+
+// barrier returns the newest revision that was accepted before the call.
+func (s *server) barrier(ctx context.Context) (uint64, error) {
+	address, leading, err := s.findLeader(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if leading {
+		return s.barrierHere(ctx)
+	}
+	conn := s.dialer.Conn(ctx, address)
+	defer conn.Close()
+	resp, err := fleetpb.NewDRPCDirectoryClient(conn).Barrier(ctx, &fleetpb.BarrierRequest{})
+	if err != nil {
+		return 0, callError(err, errkind.NoQuorum)
+	}
+	return resp.Revision, nil
+}
+
+func (s *server) barrierHere(ctx context.Context) (uint64, error) {
+	if err := s.group.ReadBarrier(ctx); err != nil {
+		return 0, err
+	}
+	return s.machine.State().Revision, nil
+}
--- /dev/null
+++ b/internal/directory/process.go
@@ -0,0 +1,223 @@
+package directory
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/cockroachdb/pebble/v2/vfs"
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc/drpcmux"
+
+	"github.com/kumquathollow/kumquathollow/api/fleetpb"
+	pb "github.com/kumquathollow/kumquathollow/api/replicationpb"
+	"github.com/kumquathollow/kumquathollow/internal/publication"
+	"github.com/kumquathollow/kumquathollow/internal/replication"
+	"github.com/kumquathollow/kumquathollow/internal/rpc"
+	"github.com/kumquathollow/kumquathollow/internal/storage"
+	"github.com/kumquathollow/kumquathollow/internal/telemetry"
+)
+
+// Reasons for which a directory process is not ready.
+const (
+	reasonNoLeader = "no leader of the directory is known"
+	reasonStopping = "the process is stopping"
+)
+
+// Process is one directory process.
+type Process struct {
+	conf    *Settings
+	log     hclog.Logger
+	store   *storage.Store
+	group   *replication.Group
+	machine *publication.Machine
+	hub     *hub
+	server  *server
+	dialer  *rpc.Dialer
+	metrics *telemetry.Registry
+	ready   *telemetry.Readiness
+
+	operations, fleet, admin net.Listener
+}
+
+// Open opens the data folder, restores the state and takes the addresses.
+func Open(fs vfs.FS, conf *Settings, log hclog.Logger) (*Process, error) {
+	p := &Process{
+		conf: conf, log: log, machine: publication.New(), dialer: rpc.NewDialer(nil),
+		metrics: telemetry.NewRegistry(), ready: telemetry.NewReadiness(reasonNoLeader),
+	}
+	if err := p.open(fs); err != nil {
+		return nil, errors.CombineErrors(err, p.close())
+	}
+	return p, nil
+}
+
+func (p *Process) open(fs vfs.FS) error {
+	for _, l := range []struct {
+		to      *net.Listener
+		address string
+	}{{&p.operations, p.conf.Operations}, {&p.fleet, p.conf.Fleet}, {&p.admin, p.conf.Admin}} {
+		var err error
+		if *l.to, err = rpc.Listen(l.address, nil); err != nil {
+			return err
+		}
+	}
+	own := p.fleet.Addr().String()
+	seeds := FleetAddresses(p.conf.Seeds, own)
+	store, restored, err := storage.Open(fs, p.conf.Data, own)
+	if err != nil {
+		return err
+	}
+	p.store = store
+	var declared []*pb.Voter
+	for _, a := range seeds {
+		declared = append(declared, &pb.Voter{Id: a, Address: a})
+	}
+	p.group, err = replication.NewGroup(replication.Options{
+		Config: replication.DefaultConfig(own, store.Disk()), Address: own, Storage: store, Restored: restored,
+		Machine: p.machine, Dialer: p.dialer, Log: p.log.Named("replication"), Declared: declared,
+		SnapshotBytes: snapshotBytes,
+	})
+	if err != nil {
+		return err
+	}
+	p.assemble(own, seeds)
+	return nil
+}
+
+// snapshotBytes bounds the log between snapshots, for processes with little
+// memory: some hundred configurations of a few kilobytes.
+const snapshotBytes = 1 << 20
+
+func (p *Process) assemble(own string, seeds []string) {
+	r := &roster{
+		id: own, address: own, disk: p.store.Disk(), group: p.group, dialer: p.dialer, log: p.log.Named("roster"),
+		now: time.Now, seeds: seeds, candidates: map[string]candidate{},
+	}
+	p.server = &server{group: p.group, machine: p.machine, roster: r, dialer: p.dialer, log: p.log}
+	p.hub = newHub(p.log.Named("servers"), p.spread)
+	p.server.hub = p.hub
+	p.hub.revision = p.machine.State().Revision
+	p.machine.Changed = func(s *fleetpb.State) {
+		revision := s.Revision
+		p.hub.post(context.Background(), func() { p.hub.stateChanged(revision) })
+	}
+	p.server.confirms = newConfirmer(p.server.barrier)
+	p.metrics.Gauge("directory.revision", func() int64 { return int64(p.machine.State().Revision) })
+	p.metrics.Gauge("directory.term", func() int64 { return int64(p.group.Status().Term) })
+	p.metrics.Gauge("directory.voters", func() int64 { return int64(len(p.group.Status().Voters.GetVoters())) })
+}
+
+// spread passes announcements to the other directory processes, so that routers
+// learn them even if this process stops.
+func (p *Process) spread(news []*fleetpb.Announcement) {
+	for _, a := range p.server.roster.members() {
+		if a == p.fleet.Addr().String() {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+			defer cancel()
+			conn := p.dialer.Conn(ctx, a)
+			defer conn.Close()
+			if _, err := fleetpb.NewDRPCDirectoryClient(conn).Spread(ctx, &fleetpb.SpreadRequest{Announcements: news}); err != nil {
+				p.log.Debug("announcements not passed on", "address", a, "error", err)
+			}
+		}()
+	}
+}
+
+// Run serves until ctx ends or the disk fails. handler answers the operations
+// address.
+func (p *Process) Run(ctx context.Context, handler http.Handler) error {
+	mux := drpcmux.New()
+	err := errors.CombineErrors(fleetpb.DRPCRegisterDirectory(mux, p.server), pb.DRPCRegisterPeer(mux, p.group.PeerServer(nil)))
+	if err != nil {
+		return errors.CombineErrors(err, p.close())
+	}
+	p.log.Info("listening", "name", p.conf.Name, "data-centre", p.conf.DataCentre, "operations", p.conf.Operations,
+		"fleet", p.fleet.Addr().String(), "disk", p.store.Disk(), "founding", p.conf.Founding, "revision", p.machine.State().Revision)
+	asked := ctx
+	ctx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	g, ctx := errgroup.WithContext(ctx)
+	operations := &http.Server{Handler: handler, ReadHeaderTimeout: adminTimeout, ReadTimeout: adminTimeout}
+	admin := &http.Server{Handler: telemetry.AdminHandler(p.metrics, p.ready), ReadHeaderTimeout: adminTimeout}
+	g.Go(func() error {
+		select {
+		case <-asked.Done():
+			p.ready.Set(reasonStopping, true)
+			hctx, cancel := context.WithTimeout(ctx, handOverTime)
+			defer cancel()
+			p.group.HandOver(hctx)
+			stop()
+		case <-ctx.Done():
+		}
+		return nil
+	})
+	g.Go(func() error { return ignoreEnd(ctx, p.group.Run(ctx)) })
+	g.Go(func() error { return ignoreEnd(ctx, p.group.Form(ctx)) })
+	g.Go(func() error { return p.hub.run(ctx) })
+	g.Go(func() error { return p.server.confirms.run(ctx) })
+	g.Go(func() error { return p.server.roster.run(ctx) })
+	g.Go(func() error { return p.watch(ctx) })
+	g.Go(func() error { return ignoreEnd(ctx, rpc.Serve(ctx, p.fleet, mux)) })
+	g.Go(func() error { return ignoreEnd(ctx, operations.Serve(p.operations)) })
+	g.Go(func() error { return ignoreEnd(ctx, admin.Serve(p.admin)) })
+	g.Go(func() error {
+		<-ctx.Done()
+		return errors.CombineErrors(operations.Close(), admin.Close())
+	})
+	err = g.Wait()
+	p.log.Info("stopped", "name", p.conf.Name, "error", err)
+	return errors.CombineErrors(err, p.close())
+}
+
+// watchInterval is how often the hub looks at the group's members and leader.
+const watchInterval = 100 * time.Millisecond
+
+// watch tells the hub of other members, and of leaders found or lost.
+func (p *Process) watch(ctx context.Context) error {
+	tick := time.NewTicker(watchInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		s := p.group.Status()
+		p.ready.Set(reasonNoLeader, s.Leader == "")
+		members, leader := p.server.roster.members(), s.Leader != ""
+		p.hub.post(ctx, func() { p.hub.groupChanged(members, leader) })
+	}
+}
+
+// SetSeeds takes new seeds in, as the settings change.
+func (p *Process) SetSeeds(seeds []string) {
+	p.server.roster.setSeeds(FleetAddresses(seeds, p.fleet.Addr().String()))
+	p.log.Info("seeds changed", "seeds", seeds)
+}
+
+func ignoreEnd(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+func (p *Process) close() error {
+	_ = p.dialer.Close()
+	for _, l := range []net.Listener{p.operations, p.fleet, p.admin} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+	if p.store == nil {
+		return nil
+	}
+	return p.store.Close()
+}
--- /dev/null
+++ b/internal/directory/server.go
@@ -0,0 +1,73 @@
+package directory
+
+import (
+	"context"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/kumquathollow/kumquathollow/api/fleetpb"
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/inventory"
+	"github.com/kumquathollow/kumquathollow/internal/publication"
+	"github.com/kumquathollow/kumquathollow/internal/replication"
+	"github.com/kumquathollow/kumquathollow/internal/rpc"
+)
+
+// server answers the Directory service.
+type server struct {
+	group    *replication.Group
+	machine  *publication.Machine
+	hub      *hub
+	confirms *confirmer
+	roster   *roster
+	dialer   *rpc.Dialer
+	log      hclog.Logger
+}
+
+var _ fleetpb.DRPCDirectoryServer = (*server)(nil)
+
+// Change implements the Directory service. It never forwards again.
+func (s *server) Change(ctx context.Context, req *fleetpb.ChangeRequest) (*fleetpb.ChangeResponse, error) {
+	if req.Command == nil {
+		return nil, errkind.New(errkind.BadRequest, "the change is empty")
+	}
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	revision, err := s.changeHere(ctx, req.Command)
+	if err != nil {
+		return nil, err
+	}
+	return &fleetpb.ChangeResponse{Revision: revision}, nil
+}
+
+// Barrier implements the Directory service.
+func (s *server) Barrier(ctx context.Context, _ *fleetpb.BarrierRequest) (*fleetpb.BarrierResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, barrierTimeout)
+	defer cancel()
+	revision, err := s.barrierHere(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &fleetpb.BarrierResponse{Revision: revision}, nil
+}
+
+// Spread implements the Directory service.
+func (s *server) Spread(ctx context.Context, req *fleetpb.SpreadRequest) (*fleetpb.SpreadResponse, error) {
+	now := time.Now()
+	err := s.hub.do(ctx, func() {
+		for _, a := range req.Announcements {
+			s.hub.merge(inventory.Decode(a, now), false)
+		}
+	})
+	return &fleetpb.SpreadResponse{}, err
+}
+
+// Join implements the Directory service.
+func (s *server) Join(_ context.Context, req *fleetpb.JoinRequest) (*fleetpb.JoinResponse, error) {
+	if !s.group.Status().Leading {
+		return &fleetpb.JoinResponse{Members: s.roster.members()}, nil
+	}
+	s.roster.asked(req)
+	return &fleetpb.JoinResponse{Members: s.roster.members()}, nil
+}
--- /dev/null
+++ b/internal/directory/settings.go
@@ -0,0 +1,91 @@
+package directory
+
+import (
+	"net"
+	"time"
+
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/settings"
+)
+
+// Settings is the YAML file of a directory process.
+type Settings struct {
+	// Name is the process's name in logs.
+	Name string `yaml:"name"`
+	// DataCentre is the data centre that the process runs in.
+	DataCentre string `yaml:"dataCentre"`
+	// Operations is the HTTP address for operators and backend servers.
+	Operations string `yaml:"operations"`
+	// Fleet is the address for the fleet's own processes, host:port. All directory
+	// processes use the same port.
+	Fleet string `yaml:"fleet"`
+	// Admin is the HTTP address of /metrics, /healthz and /readyz.
+	Admin string `yaml:"admin"`
+	// Data is the folder of the replicated state.
+	Data string `yaml:"data"`
+	// Seeds are addresses of directory processes; only the hosts are used.
+	Seeds []string `yaml:"seeds"`
+	// Founding is true when the whole fleet starts for the first time.
+	Founding bool `yaml:"founding"`
+	// Memory bounds the Go heap in MiB; 0 means no bound.
+	Memory int64        `yaml:"memory,omitempty"`
+	Log    settings.Log `yaml:"log,omitempty"`
+}
+
+// LoadSettings reads and checks a settings file. Errors have kind invalid-settings.
+func LoadSettings(path string) (*Settings, error) {
+	s := &Settings{}
+	if err := settings.Load(path, s); err != nil {
+		return nil, err
+	}
+	return s, s.check()
+}
+
+func (s *Settings) check() error {
+	for _, f := range []struct{ name, value string }{
+		{"name", s.Name}, {"dataCentre", s.DataCentre}, {"operations", s.Operations}, {"fleet", s.Fleet}, {"admin", s.Admin}, {"data", s.Data},
+	} {
+		if f.value == "" {
+			return errkind.New(errkind.InvalidSettings, "%s is missing", f.name)
+		}
+	}
+	for _, a := range append([]string{s.Operations, s.Fleet, s.Admin}, s.Seeds...) {
+		if _, _, err := net.SplitHostPort(a); err != nil {
+			return errkind.Wrap(err, errkind.InvalidSettings, "address %q", a)
+		}
+	}
+	if len(s.Seeds) == 0 {
+		return errkind.New(errkind.InvalidSettings, "seeds is empty: name at least one directory process")
+	}
+	return nil
+}
+
+// FleetAddresses returns the seeds' addresses for the fleet's own processes,
+// which all listen on the port of the own address.
+func FleetAddresses(seeds []string, own string) []string {
+	_, port, err := net.SplitHostPort(own)
+	if err != nil {
+		return nil
+	}
+	out := make([]string, 0, len(seeds))
+	for _, s := range seeds {
+		if host, _, err := net.SplitHostPort(s); err == nil {
+			out = append(out, net.JoinHostPort(host, port))
+		}
+	}
+	return out
+}
+
+// Time bounds of the process.
+const (
+	// changeTimeout bounds one change; operators try another process after a second.
+	changeTimeout = 900 * time.Millisecond
+	// leaderPoll is how often a process without a known leader looks again.
+	leaderPoll = 20 * time.Millisecond
+	// barrierTimeout bounds one confirmation by a quorum.
+	barrierTimeout = 800 * time.Millisecond
+	// handOverTime bounds giving leadership away at the end.
+	handOverTime = 500 * time.Millisecond
+	// adminTimeout bounds reading a request on the admin address.
+	adminTimeout = 5 * time.Second
+)
--- a/internal/dispatch/fuzz_test.go
+++ b/internal/dispatch/fuzz_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/httphead"
 )
 
 // FuzzRequestMapping feeds raw requests through net/http's parser and the mapping,
@@ -62,7 +63,7 @@
 		}
 	}
 	for name := range requestHeader(r.Header, q.keyed) {
-		if hopByHop[name] || strings.HasPrefix(name, ownPrefix) || (q.keyed && name == "Authorization") {
+		if httphead.IsHopByHop(name) || strings.HasPrefix(name, ownPrefix) || (q.keyed && name == "Authorization") {
 			t.Fatalf("header %s would be passed on", name)
 		}
 	}
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/httphead"
 )
 
 const (
@@ -128,7 +129,7 @@
 		return
 	}
 	h := x.w.Header()
-	copyEndToEnd(h, s.resp.Header)
+	httphead.CopyEndToEnd(h, s.resp.Header, ownPrefix)
 	delete(h, "Content-Length")
 	h.Set(HeaderRequestID, x.id)
 	h.Set("Trailer", HeaderOutcome)
--- a/internal/dispatch/whole.go
+++ b/internal/dispatch/whole.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/httphead"
 )
 
 // maxHeld bounds the answers that are held until they are whole, so that a cut
@@ -103,7 +104,7 @@
 func (r *run) writeHeader(resp *http.Response, o errkind.Outcome) {
 	x := r.x
 	h := x.w.Header()
-	copyEndToEnd(h, resp.Header)
+	httphead.CopyEndToEnd(h, resp.Header, ownPrefix)
 	setOutcome(h, x.id, o)
 	if resp.ContentLength >= 0 && x.q.http.Method != http.MethodHead && resp.StatusCode != http.StatusNoContent && resp.StatusCode != http.StatusNotModified {
 		h.Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
--- /dev/null
+++ b/internal/fleetview/view.go
@@ -0,0 +1,293 @@
+package fleetview
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/kumquathollow/kumquathollow/api/fleetpb"
+	"github.com/kumquathollow/kumquathollow/internal/catalog"
+	"github.com/kumquathollow/kumquathollow/internal/clock"
+	"github.com/kumquathollow/kumquathollow/internal/inventory"
+	"github.com/kumquathollow/kumquathollow/internal/placement"
+	"github.com/kumquathollow/kumquathollow/internal/publication"
+	"github.com/kumquathollow/kumquathollow/internal/rpc"
+)
+
+// Snapshot is what the router holds. It is immutable.
+type Snapshot struct {
+	// Set is nil before the first configuration.
+	Set       *catalog.Set
+	Revision  uint64
+	Evacuated []string
+}
+
+// Options configure a View.
+type Options struct {
+	// Router names this process; a restart has another name.
+	Router string
+	Dialer *rpc.Dialer
+	// Seeds are the first addresses of directory processes.
+	Seeds []string
+	// Decode reads a configuration document.
+	Decode func(document []byte) (*catalog.Set, error)
+	Fleet  *placement.Fleet
+	Log    hclog.Logger
+}
+
+// View follows the directory.
+type View struct {
+	opts     Options
+	inbox    chan func()
+	snapshot atomic.Pointer[Snapshot]
+	// confirmedAt is when the confirmation of the newest state was asked for, by
+	// the boot clock; 0 before the first.
+	confirmedAt atomic.Int64
+	// quorumAt is when a process that hears a leader was last heard.
+	quorumAt atomic.Int64
+
+	// Owned by the goroutine of Run.
+	table *inventory.Table
+	links map[string]*link
+	seeds []string
+	// members are the directory's processes as last told.
+	members []string
+	// awaited is the newest revision that a confirmation named, and when that
+	// confirmation was asked for.
+	awaited   uint64
+	awaitedAt time.Duration
+	fetchedAt time.Duration
+}
+
+// New returns a View; Run runs it.
+func New(opts Options) *View {
+	v := &View{opts: opts, inbox: make(chan func(), inboxSize), table: inventory.New(), links: map[string]*link{}, seeds: opts.Seeds}
+	v.snapshot.Store(&Snapshot{})
+	return v
+}
+
+const (
+	inboxSize = 256
+	// fetchTimeout is how long an asked process has to send the state.
+	fetchTimeout = 300 * time.Millisecond
+	// sweepInterval is how often lapses are looked for.
+	sweepInterval = 250 * time.Millisecond
+)
+
+// Snapshot returns the newest snapshot.
+func (v *View) Snapshot() *Snapshot { return v.snapshot.Load() }
+
+// Age returns how long ago the snapshot surely was the newest, and false if it
+// was never confirmed.
+func (v *View) Age() (time.Duration, bool) {
+	at := v.confirmedAt.Load()
+	if at == 0 {
+		return 0, false
+	}
+	return clock.Boot() - time.Duration(at), true
+}
+
+// QuorumAge returns how long ago a directory process that hears a leader was heard.
+func (v *View) QuorumAge() time.Duration {
+	return clock.Boot() - time.Duration(v.quorumAt.Load())
+}
+
+// SetSeeds replaces the seeds, as the settings change.
+func (v *View) SetSeeds(ctx context.Context, seeds []string) {
+	v.post(ctx, func() {
+		v.seeds = seeds
+		v.reconcile(ctx)
+	})
+}
+
+func (v *View) post(ctx context.Context, f func()) {
+	select {
+	case v.inbox <- f:
+	case <-ctx.Done():
+	}
+}
+
+// Run follows the directory until ctx ends.
+func (v *View) Run(ctx context.Context) error {
+	v.reconcile(ctx)
+	tick := time.NewTicker(sweepInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case f := <-v.inbox:
+			f()
+			v.reconcile(ctx)
+		case <-tick.C:
+			if v.table.Expire(time.Now()) {
+				v.opts.Fleet.Update(v.table)
+			}
+			v.fetchAgain()
+		}
+	}
+}
+
+// reconcile opens links to new members and ends those to processes that are
+// neither members nor seeds.
+func (v *View) reconcile(ctx context.Context) {
+	wanted := slices.Concat(v.seeds, v.members)
+	for _, a := range wanted {
+		if v.links[a] == nil {
+			lctx, cancel := context.WithCancel(ctx)
+			l := &link{v: v, address: a, wake: make(chan struct{}, 1), stop: cancel}
+			v.links[a] = l
+			go l.run(lctx)
+		}
+	}
+	for a, l := range v.links {
+		if !slices.Contains(wanted, a) {
+			l.stop()
+			delete(v.links, a)
+		}
+	}
+}
+
+func (v *View) lost(l *link, err error) {
+	if l.connected {
+		v.opts.Log.Warn("directory process lost", "address", l.address, "error", err, "revision", v.Snapshot().Revision)
+	}
+	l.connected, l.inQuorum, l.routers = false, false, 0
+}
+
+// took takes one message in.
+func (v *View) took(l *link, u update) {
+	if v.links[l.address] != l {
+		return
+	}
+	if !l.connected {
+		l.connected = true
+		v.opts.Log.Info("directory process reached", "address", l.address, "servers", len(u.Announcements), "its-revision", u.Revision)
+	}
+	if u.Routers > 0 {
+		l.inQuorum, l.routers = u.InQuorum, int(u.Routers)
+		v.countRouters()
+	}
+	if len(u.Members) > 0 && l.inQuorum {
+		v.members = u.Members
+	}
+	v.announced(u.Announcements)
+	if u.State != nil {
+		v.adopt(u.State)
+	}
+	if u.Confirmed {
+		v.quorumAt.Store(int64(clock.Boot()))
+		v.confirmed(u.Newest, u.askedAt)
+	}
+	if newest := max(u.Revision, u.Newest); newest > v.Snapshot().Revision {
+		v.fetch(l)
+	}
+}
+
+func (v *View) countRouters() {
+	n := 1
+	for _, l := range v.links {
+		n = max(n, l.routers)
+	}
+	v.opts.Fleet.SetRouters(n)
+}
+
+func (v *View) announced(as []*fleetpb.Announcement) {
+	changed, now := false, time.Now()
+	for _, a := range as {
+		s := inventory.Decode(a, now)
+		switch v.table.Merge(s) {
+		case inventory.Changed:
+			changed = true
+			v.opts.Log.Info("server changed", "server", s.ID, "service", s.Service, "address", s.Address, "data-centre", s.DataCentre,
+				"state", s.State.String(), "born", s.Born, "sequence", s.Sequence, "age-ms", a.AgeMs, "cold-ms", a.ColdMs)
+		case inventory.Refreshed:
+			v.opts.Fleet.Hear(&s)
+		}
+	}
+	if changed {
+		v.opts.Fleet.Update(v.table)
+	}
+}
+
+// fetch asks for the state, once at a time.
+func (v *View) fetch(l *link) {
+	now := clock.Boot()
+	if now-v.fetchedAt < fetchTimeout {
+		return
+	}
+	v.fetchedAt = now
+	l.request()
+}
+
+// fetchAgain asks another process if the last one asked did not send the state.
+func (v *View) fetchAgain() {
+	if v.awaited <= v.Snapshot().Revision {
+		return
+	}
+	for _, l := range v.links {
+		if l.connected {
+			v.fetch(l)
+		}
+	}
+}
+
+// adopt publishes a newer state.
+func (v *View) adopt(st *fleetpb.State) {
+	was := v.Snapshot()
+	v.fetchedAt = 0
+	if st.Revision <= was.Revision {
+		return
+	}
+	next := &Snapshot{Set: was.Set, Revision: st.Revision, Evacuated: st.Evacuated}
+	if c := st.Configuration; c != nil && (was.Set == nil || c.Version > was.Set.Version) {
+		set, err := v.decode(c)
+		if err != nil {
+			v.opts.Log.Error("configuration cannot be used", "version", c.Version, "revision", st.Revision, "error", err)
+			return
+		}
+		next.Set = set
+	}
+	v.snapshot.Store(next)
+	v.opts.Fleet.SetOut(next.Evacuated, next.coldTime, time.Now())
+	var version uint64
+	if next.Set != nil {
+		version = next.Set.Version
+	}
+	v.opts.Log.Info("configuration in force", "version", version, "revision", next.Revision, "was-revision", was.Revision, "evacuated", next.Evacuated)
+	if v.awaited != 0 && next.Revision >= v.awaited {
+		v.confirmed(v.awaited, v.awaitedAt)
+	}
+}
+
+func (v *View) decode(c *fleetpb.Publish) (*catalog.Set, error) {
+	document, err := publication.Uncompress(c.Document)
+	if err != nil {
+		return nil, err
+	}
+	return v.opts.Decode(document)
+}
+
+func (s *Snapshot) coldTime(service string) time.Duration {
+	if s.Set == nil || s.Set.Service(service) == nil {
+		return 0
+	}
+	return s.Set.Service(service).ColdTime
+}
+
+// confirmed takes in that newest was the newest revision at some time after
+// askedAt.
+func (v *View) confirmed(newest uint64, askedAt time.Duration) {
+	if newest > v.Snapshot().Revision {
+		if newest > v.awaited {
+			v.awaited, v.awaitedAt = newest, askedAt
+		}
+		return
+	}
+	if int64(askedAt) > v.confirmedAt.Load() {
+		v.confirmedAt.Store(int64(askedAt))
+	}
+}
--- /dev/null
+++ b/internal/inventory/codec.go
@@ -0,0 +1,31 @@
+package inventory
+
+import (
+	"time"
+
+	"github.com/kumquathollow/kumquathollow/api/fleetpb"
+)
+
+// Encode returns the announcement that tells of a server; its times count from now.
+func Encode(s *Server, now time.Time) *fleetpb.Announcement {
+	return &fleetpb.Announcement{
+		Id: s.ID, Born: s.Born, Sequence: s.Sequence, Service: s.Service, Address: s.Address,
+		DataCentre: s.DataCentre, Slots: uint32(s.Slots), State: fleetpb.ServerState(s.State),
+		ColdMs: uint32(max(0, s.ColdUntil.Sub(now).Milliseconds())),
+		AgeMs:  uint32(max(0, now.Sub(s.Heard).Milliseconds())),
+	}
+}
+
+// Decode returns the server that an announcement tells of; what it
+// says of times counts from now.
+func Decode(a *fleetpb.Announcement, now time.Time) Server {
+	out := Server{
+		ID: a.Id, Born: a.Born, Sequence: a.Sequence, Service: a.Service, Address: a.Address,
+		DataCentre: a.DataCentre, Slots: int(a.Slots), State: State(a.State),
+		Heard: now.Add(-time.Duration(a.AgeMs) * time.Millisecond),
+	}
+	if a.ColdMs > 0 {
+		out.ColdUntil = now.Add(time.Duration(a.ColdMs) * time.Millisecond)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/publication/doc.go
@@ -0,0 +1,12 @@
+// Package publication is the replicated state of a fleet that takes whole
+// configurations ordered by version: the newest configuration and the data
+// centres whose backend servers are taken out.
+//
+// The configuration with the highest version is in force. Publishing a version
+// that is not higher succeeds and changes nothing, so operators may send a
+// change again, to any process and in any order. Each change that has an effect
+// increases the revision, by which routers order what they learn from several
+// processes.
+//
+// Machine implements replication.StateMachine; it reads no clock.
+package publication
--- a/internal/replication/status.go
+++ b/internal/replication/status.go
@@ -90,6 +90,17 @@
 // AddVoter takes a process with a blank disk in as a learner, waits until it has
 // caught up, and makes it a voter. It returns once that is committed.
 func (g *Group) AddVoter(ctx context.Context, id, address string) error {
+	return g.admit(ctx, id, address, false)
+}
+
+// AdmitVoter is AddVoter for a process whose disk may hold the group's log: a
+// voter that was removed while it could not be reached. What its disk promised
+// in the group stays true, so it needs no blank disk.
+func (g *Group) AdmitVoter(ctx context.Context, id, address string) error {
+	return g.admit(ctx, id, address, true)
+}
+
+func (g *Group) admit(ctx context.Context, id, address string, mayHoldLog bool) error {
 	conn := g.opt.Dialer.Conn(ctx, address)
 	defer conn.Close()
 	who, err := pb.NewDRPCPeerClient(conn).Identify(ctx, &pb.IdentifyRequest{})
@@ -107,7 +118,7 @@
 		return errkind.New(errkind.WrongDisk, "voter %q is known with another disk; remove it first", id)
 	}
 	if !isMember(set.Learners, id, who.Disk) {
-		if who.LastIndex > 0 {
+		if who.LastIndex > 0 && !mayHoldLog {
 			return errkind.New(errkind.WrongDisk, "the data folder of %q is not empty; empty it before it is added", id)
 		}
 		v := &pb.Voter{Id: id, Address: address, Disk: who.Disk}
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -87,6 +87,12 @@
 	return d.pool.Get(ctx, addr, d.dial)
 }
 
+// Direct opens a connection of its own to addr, for a session that lasts. The
+// client closes it.
+func (d *Dialer) Direct(ctx context.Context, addr string) (drpc.Conn, error) {
+	return d.dial(ctx, addr)
+}
+
 // Close ends all pooled connections.
 func (d *Dialer) Close() error { return d.pool.Close() }
 
--- a/internal/telemetry/logger.go
+++ b/internal/telemetry/logger.go
@@ -16,10 +16,11 @@
 // NewLogger returns the process's root logger on standard error. An empty
 // level means info.
 func NewLogger(name string, l settings.Log) hclog.Logger {
-	return newLogger(name, l, os.Stderr)
+	return NewLoggerTo(name, l, os.Stderr)
 }
 
-func newLogger(name string, l settings.Log, out io.Writer) hclog.Logger {
+// NewLoggerTo returns a root logger that writes to out.
+func NewLoggerTo(name string, l settings.Log, out io.Writer) hclog.Logger {
 	level := hclog.LevelFromString(l.Level)
 	if level == hclog.NoLevel {
 		level = hclog.Info
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -47,7 +47,7 @@
 
 func TestLoggerFormatAndLevel(t *testing.T) {
 	var out bytes.Buffer
-	log := newLogger("kqrouter", settings.Log{Level: "warn", Format: FormatJSON}, &out)
+	log := NewLoggerTo("kqrouter", settings.Log{Level: "warn", Format: FormatJSON}, &out)
 	log.Info("dropped")
 	log.Warn("kept", "n", 1)
 	var line map[string]any
