Share load between routers; keep keys at their places when servers change

Servers that joined took keys from servers that stayed, and each moved key was read again. Ruled out: load headers of answers (each router sees a server's once a second). Change: routers report what they have in flight to one directory process, which sends sums; keys stay with places that outlive their servers; the bound depends on what reading the prompt again costs; elections of 0.5 s and a first one of 0.15 s.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -17,13 +17,6 @@
 const (
 	// readBuffer holds an event of a stream or a usual answer's header.
 	readBuffer = 2 << 10
-	// userTimeout ends a connection whose bytes are not acknowledged: several
-	// retransmissions between data centres.
-	userTimeout = 1500 * time.Millisecond
-	// keepAlive finds a peer that vanished without a word.
-	keepAliveIdle     = time.Second
-	keepAliveInterval = 500 * time.Millisecond
-	keepAliveCount    = 3
 	// defaultIdle is how long a connection is kept whose server names no time.
 	defaultIdle = 4 * time.Second
 	// idleMargin is the part of the server's idle time that is used, so that the
@@ -52,25 +45,6 @@
 	return c.Conn.Close()
 }
 
-func dialer(timeout time.Duration) *net.Dialer {
-	return &net.Dialer{
-		Timeout: timeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
-		},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var err error
-			cerr := raw.Control(func(fd uintptr) {
-				err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-			})
-			if cerr != nil {
-				return cerr
-			}
-			return err
-		},
-	}
-}
-
 // quiet reports whether an idle connection is open and has brought nothing.
 func (c *conn) quiet() bool {
 	if c.br.Buffered() > 0 {
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/rpc"
 )
 
 const (
@@ -81,7 +82,7 @@
 	}
 	s.open++
 	s.mu.Unlock()
-	raw, err := dialer(dialTimeout).DialContext(ctx, "tcp", t.Address)
+	raw, err := rpc.NetDialer(dialTimeout).DialContext(ctx, "tcp", t.Address)
 	if err != nil {
 		s.gone()
 		return nil, errkind.Wrap(err, errkind.Unreachable, "connect to server %q", t.ID)
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -14,6 +14,8 @@
 	router string
 	queue  chan *fleetpb.FollowUpdate
 	end    context.CancelFunc
+	// load is what the router has in flight; owned by the hub.
+	load *fleetpb.Load
 }
 
 // push queues an update, or ends a session that takes none.
@@ -48,7 +50,7 @@
 		defer cancel()
 		for req := first; ; {
 			watchdog.Reset(sessionSilence)
-			s.asked(ss, req)
+			s.asked(ctx, ss, req)
 			var err error
 			if req, err = stream.Recv(); err != nil {
 				return
@@ -68,12 +70,15 @@
 }
 
 // asked answers one request of a session; confirmations come later.
-func (s *server) asked(ss *session, req *fleetpb.FollowRequest) {
+func (s *server) asked(ctx context.Context, ss *session, req *fleetpb.FollowRequest) {
 	if req.Fetch {
 		if st := s.machine.State(); st.Revision > req.Have {
 			ss.push(&fleetpb.FollowUpdate{Revision: st.Revision, State: st})
 		}
 	}
+	if req.Load != nil {
+		s.hub.post(ctx, func() { ss.load = req.Load })
+	}
 	if req.Ping != 0 {
 		s.confirms.add(ss, req.Ping)
 	}
--- a/internal/directory/hub.go
+++ b/internal/directory/hub.go
@@ -39,6 +39,8 @@
 	members  []string
 	// leader is true while a leader is heard.
 	leader bool
+	// reported is set if a router reported its load before the last flush.
+	reported bool
 }
 
 func newHub(log hclog.Logger, spread func([]*fleetpb.Announcement)) *hub {
@@ -121,12 +123,14 @@
 	}
 }
 
-// flush tells all routers which servers were heard since the last flush.
+// flush tells all routers which servers were heard since the last flush, and what
+// the routers that report here have in flight.
 func (h *hub) flush() {
-	if len(h.dirty) == 0 {
+	load := h.load()
+	if len(h.dirty) == 0 && load == nil {
 		return
 	}
-	u := &fleetpb.FollowUpdate{}
+	u := &fleetpb.FollowUpdate{Load: load}
 	for id := range h.dirty {
 		if s := h.table.Get(id); s != nil {
 			u.Announcements = append(u.Announcements, inventory.Encode(s, h.now()))
@@ -136,6 +140,32 @@
 	h.broadcast(u)
 }
 
+// load sums the sessions' reports; nil if no router reports here, nor did at the
+// last flush.
+func (h *hub) load() *fleetpb.Load {
+	sum := map[uint32]uint32{}
+	reports := false
+	for s := range h.sessions {
+		reports = reports || s.load != nil
+		for i, server := range s.load.GetServers() {
+			if i < len(s.load.InFlight) {
+				sum[server] += s.load.InFlight[i]
+			}
+		}
+	}
+	was := h.reported
+	h.reported = reports
+	if !reports && !was {
+		return nil
+	}
+	out := &fleetpb.Load{}
+	for server, n := range sum {
+		out.Servers = append(out.Servers, server)
+		out.InFlight = append(out.InFlight, n)
+	}
+	return out
+}
+
 func (h *hub) broadcast(u *fleetpb.FollowUpdate) {
 	u.Revision, u.InQuorum, u.Routers = h.revision, h.leader, uint32(len(h.sessions))
 	for s := range h.sessions {
--- a/internal/directory/process.go
+++ b/internal/directory/process.go
@@ -46,7 +46,7 @@
 // Open opens the data folder, restores the state and takes the addresses.
 func Open(fs vfs.FS, conf *Settings, log hclog.Logger) (*Process, error) {
 	p := &Process{
-		conf: conf, log: log, machine: publication.New(), dialer: rpc.NewDialer(nil),
+		conf: conf, log: log, machine: publication.New(), dialer: newDialer(),
 		metrics: telemetry.NewRegistry(), ready: telemetry.NewReadiness(reasonNoLeader),
 	}
 	if err := p.open(fs); err != nil {
@@ -76,8 +76,11 @@
 	for _, a := range seeds {
 		declared = append(declared, &pb.Voter{Id: a, Address: a})
 	}
+	config := replication.DefaultConfig(own, store.Disk())
+	config.ElectionTimeout, config.Heartbeat, config.FirstElection = electionTimeout, heartbeat, firstElection
+	config.ConfirmTime = confirmTime
 	p.group, err = replication.NewGroup(replication.Options{
-		Config: replication.DefaultConfig(own, store.Disk()), Address: own, Storage: store, Restored: restored,
+		Config: config, Address: own, Storage: store, Restored: restored,
 		Machine: p.machine, Dialer: p.dialer, Log: p.log.Named("replication"), Declared: declared,
 		SnapshotBytes: snapshotBytes,
 	})
@@ -88,6 +91,19 @@
 	return nil
 }
 
+const (
+	// electionTimeout is how long voters wait for a leader that is silent. It covers
+	// a few heartbeats on a VM that stands still for a tenth of a second at a time.
+	electionTimeout = 500 * time.Millisecond
+	heartbeat       = 100 * time.Millisecond
+	// firstElection is the wait of a voter that has just started. A live leader is
+	// not disturbed by it, since voters stay with a leader that they hear.
+	firstElection = 150 * time.Millisecond
+	// confirmTime is the wait for voters that do not come back. Disks here are lost
+	// as a whole, which shows, so a short one serves.
+	confirmTime = 800 * time.Millisecond
+)
+
 // snapshotBytes bounds the log between snapshots, for processes with little
 // memory: some hundred configurations of a few kilobytes.
 const snapshotBytes = 1 << 20
@@ -221,3 +237,13 @@
 	}
 	return p.store.Close()
 }
+
+// dialTimeout bounds opening a connection within the fleet: many round trips
+// between data centres, and less than a lost packet's retransmission.
+const dialTimeout = 400 * time.Millisecond
+
+func newDialer() *rpc.Dialer {
+	d := rpc.NewDialer(nil)
+	d.Timeout = dialTimeout
+	return d
+}
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -72,7 +72,7 @@
 // New takes the addresses and assembles the router.
 func New(conf *Settings, a Adapter, log hclog.Logger) (*Router, error) {
 	r := &Router{
-		conf: conf, log: log, metrics: telemetry.NewRegistry(), dialer: rpc.NewDialer(nil),
+		conf: conf, log: log, metrics: telemetry.NewRegistry(), dialer: newDialer(),
 		ready: telemetry.NewReadiness(reasonConfiguration),
 	}
 	for _, l := range []struct {
@@ -205,3 +205,13 @@
 		}
 	}
 }
+
+// dialTimeout bounds opening a connection within the fleet: many round trips
+// between data centres, and less than a lost packet's retransmission.
+const dialTimeout = 400 * time.Millisecond
+
+func newDialer() *rpc.Dialer {
+	d := rpc.NewDialer(nil)
+	d.Timeout = dialTimeout
+	return d
+}
--- a/internal/fleetview/link.go
+++ b/internal/fleetview/link.go
@@ -11,12 +11,12 @@
 
 const (
 	// pingInterval is how often the router asks for a confirmation.
-	pingInterval = 400 * time.Millisecond
+	pingInterval = 300 * time.Millisecond
 	// linkSilence ends a session that brings nothing: three pings.
 	linkSilence = 1200 * time.Millisecond
 	// redialPause and maxRedialPause bound the wait after a failed session.
 	redialPause    = 100 * time.Millisecond
-	maxRedialPause = 800 * time.Millisecond
+	maxRedialPause = 300 * time.Millisecond
 )
 
 // link is the session with one directory process.
@@ -32,6 +32,8 @@
 	connected bool
 	inQuorum  bool
 	routers   int
+	// load is what the routers that report to this process have in flight.
+	load map[uint32]int
 }
 
 func (l *link) run(ctx context.Context) {
@@ -127,6 +129,9 @@
 		default: // Nothing was received meanwhile; the watchdog ends the session.
 		}
 		req := &fleetpb.FollowRequest{Router: l.v.opts.Router, Ping: p.number, Have: l.v.Snapshot().Revision, Fetch: l.fetch.Swap(false)}
+		if l.v.reportTo.Load() == l {
+			req.Load = encodeLoad(l.v.opts.Fleet.InFlight())
+		}
 		if err := stream.Send(req); err != nil {
 			return err
 		}
@@ -147,3 +152,12 @@
 	default:
 	}
 }
+
+func encodeLoad(load map[uint32]int) *fleetpb.Load {
+	out := &fleetpb.Load{}
+	for server, n := range load {
+		out.Servers = append(out.Servers, server)
+		out.InFlight = append(out.InFlight, uint32(n))
+	}
+	return out
+}
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -14,6 +14,7 @@
 	"github.com/kumquathollow/kumquathollow/internal/inventory"
 	"github.com/kumquathollow/kumquathollow/internal/placement"
 	"github.com/kumquathollow/kumquathollow/internal/publication"
+	"github.com/kumquathollow/kumquathollow/internal/routing"
 	"github.com/kumquathollow/kumquathollow/internal/rpc"
 )
 
@@ -48,6 +49,8 @@
 	confirmedAt atomic.Int64
 	// quorumAt is when a process that hears a leader was last heard.
 	quorumAt atomic.Int64
+	// reportTo is the link on which the router tells what it has in flight.
+	reportTo atomic.Pointer[link]
 
 	// Owned by the goroutine of Run.
 	table *inventory.Table
@@ -124,7 +127,7 @@
 			v.reconcile(ctx)
 		case <-tick.C:
 			if v.table.Expire(time.Now()) {
-				v.opts.Fleet.Update(v.table)
+				v.opts.Fleet.Update(v.table, time.Now())
 			}
 			v.fetchAgain()
 		}
@@ -155,7 +158,33 @@
 	if l.connected {
 		v.opts.Log.Warn("directory process lost", "address", l.address, "error", err, "revision", v.Snapshot().Revision)
 	}
-	l.connected, l.inQuorum, l.routers = false, false, 0
+	l.connected, l.inQuorum, l.routers, l.load = false, false, 0, nil
+	v.chooseReport()
+}
+
+// chooseReport picks the process that the router reports its load to: routers
+// spread over the processes, and one is enough for each.
+func (v *View) chooseReport() {
+	var best *link
+	var least uint64
+	own := routing.Hash(v.opts.Router)
+	for a, l := range v.links {
+		if cost := routing.Mix(own, routing.Hash(a)); l.connected && (best == nil || cost < least) {
+			best, least = l, cost
+		}
+	}
+	v.reportTo.Store(best)
+}
+
+// loads sums what the directory's processes know of the routers' load.
+func (v *View) loads() {
+	sum := map[uint32]int{}
+	for _, l := range v.links {
+		for server, n := range l.load {
+			sum[server] += n
+		}
+	}
+	v.opts.Fleet.SetLoads(sum, time.Now())
 }
 
 // took takes one message in.
@@ -165,6 +194,7 @@
 	}
 	if !l.connected {
 		l.connected = true
+		v.chooseReport()
 		v.opts.Log.Info("directory process reached", "address", l.address, "servers", len(u.Announcements), "its-revision", u.Revision)
 	}
 	if u.Routers > 0 {
@@ -174,6 +204,15 @@
 	if len(u.Members) > 0 && l.inQuorum {
 		v.members = u.Members
 	}
+	if u.Load != nil {
+		l.load = make(map[uint32]int, len(u.Load.Servers))
+		for i, server := range u.Load.Servers {
+			if i < len(u.Load.InFlight) {
+				l.load[server] = int(u.Load.InFlight[i])
+			}
+		}
+		v.loads()
+	}
 	v.announced(u.Announcements)
 	if u.State != nil {
 		v.adopt(u.State)
@@ -209,7 +248,7 @@
 		}
 	}
 	if changed {
-		v.opts.Fleet.Update(v.table)
+		v.opts.Fleet.Update(v.table, time.Now())
 	}
 }
 
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -36,6 +36,8 @@
 	deadline  time.Time
 	key       uint64
 	spread    uint64
+	// shared is the number of tokens of the prompt's shared parts.
+	shared int
 
 	// sends counts the servers that the request was sent to; dials those that it
 	// could not be sent to.
@@ -115,6 +117,9 @@
 		// The last part is the request's own; the one before it tells the session
 		// or subject, and stands for the whole chain before it.
 		x.key = routing.Hash(x.call.Prompt[max(0, n-2)].ID)
+		for _, part := range x.call.Prompt[:n-1] {
+			x.shared += part.Tokens
+		}
 	}
 	return nil
 }
@@ -174,7 +179,7 @@
 // the only place from which a request is sent again.
 func (x *exchange) run() error {
 	for {
-		place, err := x.f.opts.Fleet.Pick(placement.Ask{Service: x.service, Key: x.key, Spread: x.spread, Exclude: x.excluded}, time.Now())
+		place, err := x.f.opts.Fleet.Pick(placement.Ask{Service: x.service, Key: x.key, Shared: x.shared, Spread: x.spread, Exclude: x.excluded}, time.Now())
 		if err != nil {
 			return x.giveUp(err)
 		}
--- a/internal/placement/doc.go
+++ b/internal/placement/doc.go
@@ -10,6 +10,6 @@
 // that doubles, and tried again with one request; a pool is never left without
 // a server for that reason.
 //
-// Limits: in-flight counts are those of this router alone; with even traffic
-// over the routers they are a sample of the fleet's.
+// Limits: what other routers have in flight is known with a delay of about half
+// a second; a router that is cut off from the directory counts its own only.
 package placement
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -15,11 +15,18 @@
 
 // Bounds of the choice.
 const (
-	// loadFactor and loadSlack bound a server's requests in flight at this router
-	// against the mean of its pool. Reading a shared prompt part again costs more
-	// than the skew that these allow (docs/design/platform.md).
-	loadFactor = 1.5
-	loadSlack  = 2
+	// A server takes a key's requests up to a bound on its load: a multiple of the
+	// pool's mean, plus a slack. Prompts whose shared parts are costly to read again
+	// stay at their home up to the upper bound; cheap ones leave at the lower, which
+	// evens the load out. The upper bound lies under the deployment's limit on load
+	// skew (2 x mean + 3), for what the counts lag.
+	lowFactor, highFactor = 1.2, 1.9
+	lowSlack, highSlack   = 1.0, 2.0
+	// costlyPrompt is the multiple of the mean shared prompt from which the upper
+	// bound holds.
+	costlyPrompt = 2.0
+	// promptWeight is the weight of the newest prompt in the mean.
+	promptWeight = 0.02
 	// silenceLimit is how long a server may be silent before it gets nothing
 	// more: four heartbeats of 1.2 s.
 	silenceLimit = 5 * time.Second
@@ -28,6 +35,8 @@
 	// coldMargin is the part of a cold server's bound that routers use together;
 	// the rest covers routers that are not counted yet.
 	coldMargin = 0.7
+	// othersAge is how long the reports of other routers count.
+	othersAge = 2 * time.Second
 	// loadAge is how long a server's report of its load counts.
 	loadAge = 500 * time.Millisecond
 	// unknownLatency stands for a server that has not answered yet.
@@ -51,15 +60,32 @@
 	dataCentre string
 	bounds     Bounds
 	byID       map[string]*Server
-	pools      atomic.Pointer[map[string][]*Server]
+	homes      map[string]*homes
+	pools      atomic.Pointer[map[string]*pool]
+	loads      atomic.Pointer[loads]
 	out        atomic.Pointer[[]string]
 	routers    atomic.Int64
+	// usualPrompt is the moving average of shared prompts, as the bits of a float64.
+	usualPrompt atomic.Uint64
+}
+
+// pool is the ready servers of a service. It is immutable.
+type pool struct {
+	servers []*Server
+	order   *order
+}
+
+// loads is what other routers have in flight, by the server's hash.
+type loads struct {
+	others map[uint32]int
+	at     time.Time
 }
 
 // NewFleet returns an empty Fleet of a router in the data centre.
 func NewFleet(dataCentre string, bounds Bounds) *Fleet {
-	f := &Fleet{dataCentre: dataCentre, bounds: bounds, byID: map[string]*Server{}}
-	f.pools.Store(&map[string][]*Server{})
+	f := &Fleet{dataCentre: dataCentre, bounds: bounds, byID: map[string]*Server{}, homes: map[string]*homes{}}
+	f.pools.Store(&map[string]*pool{})
+	f.loads.Store(&loads{})
 	f.out.Store(&[]string{})
 	f.routers.Store(1)
 	return f
@@ -97,8 +123,8 @@
 
 // Update replaces the list of servers. A server keeps what is known of it as long
 // as its incarnation lasts.
-func (f *Fleet) Update(t *inventory.Table) {
-	pools := map[string][]*Server{}
+func (f *Fleet) Update(t *inventory.Table, now time.Time) {
+	pools := map[string]*pool{}
 	byID := map[string]*Server{}
 	t.All(func(said *inventory.Server) {
 		s := f.byID[said.ID]
@@ -109,24 +135,68 @@
 		}
 		byID[said.ID] = s
 		if said.State == inventory.Ready {
-			pools[said.Service] = append(pools[said.Service], s)
+			if pools[said.Service] == nil {
+				pools[said.Service] = &pool{}
+			}
+			pools[said.Service].servers = append(pools[said.Service].servers, s)
 		}
 	})
-	for _, pool := range pools {
-		slices.SortFunc(pool, func(a, b *Server) int { return cmp.Compare(a.ID, b.ID) })
+	for service, p := range pools {
+		slices.SortFunc(p.servers, func(a, b *Server) int { return cmp.Compare(a.ID, b.ID) })
+		if f.homes[service] == nil {
+			f.homes[service] = &homes{}
+		}
+		f.homes[service].update(p.servers, now)
+		p.order = f.homes[service].order()
 	}
 	f.byID = byID
 	f.pools.Store(&pools)
 }
 
 // Servers returns the ready servers of a service. The slice must not be changed.
-func (f *Fleet) Servers(service string) []*Server { return (*f.pools.Load())[service] }
+func (f *Fleet) Servers(service string) []*Server { return f.pool(service).servers }
+
+func (f *Fleet) pool(service string) *pool {
+	if p := (*f.pools.Load())[service]; p != nil {
+		return p
+	}
+	return emptyPool
+}
+
+var emptyPool = &pool{order: &order{}}
+
+// InFlight returns this router's requests in flight, by the server's hash.
+func (f *Fleet) InFlight() map[uint32]int {
+	out := map[uint32]int{}
+	for _, p := range *f.pools.Load() {
+		for _, s := range p.servers {
+			if n := s.reportInFlight(); n > 0 {
+				out[uint32(s.hash)] = n
+			}
+		}
+	}
+	return out
+}
+
+// SetLoads takes in what all routers have reported, this one included.
+func (f *Fleet) SetLoads(sum map[uint32]int, now time.Time) {
+	for _, p := range *f.pools.Load() {
+		for _, s := range p.servers {
+			if n, ok := sum[uint32(s.hash)]; ok {
+				sum[uint32(s.hash)] = max(0, n-s.lastReport())
+			}
+		}
+	}
+	f.loads.Store(&loads{others: sum, at: now})
+}
 
 // Ask is what a choice depends on.
 type Ask struct {
 	Service *catalog.Service
 	// Key is the hash of the prompt prefix; 0 if the request has none.
 	Key uint64
+	// Shared is the number of tokens of the prompt's shared parts.
+	Shared int
 	// Spread orders servers that are equally good, differently for each request.
 	Spread uint64
 	// Exclude are servers that the request was sent to before.
@@ -141,24 +211,33 @@
 	PoolSize int
 	// Rank is the server's position in the key's order; 0 is its home.
 	Rank int
-	// Load is the server's requests in flight at this router, this one included.
+	// Load is the server's requests in flight at all routers, this one included.
 	Load int
 }
 
 // Pick chooses a server. The error has kind no-backend or data-centre-out, with
 // the time after which another attempt makes sense.
 func (f *Fleet) Pick(a Ask, now time.Time) (*Place, error) {
-	pool := f.Servers(a.Service.Name)
+	p := f.pool(a.Service.Name)
 	out := *f.out.Load()
-	usable := make([]candidate, 0, len(pool))
+	usable := make([]candidate, 0, len(p.servers))
 	taken := 0
-	for _, s := range pool {
+	others := f.loads.Load()
+	if now.Sub(others.at) > othersAge {
+		others = &loads{}
+	}
+	for _, s := range p.servers {
 		switch {
 		case slices.Contains(out, s.DataCentre):
 			taken++
 		case slices.Contains(a.Exclude, s.ID):
 		default:
-			usable = append(usable, s.candidate(now, a))
+			c := s.candidate(now, a)
+			c.load = c.inFlight + others.others[uint32(s.hash)]
+			if a.Key != 0 {
+				c.cost, c.spare = p.order.cost(a.Key, s)
+			}
+			usable = append(usable, c)
 		}
 	}
 	if len(usable) == 0 && taken > 0 {
@@ -168,18 +247,22 @@
 	f.order(usable, a)
 	for i := range usable {
 		c := &usable[i]
-		if load, ok := c.take(f, a.Service, now); ok {
-			return &Place{Server: c.Server, fleet: f, PoolSize: len(usable), Rank: c.rank, Load: load}, nil
+		if c.take(f, a.Service, now) {
+			return &Place{Server: c.Server, fleet: f, PoolSize: len(usable), Rank: c.rank, Load: c.load + 1}, nil
 		}
 	}
-	return nil, errkind.New(errkind.NoBackend, "no server of %q can take the request: %d are known, %d usable", a.Service.Name, len(pool), len(usable)).WithRetryAfter(noServerRetry)
+	return nil, errkind.New(errkind.NoBackend, "no server of %q can take the request: %d are known, %d usable", a.Service.Name, len(p.servers), len(usable)).WithRetryAfter(noServerRetry)
 }
 
 // candidate is a server's state at the time of one choice.
 type candidate struct {
 	*Server
 	inFlight int
-	rank     int
+	// load is inFlight and what other routers have.
+	load int
+	rank int
+	// spare servers take keys only when others are loaded.
+	spare    bool
 	silent   bool
 	avoided  bool
 	probe    bool
@@ -201,11 +284,7 @@
 		waiting = max(waiting, s.load.Waiting+max(0, s.load.Running-s.load.Slots/2))
 	}
 	c.expected = latency * time.Duration(1+waiting)
-	key := a.Key
-	if key == 0 {
-		key = a.Spread
-	}
-	c.cost = routing.Mix(key, s.hash)
+	c.cost = routing.Mix(a.Spread, s.hash)
 	return c
 }
 
@@ -240,19 +319,54 @@
 		})
 		return
 	}
-	slices.SortFunc(cs, func(x, y candidate) int { return cmp.Compare(x.cost, y.cost) })
+	f.notePrompt(a.Shared)
+	slices.SortFunc(cs, func(x, y candidate) int {
+		return cmp.Or(compareBool(x.spare, y.spare), cmp.Compare(x.cost, y.cost))
+	})
 	total := 0
 	for i := range cs {
 		cs[i].rank = i
-		total += cs[i].inFlight
+		total += cs[i].load
 	}
-	bound := int(math.Ceil(loadFactor*float64(total+1)/float64(max(1, len(cs))))) + loadSlack
-	// Servers over the bound come last, the least loaded first.
+	bound := f.bound(a, float64(total+1)/float64(max(1, len(cs))))
+	// Servers over the bound come last, the least loaded first. Before them, a key
+	// goes to the first server of its order, spares last.
 	slices.SortStableFunc(cs, func(x, y candidate) int {
-		return cmp.Compare(over(x.inFlight, bound), over(y.inFlight, bound))
+		return cmp.Compare(over(x.load, bound), over(y.load, bound))
 	})
 }
 
+// bound returns the load up to which a server takes the request.
+func (f *Fleet) bound(a Ask, mean float64) int {
+	costly := 1.0
+	if usual := math.Float64frombits(f.usualPrompt.Load()); usual > 0 {
+		costly = min(1, float64(a.Shared)/(costlyPrompt*usual))
+	}
+	factor := lowFactor + costly*(highFactor-lowFactor)
+	slack := lowSlack + costly*(highSlack-lowSlack)
+	return int(math.Ceil(factor*mean + slack))
+}
+
+// notePrompt keeps a moving average of the shared prompt.
+func (f *Fleet) notePrompt(tokens int) {
+	was := math.Float64frombits(f.usualPrompt.Load())
+	if was == 0 {
+		was = float64(tokens)
+	}
+	// A lost update of two requests at once does not matter.
+	f.usualPrompt.Store(math.Float64bits(was + promptWeight*(float64(tokens)-was)))
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
 // latencyStep is the difference of expected times that matters; the delay between
 // data centres is of this order.
 const latencyStep = 5 * time.Millisecond
@@ -267,16 +381,16 @@
 }
 
 // take reserves a place unless the server is cold and has had its share.
-func (c *candidate) take(f *Fleet, service *catalog.Service, now time.Time) (int, bool) {
+func (c *candidate) take(f *Fleet, service *catalog.Service, now time.Time) bool {
 	s := c.Server
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if service.ColdRate > 0 && !s.takeCold(f, service, now) {
-		return 0, false
+		return false
 	}
 	s.probing = s.probing || c.probe
 	s.inFlight++
-	return s.inFlight, true
+	return true
 }
 
 // takeCold counts a request to a server that may be cold.
--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -25,6 +25,8 @@
 	// coldUntil may be later than announced, after a return from evacuation.
 	coldUntil time.Time
 	inFlight  int
+	// told is inFlight as last reported to other routers.
+	told int
 	// sent holds the times of the last sends while the server is cold.
 	sent []time.Time
 	// failures is a moving average of failed attempts, 0 to 1, over outcomes.
@@ -138,3 +140,17 @@
 	s.load, s.loadAt = l, now
 	s.mu.Unlock()
 }
+
+// reportInFlight returns the requests in flight, and remembers that they were told.
+func (s *Server) reportInFlight() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.told = s.inFlight
+	return s.told
+}
+
+func (s *Server) lastReport() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.told
+}
--- a/internal/replication/confirm.go
+++ b/internal/replication/confirm.go
@@ -1,6 +1,8 @@
 package replication
 
 import (
+	"time"
+
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/kumquathollow/kumquathollow/api/replicationpb"
@@ -91,6 +93,9 @@
 		}
 	}
 	c.confirmed = n == all || n >= majority(len(set.Voters)) && c.now >= c.confirmDue
+	if first := c.cfg.FirstElection; c.confirmed && first > 0 && c.role == Follower && c.leader == "" {
+		c.electionDue = min(c.electionDue, c.now+time.Duration(c.rng.Int64N(int64(first))))
+	}
 }
 
 // tickConfirm asks the other voters what they know of this disk.
--- a/internal/replication/core.go
+++ b/internal/replication/core.go
@@ -18,6 +18,9 @@
 	// the actual time is drawn from one to two times as much.
 	ElectionTimeout time.Duration
 	Heartbeat       time.Duration
+	// FirstElection, if set, replaces ElectionTimeout for the first election after
+	// a start, so that a group that starts whole has a leader sooner.
+	FirstElection time.Duration
 	// ConfirmTime is how long a started voter waits for all others to confirm
 	// its disk before a majority suffices.
 	ConfirmTime time.Duration
@@ -178,6 +181,9 @@
 	}
 	c.advanceCommit(min(hs.Commit, c.log.last()))
 	c.resetElection()
+	if first := cfg.FirstElection; first > 0 {
+		c.electionDue = now + first + time.Duration(rng.Int64N(int64(first)))
+	}
 	c.confirmDue = now + cfg.ConfirmTime
 	c.checkConfirmed()
 	return c
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -63,6 +63,8 @@
 type Dialer struct {
 	// Traffic counts the bytes of the connections.
 	Traffic *Traffic
+	// Timeout bounds opening a connection; 0 means two seconds.
+	Timeout time.Duration
 
 	conf *tls.Config
 	pool *drpcpool.Pool[string, drpcpool.Conn]
@@ -97,8 +99,11 @@
 func (d *Dialer) Close() error { return d.pool.Close() }
 
 func (d *Dialer) dial(ctx context.Context, addr string) (drpcpool.Conn, error) {
-	nd := &net.Dialer{Timeout: dialTimeout}
-	raw, err := nd.DialContext(ctx, "tcp", addr)
+	timeout := d.Timeout
+	if timeout == 0 {
+		timeout = dialTimeout
+	}
+	raw, err := NetDialer(timeout).DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, errkind.Wrap(err, errkind.Unreachable, "dial %s", addr)
 	}
