Fetch prompts from the server that probably keeps them

Change: where the chosen server may lack the prompt, the request names the key's home, the server whose place was taken, or the next in order as the source.

--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -73,6 +73,8 @@
 	Slots int
 	// CacheTokens is the memory for prompts in tokens.
 	CacheTokens int
+	// Fetches is set if an engine can fetch a prompt's cache from another.
+	Fetches bool
 }
 
 // Workspace is a customer with its keys.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -109,6 +109,9 @@
 			o.Priority = *x.workspace.Priority
 		}
 	}
+	if place.Source != nil && x.service.Engine != nil && x.service.Engine.Fetches {
+		o.Source = place.Source.Address
+	}
 	if x.lastEvent != "" {
 		o.LastEvent, o.HasLastEvent = x.lastEvent, true
 	}
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -62,6 +62,9 @@
 	}
 	if x.last != nil {
 		fields = append(fields, "server", x.last.ID, "rank", x.last.Rank, "load", x.last.Load, "pool", x.last.PoolSize)
+		if x.last.Source != nil {
+			fields = append(fields, "cache-source", x.last.Source.ID)
+		}
 	}
 	return append(fields, more...)
 }
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -41,6 +41,9 @@
 	// LastEvent is the last event that the client has, if HasLastEvent.
 	LastEvent    string
 	HasLastEvent bool
+	// Source is the address of a server from which the prompt's cache may be
+	// fetched, or empty.
+	Source string
 }
 
 // Answer is what the headers of a server's answer say.
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -73,6 +73,8 @@
 type pool struct {
 	servers []*Server
 	order   *order
+	// leaving are the servers that finish what they run, by id.
+	leaving map[string]*Server
 }
 
 // loads is what other routers have in flight, by the server's hash.
@@ -134,11 +136,16 @@
 			s.hear(said)
 		}
 		byID[said.ID] = s
-		if said.State == inventory.Ready {
-			if pools[said.Service] == nil {
-				pools[said.Service] = &pool{}
-			}
-			pools[said.Service].servers = append(pools[said.Service].servers, s)
+		p := pools[said.Service]
+		if p == nil {
+			p = &pool{leaving: map[string]*Server{}}
+			pools[said.Service] = p
+		}
+		switch said.State {
+		case inventory.Ready:
+			p.servers = append(p.servers, s)
+		case inventory.Draining:
+			p.leaving[s.ID] = s
 		}
 	})
 	for service, p := range pools {
@@ -211,6 +218,9 @@
 	PoolSize int
 	// Rank is the server's position in the key's order; 0 is its home.
 	Rank int
+	// Source is a server that probably keeps the prompt if this one lacks it; nil if
+	// this one should have it.
+	Source *Server
 	// Load is the server's requests in flight at all routers, this one included.
 	Load int
 }
@@ -245,10 +255,14 @@
 	}
 	usable = f.reachable(usable)
 	f.order(usable, a)
+	var source *Server
 	for i := range usable {
 		c := &usable[i]
 		if c.take(f, a.Service, now) {
-			return &Place{Server: c.Server, fleet: f, PoolSize: len(usable), Rank: c.rank, Load: c.load + 1}, nil
+			if a.Key != 0 {
+				source = p.source(c, usable, now)
+			}
+			return &Place{Source: source, Server: c.Server, fleet: f, PoolSize: len(usable), Rank: c.rank, Load: c.load + 1}, nil
 		}
 	}
 	return nil, errkind.New(errkind.NoBackend, "no server of %q can take the request: %d are known, %d usable", a.Service.Name, len(p.servers), len(usable)).WithRetryAfter(noServerRetry)
@@ -417,6 +431,32 @@
 	return int(total / float64(f.routers.Load()))
 }
 
+// source returns the server that probably keeps the key's prompt, if the chosen
+// one may lack it: the key's home, the server whose place the chosen one took, or
+// the next in the key's order, which served the key meanwhile.
+func (p *pool) source(c *candidate, usable []candidate, now time.Time) *Server {
+	if c.rank == 0 {
+		previous, ok := p.order.settling(c.Server, now)
+		if !ok {
+			return nil
+		}
+		if s := p.leaving[previous]; s != nil {
+			return s
+		}
+	}
+	var best *candidate
+	for i := range usable {
+		o := &usable[i]
+		if o.Server != c.Server && !o.silent && !o.avoided && (best == nil || o.rank < best.rank) {
+			best = o
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return best.Server
+}
+
 // Done ends the attempt.
 func (p *Place) Done(o Outcome, latency time.Duration, now time.Time) {
 	p.Server.done(o, latency, p.fleet.failureRate(p.Service), now)
--- a/internal/placement/homes.go
+++ b/internal/placement/homes.go
@@ -32,12 +32,18 @@
 type home struct {
 	hash   uint64
 	server string
+	// born is the incarnation that holds the place, since when.
+	born  int64
+	since time.Time
+	// previous is the server that held the place before.
+	previous string
 	// vacant is since when no server holds the place; zero if one does.
 	vacant time.Time
 }
 
 type spare struct {
 	server string
+	born   int64
 	hash   uint64
 	since  time.Time
 }
@@ -60,8 +66,11 @@
 		switch {
 		case p.server != "" && is[p.server] != nil:
 			placed[p.server] = true
+			if born := is[p.server].Born; born != p.born {
+				p.born, p.since, p.previous = born, now, ""
+			}
 		case p.server != "":
-			p.server, p.vacant = "", now
+			p.previous, p.server, p.vacant = p.server, "", now
 		}
 	}
 	h.spares = slices.DeleteFunc(h.spares, func(s spare) bool { return is[s.server] == nil })
@@ -77,9 +86,9 @@
 	slices.SortFunc(joined, func(a, b *Server) int { return cmp.Or(cmp.Compare(a.Born, b.Born), cmp.Compare(a.ID, b.ID)) })
 	for _, s := range joined {
 		if now.Sub(h.begun) < foundingTime {
-			h.places = append(h.places, home{hash: s.hash, server: s.ID})
+			h.places = append(h.places, home{hash: s.hash, server: s.ID, born: s.Born})
 		} else {
-			h.spares = append(h.spares, spare{server: s.ID, hash: s.hash, since: now})
+			h.spares = append(h.spares, spare{server: s.ID, born: s.Born, hash: s.hash, since: now})
 		}
 	}
 	h.fill(now)
@@ -91,28 +100,28 @@
 	slices.SortFunc(h.places, func(a, b home) int { return cmp.Compare(a.hash, b.hash) })
 	for i := range h.places {
 		if p := &h.places[i]; p.server == "" && len(h.spares) > 0 {
-			p.server, p.vacant = h.spares[0].server, time.Time{}
+			p.server, p.born, p.since, p.vacant = h.spares[0].server, h.spares[0].born, now, time.Time{}
 			h.spares = slices.Delete(h.spares, 0, 1)
 		}
 	}
 	h.places = slices.DeleteFunc(h.places, func(p home) bool { return p.server == "" && now.Sub(p.vacant) > spareTime })
 	for len(h.spares) > 0 && now.Sub(h.spares[0].since) > spareTime {
-		h.places = append(h.places, home{hash: h.spares[0].hash, server: h.spares[0].server})
+		h.places = append(h.places, home{hash: h.spares[0].hash, server: h.spares[0].server, born: h.spares[0].born, since: now})
 		h.spares = slices.Delete(h.spares, 0, 1)
 	}
 }
 
 // order is an immutable copy of the places that traffic reads.
 type order struct {
-	// hash maps a server to the hash of its place; spare servers have none.
-	hash map[string]uint64
+	// places maps a server to its place; spare servers have none.
+	places map[string]home
 }
 
 func (h *homes) order() *order {
-	o := &order{hash: make(map[string]uint64, len(h.places))}
+	o := &order{places: make(map[string]home, len(h.places))}
 	for _, p := range h.places {
 		if p.server != "" {
-			o.hash[p.server] = p.hash
+			o.places[p.server] = p
 		}
 	}
 	return o
@@ -121,8 +130,25 @@
 // cost returns the rank of a server for a key; the lowest is the key's home.
 // Spares come after all places.
 func (o *order) cost(key uint64, s *Server) (cost uint64, isSpare bool) {
-	if hash, ok := o.hash[s.ID]; ok {
-		return routing.Mix(key, hash), false
+	if p, ok := o.places[s.ID]; ok {
+		return routing.Mix(key, p.hash), false
 	}
 	return routing.Mix(key, s.hash), true
 }
+
+// settleTime is how long a server may lack the prompts of a place that it took;
+// most of those that return do so within it.
+const settleTime = 30 * time.Second
+
+// settling reports whether the server took its place a short time ago, and the
+// server that held the place before, if any.
+func (o *order) settling(s *Server, now time.Time) (previous string, ok bool) {
+	p, placed := o.places[s.ID]
+	if !placed {
+		return "", true
+	}
+	if p.since.IsZero() || now.Sub(p.since) > settleTime {
+		return "", false
+	}
+	return p.previous, true
+}
