Drop loads of routers that report to another directory process

Ruled out: the mean over usable servers alone (bounded now against all servers too), and all routers choosing the least loaded server at once (steps now). Change: each request of a session carries the report or clears it; skew is bounded against all servers of the service; the lower median tells a sick pool.

--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -76,9 +76,8 @@
 			ss.push(&fleetpb.FollowUpdate{Revision: st.Revision, State: st})
 		}
 	}
-	if req.Load != nil {
-		s.hub.post(ctx, func() { ss.load = req.Load })
-	}
+	// A router that reports to another process now sends none.
+	s.hub.post(ctx, func() { ss.load = req.Load })
 	if req.Ping != 0 {
 		s.confirms.add(ss, req.Ping)
 	}
--- /dev/null
+++ b/internal/inventory/table_test.go
@@ -0,0 +1,162 @@
+package inventory
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func ready(id string, born int64, sequence uint64, address string) Server {
+	return Server{ID: id, Born: born, Sequence: sequence, Service: "chat", Address: address, DataCentre: "a", Slots: 4, State: Ready, Heard: start}
+}
+
+func state(t *Table, id string) State {
+	if s := t.Get(id); s != nil {
+		return s.State
+	}
+	return 0
+}
+
+func TestAnnouncementsAreOrderedByIncarnationAndSequence(t *testing.T) {
+	tab := New()
+	step := func(s Server, want Change) {
+		t.Helper()
+		if got := tab.Merge(s); got != want {
+			t.Errorf("%s born %d sequence %d: %v, want %v", s.ID, s.Born, s.Sequence, got, want)
+		}
+	}
+	step(ready("x", 10, 1, "h:1"), Changed)
+	step(ready("x", 10, 2, "h:1"), Refreshed)
+	step(ready("x", 10, 1, "h:1"), Stale)
+	step(ready("x", 10, 2, "h:1"), Stale)
+	draining := ready("x", 10, 3, "h:1")
+	draining.State = Draining
+	step(draining, Changed)
+	step(ready("x", 10, 2, "h:1"), Stale)
+	// The same id starts again: its sequence starts anew.
+	step(ready("x", 20, 1, "h:1"), Changed)
+	step(ready("x", 10, 99, "h:1"), Stale)
+	if state(tab, "x") != Ready {
+		t.Errorf("x is %s", state(tab, "x"))
+	}
+}
+
+func TestAnAddressBelongsToTheLastIncarnation(t *testing.T) {
+	tab := New()
+	tab.Merge(ready("old", 10, 5, "h:1"))
+	if got := tab.Merge(ready("new", 20, 1, "h:1")); got != Changed {
+		t.Fatalf("the new server: %v", got)
+	}
+	if state(tab, "old") != Gone {
+		t.Errorf("old is %s", state(tab, "old"))
+	}
+	// A heartbeat that was held up by a partition.
+	if got := tab.Merge(ready("old", 10, 6, "h:1")); got != Stale {
+		t.Errorf("a late announcement of the old server: %v", got)
+	}
+	if got := tab.Merge(ready("older", 5, 1, "h:1")); got != Stale {
+		t.Errorf("an unknown older server at the address: %v", got)
+	}
+	if state(tab, "new") != Ready {
+		t.Errorf("new is %s", state(tab, "new"))
+	}
+}
+
+func TestAServerThatLeftStaysGone(t *testing.T) {
+	tab := New()
+	tab.Merge(ready("x", 10, 5, "h:1"))
+	if _, got := tab.Leave("x", 5, start); got != Stale {
+		t.Errorf("a leave of an older incarnation: %v", got)
+	}
+	if _, got := tab.Leave("x", 10, start); got != Changed {
+		t.Errorf("leave: %v", got)
+	}
+	if _, got := tab.Leave("x", 10, start); got != Stale {
+		t.Errorf("the same leave again: %v", got)
+	}
+	if got := tab.Merge(ready("x", 10, 50, "h:1")); got != Stale {
+		t.Errorf("an announcement after the leave: %v", got)
+	}
+	if got := tab.Merge(ready("x", 11, 1, "h:1")); got != Changed {
+		t.Errorf("the next incarnation: %v", got)
+	}
+	if _, got := tab.Leave("unknown", 0, start); got != Stale {
+		t.Errorf("a leave of an unknown server: %v", got)
+	}
+}
+
+func TestSilentServersAreForgotten(t *testing.T) {
+	tab := New()
+	tab.Merge(ready("x", 10, 5, "h:1"))
+	if tab.Expire(start.Add(forgetAfter - time.Second)) {
+		t.Error("forgotten too early")
+	}
+	if !tab.Expire(start.Add(forgetAfter)) || tab.Len() != 0 {
+		t.Error("not forgotten")
+	}
+}
+
+// Whatever the order in which two processes hear the same announcements, they
+// end with the same list.
+func TestTheOrderOfAnnouncementsDoesNotMatter(t *testing.T) {
+	for seed := range uint64(300) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		var said []Server
+		for _, id := range []string{"x", "y"} {
+			for born := int64(1); born <= 2; born++ {
+				// Both ids share an address in turn; starts differ.
+				b := born * 10
+				if id == "y" {
+					b += 5
+				}
+				for seq := uint64(1); seq <= 3; seq++ {
+					s := ready(id, b, seq, "h:1")
+					if seq == 3 {
+						s.State = Draining
+					}
+					said = append(said, s)
+				}
+			}
+		}
+		var want map[string]Server
+		for range 2 {
+			tab := New()
+			rng.Shuffle(len(said), func(i, j int) { said[i], said[j] = said[j], said[i] })
+			for range 2 { // Repeated announcements change nothing.
+				for _, s := range said {
+					tab.Merge(s)
+				}
+			}
+			got := map[string]Server{}
+			tab.All(func(s *Server) {
+				if s.State != Gone {
+					got[s.ID] = *s
+				}
+			})
+			if len(got) != 1 || got["y"].Born != 25 || got["y"].State != Draining {
+				t.Fatalf("seed %d: %v", seed, got)
+			}
+			if want != nil && want["y"] != got["y"] {
+				t.Fatalf("seed %d: %v and %v", seed, want, got)
+			}
+			want = got
+		}
+	}
+}
+
+func TestAnnouncementsKeepTheirAges(t *testing.T) {
+	s := ready("x", 10, 5, "h:1")
+	s.Heard = start.Add(-2 * time.Second)
+	s.ColdUntil = start.Add(3 * time.Second)
+	later := start.Add(time.Hour) // another process's clock
+	got := Decode(Encode(&s, start), later)
+	if got.Heard != later.Add(-2*time.Second) || got.ColdUntil != later.Add(3*time.Second) {
+		t.Errorf("heard %s, cold until %s", got.Heard, got.ColdUntil)
+	}
+	s.ColdUntil = time.Time{}
+	if got := Decode(Encode(&s, start), later); !got.ColdUntil.IsZero() {
+		t.Errorf("a server that is not cold is cold until %s", got.ColdUntil)
+	}
+}
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -20,8 +20,14 @@
 	// stay at their home up to the upper bound; cheap ones leave at the lower, which
 	// evens the load out. The upper bound lies under the deployment's limit on load
 	// skew (2 x mean + 3), for what the counts lag.
-	lowFactor, highFactor = 1.2, 1.9
+	lowFactor, highFactor = 1.3, 1.9
 	lowSlack, highSlack   = 1.0, 2.0
+	// skewFactor and skewSlack bound a server's load against the mean of all servers
+	// of its service, those included that are taken out: the limit on load skew
+	// (2 x mean + 3), less what the counts lag.
+	skewFactor, skewSlack = 2.0, 1.0
+	// overStep is the difference of loads over the bound that matters.
+	overStep = 4
 	// costlyPrompt is the multiple of the mean shared prompt from which the upper
 	// bound holds.
 	costlyPrompt = 2.0
@@ -77,6 +83,16 @@
 	leaving map[string]*Server
 }
 
+// each visits the servers that may have requests in flight.
+func (p *pool) each(visit func(*Server)) {
+	for _, s := range p.servers {
+		visit(s)
+	}
+	for _, s := range p.leaving {
+		visit(s)
+	}
+}
+
 // loads is what other routers have in flight, by the server's hash.
 type loads struct {
 	others map[uint32]int
@@ -176,11 +192,11 @@
 func (f *Fleet) InFlight() map[uint32]int {
 	out := map[uint32]int{}
 	for _, p := range *f.pools.Load() {
-		for _, s := range p.servers {
+		p.each(func(s *Server) {
 			if n := s.reportInFlight(); n > 0 {
 				out[uint32(s.hash)] = n
 			}
-		}
+		})
 	}
 	return out
 }
@@ -188,11 +204,11 @@
 // SetLoads takes in what all routers have reported, this one included.
 func (f *Fleet) SetLoads(sum map[uint32]int, now time.Time) {
 	for _, p := range *f.pools.Load() {
-		for _, s := range p.servers {
+		p.each(func(s *Server) {
 			if n, ok := sum[uint32(s.hash)]; ok {
 				sum[uint32(s.hash)] = max(0, n-s.lastReport())
 			}
-		}
+		})
 	}
 	f.loads.Store(&loads{others: sum, at: now})
 }
@@ -236,7 +252,14 @@
 	if now.Sub(others.at) > othersAge {
 		others = &loads{}
 	}
+	total, members := 0, 0
+	for _, s := range p.leaving {
+		total += s.running() + others.others[uint32(s.hash)]
+		members++
+	}
 	for _, s := range p.servers {
+		total += s.running() + others.others[uint32(s.hash)]
+		members++
 		switch {
 		case slices.Contains(out, s.DataCentre):
 			taken++
@@ -254,7 +277,7 @@
 		return nil, errkind.New(errkind.DataCentreOut, "every data centre with servers of %q is taken out", a.Service.Name).WithRetryAfter(noServerRetry)
 	}
 	usable = f.reachable(usable)
-	f.order(usable, a)
+	f.order(usable, a, float64(total+1)/float64(max(1, members)))
 	var source *Server
 	for i := range usable {
 		c := &usable[i]
@@ -325,8 +348,9 @@
 	return out
 }
 
-// order sorts by preference.
-func (f *Fleet) order(cs []candidate, a Ask) {
+// order sorts by preference. mean is the load of all the service's servers, those
+// included that may take nothing: skew is measured against it.
+func (f *Fleet) order(cs []candidate, a Ask, mean float64) {
 	if a.Key == 0 {
 		slices.SortFunc(cs, func(x, y candidate) int {
 			return cmp.Or(cmp.Compare(x.expected/latencyStep, y.expected/latencyStep), f.distance(x)-f.distance(y), cmp.Compare(x.cost, y.cost))
@@ -337,14 +361,17 @@
 	slices.SortFunc(cs, func(x, y candidate) int {
 		return cmp.Or(compareBool(x.spare, y.spare), cmp.Compare(x.cost, y.cost))
 	})
-	total := 0
 	for i := range cs {
 		cs[i].rank = i
-		total += cs[i].load
 	}
-	bound := f.bound(a, float64(total+1)/float64(max(1, len(cs))))
-	// Servers over the bound come last, the least loaded first. Before them, a key
-	// goes to the first server of its order, spares last.
+	usable := 0
+	for i := range cs {
+		usable += cs[i].load
+	}
+	bound := min(f.bound(a, float64(usable+1)/float64(max(1, len(cs)))), int(skewFactor*mean+skewSlack))
+	// Below the bound a key goes to the first server of its order, spares last.
+	// Above it the less loaded come first, but in steps: the counts lag, and all
+	// routers would choose the one server that seems to have the least.
 	slices.SortStableFunc(cs, func(x, y candidate) int {
 		return cmp.Compare(over(x.load, bound), over(y.load, bound))
 	})
@@ -385,7 +412,7 @@
 // data centres is of this order.
 const latencyStep = 5 * time.Millisecond
 
-func over(load, bound int) int { return max(0, load+1-bound) }
+func over(load, bound int) int { return (max(0, load+1-bound) + overStep - 1) / overStep }
 
 func (f *Fleet) distance(c candidate) int {
 	if c.DataCentre == f.dataCentre {
@@ -479,5 +506,5 @@
 		s.mu.Unlock()
 	}
 	slices.Sort(rates)
-	return rates[len(rates)/2]
+	return rates[(len(rates)-1)/2]
 }
--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -154,3 +154,10 @@
 	defer s.mu.Unlock()
 	return s.told
 }
+
+// running returns this router's requests in flight.
+func (s *Server) running() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.inFlight
+}
