--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -68,12 +68,24 @@
 		return x.unusable("the answer of server %q is not in the form that was asked for", place.ID)
 	case resp.StatusCode < 300 && (a.ID != x.call.ID || !a.Signed):
 		return x.unusable("the success of server %q does not name the request or is not signed", place.ID)
+	case saysNotRun(resp.StatusCode):
+		return x.unusable("server %q answered %d without stating that it did not run the request", place.ID, resp.StatusCode)
 	case resp.StatusCode < 300 && isEventStream(resp.Header):
 		return x.stream(place, resp)
 	}
 	return x.whole(place, resp, a)
 }
 
+// saysNotRun reports whether clients read the status as a statement that the
+// request has not run.
+func saysNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // patience bounds an attempt that another one may follow.
 func (x *exchange) patience() (context.Context, context.CancelFunc) {
 	left := time.Until(x.deadline)
