--- /dev/null
+++ b/internal/directory/cluster_test.go
@@ -0,0 +1,220 @@
+package directory
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/pebble/v2/vfs"
+	"github.com/hashicorp/go-hclog"
+)
+
+// cluster runs directory processes on loopback. All use one port and differ by
+// host, as the seeds' rule wants.
+type cluster struct {
+	t     *testing.T
+	port  string
+	seeds []string
+	nodes map[string]*node
+}
+
+type node struct {
+	p    *Process
+	fs   vfs.FS
+	stop context.CancelFunc
+	done chan error
+}
+
+// freePort finds a port that is free on all hosts of the test.
+func freePort(t *testing.T, hosts []string) string {
+	t.Helper()
+	for range 50 {
+		l, err := net.Listen("tcp", hosts[0]+":0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, port, _ := net.SplitHostPort(l.Addr().String())
+		free := true
+		for _, h := range hosts[1:] {
+			o, err := net.Listen("tcp", net.JoinHostPort(h, port))
+			if err != nil {
+				free = false
+				break
+			}
+			_ = o.Close()
+		}
+		_ = l.Close()
+		if free {
+			return port
+		}
+	}
+	t.Fatal("no port is free on all hosts")
+	return ""
+}
+
+var hosts = []string{"127.0.0.11", "127.0.0.12", "127.0.0.13", "127.0.0.14"}
+
+func newCluster(t *testing.T, n int) *cluster {
+	t.Helper()
+	c := &cluster{t: t, port: freePort(t, hosts), nodes: map[string]*node{}}
+	for _, h := range hosts[:n] {
+		c.seeds = append(c.seeds, h+":1")
+	}
+	for _, h := range hosts[:n] {
+		c.start(h, vfs.NewMem())
+	}
+	t.Cleanup(func() {
+		for h := range c.nodes {
+			c.kill(h)
+		}
+	})
+	return c
+}
+
+func (c *cluster) start(host string, fs vfs.FS) *Process {
+	c.t.Helper()
+	p, err := Open(fs, &Settings{
+		Name: host, DataCentre: "a", Operations: host + ":0", Fleet: net.JoinHostPort(host, c.port), Admin: host + ":0",
+		Data: "data", Seeds: c.seeds, Founding: true,
+	}, hclog.New(&hclog.LoggerOptions{Output: io.Discard}))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	n := &node{p: p, fs: fs, stop: stop, done: make(chan error, 1)}
+	go func() { n.done <- p.Run(ctx, http.NotFoundHandler()) }()
+	c.nodes[host] = n
+	return p
+}
+
+func (c *cluster) kill(host string) {
+	n := c.nodes[host]
+	delete(c.nodes, host)
+	n.stop()
+	if err := <-n.done; err != nil {
+		c.t.Errorf("%s ended with %v", host, err)
+	}
+}
+
+func (c *cluster) eventually(what string, check func() bool) {
+	c.t.Helper()
+	for end := time.Now().Add(40 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if check() {
+			return
+		}
+	}
+	c.t.Fatalf("%s: not within 40 s", what)
+}
+
+func (c *cluster) publish(host string, version uint64, document string) {
+	c.t.Helper()
+	c.eventually("accept the change", func() bool {
+		return c.nodes[host].p.Publish(context.Background(), version, []byte(document)) == nil
+	})
+}
+
+func (c *cluster) holds(host, document string) {
+	c.t.Helper()
+	c.eventually(host+" reads "+document, func() bool {
+		got, err := c.nodes[host].p.Configuration(context.Background())
+		return err == nil && string(got) == document
+	})
+}
+
+// voters returns the voters that a process knows, by host.
+func (c *cluster) voters(host string) (out []string) {
+	for _, v := range c.nodes[host].p.group.Status().Voters.GetVoters() {
+		h, _, _ := net.SplitHostPort(v.Address)
+		out = append(out, h)
+	}
+	slices.Sort(out)
+	return out
+}
+
+func TestAChangeIsReadAtEveryProcess(t *testing.T) {
+	c := newCluster(t, 3)
+	c.publish(hosts[0], 5, "five")
+	c.publish(hosts[1], 3, "three")
+	for _, h := range hosts[:3] {
+		c.holds(h, "five")
+	}
+	if err := c.nodes[hosts[2]].p.Evacuate(context.Background(), "b", true); err != nil {
+		t.Fatal(err)
+	}
+	c.eventually("spread the evacuation", func() bool {
+		return slices.Equal(c.nodes[hosts[0]].p.machine.State().Evacuated, []string{"b"})
+	})
+}
+
+// A process that comes back with an empty disk is another voter: it must not
+// vote as the one that it was, and takes its place without an operator.
+func TestAWipedProcessTakesItsPlaceAgain(t *testing.T) {
+	c := newCluster(t, 3)
+	c.publish(hosts[0], 1, "one")
+	disk := c.nodes[hosts[2]].p.store.Disk()
+	c.kill(hosts[2])
+	c.publish(hosts[0], 2, "two")
+	p := c.start(hosts[2], vfs.NewMem())
+	if p.store.Disk() == disk {
+		t.Fatal("the new disk has the old identity")
+	}
+	c.eventually("admit the new disk", func() bool {
+		return isVoter(c.nodes[hosts[0]].p.group.Status().Voters, p.roster().id, p.store.Disk())
+	})
+	c.holds(hosts[2], "two")
+	// The group bears the loss of another now.
+	c.kill(hosts[0])
+	c.publish(hosts[2], 3, "three")
+	c.holds(hosts[1], "three")
+}
+
+// A process is gone for good, and an empty one comes at another address.
+func TestALostProcessIsReplacedAtAnotherAddress(t *testing.T) {
+	c := newCluster(t, 3)
+	c.publish(hosts[0], 1, "one")
+	c.kill(hosts[2])
+	c.start(hosts[3], vfs.NewMem())
+	want := []string{hosts[0], hosts[1], hosts[3]}
+	c.eventually("replace the lost voter", func() bool { return slices.Equal(c.voters(hosts[0]), want) })
+	c.holds(hosts[3], "one")
+	c.kill(hosts[1])
+	c.publish(hosts[3], 2, "two")
+	c.holds(hosts[0], "two")
+}
+
+// All processes stop and come back with their disks.
+func TestTheStateSurvivesARestartOfAll(t *testing.T) {
+	c := newCluster(t, 3)
+	c.publish(hosts[1], 7, "seven")
+	disks := map[string]vfs.FS{}
+	for _, h := range hosts[:3] {
+		disks[h] = c.nodes[h].fs
+	}
+	for _, h := range hosts[:3] {
+		c.kill(h)
+	}
+	for _, h := range hosts[:3] {
+		c.start(h, disks[h])
+	}
+	c.holds(hosts[2], "seven")
+}
+
+// A process without a quorum answers no read and accepts no change.
+func TestAMinorityAcceptsAndReadsNothing(t *testing.T) {
+	c := newCluster(t, 3)
+	c.publish(hosts[0], 1, "one")
+	c.kill(hosts[1])
+	c.kill(hosts[2])
+	p := c.nodes[hosts[0]].p
+	if err := p.Publish(context.Background(), 2, []byte("two")); err == nil {
+		t.Error("a minority accepted a change")
+	}
+	c.eventually("lose the leader", func() bool {
+		_, err := p.Configuration(context.Background())
+		return err != nil
+	})
+}
--- a/internal/directory/process.go
+++ b/internal/directory/process.go
@@ -130,7 +130,7 @@
 // spread passes announcements to the other directory processes, so that routers
 // learn them even if this process stops.
 func (p *Process) spread(news []*fleetpb.Announcement) {
-	for _, a := range p.server.roster.members() {
+	for _, a := range p.roster().members() {
 		if a == p.fleet.Addr().String() {
 			continue
 		}
@@ -178,7 +178,7 @@
 	g.Go(func() error { return ignoreEnd(ctx, p.group.Form(ctx)) })
 	g.Go(func() error { return p.hub.run(ctx) })
 	g.Go(func() error { return p.server.confirms.run(ctx) })
-	g.Go(func() error { return p.server.roster.run(ctx) })
+	g.Go(func() error { return p.roster().run(ctx) })
 	g.Go(func() error { return p.watch(ctx) })
 	g.Go(func() error { return ignoreEnd(ctx, rpc.Serve(ctx, p.fleet, mux)) })
 	g.Go(func() error { return ignoreEnd(ctx, operations.Serve(p.operations)) })
@@ -207,14 +207,16 @@
 		}
 		s := p.group.Status()
 		p.ready.Set(reasonNoLeader, s.Leader == "")
-		members, leader := p.server.roster.members(), s.Leader != ""
+		members, leader := p.roster().members(), s.Leader != ""
 		p.hub.post(ctx, func() { p.hub.groupChanged(members, leader) })
 	}
 }
 
+func (p *Process) roster() *roster { return p.server.roster }
+
 // SetSeeds takes new seeds in, as the settings change.
 func (p *Process) SetSeeds(seeds []string) {
-	p.server.roster.setSeeds(FleetAddresses(seeds, p.fleet.Addr().String()))
+	p.roster().setSeeds(FleetAddresses(seeds, p.fleet.Addr().String()))
 	p.log.Info("seeds changed", "seeds", seeds)
 }
 
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -95,11 +95,11 @@
 	}
 	set := x.view.Set
 	if set == nil {
-		return errkind.New(errkind.NotReady, "no configuration in force yet")
+		return x.f.notReady("no configuration in force yet")
 	}
 	age, confirmed := x.f.opts.View.Age()
 	if !confirmed {
-		return errkind.New(errkind.NotReady, "the configuration held is not confirmed yet")
+		return x.f.notReady("the configuration held is not confirmed yet")
 	}
 	fresh := age <= x.f.opts.KeyAge
 	if x.route = set.Find(x.r.Host, x.r.URL.Path); x.route == nil {
@@ -125,7 +125,7 @@
 }
 
 func (x *exchange) stale(age time.Duration) error {
-	return errkind.New(errkind.NotReady, "the configuration was last confirmed %s ago", age.Round(time.Millisecond))
+	return errkind.New(errkind.NotReady, "the configuration was last confirmed %s ago", age.Round(time.Millisecond)).WithRetryAfter(staleRetry)
 }
 
 func (x *exchange) authenticate(set *catalog.Set, fresh bool, age time.Duration) error {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -38,6 +38,7 @@
 	sampler  *eventlog.Sampler
 	closing  atomic.Bool
 	inFlight atomic.Int64
+	began    time.Time
 
 	mu      sync.Mutex
 	budgets map[string]*budget
@@ -49,7 +50,7 @@
 
 // New returns a Forwarder.
 func New(opts Options) *Forwarder {
-	f := &Forwarder{opts: opts, sampler: eventlog.NewSampler(linesPerSecond), budgets: map[string]*budget{}}
+	f := &Forwarder{opts: opts, began: time.Now(), sampler: eventlog.NewSampler(linesPerSecond), budgets: map[string]*budget{}}
 	opts.Metrics.Gauge("forward.in_flight", f.inFlight.Load)
 	return f
 }
@@ -61,6 +62,22 @@
 // InFlight returns the number of requests being handled.
 func (f *Forwarder) InFlight() int64 { return f.inFlight.Load() }
 
+const (
+	// startTime is how long a fleet that starts as a whole takes to serve: its
+	// directory elects a leader and its routers fetch the configuration.
+	startTime = 2 * time.Second
+	// staleRetry is the advice of a router that is cut off: by then the balancer
+	// has turned to others.
+	staleRetry = time.Second
+)
+
+// notReady refuses a request while the router starts, with the time that is
+// likely left.
+func (f *Forwarder) notReady(why string) error {
+	left := max(defaultRetryAfter, startTime-time.Since(f.began))
+	return errkind.New(errkind.NotReady, "%s", why).WithRetryAfter(left)
+}
+
 func (f *Forwarder) budget(service string) *budget {
 	f.mu.Lock()
 	defer f.mu.Unlock()
