--- /dev/null
+++ b/internal/fleetview/view_test.go
@@ -0,0 +1,104 @@
+package fleetview
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/kumquathollow/kumquathollow/api/fleetpb"
+	"github.com/kumquathollow/kumquathollow/internal/catalog"
+	"github.com/kumquathollow/kumquathollow/internal/clock"
+	"github.com/kumquathollow/kumquathollow/internal/placement"
+	"github.com/kumquathollow/kumquathollow/internal/publication"
+)
+
+// newView returns a view whose documents are versions in decimal.
+func newView() (*View, *link) {
+	v := New(Options{
+		Router: "r", Fleet: placement.NewFleet("a", placement.Bounds{}), Log: hclog.NewNullLogger(),
+		Decode: func(document []byte) (*catalog.Set, error) {
+			n, err := strconv.ParseUint(string(document), 10, 64)
+			if err != nil {
+				return nil, errors.New("not a version")
+			}
+			return catalog.New(catalog.Set{Version: n})
+		},
+	})
+	l := &link{v: v, address: "d:1", wake: make(chan struct{}, 1), stop: func() {}}
+	v.links["d:1"] = l
+	return v, l
+}
+
+func state(t *testing.T, revision, version uint64, document string) *fleetpb.State {
+	t.Helper()
+	packed, err := publication.Compress([]byte(document))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &fleetpb.State{Revision: revision, Configuration: &fleetpb.Publish{Version: version, Document: packed}}
+}
+
+func (v *View) version() uint64 {
+	if set := v.Snapshot().Set; set != nil {
+		return set.Version
+	}
+	return 0
+}
+
+func TestAViewNeverStepsBack(t *testing.T) {
+	v, l := newView()
+	for _, c := range []struct{ revision, version, want uint64 }{{3, 30, 30}, {2, 20, 30}, {3, 99, 30}, {5, 50, 50}, {4, 40, 50}, {6, 50, 50}} {
+		v.took(l, update{FollowUpdate: &fleetpb.FollowUpdate{State: state(t, c.revision, c.version, strconv.FormatUint(c.version, 10))}})
+		if got := v.version(); got != c.want {
+			t.Errorf("after revision %d: version %d, want %d", c.revision, got, c.want)
+		}
+	}
+}
+
+// A configuration that this process cannot use does not replace the one in force.
+func TestAnUnusableConfigurationIsNotAdopted(t *testing.T) {
+	v, _ := newView()
+	v.adopt(state(t, 1, 10, "10"))
+	v.adopt(state(t, 2, 20, "damaged"))
+	if s := v.Snapshot(); s.Revision != 1 || s.Set.Version != 10 {
+		t.Errorf("revision %d, version %d", s.Revision, s.Set.Version)
+	}
+}
+
+// A confirmation counts from when it was asked for, and only for a revision that
+// the router holds.
+func TestConfirmationsCountFromTheQuestion(t *testing.T) {
+	v, l := newView()
+	if _, ok := v.Age(); ok {
+		t.Error("confirmed before the first confirmation")
+	}
+	asked := clock.Boot() - 700*time.Millisecond
+	pong := func(newest uint64, at time.Duration) {
+		v.took(l, update{FollowUpdate: &fleetpb.FollowUpdate{Pong: 1, Confirmed: true, Newest: newest}, askedAt: at})
+	}
+	pong(1, asked)
+	if _, ok := v.Age(); ok {
+		t.Error("confirmed without holding the newest revision")
+	}
+	v.adopt(state(t, 1, 10, "10"))
+	if age, ok := v.Age(); !ok || age < 700*time.Millisecond {
+		t.Errorf("age %s, %v after the revision came", age, ok)
+	}
+	// The newest is ahead: the age grows until it is held.
+	pong(2, clock.Boot())
+	if age, _ := v.Age(); age < 700*time.Millisecond {
+		t.Errorf("age %s though revision 2 is not held", age)
+	}
+	v.adopt(state(t, 2, 20, "20"))
+	if age, _ := v.Age(); age > 600*time.Millisecond {
+		t.Errorf("age %s once revision 2 is held", age)
+	}
+	// A late confirmation does not replace a newer one.
+	pong(2, asked)
+	if age, _ := v.Age(); age > 600*time.Millisecond {
+		t.Errorf("age %s after a late confirmation", age)
+	}
+}
