Soak real processes of the platform's fleet by seeds

Change: internal/soak and kqsoak start directory processes and routers on loopback, pause, kill, stop and restart them, disturb connections to backend servers by a proxy, and check answers, runs, refusals, streams and configurations. The script for declared fleets stays as make soak-declared.

--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,11 @@
-# Targets: build, test, lint, generate, bench, demo, soak, clean. See README.md.
+# Targets: build, test, lint, generate, bench, demo, soak, soak-declared, clean. See README.md.
 GO ?= go
 BIN := bin
 VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo dev)
 LDFLAGS := -X github.com/kumquathollow/kumquathollow/internal/version.Version=$(VERSION)
 GOFILES := $(shell find . -name '*.go' -not -name '*.pb.go' -not -path './$(BIN)/*')
 
-.PHONY: build test lint format unit generate bench measure measure-capacity demo soak clean
+.PHONY: build test lint format unit generate bench measure measure-capacity demo soak soak-declared clean
 
 build:
 	$(GO) build -ldflags "$(LDFLAGS)" -o $(BIN)/ ./cmd/...
@@ -47,11 +47,17 @@
 demo: build
 	@FLEET=$(FLEET) scripts/demo.sh
 
-# soak disturbs a fleet under load for SOAK_SECONDS; not part of CI.
-SOAK_SECONDS ?= 300
+# soak disturbs a fleet of real kqplatform processes on loopback by seeds.
+SOAK_SECONDS ?= 15
 SOAK_SEED ?= 1
+SOAK_SEEDS ?= 1
 soak: build
-	@FLEET=$(FLEET) SOAK_SECONDS=$(SOAK_SECONDS) SOAK_SEED=$(SOAK_SEED) scripts/soak.sh
+	bin/kqsoak --seed $(SOAK_SEED) --seeds $(SOAK_SEEDS) --seconds $(SOAK_SECONDS)
+
+# soak-declared disturbs a fleet of kqrouter and kqcontrol under load; not part of CI.
+SOAK_DECLARED_SECONDS ?= 300
+soak-declared: build
+	@FLEET=$(FLEET) SOAK_SECONDS=$(SOAK_DECLARED_SECONDS) SOAK_SEED=$(SOAK_SEED) scripts/soak.sh
 
 clean:
 	rm -rf $(BIN)
--- /dev/null
+++ b/cmd/kqsoak/main.go
@@ -0,0 +1,96 @@
+// Command kqsoak disturbs a fleet of kqplatform processes on loopback and checks
+// its promises. It exits non-zero if one was broken.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/soak"
+	"github.com/kumquathollow/kumquathollow/internal/version"
+)
+
+func main() {
+	binary, dir := "bin/kqplatform", ""
+	seed, seeds, seconds := uint64(1), 1, 15
+	directories, routers, servers, clients := 3, 4, 6, 16
+	flaggy.SetName("kqsoak")
+	flaggy.SetDescription("Disturbs a fleet on loopback and checks its promises.")
+	flaggy.SetVersion(version.Version)
+	flaggy.String(&binary, "b", "binary", "path of kqplatform")
+	flaggy.String(&dir, "d", "dir", "folder for settings, data and logs; default a temporary one, kept if a promise broke")
+	flaggy.UInt64(&seed, "s", "seed", "first seed")
+	flaggy.Int(&seeds, "n", "seeds", "number of seeds")
+	flaggy.Int(&seconds, "t", "seconds", "seconds of faults for each seed")
+	flaggy.Int(&directories, "", "directories", "directory processes")
+	flaggy.Int(&routers, "", "routers", "routers")
+	flaggy.Int(&servers, "", "servers", "backend servers")
+	flaggy.Int(&clients, "", "clients", "clients")
+	flaggy.Parse()
+	if directories < 3 || routers < 1 || servers < 1 || clients < 1 || seeds < 1 || seconds < 1 {
+		fmt.Fprintln(os.Stderr, "kqsoak: at least 3 directories and 1 of each other are needed")
+		os.Exit(errkind.ExitUsage)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	conf := soak.Config{
+		Time: time.Duration(seconds) * time.Second, Directories: directories, Routers: routers, Servers: servers, Clients: clients,
+		Binary: binary, Out: os.Stdout,
+	}
+	broken := 0
+	for n := range uint64(seeds) {
+		conf.Seed = seed + n
+		if err := one(ctx, conf, dir); err != nil {
+			fmt.Fprintf(os.Stderr, "kqsoak: seed %d: %v\n", conf.Seed, err)
+			broken++
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	if broken > 0 {
+		os.Exit(errkind.ExitFailed)
+	}
+}
+
+// maxShown bounds the broken promises that are printed for a seed.
+const maxShown = 20
+
+// one runs one seed; an error says that it could not run, or broke a promise.
+func one(ctx context.Context, conf soak.Config, dir string) error {
+	keep := dir != ""
+	if !keep {
+		var err error
+		if dir, err = os.MkdirTemp("", "kqsoak-"); err != nil {
+			return err
+		}
+	}
+	conf.Dir = filepath.Join(dir, fmt.Sprint("seed-", conf.Seed))
+	if err := os.MkdirAll(conf.Dir, 0o700); err != nil {
+		return err
+	}
+	r, err := soak.Run(ctx, conf)
+	if err != nil {
+		return fmt.Errorf("%w; logs in %s", err, conf.Dir)
+	}
+	fmt.Printf("seed %d: %d faults, %d served, %d refused, %d failed, version %d acknowledged, recovered after %s, %d violations\n",
+		conf.Seed, r.Faults, r.Served, r.Refused, r.Failed, r.Acknowledged, r.RecoveredAfter.Round(time.Millisecond), len(r.Violations))
+	for _, v := range r.Violations[:min(maxShown, len(r.Violations))] {
+		fmt.Println("  broken:", v)
+	}
+	if len(r.Violations) > 0 {
+		return fmt.Errorf("%d promises broken; logs in %s", len(r.Violations), conf.Dir)
+	}
+	if !keep {
+		return os.RemoveAll(dir)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/soak/operator.go
@@ -0,0 +1,115 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// operator changes the configuration and reads it back.
+type operator struct {
+	http        *http.Client
+	directories []string
+	check       *checker
+	rng         *rand.Rand
+	version     uint64
+	// acknowledged is the highest version that was.
+	acknowledged uint64
+}
+
+const (
+	operatorTimeout = time.Second
+	changeInterval  = 500 * time.Millisecond
+)
+
+func (o *operator) document() ([]byte, error) {
+	route := func(name, kind string, resume bool) map[string]any {
+		return map[string]any{
+			"name": name, "host": "h.example", "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": 4000,
+			"target_latency_ms": 200, "priority": 1, "service": "svc", "max_attempts": 3, "session_affinity": false,
+			"stream_resume": resume, "target_gap_ms": 200,
+		}
+	}
+	return json.Marshal(map[string]any{
+		"version":  o.version,
+		"routes":   []any{route("safe", "safe", false), route("once", "unsafe", false), route("stream", "streaming", false), route("resume", "streaming", true)},
+		"services": []any{map[string]any{"name": "svc", "health_path": "/health", "max_connections": 400, "cold_start_s": 0, "cold_per_s": 0}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 100_000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants":  []any{map[string]any{"name": "w1", "api_keys": []string{clientKey}}},
+	})
+}
+
+func (o *operator) call(method, path string, body []byte) (int, []byte) {
+	d := o.directories[o.rng.IntN(len(o.directories))]
+	req, err := http.NewRequest(method, "http://"+d+path, strings.NewReader(string(body)))
+	if err != nil {
+		return 0, nil
+	}
+	resp, err := o.http.Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return resp.StatusCode, data
+}
+
+// publish sends the next version until it is acknowledged or ctx ends.
+func (o *operator) publish(ctx context.Context) {
+	o.version += 1 + uint64(o.rng.IntN(3))
+	doc, err := o.document()
+	if err != nil {
+		o.check.violation("encode the configuration: %v", err)
+		return
+	}
+	for ctx.Err() == nil {
+		status, body := o.call(http.MethodPost, "/-/config/replace", doc)
+		switch {
+		case status == http.StatusOK:
+			o.acknowledged = o.version
+			return
+		case status >= 400 && status < 500:
+			o.check.violation("version %d was refused with %d: %s", o.version, status, body)
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// read checks that what is read is not older than what was acknowledged before.
+func (o *operator) read() (ok bool) {
+	least := o.acknowledged
+	status, body := o.call(http.MethodGet, "/-/config/get", nil)
+	if status != http.StatusOK {
+		return false
+	}
+	var got struct {
+		Version uint64 `json:"version"`
+	}
+	if err := json.Unmarshal(body, &got); err != nil {
+		o.check.violation("the configuration that was read is not JSON: %v", err)
+		return false
+	}
+	if got.Version < least {
+		o.check.violation("version %d was read after %d was acknowledged", got.Version, least)
+	}
+	return got.Version >= least
+}
+
+func (o *operator) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		o.publish(ctx)
+		o.read()
+		select {
+		case <-time.After(changeInterval):
+		case <-ctx.Done():
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/server.go
@@ -0,0 +1,141 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// ledger records what ran at all servers.
+type ledger struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+func (l *ledger) ran(id string) {
+	l.mu.Lock()
+	l.runs[id]++
+	l.mu.Unlock()
+}
+
+func (l *ledger) count(id string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.runs[id]
+}
+
+const (
+	// streamEvents is the length of every stream.
+	streamEvents = 12
+	// eventPause is the time between events.
+	eventPause = 30 * time.Millisecond
+	// heartbeatInterval is how often a server announces itself.
+	heartbeatInterval = 400 * time.Millisecond
+)
+
+// backendServer is a stand-in of a backend server behind a proxy.
+type backendServer struct {
+	id       string
+	born     int64
+	proxy    *proxy
+	listener net.Listener
+	ledger   *ledger
+	sequence atomic.Int64
+	draining atomic.Bool
+	failing  atomic.Bool
+}
+
+func newBackendServer(id string, l *ledger) (*backendServer, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p, err := newProxy(listener.Addr().String())
+	if err != nil {
+		return nil, err
+	}
+	b := &backendServer{id: id, born: time.Now().UnixMilli(), proxy: p, listener: listener, ledger: l}
+	go func() {
+		// It ends with its listener.
+		_ = http.Serve(listener, b)
+	}()
+	return b, nil
+}
+
+// ServeHTTP implements http.Handler.
+func (b *backendServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Request-Id")
+	w.Header().Set("X-Request-Id", id)
+	body, err := io.ReadAll(r.Body)
+	if err != nil || string(body) != "body of "+id && len(body) > 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if expected := r.Header.Get("X-Expect-Instance"); expected != b.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if b.failing.Load() {
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	b.ledger.ran(id)
+	w.Header().Set("X-Response-Signature", "signed-"+b.id)
+	if !isStream(r.URL.Path) {
+		fmt.Fprintf(w, "answer to %s", id)
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	from := 0
+	if last := r.Header.Get("Last-Event-Id"); last != "" {
+		if from, err = strconv.Atoi(last); err != nil {
+			return
+		}
+	}
+	for i := from + 1; i <= streamEvents; i++ {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s piece %d\n\n", i, id, i); err != nil {
+			return
+		}
+		if http.NewResponseController(w).Flush() != nil {
+			return
+		}
+		select {
+		case <-time.After(eventPause):
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// announce sends a heartbeat to the first directory process that takes it.
+func (b *backendServer) announce(client *http.Client, directories []string) {
+	state := "ready"
+	if b.draining.Load() {
+		state = "draining"
+	}
+	body, err := json.Marshal(map[string]any{
+		"service": "svc", "address": b.proxy.listener.Addr().String(), "zone": "a", "version": "v1", "slots": 16,
+		"state": state, "cold_remaining_ms": 0, "sequence": b.sequence.Add(1), "born": b.born,
+	})
+	if err != nil {
+		return
+	}
+	for _, d := range directories {
+		resp, err := client.Post("http://"+d+"/-/instances/"+b.id+"/heartbeat", "application/json", strings.NewReader(string(body)))
+		if err != nil {
+			continue
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			return
+		}
+	}
+}
