Leave a cut data centre alone as a whole; fetch prompts from evacuated servers

Cause: in a cut each of a dozen servers cost requests a dial of 0.4 s, again at each retry; routers said only after 2.5 s that they were cut off. In an evacuation the prompts of a third of the keys were read again though their servers keep them. Change: two unreachable servers of a data centre, with none answering, stand for all of it; a router that reaches a minority of the directory for 0.7 s is unready; ranks count all servers, and those taken out serve as sources.

--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -34,6 +34,9 @@
 	// cutOffTime is how long the quorum may be silent before the router says that
 	// it is cut off: several confirmations, and most elections.
 	cutOffTime = 2500 * time.Millisecond
+	// minorityTime is how long most of the directory's processes may be out of
+	// reach; they are back sooner if they were only restarted.
+	minorityTime = 700 * time.Millisecond
 	// headerTime bounds reading a request's header.
 	headerTime = 10 * time.Second
 	// headerBytes bounds a request's header.
@@ -193,7 +196,7 @@
 	for {
 		_, confirmed := r.view.Age()
 		r.ready.Set(reasonConfiguration, !confirmed || r.view.Snapshot().Set == nil)
-		r.ready.Set(reasonCutOff, r.view.QuorumAge() > cutOffTime)
+		r.ready.Set(reasonCutOff, r.view.QuorumAge() > cutOffTime || r.view.MinorityAge() > minorityTime)
 		if now := r.ready.Ready(); now != was {
 			was = now
 			r.log.Info("readiness", "ready", now, "reasons", r.ready.Reasons(), "quorum-heard-ago", r.view.QuorumAge().Round(time.Millisecond), "revision", r.view.Snapshot().Revision)
--- a/internal/fleetview/link.go
+++ b/internal/fleetview/link.go
@@ -13,7 +13,7 @@
 	// pingInterval is how often the router asks for a confirmation.
 	pingInterval = 300 * time.Millisecond
 	// linkSilence ends a session that brings nothing: three pings.
-	linkSilence = 1200 * time.Millisecond
+	linkSilence = 900 * time.Millisecond
 	// redialPause and maxRedialPause bound the wait after a failed session.
 	redialPause    = 100 * time.Millisecond
 	maxRedialPause = 300 * time.Millisecond
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -49,6 +49,9 @@
 	confirmedAt atomic.Int64
 	// quorumAt is when a process that hears a leader was last heard.
 	quorumAt atomic.Int64
+	// minoritySince is since when no majority of the directory's processes is
+	// reached; 0 while one is.
+	minoritySince atomic.Int64
 	// reportTo is the link on which the router tells what it has in flight.
 	reportTo atomic.Pointer[link]
 
@@ -98,6 +101,35 @@
 	return clock.Boot() - time.Duration(v.quorumAt.Load())
 }
 
+// MinorityAge returns for how long no majority of the directory's processes has
+// been reached; 0 while one is.
+func (v *View) MinorityAge() time.Duration {
+	since := v.minoritySince.Load()
+	if since == 0 {
+		return 0
+	}
+	return clock.Boot() - time.Duration(since)
+}
+
+// countReached follows whether a majority is reached.
+func (v *View) countReached() {
+	reached, members := 0, v.members
+	if len(members) == 0 {
+		members = v.seeds
+	}
+	for _, a := range members {
+		if l := v.links[a]; l != nil && l.connected {
+			reached++
+		}
+	}
+	switch {
+	case 2*reached > len(members):
+		v.minoritySince.Store(0)
+	case v.minoritySince.Load() == 0:
+		v.minoritySince.Store(int64(clock.Boot()))
+	}
+}
+
 // SetSeeds replaces the seeds, as the settings change.
 func (v *View) SetSeeds(ctx context.Context, seeds []string) {
 	v.post(ctx, func() {
@@ -159,6 +191,7 @@
 		v.opts.Log.Warn("directory process lost", "address", l.address, "error", err, "revision", v.Snapshot().Revision)
 	}
 	l.connected, l.inQuorum, l.routers, l.load = false, false, 0, nil
+	v.countReached()
 	v.chooseReport()
 }
 
@@ -194,6 +227,7 @@
 	}
 	if !l.connected {
 		l.connected = true
+		v.countReached()
 		v.chooseReport()
 		v.opts.Log.Info("directory process reached", "address", l.address, "servers", len(u.Announcements), "its-revision", u.Revision)
 	}
@@ -203,6 +237,7 @@
 	}
 	if len(u.Members) > 0 && l.inQuorum {
 		v.members = u.Members
+		v.countReached()
 	}
 	if u.Load != nil {
 		l.load = make(map[uint32]int, len(u.Load.Servers))
--- a/internal/fleetview/view_test.go
+++ b/internal/fleetview/view_test.go
@@ -102,3 +102,28 @@
 		t.Errorf("age %s after a late confirmation", age)
 	}
 }
+
+// A router that reaches a minority of the directory's processes knows at once
+// that it may be cut off.
+func TestAMinorityShows(t *testing.T) {
+	v, l := newView()
+	v.seeds = []string{"d:1", "d:2", "d:3"}
+	hear := func(l *link) {
+		v.took(l, update{FollowUpdate: &fleetpb.FollowUpdate{Routers: 1, InQuorum: true, Members: v.seeds}})
+	}
+	l2 := &link{v: v, address: "d:2", wake: make(chan struct{}, 1), stop: func() {}}
+	v.links["d:2"] = l2
+	hear(l)
+	if v.MinorityAge() <= 0 {
+		t.Error("one of three is no majority")
+	}
+	hear(l2)
+	if v.MinorityAge() != 0 {
+		t.Error("two of three are a majority")
+	}
+	v.lost(l, errors.New("cut"))
+	time.Sleep(time.Millisecond)
+	if v.MinorityAge() <= 0 {
+		t.Error("the loss of one of two does not show")
+	}
+}
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -71,6 +71,7 @@
 	loads      atomic.Pointer[loads]
 	out        atomic.Pointer[[]string]
 	routers    atomic.Int64
+	reach      reach
 	// usualPrompt is the moving average of shared prompts, as the bits of a float64.
 	usualPrompt atomic.Uint64
 }
@@ -246,7 +247,7 @@
 func (f *Fleet) Pick(a Ask, now time.Time) (*Place, error) {
 	p := f.pool(a.Service.Name)
 	out := *f.out.Load()
-	usable := make([]candidate, 0, len(p.servers))
+	all := make([]candidate, 0, len(p.servers))
 	taken := 0
 	others := f.loads.Load()
 	if now.Sub(others.at) > othersAge {
@@ -258,21 +259,27 @@
 		members++
 	}
 	for _, s := range p.servers {
-		total += s.running() + others.others[uint32(s.hash)]
-		members++
+		c := s.candidate(now, a)
+		c.avoided = c.avoided || f.reach.isCut(s.DataCentre, now)
+		c.load = c.inFlight + others.others[uint32(s.hash)]
+		if a.Key != 0 {
+			c.cost, c.spare = p.order.cost(a.Key, s)
+		}
 		switch {
 		case slices.Contains(out, s.DataCentre):
 			taken++
+			c.barred = true
 		case slices.Contains(a.Exclude, s.ID):
-		default:
-			c := s.candidate(now, a)
-			c.load = c.inFlight + others.others[uint32(s.hash)]
-			if a.Key != 0 {
-				c.cost, c.spare = p.order.cost(a.Key, s)
-			}
-			usable = append(usable, c)
+			c.barred = true
 		}
+		total += c.load
+		members++
+		all = append(all, c)
 	}
+	if a.Key != 0 {
+		rank(all)
+	}
+	usable := without(all, func(c *candidate) bool { return c.barred })
 	if len(usable) == 0 && taken > 0 {
 		return nil, errkind.New(errkind.DataCentreOut, "every data centre with servers of %q is taken out", a.Service.Name).WithRetryAfter(noServerRetry)
 	}
@@ -283,7 +290,7 @@
 		c := &usable[i]
 		if c.take(f, a.Service, now) {
 			if a.Key != 0 {
-				source = p.source(c, usable, now)
+				source = p.source(c, all, now)
 			}
 			return &Place{Source: source, Server: c.Server, fleet: f, PoolSize: len(usable), Rank: c.rank, Load: c.load + 1}, nil
 		}
@@ -298,6 +305,8 @@
 	// load is inFlight and what other routers have.
 	load int
 	rank int
+	// barred servers may not get the request: they are taken out, or had it before.
+	barred bool
 	// spare servers take keys only when others are loaded.
 	spare    bool
 	silent   bool
@@ -348,6 +357,16 @@
 	return out
 }
 
+// rank sorts by a key's order: places before spares.
+func rank(cs []candidate) {
+	slices.SortFunc(cs, func(x, y candidate) int {
+		return cmp.Or(compareBool(x.spare, y.spare), cmp.Compare(x.cost, y.cost))
+	})
+	for i := range cs {
+		cs[i].rank = i
+	}
+}
+
 // order sorts by preference. mean is the load of all the service's servers, those
 // included that may take nothing: skew is measured against it.
 func (f *Fleet) order(cs []candidate, a Ask, mean float64) {
@@ -358,12 +377,6 @@
 		return
 	}
 	f.notePrompt(a.Shared)
-	slices.SortFunc(cs, func(x, y candidate) int {
-		return cmp.Or(compareBool(x.spare, y.spare), cmp.Compare(x.cost, y.cost))
-	})
-	for i := range cs {
-		cs[i].rank = i
-	}
 	usable := 0
 	for i := range cs {
 		usable += cs[i].load
@@ -429,6 +442,7 @@
 	if service.ColdRate > 0 && !s.takeCold(f, service, now) {
 		return false
 	}
+	f.reach.trying(s.DataCentre, now)
 	s.probing = s.probing || c.probe
 	s.inFlight++
 	return true
@@ -461,7 +475,8 @@
 // source returns the server that probably keeps the key's prompt, if the chosen
 // one may lack it: the key's home, the server whose place the chosen one took, or
 // the next in the key's order, which served the key meanwhile.
-func (p *pool) source(c *candidate, usable []candidate, now time.Time) *Server {
+// Servers that are taken out serve as sources: they get no request by it.
+func (p *pool) source(c *candidate, all []candidate, now time.Time) *Server {
 	if c.rank == 0 {
 		previous, ok := p.order.settling(c.Server, now)
 		if !ok {
@@ -472,8 +487,8 @@
 		}
 	}
 	var best *candidate
-	for i := range usable {
-		o := &usable[i]
+	for i := range all {
+		o := &all[i]
 		if o.Server != c.Server && !o.silent && !o.avoided && (best == nil || o.rank < best.rank) {
 			best = o
 		}
@@ -487,6 +502,7 @@
 // Done ends the attempt.
 func (p *Place) Done(o Outcome, latency time.Duration, now time.Time) {
 	p.Server.done(o, latency, p.fleet.failureRate(p.Service), now)
+	p.fleet.reach.done(p.DataCentre, p.ID, o, now)
 }
 
 // Reported takes in the load that the server told in its answer.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -184,6 +184,26 @@
 	}
 }
 
+// Pattern: a data centre is taken out. Its servers still keep their prompts, and
+// those that serve meanwhile get them from there.
+func TestServersThatAreTakenOutAreSources(t *testing.T) {
+	w := newWorld(t)
+	w.join(6, "s")
+	w.alive(time.Minute)
+	homes := w.allHomes(50)
+	w.fleet.SetOut([]string{"b"}, func(string) time.Duration { return 0 }, w.now)
+	for i, home := range homes {
+		p := w.pick(Ask{Key: key(i)})
+		switch isOut := home == "s1" || home == "s4"; {
+		case isOut && (p.Source == nil || p.Source.ID != home):
+			t.Errorf("key %d of %s went to %s with source %v", i, home, p.ID, p.Source)
+		case !isOut && p.ID == home && p.Source != nil:
+			t.Errorf("key %d at its home fetches from %s", i, p.Source.ID)
+		}
+		p.Done(Good, time.Millisecond, w.now)
+	}
+}
+
 // Routers that saw the same changes agree without talking.
 func TestRoutersAgree(t *testing.T) {
 	a, b := newWorld(t), newWorld(t)
@@ -425,6 +445,73 @@
 	}
 }
 
+// Pattern: a data centre is cut off from this router. Two servers that cannot be
+// reached tell of the others; once one answers again, all are used.
+func TestACutDataCentreIsLeftAloneAsAWhole(t *testing.T) {
+	w := newWorld(t)
+	w.join(18, "s")
+	w.alive(time.Minute)
+	cut := true
+	lost, sent := 0, 0
+	for i := range 400 {
+		w.alive(10 * time.Millisecond)
+		p := w.pick(Ask{Key: key(i), Shared: 500})
+		sent++
+		if cut && p.DataCentre == "b" {
+			lost++
+			p.Done(Unreachable, 0, w.now)
+			continue
+		}
+		p.Done(Good, time.Millisecond, w.now)
+	}
+	// 4 s of the cut: the first two, and one each time it is tried again.
+	if lost > 9 {
+		t.Errorf("%d of %d requests went to the data centre that is cut off", lost, sent)
+	}
+	cut = false
+	w.alive(maxPenalty + time.Second)
+	back := 0
+	for i := range 300 {
+		w.alive(10 * time.Millisecond)
+		p := w.pick(Ask{Key: key(i), Shared: 500})
+		if p.DataCentre == "b" {
+			back++
+		}
+		p.Done(Good, time.Millisecond, w.now)
+	}
+	if back < 70 {
+		t.Errorf("%d of 300 requests go to the data centre that is back, want about 100", back)
+	}
+}
+
+// One server that cannot be reached says nothing of its neighbours.
+func TestOneLostServerIsNoCut(t *testing.T) {
+	w := newWorld(t)
+	w.join(9, "s")
+	w.alive(time.Minute)
+	for i := range 100 {
+		w.alive(10 * time.Millisecond)
+		p := w.pick(Ask{Key: key(i)})
+		o := Good
+		if p.ID == "s1" {
+			o = Unreachable
+		}
+		p.Done(o, time.Millisecond, w.now)
+	}
+	n := 0
+	for i := range 100 {
+		w.alive(time.Millisecond)
+		p := w.pick(Ask{Key: key(i)})
+		if p.DataCentre == "b" {
+			n++
+		}
+		p.Done(Good, time.Millisecond, w.now)
+	}
+	if n < 15 {
+		t.Errorf("%d of 100 requests go to a data centre with one lost server", n)
+	}
+}
+
 // Pattern: a server crashed and is silent.
 func TestSilentServersAreLeftOutWhileOthersRemain(t *testing.T) {
 	w := newWorld(t)
