Draw routers for cold servers where routers are many; split placement; test the soak

Cause: at 62 routers a cold server's share rounded to nothing for all of them. Change: a few routers are drawn by hash for each cold server; placement/fleet.go is split by duty; the soak lives under platform/, since it speaks the platform's names, and its checks are tested with made-up violations.

--- a/cmd/kqsoak/main.go
+++ b/cmd/kqsoak/main.go
@@ -14,8 +14,8 @@
 	"github.com/integrii/flaggy"
 
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
-	"github.com/kumquathollow/kumquathollow/internal/soak"
 	"github.com/kumquathollow/kumquathollow/internal/version"
+	"github.com/kumquathollow/kumquathollow/platform/soak"
 )
 
 func main() {
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -88,7 +88,7 @@
 			return nil, err
 		}
 	}
-	r.fleet = placement.NewFleet(conf.DataCentre, placement.Bounds{ColdFactor: conf.Bounds.ColdFactor, ColdSlack: conf.Bounds.ColdSlack})
+	r.fleet = placement.NewFleet(conf.Name, conf.DataCentre, placement.Bounds{ColdFactor: conf.Bounds.ColdFactor, ColdSlack: conf.Bounds.ColdSlack})
 	r.view = fleetview.New(fleetview.Options{
 		Router: conf.Name + "/" + uuid.NewString(), Dialer: r.dialer, Seeds: conf.seedAddresses(),
 		Decode: a.Decode, Fleet: r.fleet, Log: log.Named("fleet"),
--- a/internal/fleetview/view_test.go
+++ b/internal/fleetview/view_test.go
@@ -18,7 +18,7 @@
 // newView returns a view whose documents are versions in decimal.
 func newView() (*View, *link) {
 	v := New(Options{
-		Router: "r", Fleet: placement.NewFleet("a", placement.Bounds{}), Log: hclog.NewNullLogger(),
+		Router: "r", Fleet: placement.NewFleet("r", "a", placement.Bounds{}), Log: hclog.NewNullLogger(),
 		Decode: func(document []byte) (*catalog.Set, error) {
 			n, err := strconv.ParseUint(string(document), 10, 64)
 			if err != nil {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -24,7 +24,7 @@
 }
 
 func newWorld(t *testing.T) *world {
-	return &world{t: t, fleet: NewFleet("a", Bounds{ColdFactor: 1.5, ColdSlack: 5}), table: inventory.New(), now: start}
+	return &world{t: t, fleet: NewFleet("r", "a", Bounds{ColdFactor: 1.5, ColdSlack: 5}), table: inventory.New(), now: start}
 }
 
 func (w *world) server(id, dc string) inventory.Server {
@@ -324,11 +324,18 @@
 // server bears in any second, also while it is the home of much traffic.
 func TestColdServersGetWhatTheyBear(t *testing.T) {
 	cold := &catalog.Service{Name: "chat", ColdTime: 3 * time.Second, ColdRate: 14}
-	const routers = 8
+	for _, routers := range []int{1, 8, 30, 62, 330} {
+		coldServers(t, cold, routers)
+	}
+}
+
+func coldServers(t *testing.T, cold *catalog.Service, routers int) {
+	t.Helper()
 	bound := 14*1.5 + 5.0
 	var worlds []*world
-	for range routers {
+	for i := range routers {
 		w := newWorld(t)
+		w.fleet = NewFleet(fmt.Sprint("router ", i), "a", Bounds{ColdFactor: 1.5, ColdSlack: 5})
 		w.fleet.SetRouters(routers)
 		s := w.server("cold", "a")
 		s.ColdUntil = w.now.Add(3 * time.Second)
@@ -338,9 +345,9 @@
 	}
 	var sent []time.Time
 	rng := rand.New(rand.NewPCG(3, 4))
-	for ms := 0; ms < 2900; ms += 5 {
+	for us := 0; us < 2_900_000; us += 1000 {
 		w := worlds[rng.IntN(routers)]
-		w.now = start.Add(time.Duration(ms) * time.Millisecond)
+		w.now = start.Add(time.Duration(us) * time.Microsecond)
 		p := w.pick(Ask{Service: cold, Key: key(rng.IntN(100))})
 		p.Done(Good, time.Millisecond, w.now)
 		if p.ID == "cold" {
@@ -348,7 +355,7 @@
 		}
 	}
 	if len(sent) < 20 {
-		t.Errorf("a cold server got %d requests in 2.9 s; it bears more", len(sent))
+		t.Errorf("%d routers: a cold server got %d requests in 2.9 s; it bears more", routers, len(sent))
 	}
 	for i, from := range sent {
 		n := 0
@@ -358,7 +365,7 @@
 			}
 		}
 		if float64(n) > bound {
-			t.Fatalf("%d requests in one second, bound %.0f", n, bound)
+			t.Fatalf("%d routers: %d requests in one second, bound %.0f", routers, n, bound)
 		}
 	}
 }
