--- a/internal/control/forward.go
+++ b/internal/control/forward.go
@@ -4,19 +4,15 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
-	"storj.io/drpc/drpcerr"
 
 	"github.com/kumquathollow/kumquathollow/api/controlpb"
 	pb "github.com/kumquathollow/kumquathollow/api/replicationpb"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/rpc"
 )
 
-// leaderPoll is how often a process without a known leader looks again.
-const leaderPoll = 20 * time.Millisecond
-
-// leaderWait bounds that wait: an election takes about as long.
+// leaderWait bounds the wait for a leader: an election takes about as long.
 const leaderWait = 2500 * time.Millisecond
 
 // route runs a call here if this process leads, else on the leader.
@@ -45,23 +41,16 @@
 
 // findLeader waits a while for a leader to be known.
 func (s *Server) findLeader(ctx context.Context) (address string, leading bool, err error) {
-	end := time.NewTimer(leaderWait)
-	defer end.Stop()
-	for {
-		if s.group.Status().Leading {
-			return "", true, nil
-		}
-		if _, address := s.group.LeaderAddress(); address != "" {
-			return address, false, nil
-		}
-		select {
-		case <-time.After(leaderPoll):
-		case <-end.C:
-			return "", false, errkind.New(errkind.NoQuorum, "the control group has no leader; nothing was accepted").WithRetryAfter(time.Second)
-		case <-ctx.Done():
-			return "", false, errkind.Wrap(ctx.Err(), errkind.NoQuorum, "the control group has no leader; nothing was accepted")
-		}
+	waiting, cancel := context.WithTimeout(ctx, leaderWait)
+	defer cancel()
+	address, leading, err = s.group.AwaitLeader(waiting)
+	switch {
+	case err == nil:
+		return address, leading, nil
+	case ctx.Err() != nil:
+		return "", false, errkind.Wrap(ctx.Err(), errkind.NoQuorum, "the control group has no leader; nothing was accepted")
 	}
+	return "", false, errkind.New(errkind.NoQuorum, "the control group has no leader; nothing was accepted").WithRetryAfter(time.Second)
 }
 
 func (s *Server) forward(ctx context.Context, address, method string, req, out proto.Message) error {
@@ -73,21 +62,11 @@
 	defer conn.Close()
 	resp, err := pb.NewDRPCForwardClient(conn).Call(ctx, &pb.ForwardRequest{Method: method, Request: data, Actor: actorOf(ctx)})
 	if err != nil {
-		return forwardError(err)
+		return rpc.KeepWord(err, errkind.ChangeUnknown, "the connection to the leader broke before its answer")
 	}
 	return proto.Unmarshal(resp.Response, out)
 }
 
-// forwardError keeps the leader's word. A connection that broke leaves open
-// whether the call was taken; a failed dial does not.
-func forwardError(err error) error {
-	var known *errkind.Error
-	if drpcerr.Code(err) != 0 || errors.As(err, &known) {
-		return err
-	}
-	return errkind.Wrap(err, errkind.ChangeUnknown, "the connection to the leader broke before its answer")
-}
-
 // forwarded answers calls that other control processes pass on.
 type forwarded struct{ s *Server }
 
--- a/internal/directory/operations.go
+++ b/internal/directory/operations.go
@@ -4,14 +4,13 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
-	"storj.io/drpc/drpcerr"
 
 	"github.com/kumquathollow/kumquathollow/api/fleetpb"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/inventory"
 	"github.com/kumquathollow/kumquathollow/internal/publication"
+	"github.com/kumquathollow/kumquathollow/internal/rpc"
 )
 
 // Publish replicates a checked configuration document. It returns once a
@@ -67,7 +66,7 @@
 			return publication.Uncompress(s.Configuration.Document)
 		}
 		select {
-		case <-time.After(leaderPoll):
+		case <-time.After(statePoll):
 		case <-ctx.Done():
 			return nil, errkind.New(errkind.NotReady, "this process holds revision %d, the newest is %d", s.Revision, newest)
 		}
@@ -100,21 +99,11 @@
 	defer conn.Close()
 	resp, err := fleetpb.NewDRPCDirectoryClient(conn).Change(ctx, &fleetpb.ChangeRequest{Command: cmd})
 	if err != nil {
-		return 0, callError(err, errkind.ChangeUnknown)
+		return 0, rpc.KeepWord(err, errkind.ChangeUnknown, leaderLost)
 	}
 	return resp.Revision, nil
 }
 
-// callError keeps the answering process's word. A connection that broke leaves
-// open what became of the call.
-func callError(err error, broken errkind.Kind) error {
-	var known *errkind.Error
-	if drpcerr.Code(err) != 0 || errors.As(err, &known) {
-		return err
-	}
-	return errkind.Wrap(err, broken, "the connection to the leader broke before its answer")
-}
-
 func (s *server) changeHere(ctx context.Context, cmd *fleetpb.Command) (uint64, error) {
 	data, err := proto.Marshal(cmd)
 	if err != nil {
@@ -128,21 +117,14 @@
 	return r.Revision, r.Err
 }
 
+const leaderLost = "the connection to the leader broke before its answer"
+
 // findLeader waits a while for a leader to be known.
 func (s *server) findLeader(ctx context.Context) (address string, leading bool, err error) {
-	for {
-		if s.group.Status().Leading {
-			return "", true, nil
-		}
-		if _, address := s.group.LeaderAddress(); address != "" {
-			return address, false, nil
-		}
-		select {
-		case <-time.After(leaderPoll):
-		case <-ctx.Done():
-			return "", false, errkind.Wrap(ctx.Err(), errkind.NoQuorum, "the directory has no leader; nothing was accepted")
-		}
+	if address, leading, err = s.group.AwaitLeader(ctx); err != nil {
+		err = errkind.Wrap(err, errkind.NoQuorum, "the directory has no leader; nothing was accepted")
 	}
+	return address, leading, err
 }
 
 // barrier returns the newest revision that was accepted before the call.
@@ -158,7 +140,7 @@
 	defer conn.Close()
 	resp, err := fleetpb.NewDRPCDirectoryClient(conn).Barrier(ctx, &fleetpb.BarrierRequest{})
 	if err != nil {
-		return 0, callError(err, errkind.NoQuorum)
+		return 0, rpc.KeepWord(err, errkind.NoQuorum, leaderLost)
 	}
 	return resp.Revision, nil
 }
--- a/internal/directory/settings.go
+++ b/internal/directory/settings.go
@@ -80,8 +80,8 @@
 const (
 	// changeTimeout bounds one change; operators try another process after a second.
 	changeTimeout = 900 * time.Millisecond
-	// leaderPoll is how often a process without a known leader looks again.
-	leaderPoll = 20 * time.Millisecond
+	// statePoll is how often a read looks for a revision that is on its way.
+	statePoll = 20 * time.Millisecond
 	// barrierTimeout bounds one confirmation by a quorum.
 	barrierTimeout = 800 * time.Millisecond
 	// handOverTime bounds giving leadership away at the end.
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -32,10 +32,12 @@
 	workspace *catalog.Workspace
 	body      []byte
 	bodyRead  bool
-	ctx       context.Context
-	deadline  time.Time
-	key       uint64
-	spread    uint64
+	// held is the memory counted for the body.
+	held     int64
+	ctx      context.Context
+	deadline time.Time
+	key      uint64
+	spread   uint64
 	// shared is the number of tokens of the prompt's shared parts.
 	shared int
 
@@ -72,6 +74,7 @@
 	if err := x.admit(); err != nil {
 		return err
 	}
+	defer func() { x.f.release(x.held) }()
 	if err := x.readBody(); err != nil {
 		return err
 	}
@@ -155,6 +158,14 @@
 	if x.r.ContentLength > bound {
 		return errkind.New(errkind.TooLarge, "the body is over %d bytes", bound)
 	}
+	x.held = min(bound, usualBody)
+	if x.r.ContentLength >= 0 {
+		x.held = x.r.ContentLength
+	}
+	if err := x.f.hold(x.held); err != nil {
+		x.held = 0
+		return err
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, bound))
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -166,9 +177,14 @@
 		return errkind.Wrap(err, errkind.BadRequest, "read the body")
 	}
 	x.body, x.bodyRead = body, true
+	x.f.release(x.held - int64(len(body)))
+	x.held = int64(len(body))
 	return nil
 }
 
+// usualBody is counted for a body without a length until it has been read.
+const usualBody = 64 << 10
+
 // defaultBodyBytes bounds a body where the configuration gives no limit.
 const defaultBodyBytes = 4 << 20
 
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -39,6 +39,8 @@
 	closing  atomic.Bool
 	inFlight atomic.Int64
 	began    time.Time
+	// bodyBytes is the memory of the bodies that are held.
+	bodyBytes atomic.Int64
 
 	mu      sync.Mutex
 	budgets map[string]*budget
@@ -52,6 +54,7 @@
 func New(opts Options) *Forwarder {
 	f := &Forwarder{opts: opts, began: time.Now(), sampler: eventlog.NewSampler(linesPerSecond), budgets: map[string]*budget{}}
 	opts.Metrics.Gauge("forward.in_flight", f.inFlight.Load)
+	opts.Metrics.Gauge("forward.body_bytes", f.bodyBytes.Load)
 	return f
 }
 
@@ -59,6 +62,20 @@
 // connections.
 func (f *Forwarder) CloseConnections() { f.closing.Store(true) }
 
+// maxHeldBodies bounds the memory of all bodies held, for VMs of a few hundred MB.
+const maxHeldBodies = 64 << 20
+
+// hold counts the memory of a body, or refuses it.
+func (f *Forwarder) hold(n int64) error {
+	if held := f.bodyBytes.Add(n); held > maxHeldBodies {
+		f.bodyBytes.Add(-n)
+		return errkind.New(errkind.QueueFull, "the bodies held take %d bytes already", held-n)
+	}
+	return nil
+}
+
+func (f *Forwarder) release(n int64) { f.bodyBytes.Add(-n) }
+
 // InFlight returns the number of requests being handled.
 func (f *Forwarder) InFlight() int64 { return f.inFlight.Load() }
 
--- a/internal/replication/status.go
+++ b/internal/replication/status.go
@@ -46,6 +46,27 @@
 	return s.Leader, g.peers.address(s.Leader)
 }
 
+// leaderPoll is how often a process without a known leader looks again.
+const leaderPoll = 20 * time.Millisecond
+
+// AwaitLeader waits until a leader is known. It returns its address, or leading
+// if it is this process; the error is ctx's.
+func (g *Group) AwaitLeader(ctx context.Context) (address string, leading bool, err error) {
+	for {
+		if g.Status().Leading {
+			return "", true, nil
+		}
+		if _, address := g.LeaderAddress(); address != "" {
+			return address, false, nil
+		}
+		select {
+		case <-time.After(leaderPoll):
+		case <-ctx.Done():
+			return "", false, ctx.Err()
+		}
+	}
+}
+
 func (g *Group) publishStatus() {
 	c := g.core
 	was := g.status.Load()
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcerr"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcpool"
 	"storj.io/drpc/drpcserver"
@@ -146,3 +147,14 @@
 func managerOptions() drpcmanager.Options {
 	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes}}
 }
+
+// KeepWord returns a call's error with the kind that the answering process gave.
+// A connection that broke leaves open what became of the call: its error gets the
+// kind broken. A failed dial has a kind of its own and says that nothing was sent.
+func KeepWord(err error, broken errkind.Kind, message string) error {
+	var known *errkind.Error
+	if drpcerr.Code(err) != 0 || errors.As(err, &known) {
+		return err
+	}
+	return errkind.Wrap(err, broken, "%s", message)
+}
