--- a/internal/directory/process.go
+++ b/internal/directory/process.go
@@ -59,12 +59,13 @@
 	for _, l := range []struct {
 		to      *net.Listener
 		address string
-	}{{&p.operations, p.conf.Operations}, {&p.fleet, p.conf.Fleet}, {&p.admin, p.conf.Admin}} {
+	}{{&p.operations, p.conf.Operations}, {&p.fleet, p.conf.Fleet}} {
 		var err error
 		if *l.to, err = rpc.Listen(l.address, nil); err != nil {
 			return err
 		}
 	}
+	p.admin = telemetry.ListenAdmin(p.conf.Admin, p.log)
 	own := p.fleet.Addr().String()
 	seeds := FleetAddresses(p.conf.Seeds, own)
 	store, restored, err := storage.Open(fs, p.conf.Data, own)
@@ -182,7 +183,9 @@
 	g.Go(func() error { return p.watch(ctx) })
 	g.Go(func() error { return ignoreEnd(ctx, rpc.Serve(ctx, p.fleet, mux)) })
 	g.Go(func() error { return ignoreEnd(ctx, operations.Serve(p.operations)) })
-	g.Go(func() error { return ignoreEnd(ctx, admin.Serve(p.admin)) })
+	if p.admin != nil {
+		g.Go(func() error { return ignoreEnd(ctx, admin.Serve(p.admin)) })
+	}
 	g.Go(func() error {
 		<-ctx.Done()
 		return errors.CombineErrors(operations.Close(), admin.Close())
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -81,13 +81,14 @@
 	for _, l := range []struct {
 		to      *net.Listener
 		address string
-	}{{&r.clients, conf.Clients}, {&r.readiness, conf.Ready}, {&r.admin, conf.Admin}} {
+	}{{&r.clients, conf.Clients}, {&r.readiness, conf.Ready}} {
 		var err error
 		if *l.to, err = rpc.Listen(l.address, nil); err != nil {
 			r.closeListeners()
 			return nil, err
 		}
 	}
+	r.admin = telemetry.ListenAdmin(conf.Admin, log)
 	r.fleet = placement.NewFleet(conf.Name, conf.DataCentre, placement.Bounds{ColdFactor: conf.Bounds.ColdFactor, ColdSlack: conf.Bounds.ColdSlack})
 	r.view = fleetview.New(fleetview.Options{
 		Router: conf.Name + "/" + uuid.NewString(), Dialer: r.dialer, Seeds: conf.seedAddresses(),
@@ -142,6 +143,9 @@
 		server *http.Server
 		on     net.Listener
 	}{{clients, &httpguard.Listener{Listener: r.clients, IdleTime: r.idleTime}}, {readiness, r.readiness}, {admin, r.admin}} {
+		if s.on == nil {
+			continue
+		}
 		g.Go(func() error {
 			if err := s.server.Serve(s.on); !errors.Is(err, http.ErrServerClosed) {
 				return err
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -58,3 +58,19 @@
 		t.Errorf("line = %v", line)
 	}
 }
+
+func TestAProcessGoesOnWithoutItsAdminAddress(t *testing.T) {
+	var out bytes.Buffer
+	log := NewLoggerTo("router", settings.Log{}, &out)
+	first := ListenAdmin("127.0.0.1:0", log)
+	if first == nil {
+		t.Fatal(out.String())
+	}
+	defer func() { _ = first.Close() }()
+	if second := ListenAdmin(first.Addr().String(), log); second != nil {
+		t.Error("one address was taken twice")
+	}
+	if !strings.Contains(out.String(), "metrics are not served") {
+		t.Errorf("logged: %s", out.String())
+	}
+}
