Split the choice of a server; one dialer and one list of addresses for both processes

Read-through: Pick collected, ranked and took in one function; the constants of cold servers stood apart from their code; directory and edge each had a dialer and a way to put seeds on a port.

--- a/internal/directory/process.go
+++ b/internal/directory/process.go
@@ -46,7 +46,7 @@
 // Open opens the data folder, restores the state and takes the addresses.
 func Open(fs vfs.FS, conf *Settings, log hclog.Logger) (*Process, error) {
 	p := &Process{
-		conf: conf, log: log, machine: publication.New(), dialer: newDialer(),
+		conf: conf, log: log, machine: publication.New(), dialer: rpc.NewFleetDialer(),
 		metrics: telemetry.NewRegistry(), ready: telemetry.NewReadiness(reasonNoLeader),
 	}
 	if err := p.open(fs); err != nil {
@@ -67,7 +67,7 @@
 	}
 	p.admin = telemetry.ListenAdmin(p.conf.Admin, p.log)
 	own := p.fleet.Addr().String()
-	seeds := FleetAddresses(p.conf.Seeds, own)
+	seeds := p.fleetAddresses(p.conf.Seeds)
 	store, restored, err := storage.Open(fs, p.conf.Data, own)
 	if err != nil {
 		return err
@@ -217,9 +217,19 @@
 
 func (p *Process) roster() *roster { return p.server.roster }
 
+// fleetAddresses returns where the seeds answer the fleet's own processes, which
+// all listen on the port of the own address.
+func (p *Process) fleetAddresses(seeds []string) []string {
+	_, port, err := net.SplitHostPort(p.fleet.Addr().String())
+	if err != nil {
+		p.log.Error("the own fleet address has no port; no seed can be reached", "address", p.fleet.Addr().String(), "error", err)
+	}
+	return rpc.OnPort(seeds, port)
+}
+
 // SetSeeds takes new seeds in, as the settings change.
 func (p *Process) SetSeeds(seeds []string) {
-	p.roster().setSeeds(FleetAddresses(seeds, p.fleet.Addr().String()))
+	p.roster().setSeeds(p.fleetAddresses(seeds))
 	p.log.Info("seeds changed", "seeds", seeds)
 }
 
@@ -242,13 +252,3 @@
 	}
 	return p.store.Close()
 }
-
-// dialTimeout bounds opening a connection within the fleet: many round trips
-// between data centres, and less than a lost packet's retransmission.
-const dialTimeout = 400 * time.Millisecond
-
-func newDialer() *rpc.Dialer {
-	d := rpc.NewDialer(nil)
-	d.Timeout = dialTimeout
-	return d
-}
--- a/internal/directory/settings.go
+++ b/internal/directory/settings.go
@@ -60,22 +60,6 @@
 	return nil
 }
 
-// FleetAddresses returns the seeds' addresses for the fleet's own processes,
-// which all listen on the port of the own address.
-func FleetAddresses(seeds []string, own string) []string {
-	_, port, err := net.SplitHostPort(own)
-	if err != nil {
-		return nil
-	}
-	out := make([]string, 0, len(seeds))
-	for _, s := range seeds {
-		if host, _, err := net.SplitHostPort(s); err == nil {
-			out = append(out, net.JoinHostPort(host, port))
-		}
-	}
-	return out
-}
-
 // Time bounds of the process.
 const (
 	// changeTimeout bounds one change; operators try another process after a second.
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -75,7 +75,7 @@
 // New takes the addresses and assembles the router.
 func New(conf *Settings, a Adapter, log hclog.Logger) (*Router, error) {
 	r := &Router{
-		conf: conf, log: log, metrics: telemetry.NewRegistry(), dialer: newDialer(),
+		conf: conf, log: log, metrics: telemetry.NewRegistry(), dialer: rpc.NewFleetDialer(),
 		ready: telemetry.NewReadiness(reasonConfiguration),
 	}
 	for _, l := range []struct {
@@ -91,7 +91,7 @@
 	r.admin = telemetry.ListenAdmin(conf.Admin, log)
 	r.fleet = placement.NewFleet(conf.Name, conf.DataCentre, placement.Bounds{ColdFactor: conf.Bounds.ColdFactor, ColdSlack: conf.Bounds.ColdSlack})
 	r.view = fleetview.New(fleetview.Options{
-		Router: conf.Name + "/" + uuid.NewString(), Dialer: r.dialer, Seeds: conf.seedAddresses(),
+		Router: conf.Name + "/" + uuid.NewString(), Dialer: r.dialer, Seeds: rpc.OnPort(conf.Seeds, conf.DirectoryPort),
 		Decode: a.Decode, Fleet: r.fleet, Log: log.Named("fleet"),
 	})
 	opened := r.metrics.Counter("backend.connections_opened")
@@ -119,9 +119,7 @@
 
 // SetSeeds takes new seeds in, as the settings change.
 func (r *Router) SetSeeds(ctx context.Context, seeds []string) {
-	c := *r.conf
-	c.Seeds = seeds
-	r.view.SetSeeds(ctx, c.seedAddresses())
+	r.view.SetSeeds(ctx, rpc.OnPort(seeds, r.conf.DirectoryPort))
 	r.log.Info("seeds changed", "seeds", seeds)
 }
 
@@ -212,13 +210,3 @@
 		}
 	}
 }
-
-// dialTimeout bounds opening a connection within the fleet: many round trips
-// between data centres, and less than a lost packet's retransmission.
-const dialTimeout = 400 * time.Millisecond
-
-func newDialer() *rpc.Dialer {
-	d := rpc.NewDialer(nil)
-	d.Timeout = dialTimeout
-	return d
-}
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -81,17 +81,6 @@
 	return nil
 }
 
-// seedAddresses returns where the seeds answer the fleet's own processes.
-func (s *Settings) seedAddresses() []string {
-	out := make([]string, 0, len(s.Seeds))
-	for _, a := range s.Seeds {
-		if host, _, err := net.SplitHostPort(a); err == nil {
-			out = append(out, net.JoinHostPort(host, s.DirectoryPort))
-		}
-	}
-	return out
-}
-
 const (
 	minGrace = 3 * time.Second
 	// keyMargin is the part of the key time that covers the passing on of a
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -34,16 +34,8 @@
 	// silenceLimit is how long a server may be silent before it gets nothing
 	// more: four heartbeats of 1.2 s.
 	silenceLimit = 5 * time.Second
-	// coldSpan is the span over which a cold server's requests are counted.
-	coldSpan = time.Second
-	// coldMargin is the part of a cold server's bound that routers use together;
-	// the rest covers routers that are not counted yet.
-	coldMargin = 0.7
 	// othersAge is how long the reports of other routers count.
 	othersAge = 2 * time.Second
-	// drawnPart is the part of the share of a second's requests that becomes the
-	// chance of a router to be drawn for a cold server.
-	drawnPart = 0.6
 	// loadAge is how long a server's report of its load counts.
 	loadAge = 500 * time.Millisecond
 	// unknownLatency stands for a server that has not answered yet.
@@ -85,56 +77,56 @@
 // the time after which another attempt makes sense.
 func (f *Fleet) Pick(a Ask, now time.Time) (*Place, error) {
 	p := f.pool(a.Service.Name)
-	out := *f.out.Load()
-	all := make([]candidate, 0, len(p.servers))
-	taken := 0
+	all, mean := f.candidates(p, a, now)
+	usable := without(all, func(c *candidate) bool { return c.out || c.excluded })
+	if len(usable) == 0 && slices.ContainsFunc(all, func(c candidate) bool { return c.out }) {
+		return nil, errkind.New(errkind.DataCentreOut, "every data centre with servers of %q is taken out", a.Service.Name).WithRetryAfter(noServerRetry)
+	}
+	usable = f.reachable(usable)
+	f.order(usable, a, mean)
+	for i := range usable {
+		c := &usable[i]
+		if !c.take(f, a.Service, now) {
+			continue
+		}
+		place := &Place{Server: c.Server, fleet: f, PoolSize: len(usable), Rank: c.rank, Load: c.load + 1}
+		if a.Key != 0 {
+			place.Source = p.source(c, all, now)
+		}
+		return place, nil
+	}
+	return nil, errkind.New(errkind.NoBackend, "no server of %q can take the request: %d are known, %d usable", a.Service.Name, len(p.servers), len(usable)).WithRetryAfter(noServerRetry)
+}
+
+// candidates returns all ready servers of a pool, ranked if the request has a key,
+// and the mean load of the pool with the servers that leave.
+func (f *Fleet) candidates(p *pool, a Ask, now time.Time) (all []candidate, mean float64) {
 	others := f.loads.Load()
 	if now.Sub(others.at) > othersAge {
 		others = &loads{}
 	}
-	total, members := 0, 0
+	total := 0
 	for _, s := range p.leaving {
-		total += s.running() + others.others[uint32(s.hash)]
-		members++
+		total += s.running() + others.of(s)
 	}
+	out := *f.out.Load()
+	all = make([]candidate, 0, len(p.servers))
 	for _, s := range p.servers {
 		c := s.candidate(now, a)
 		c.avoided = c.avoided || f.reach.isCut(s.DataCentre, now)
-		c.load = c.inFlight + others.others[uint32(s.hash)]
+		c.out = slices.Contains(out, s.DataCentre)
+		c.excluded = slices.Contains(a.Exclude, s.ID)
+		c.load = c.inFlight + others.of(s)
+		total += c.load
 		if a.Key != 0 {
 			c.cost, c.spare = p.order.cost(a.Key, s)
 		}
-		switch {
-		case slices.Contains(out, s.DataCentre):
-			taken++
-			c.barred = true
-		case slices.Contains(a.Exclude, s.ID):
-			c.barred = true
-		}
-		total += c.load
-		members++
 		all = append(all, c)
 	}
 	if a.Key != 0 {
 		rank(all)
 	}
-	usable := without(all, func(c *candidate) bool { return c.barred })
-	if len(usable) == 0 && taken > 0 {
-		return nil, errkind.New(errkind.DataCentreOut, "every data centre with servers of %q is taken out", a.Service.Name).WithRetryAfter(noServerRetry)
-	}
-	usable = f.reachable(usable)
-	f.order(usable, a, float64(total+1)/float64(max(1, members)))
-	var source *Server
-	for i := range usable {
-		c := &usable[i]
-		if c.take(f, a.Service, now) {
-			if a.Key != 0 {
-				source = p.source(c, all, now)
-			}
-			return &Place{Source: source, Server: c.Server, fleet: f, PoolSize: len(usable), Rank: c.rank, Load: c.load + 1}, nil
-		}
-	}
-	return nil, errkind.New(errkind.NoBackend, "no server of %q can take the request: %d are known, %d usable", a.Service.Name, len(p.servers), len(usable)).WithRetryAfter(noServerRetry)
+	return all, float64(total+1) / float64(max(1, len(all)+len(p.leaving)))
 }
 
 // candidate is a server's state at the time of one choice.
@@ -144,8 +136,9 @@
 	// load is inFlight and what other routers have.
 	load int
 	rank int
-	// barred servers may not get the request: they are taken out, or had it before.
-	barred bool
+	// out servers are in a data centre that is taken out; excluded ones had the
+	// request before.
+	out, excluded bool
 	// spare servers take keys only when others are loaded.
 	spare    bool
 	silent   bool
--- a/internal/placement/cold.go
+++ b/internal/placement/cold.go
@@ -7,6 +7,17 @@
 	"github.com/kumquathollow/kumquathollow/internal/routing"
 )
 
+const (
+	// coldSpan is the span over which a cold server's requests are counted.
+	coldSpan = time.Second
+	// coldMargin is the part of a cold server's bound that routers use together;
+	// the rest covers routers that are not counted yet.
+	coldMargin = 0.7
+	// drawnPart is the part of the share of a second's requests that becomes the
+	// chance of a router to be drawn for a cold server.
+	drawnPart = 0.6
+)
+
 // takeCold counts a request to a server that may be cold.
 func (s *Server) takeCold(f *Fleet, service *catalog.Service, now time.Time) bool {
 	if !now.Before(s.coldUntil) {
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -60,6 +60,8 @@
 	at     time.Time
 }
 
+func (l *loads) of(s *Server) int { return l.others[uint32(s.hash)] }
+
 // NewFleet returns an empty Fleet of the named router in the data centre.
 func NewFleet(router, dataCentre string, bounds Bounds) *Fleet {
 	f := &Fleet{name: routing.Hash(router), dataCentre: dataCentre, bounds: bounds, byID: map[string]*Server{}, homes: map[string]*homes{}}
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -84,6 +84,29 @@
 	}
 }
 
+// fleetDialTimeout bounds opening a connection where members come and go: many
+// round trips between data centres, and less than a lost packet's retransmission.
+const fleetDialTimeout = 400 * time.Millisecond
+
+// NewFleetDialer returns a Dialer for plain TCP that gives an address up soon.
+func NewFleetDialer() *Dialer {
+	d := NewDialer(nil)
+	d.Timeout = fleetDialTimeout
+	return d
+}
+
+// OnPort returns the addresses with their ports replaced; those that are no
+// host:port are left out.
+func OnPort(addresses []string, port string) []string {
+	out := make([]string, 0, len(addresses))
+	for _, a := range addresses {
+		if host, _, err := net.SplitHostPort(a); err == nil {
+			out = append(out, net.JoinHostPort(host, port))
+		}
+	}
+	return out
+}
+
 // Conn returns a connection to addr that dials on first use. Closing it returns
 // nothing to the caller; pooled connections end with the Dialer.
 func (d *Dialer) Conn(ctx context.Context, addr string) drpc.Conn {
