Check settings in one place; drop dead fields; look at a pool only for bad outcomes

Read-through of the whole change, behaviour as before. settings.Require and CheckAddresses replace three copies in control, directory and edge. Each finished request computed its pool's failure rate, which locks all servers and sorts, though only bad outcomes are compared with it.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -28,10 +28,8 @@
 type conn struct {
 	net.Conn
 	br        *bufio.Reader
-	opened    time.Time
 	idleSince time.Time
 	idleTime  time.Duration
-	served    int
 	pool      *serverPool
 	closed    atomic.Bool
 }
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -33,9 +33,6 @@
 // Response is an answer whose header has been read. Close must be called.
 type Response struct {
 	*http.Response
-	// Reused is true if the connection had served a request before.
-	Reused bool
-
 	p       *Pool
 	c       *conn
 	stop    func() bool
@@ -65,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	resp := &Response{p: p, c: c, stop: c.watch(ctx), Reused: c.served > 0}
+	resp := &Response{p: p, c: c, stop: c.watch(ctx)}
 	resp.written = c.write(r)
 	resp.Response, err = c.read(r)
 	if err != nil {
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -88,7 +88,7 @@
 		return nil, errkind.Wrap(err, errkind.Unreachable, "connect to server %q", t.ID)
 	}
 	p.opened()
-	return &conn{Conn: raw, br: bufio.NewReaderSize(raw, readBuffer), opened: time.Now(), pool: s}, nil
+	return &conn{Conn: raw, br: bufio.NewReaderSize(raw, readBuffer), pool: s}, nil
 }
 
 // reuse takes the connection that was used last, if it is still good. One that is
@@ -119,7 +119,6 @@
 // put keeps a connection for the next request.
 func (p *Pool) put(c *conn) {
 	c.idleSince = time.Now()
-	c.served++
 	_ = c.SetDeadline(time.Time{})
 	s := c.pool
 	s.mu.Lock()
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -42,17 +42,18 @@
 }
 
 func (s *Settings) check() error {
-	for _, f := range []struct{ name, value string }{
-		{"node", s.Node}, {"dataCentre", s.DataCentre}, {"address", s.Address}, {"admin", s.Admin}, {"data", s.Data},
-	} {
-		if f.value == "" {
-			return errkind.New(errkind.InvalidSettings, "%s is missing", f.name)
-		}
+	err := settings.Require(
+		settings.Field{Name: "node", Value: s.Node},
+		settings.Field{Name: "dataCentre", Value: s.DataCentre},
+		settings.Field{Name: "address", Value: s.Address},
+		settings.Field{Name: "admin", Value: s.Admin},
+		settings.Field{Name: "data", Value: s.Data},
+	)
+	if err == nil {
+		err = settings.CheckAddresses(s.Address, s.Admin)
 	}
-	for _, a := range []string{s.Address, s.Admin} {
-		if _, _, err := net.SplitHostPort(a); err != nil {
-			return errkind.Wrap(err, errkind.InvalidSettings, "address %q", a)
-		}
+	if err != nil {
+		return err
 	}
 	seen := map[string]bool{}
 	for _, v := range s.Voters {
--- a/internal/directory/settings.go
+++ b/internal/directory/settings.go
@@ -1,7 +1,6 @@
 package directory
 
 import (
-	"net"
 	"time"
 
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
@@ -42,17 +41,19 @@
 }
 
 func (s *Settings) check() error {
-	for _, f := range []struct{ name, value string }{
-		{"name", s.Name}, {"dataCentre", s.DataCentre}, {"operations", s.Operations}, {"fleet", s.Fleet}, {"admin", s.Admin}, {"data", s.Data},
-	} {
-		if f.value == "" {
-			return errkind.New(errkind.InvalidSettings, "%s is missing", f.name)
-		}
+	err := settings.Require(
+		settings.Field{Name: "name", Value: s.Name},
+		settings.Field{Name: "dataCentre", Value: s.DataCentre},
+		settings.Field{Name: "operations", Value: s.Operations},
+		settings.Field{Name: "fleet", Value: s.Fleet},
+		settings.Field{Name: "admin", Value: s.Admin},
+		settings.Field{Name: "data", Value: s.Data},
+	)
+	if err == nil {
+		err = settings.CheckAddresses(append([]string{s.Operations, s.Fleet, s.Admin}, s.Seeds...)...)
 	}
-	for _, a := range append([]string{s.Operations, s.Fleet, s.Admin}, s.Seeds...) {
-		if _, _, err := net.SplitHostPort(a); err != nil {
-			return errkind.Wrap(err, errkind.InvalidSettings, "address %q", a)
-		}
+	if err != nil {
+		return err
 	}
 	if len(s.Seeds) == 0 {
 		return errkind.New(errkind.InvalidSettings, "seeds is empty: name at least one directory process")
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -59,6 +59,8 @@
 	fleet   *placement.Fleet
 	pool    *backend.Pool
 	handler *forward.Forwarder
+	// readyPath is the path on which the balancer asks.
+	readyPath string
 
 	clients, readiness, admin net.Listener
 }
@@ -76,7 +78,7 @@
 func New(conf *Settings, a Adapter, log hclog.Logger) (*Router, error) {
 	r := &Router{
 		conf: conf, log: log, metrics: telemetry.NewRegistry(), dialer: rpc.NewFleetDialer(),
-		ready: telemetry.NewReadiness(reasonConfiguration),
+		ready: telemetry.NewReadiness(reasonConfiguration), readyPath: a.ReadyPath,
 	}
 	for _, l := range []struct {
 		to      *net.Listener
@@ -124,7 +126,7 @@
 }
 
 // Run serves until a signal comes, then stops gracefully.
-func (r *Router) Run(stop <-chan os.Signal, readyPath string) error {
+func (r *Router) Run(stop <-chan os.Signal) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	g, ctx := errgroup.WithContext(ctx)
@@ -134,7 +136,7 @@
 		ConnState: httpguard.State, ConnContext: httpguard.Context, DisableGeneralOptionsHandler: true,
 	}
 	mux := http.NewServeMux()
-	mux.Handle("GET "+readyPath, r.ready.Handler())
+	mux.Handle("GET "+r.readyPath, r.ready.Handler())
 	readiness := &http.Server{Handler: mux, ReadHeaderTimeout: headerTime, ErrorLog: errorLog}
 	admin := &http.Server{Handler: telemetry.AdminHandler(r.metrics, r.ready), ReadHeaderTimeout: headerTime, ErrorLog: errorLog}
 	for _, s := range []struct {
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"net"
 	"time"
 
 	"github.com/kumquathollow/kumquathollow/internal/config"
@@ -56,17 +55,19 @@
 }
 
 func (s *Settings) check() error {
-	for _, f := range []struct{ name, value string }{
-		{"name", s.Name}, {"dataCentre", s.DataCentre}, {"clients", s.Clients}, {"ready", s.Ready}, {"admin", s.Admin}, {"directoryPort", s.DirectoryPort},
-	} {
-		if f.value == "" {
-			return errkind.New(errkind.InvalidSettings, "%s is missing", f.name)
-		}
+	err := settings.Require(
+		settings.Field{Name: "name", Value: s.Name},
+		settings.Field{Name: "dataCentre", Value: s.DataCentre},
+		settings.Field{Name: "clients", Value: s.Clients},
+		settings.Field{Name: "ready", Value: s.Ready},
+		settings.Field{Name: "admin", Value: s.Admin},
+		settings.Field{Name: "directoryPort", Value: s.DirectoryPort},
+	)
+	if err == nil {
+		err = settings.CheckAddresses(append([]string{s.Clients, s.Ready, s.Admin}, s.Seeds...)...)
 	}
-	for _, a := range append([]string{s.Clients, s.Ready, s.Admin}, s.Seeds...) {
-		if _, _, err := net.SplitHostPort(a); err != nil {
-			return errkind.Wrap(err, errkind.InvalidSettings, "address %q", a)
-		}
+	if err != nil {
+		return err
 	}
 	switch {
 	case len(s.Seeds) == 0:
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -178,7 +178,11 @@
 
 // Done ends the attempt.
 func (p *Place) Done(o Outcome, latency time.Duration, now time.Time) {
-	p.Server.done(o, latency, p.fleet.failureRate(p.Service), now)
+	var poolRate float64
+	if o == Bad {
+		poolRate = p.fleet.failureRate(p.Service) // It looks at all servers.
+	}
+	p.Server.done(o, latency, poolRate, now)
 	p.fleet.reach.done(p.DataCentre, p.ID, o, now)
 }
 
--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -103,7 +103,8 @@
 	Unreachable
 )
 
-// done takes an attempt's outcome in; poolRate is the failure rate of the pool.
+// done takes an attempt's outcome in; poolRate is the failure rate
+// of the pool, which only bad outcomes are compared with.
 func (s *Server) done(o Outcome, latency time.Duration, poolRate float64, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
