Send a configuration as the change from the one in force

The leader's link (6 Mbit/s) carried the whole packed configuration to seven voters, and then to nearly all of 64 routers, since a router fetched a new revision from the process that told of it first.

Ruled out: the wiped voter that is to be added (its adding failed because leaders were gone, not the other way round); a longer election timeout, which would hide the load and slow every failover.

Machine keeps the last commands, and routers are sent the steps from what they hold. The process to which a router reports sends them unasked; a router waits for it 300 ms before it asks another. Whole states leave a process two at a time.

No revision was dropped in the tests of steps, and the whole-state test fails without the bound.

--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -14,8 +14,18 @@
 	router string
 	queue  chan *fleetpb.FollowUpdate
 	end    context.CancelFunc
-	// load is what the router has in flight; owned by the hub.
+
+	// Owned by the hub.
+
+	// load is what the router has in flight; set if the router reports here.
 	load *fleetpb.Load
+	// have is the revision that the router holds, or will with what was sent.
+	have uint64
+	// behind is set while the router is to be sent what it lacks.
+	behind bool
+	// whole is the revision of a whole state on its way, or 0, and since when.
+	whole     uint64
+	wholeSent time.Time
 }
 
 // push queues an update, or ends a session that takes none.
@@ -39,7 +49,7 @@
 	}
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
-	ss := &session{router: first.Router, queue: make(chan *fleetpb.FollowUpdate, sessionQueue), end: cancel}
+	ss := &session{router: first.Router, have: first.Have, queue: make(chan *fleetpb.FollowUpdate, sessionQueue), end: cancel}
 	if err := s.hub.do(ctx, func() { s.hub.open(ss) }); err != nil {
 		return err
 	}
@@ -71,13 +81,7 @@
 
 // asked answers one request of a session; confirmations come later.
 func (s *server) asked(ctx context.Context, ss *session, req *fleetpb.FollowRequest) {
-	if req.Fetch {
-		if st := s.machine.State(); st.Revision > req.Have {
-			ss.push(&fleetpb.FollowUpdate{Revision: st.Revision, State: st})
-		}
-	}
-	// A router that reports to another process now sends none.
-	s.hub.post(ctx, func() { ss.load = req.Load })
+	s.hub.post(ctx, func() { s.hub.asked(ss, req) })
 	if req.Ping != 0 {
 		s.confirms.add(ss, req.Ping)
 	}
--- a/internal/directory/hub.go
+++ b/internal/directory/hub.go
@@ -9,6 +9,7 @@
 
 	"github.com/kumquathollow/kumquathollow/api/fleetpb"
 	"github.com/kumquathollow/kumquathollow/internal/inventory"
+	"github.com/kumquathollow/kumquathollow/internal/publication"
 )
 
 const (
@@ -32,9 +33,11 @@
 	// spread passes changed announcements to the other directory processes.
 	spread func([]*fleetpb.Announcement)
 
+	machine  *publication.Machine
 	table    *inventory.Table
 	dirty    map[string]bool
 	sessions map[*session]bool
+	// revision is the newest one that the routers were told of.
 	revision uint64
 	members  []string
 	// leader is true while a leader is heard.
@@ -43,9 +46,9 @@
 	reported bool
 }
 
-func newHub(log hclog.Logger, spread func([]*fleetpb.Announcement)) *hub {
+func newHub(log hclog.Logger, machine *publication.Machine, spread func([]*fleetpb.Announcement)) *hub {
 	return &hub{
-		log: log, inbox: make(chan func(), hubInbox), now: time.Now, spread: spread,
+		log: log, inbox: make(chan func(), hubInbox), now: time.Now, machine: machine, spread: spread,
 		table: inventory.New(), dirty: map[string]bool{}, sessions: map[*session]bool{},
 	}
 }
@@ -126,6 +129,7 @@
 // flush tells all routers which servers were heard since the last flush, and what
 // the routers that report here have in flight.
 func (h *hub) flush() {
+	h.bringUp()
 	load := h.load()
 	if len(h.dirty) == 0 && load == nil {
 		return
@@ -167,7 +171,7 @@
 }
 
 func (h *hub) broadcast(u *fleetpb.FollowUpdate) {
-	u.Revision, u.InQuorum, u.Routers = h.revision, h.leader, uint32(len(h.sessions))
+	u.Revision, u.InQuorum, u.Routers = h.machine.State().Revision, h.leader, uint32(len(h.sessions))
 	for s := range h.sessions {
 		s.push(u)
 	}
@@ -176,10 +180,10 @@
 // open adds a session and tells it everything.
 func (h *hub) open(s *session) {
 	h.sessions[s] = true
-	u := &fleetpb.FollowUpdate{Revision: h.revision, InQuorum: h.leader, Members: h.members, Routers: uint32(len(h.sessions))}
+	u := &fleetpb.FollowUpdate{Revision: h.machine.State().Revision, InQuorum: h.leader, Members: h.members, Routers: uint32(len(h.sessions))}
 	h.table.All(func(sv *inventory.Server) { u.Announcements = append(u.Announcements, inventory.Encode(sv, h.now())) })
 	s.push(u)
-	h.log.Info("router follows", "router", s.router, "routers", len(h.sessions), "servers", len(u.Announcements), "revision", h.revision)
+	h.log.Info("router follows", "router", s.router, "routers", len(h.sessions), "servers", len(u.Announcements), "revision", u.Revision, "its-revision", s.have)
 	h.broadcast(&fleetpb.FollowUpdate{})
 }
 
@@ -191,11 +195,80 @@
 	}
 }
 
-// stateChanged tells the routers of a new revision.
-func (h *hub) stateChanged(revision uint64) {
-	if revision != h.revision {
-		h.revision = revision
-		h.broadcast(&fleetpb.FollowUpdate{})
+// stateChanged tells the routers of a new revision, and sends it to those that
+// report here.
+func (h *hub) stateChanged() {
+	newest := h.machine.State().Revision
+	if newest == h.revision {
+		return
+	}
+	h.revision = newest
+	for s := range h.sessions {
+		s.behind = s.behind || s.load != nil
+	}
+	h.bringUp()
+	h.broadcast(&fleetpb.FollowUpdate{})
+}
+
+// asked takes in what a router says of itself.
+func (h *hub) asked(s *session, req *fleetpb.FollowRequest) {
+	// A router that reports to another process now sends no load.
+	s.load = req.Load
+	if req.Fetch {
+		s.have, s.behind = req.Have, true
+	}
+	s.have = max(s.have, req.Have)
+	s.behind = s.behind || req.Load != nil && s.have < h.machine.State().Revision
+	if req.Have >= s.whole {
+		s.whole = 0
+	}
+	h.bringUp()
+}
+
+const (
+	// maxWhole bounds the whole states on their way at once: more would hold up the
+	// replication's heartbeats on a slow link for longer than voters wait.
+	maxWhole = 2
+	// wholeTimeout is how long one may take before it counts as lost.
+	wholeTimeout = time.Second
+)
+
+// bringUp sends routers that are behind what they lack: the steps since what they
+// hold, or the whole state.
+func (h *hub) bringUp() {
+	newest, whole := h.machine.State().Revision, 0
+	for s := range h.sessions {
+		if s.whole != 0 && h.now().Sub(s.wholeSent) < wholeTimeout {
+			whole++
+		}
+	}
+	for s := range h.sessions {
+		if !s.behind {
+			continue
+		}
+		if s.have >= newest {
+			s.behind = false
+			continue
+		}
+		u := &fleetpb.FollowUpdate{Revision: newest}
+		steps, ok := h.machine.Steps(s.have)
+		switch {
+		case ok:
+			u.Steps, u.StepsFrom, u.Revision = steps, s.have, s.have+uint64(len(steps))
+		case whole >= maxWhole:
+			continue
+		default:
+			state, err := h.machine.Encoded()
+			if err != nil {
+				h.log.Error("state cannot be sent", "router", s.router, "revision", newest, "error", err)
+				return
+			}
+			u.State, u.Revision = state, state.Revision
+			s.whole, s.wholeSent = state.Revision, h.now()
+			whole++
+		}
+		s.have, s.behind = u.Revision, false
+		s.push(u)
 	}
 }
 
--- a/internal/directory/hub_test.go
+++ b/internal/directory/hub_test.go
@@ -3,18 +3,21 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/kumquathollow/kumquathollow/api/fleetpb"
 	"github.com/kumquathollow/kumquathollow/internal/inventory"
+	"github.com/kumquathollow/kumquathollow/internal/publication"
 )
 
 func newTestHub() (*hub, *[]*fleetpb.Announcement) {
 	var spread []*fleetpb.Announcement
-	h := newHub(hclog.NewNullLogger(), func(news []*fleetpb.Announcement) { spread = append(spread, news...) })
+	h := newHub(hclog.NewNullLogger(), publication.New(), func(news []*fleetpb.Announcement) { spread = append(spread, news...) })
 	now := time.Unix(1_700_000_000, 0)
 	h.now = func() time.Time { return now }
 	return h, &spread
@@ -92,10 +95,10 @@
 		h.merge(announced(fmt.Sprint("s", i), 1, inventory.Ready), true)
 	}
 	h.leave("s0", 0)
-	h.stateChanged(9)
+	change(t, h, 9)
 	h.groupChanged([]string{"a:1"}, true)
 	got := drain(newSession(h, "r1"))[0]
-	if len(got.Announcements) != 5 || got.Revision != 9 || !got.InQuorum || len(got.Members) != 1 || got.Routers != 1 {
+	if len(got.Announcements) != 5 || got.Revision != 1 || !got.InQuorum || len(got.Members) != 1 || got.Routers != 1 {
 		t.Errorf("the first update is %v", got)
 	}
 }
@@ -158,3 +161,136 @@
 		t.Errorf("a load that nobody reports is sent again: %v", l)
 	}
 }
+
+// change puts a large configuration in force and tells the hub.
+func change(t *testing.T, h *hub, version uint64) {
+	t.Helper()
+	rng := rand.New(rand.NewPCG(version, 1))
+	document := make([]byte, 64<<10)
+	for i := range document {
+		document[i] = byte(rng.Uint32())
+	}
+	apply(t, h, &publication.State{}, version, document)
+}
+
+func apply(t *testing.T, h *hub, base *publication.State, version uint64, document []byte) {
+	t.Helper()
+	cmd, err := base.Publication(version, document, base.Configuration == nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	data, err := proto.Marshal(cmd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r := h.machine.Apply(data).(publication.Result); r.Err != nil || !r.Effective {
+		t.Fatalf("version %d: %+v", version, r)
+	}
+	h.stateChanged()
+}
+
+// sentState counts the updates that carry steps and whole states.
+func sentState(s *session) (steps, whole int) {
+	for _, u := range drain(s) {
+		if len(u.Steps) > 0 {
+			steps++
+		}
+		if u.State != nil {
+			whole++
+		}
+	}
+	return steps, whole
+}
+
+// Routers that start together ask for the whole state together. A process sends a
+// few at a time: on a slow link all at once would hold up the heartbeats by which
+// it keeps its leadership.
+func TestWholeStatesAreSentAFewAtATime(t *testing.T) {
+	h, _ := newTestHub()
+	now := time.Unix(1_700_000_000, 0)
+	h.now = func() time.Time { return now }
+	change(t, h, 5)
+	var ss []*session
+	for i := range 10 {
+		s := newSession(h, fmt.Sprint("r", i))
+		drain(s)
+		h.asked(s, &fleetpb.FollowRequest{Fetch: true})
+		ss = append(ss, s)
+	}
+	served := map[*session]bool{}
+	for len(served) < len(ss) {
+		var sent []*session
+		for _, s := range ss {
+			if _, whole := sentState(s); whole > 0 {
+				if served[s] {
+					t.Fatalf("%s got the state twice", s.router)
+				}
+				served[s] = true
+				sent = append(sent, s)
+			}
+		}
+		if len(sent) == 0 || len(sent) > maxWhole {
+			t.Fatalf("%d whole states at once after %d, want 1 to %d", len(sent), len(served)-len(sent), maxWhole)
+		}
+		// One router has it now; the others' are still on their way.
+		h.asked(sent[0], &fleetpb.FollowRequest{Have: h.revision})
+		if len(sent) == 1 {
+			continue
+		}
+		if _, whole := sentState(sent[1]); whole != 0 {
+			t.Error("a state that is on its way was sent again")
+		}
+	}
+}
+
+// A router that takes nothing must not keep others from the state.
+func TestALostWholeStateHoldsUpNobody(t *testing.T) {
+	h, _ := newTestHub()
+	now := time.Unix(1_700_000_000, 0)
+	h.now = func() time.Time { return now }
+	change(t, h, 5)
+	for i := range maxWhole {
+		h.asked(newSession(h, fmt.Sprint("lost", i)), &fleetpb.FollowRequest{Fetch: true})
+	}
+	s := newSession(h, "r")
+	h.asked(s, &fleetpb.FollowRequest{Fetch: true})
+	if _, whole := sentState(s); whole != 0 {
+		t.Error("sent at once")
+	}
+	now = now.Add(wholeTimeout)
+	h.flush()
+	if _, whole := sentState(s); whole != 1 {
+		t.Error("not sent once the others' time was over")
+	}
+}
+
+// A new revision is sent unasked to the routers that report here, as the change
+// alone, and to no other: each router reports to one process.
+func TestAChangeIsSentToTheRoutersThatReportHere(t *testing.T) {
+	h, _ := newTestHub()
+	change(t, h, 5)
+	here, elsewhere := newSession(h, "here"), newSession(h, "elsewhere")
+	h.asked(here, &fleetpb.FollowRequest{Have: 1, Load: &fleetpb.Load{}})
+	h.asked(elsewhere, &fleetpb.FollowRequest{Have: 1})
+	drain(here)
+	drain(elsewhere)
+	base := h.machine.State()
+	apply(t, h, base, 6, append([]byte("changed"), base.Configuration.Document...))
+	got := drain(here)
+	if len(got) == 0 || len(got[0].Steps) != 1 || got[0].StepsFrom != 1 || got[0].Revision != 2 || proto.Size(got[0]) > 1024 {
+		t.Errorf("the router that reports here got %d updates, the first of %d bytes", len(got), proto.Size(got[0]))
+	}
+	if steps, whole := sentState(elsewhere); steps+whole != 0 {
+		t.Errorf("the router that reports elsewhere got %d steps and %d states", steps, whole)
+	}
+	// Asked, it is sent to any.
+	h.asked(elsewhere, &fleetpb.FollowRequest{Have: 1, Fetch: true})
+	if steps, whole := sentState(elsewhere); steps != 1 || whole != 0 {
+		t.Errorf("the router that asked got %d steps and %d states", steps, whole)
+	}
+	// A router that lost what was sent asks again.
+	h.asked(here, &fleetpb.FollowRequest{Have: 1, Fetch: true, Load: &fleetpb.Load{}})
+	if steps, _ := sentState(here); steps != 1 {
+		t.Error("what was lost is not sent again")
+	}
+}
--- a/internal/directory/operations.go
+++ b/internal/directory/operations.go
@@ -17,17 +17,28 @@
 // majority holds it on disk, or a higher version.
 func (p *Process) Publish(ctx context.Context, version uint64, document []byte) error {
 	began := time.Now()
-	held := p.machine.State().Configuration.GetVersion()
-	packed, err := publication.Compress(document)
-	if err != nil {
-		return errkind.Wrap(err, errkind.Internal, "compress the configuration")
+	held := p.machine.State()
+	revision, size, err := p.publish(ctx, held, version, document, false)
+	alone := errkind.Of(err) == errkind.ChangeConflict
+	if alone {
+		revision, size, err = p.publish(ctx, held, version, document, true)
 	}
-	cmd := &fleetpb.Command{Op: &fleetpb.Command_Publish{Publish: &fleetpb.Publish{Version: version, Document: packed}}}
-	revision, err := p.server.change(ctx, cmd)
-	p.told("configuration received", began, err, "version", version, "held-version", held, "bytes", len(document), "revision", revision)
+	p.told("configuration received", began, err, "version", version, "held-version", held.Version(), "bytes", len(document),
+		"packed-bytes", size, "alone", alone, "revision", revision)
 	return err
 }
 
+// publish proposes a document relative to the one held, or alone. Another
+// process may have changed the one in force meanwhile.
+func (p *Process) publish(ctx context.Context, held *publication.State, version uint64, document []byte, alone bool) (revision uint64, size int, err error) {
+	cmd, err := held.Publication(version, document, alone)
+	if err != nil {
+		return 0, 0, err
+	}
+	revision, err = p.server.change(ctx, cmd)
+	return revision, len(cmd.GetPublish().Document), err
+}
+
 // Evacuate takes a data centre's backend servers out, or back.
 func (p *Process) Evacuate(ctx context.Context, dataCentre string, out bool) error {
 	began := time.Now()
@@ -63,7 +74,7 @@
 		case s.Revision >= newest && s.Configuration == nil:
 			return nil, errkind.New(errkind.NotReady, "no configuration has been accepted yet")
 		case s.Revision >= newest:
-			return publication.Uncompress(s.Configuration.Document)
+			return s.Configuration.Document, nil
 		}
 		select {
 		case <-time.After(statePoll):
--- a/internal/directory/process.go
+++ b/internal/directory/process.go
@@ -115,13 +115,9 @@
 		now: time.Now, seeds: seeds, candidates: map[string]candidate{},
 	}
 	p.server = &server{group: p.group, machine: p.machine, roster: r, dialer: p.dialer, log: p.log}
-	p.hub = newHub(p.log.Named("servers"), p.spread)
+	p.hub = newHub(p.log.Named("servers"), p.machine, p.spread)
 	p.server.hub = p.hub
-	p.hub.revision = p.machine.State().Revision
-	p.machine.Changed = func(s *fleetpb.State) {
-		revision := s.Revision
-		p.hub.post(context.Background(), func() { p.hub.stateChanged(revision) })
-	}
+	p.machine.Changed = func(*publication.State) { p.hub.post(context.Background(), p.hub.stateChanged) }
 	p.server.confirms = newConfirmer(p.server.barrier)
 	p.metrics.Gauge("directory.revision", func() int64 { return int64(p.machine.State().Revision) })
 	p.metrics.Gauge("directory.term", func() int64 { return int64(p.group.Status().Term) })
--- a/internal/fleetview/link.go
+++ b/internal/fleetview/link.go
@@ -32,6 +32,8 @@
 	connected bool
 	inQuorum  bool
 	routers   int
+	// revision is the newest one that the process is known to hold.
+	revision uint64
 	// load is what the routers that report to this process have in flight.
 	load map[uint32]int
 }
@@ -144,9 +146,14 @@
 	}
 }
 
-// request asks for the state at once.
+// request asks for what is missing at once.
 func (l *link) request() {
 	l.fetch.Store(true)
+	l.nudge()
+}
+
+// nudge has the next request sent at once.
+func (l *link) nudge() {
 	select {
 	case l.wake <- struct{}{}:
 	default:
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -56,6 +56,7 @@
 	reportTo atomic.Pointer[link]
 
 	// Owned by the goroutine of Run.
+	state *publication.State
 	table *inventory.Table
 	links map[string]*link
 	seeds []string
@@ -65,19 +66,32 @@
 	// confirmation was asked for.
 	awaited   uint64
 	awaitedAt time.Duration
+	// newest is the newest revision heard of, and heardAt when the first one was
+	// heard of that is not held; 0 while none is.
+	newest  uint64
+	heardAt time.Duration
+	// gather fires gatherTime after a router without any state heard of one.
+	gather <-chan time.Time
+	// fetchedAt is when a process was last asked for what is missing.
 	fetchedAt time.Duration
+	// asked is that process.
+	asked *link
 }
 
 // New returns a View; Run runs it.
 func New(opts Options) *View {
-	v := &View{opts: opts, inbox: make(chan func(), inboxSize), table: inventory.New(), links: map[string]*link{}, seeds: opts.Seeds}
+	v := &View{opts: opts, inbox: make(chan func(), inboxSize), table: inventory.New(), links: map[string]*link{}, seeds: opts.Seeds, state: &publication.State{}}
 	v.snapshot.Store(&Snapshot{})
 	return v
 }
 
 const (
 	inboxSize = 256
-	// fetchTimeout is how long an asked process has to send the state.
+	// gatherTime is how long a router without any state waits for processes to
+	// connect, so that routers that start together do not all ask the first one.
+	gatherTime = 30 * time.Millisecond
+	// fetchTimeout is how long a process has to send what is missing, unasked or
+	// asked, before another is asked.
 	fetchTimeout = 300 * time.Millisecond
 	// sweepInterval is how often lapses are looked for.
 	sweepInterval = 250 * time.Millisecond
@@ -157,11 +171,13 @@
 		case f := <-v.inbox:
 			f()
 			v.reconcile(ctx)
+		case <-v.gather:
+			v.catchUp()
 		case <-tick.C:
 			if v.table.Expire(time.Now()) {
 				v.opts.Fleet.Update(v.table, time.Now())
 			}
-			v.fetchAgain()
+			v.catchUp()
 		}
 	}
 }
@@ -190,7 +206,7 @@
 	if l.connected {
 		v.opts.Log.Warn("directory process lost", "address", l.address, "error", err, "revision", v.Snapshot().Revision)
 	}
-	l.connected, l.inQuorum, l.routers, l.load = false, false, 0, nil
+	l.connected, l.inQuorum, l.routers, l.load, l.revision = false, false, 0, nil, 0
 	v.countReached()
 	v.chooseReport()
 }
@@ -249,16 +265,14 @@
 		v.loads()
 	}
 	v.announced(u.Announcements)
-	if u.State != nil {
-		v.adopt(u.State)
-	}
+	l.revision = max(l.revision, u.Revision)
+	v.newest = max(v.newest, u.Revision, u.Newest)
+	v.received(l, u.FollowUpdate)
 	if u.Confirmed {
 		v.quorumAt.Store(int64(clock.Boot()))
 		v.confirmed(u.Newest, u.askedAt)
 	}
-	if newest := max(u.Revision, u.Newest); newest > v.Snapshot().Revision {
-		v.fetch(l)
-	}
+	v.catchUp()
 }
 
 func (v *View) countRouters() {
@@ -287,44 +301,92 @@
 	}
 }
 
-// fetch asks for the state, once at a time.
-func (v *View) fetch(l *link) {
+// catchUp asks for what is missing, one process at a time. The process that the
+// router reports to sends new revisions unasked, and is waited for.
+func (v *View) catchUp() {
 	now := clock.Boot()
-	if now-v.fetchedAt < fetchTimeout {
+	if v.newest <= v.state.Revision {
+		v.heardAt = 0
 		return
 	}
-	v.fetchedAt = now
-	l.request()
-}
-
-// fetchAgain asks another process if the last one asked did not send the state.
-func (v *View) fetchAgain() {
-	if v.awaited <= v.Snapshot().Revision {
+	if v.heardAt == 0 {
+		v.heardAt = now
+		if v.state.Revision == 0 {
+			v.gather = time.After(gatherTime)
+		}
+	}
+	patience := fetchTimeout
+	if v.state.Revision == 0 {
+		patience = gatherTime
+	}
+	if now-v.heardAt < patience || v.fetchedAt != 0 && now-v.fetchedAt < fetchTimeout {
 		return
 	}
+	if l := v.source(); l != nil {
+		v.fetchedAt, v.asked = now, l
+		l.request()
+	}
+}
+
+// source picks the process to ask: the one that the router reports to, unless it
+// was asked last, then any other that holds more.
+func (v *View) source() *link {
+	var other *link
 	for _, l := range v.links {
-		if l.connected {
-			v.fetch(l)
+		if !l.connected || l.revision <= v.state.Revision {
+			continue
+		}
+		if l == v.reportTo.Load() && l != v.asked {
+			return l
+		}
+		if other == nil || other == v.asked {
+			other = l
+		}
+	}
+	return other
+}
+
+// received takes in what leads to a newer revision.
+func (v *View) received(l *link, u *fleetpb.FollowUpdate) {
+	next := v.state
+	var err error
+	switch {
+	case u.State != nil:
+		next, err = publication.Decode(u.State)
+	case u.StepsFrom <= v.state.Revision && u.StepsFrom+uint64(len(u.Steps)) > v.state.Revision:
+		for _, cmd := range u.Steps[v.state.Revision-u.StepsFrom:] {
+			if next, err = next.After(cmd); err != nil {
+				break
+			}
 		}
 	}
+	if err != nil {
+		v.opts.Log.Error("newer state cannot be read", "address", l.address, "revision", u.Revision, "held-revision", v.state.Revision, "error", err)
+		return
+	}
+	v.adopt(next)
+	if u.State != nil {
+		// The process sends others the whole state once this one has it.
+		l.nudge()
+	}
 }
 
 // adopt publishes a newer state.
-func (v *View) adopt(st *fleetpb.State) {
+func (v *View) adopt(st *publication.State) {
 	was := v.Snapshot()
-	v.fetchedAt = 0
 	if st.Revision <= was.Revision {
 		return
 	}
 	next := &Snapshot{Set: was.Set, Revision: st.Revision, Evacuated: st.Evacuated}
 	if c := st.Configuration; c != nil && (was.Set == nil || c.Version > was.Set.Version) {
-		set, err := v.decode(c)
+		set, err := v.opts.Decode(c.Document)
 		if err != nil {
 			v.opts.Log.Error("configuration cannot be used", "version", c.Version, "revision", st.Revision, "error", err)
 			return
 		}
 		next.Set = set
 	}
+	v.state, v.fetchedAt, v.asked = st, 0, nil
 	v.snapshot.Store(next)
 	v.opts.Fleet.SetOut(next.Evacuated, next.coldTime, time.Now())
 	var version uint64
@@ -337,14 +399,6 @@
 	}
 }
 
-func (v *View) decode(c *fleetpb.Publish) (*catalog.Set, error) {
-	document, err := publication.Uncompress(c.Document)
-	if err != nil {
-		return nil, err
-	}
-	return v.opts.Decode(document)
-}
-
 func (s *Snapshot) coldTime(service string) time.Duration {
 	if s.Set == nil || s.Set.Service(service) == nil {
 		return 0
--- a/internal/fleetview/view_test.go
+++ b/internal/fleetview/view_test.go
@@ -34,11 +34,15 @@
 
 func state(t *testing.T, revision, version uint64, document string) *fleetpb.State {
 	t.Helper()
-	packed, err := publication.Compress([]byte(document))
+	st, err := held(revision, version, document).Encode()
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &fleetpb.State{Revision: revision, Configuration: &fleetpb.Publish{Version: version, Document: packed}}
+	return st
+}
+
+func held(revision, version uint64, document string) *publication.State {
+	return &publication.State{Revision: revision, Configuration: &publication.Configuration{Version: version, Document: []byte(document)}}
 }
 
 func (v *View) version() uint64 {
@@ -61,8 +65,8 @@
 // A configuration that this process cannot use does not replace the one in force.
 func TestAnUnusableConfigurationIsNotAdopted(t *testing.T) {
 	v, _ := newView()
-	v.adopt(state(t, 1, 10, "10"))
-	v.adopt(state(t, 2, 20, "damaged"))
+	v.adopt(held(1, 10, "10"))
+	v.adopt(held(2, 20, "damaged"))
 	if s := v.Snapshot(); s.Revision != 1 || s.Set.Version != 10 {
 		t.Errorf("revision %d, version %d", s.Revision, s.Set.Version)
 	}
@@ -83,7 +87,7 @@
 	if _, ok := v.Age(); ok {
 		t.Error("confirmed without holding the newest revision")
 	}
-	v.adopt(state(t, 1, 10, "10"))
+	v.adopt(held(1, 10, "10"))
 	if age, ok := v.Age(); !ok || age < 700*time.Millisecond {
 		t.Errorf("age %s, %v after the revision came", age, ok)
 	}
@@ -92,7 +96,7 @@
 	if age, _ := v.Age(); age < 700*time.Millisecond {
 		t.Errorf("age %s though revision 2 is not held", age)
 	}
-	v.adopt(state(t, 2, 20, "20"))
+	v.adopt(held(2, 20, "20"))
 	if age, _ := v.Age(); age > 600*time.Millisecond {
 		t.Errorf("age %s once revision 2 is held", age)
 	}
@@ -127,3 +131,62 @@
 		t.Error("the loss of one of two does not show")
 	}
 }
+
+// fetches reports whether the link was asked for what is missing since the last call.
+func (l *link) fetches() bool {
+	select {
+	case <-l.wake:
+	default:
+	}
+	return l.fetch.Swap(false)
+}
+
+// A revision that is heard of is waited for: the process that the router reports
+// to sends it unasked. All routers would ask the same process otherwise, the
+// leader, which knows of it first.
+func TestANewRevisionIsNotFetchedFromWhoTellsOfIt(t *testing.T) {
+	v, leader := newView()
+	source := &link{v: v, address: "d:2", wake: make(chan struct{}, 1), stop: func() {}}
+	v.links["d:2"] = source
+	for _, l := range []*link{leader, source} {
+		v.took(l, update{FollowUpdate: &fleetpb.FollowUpdate{Routers: 1, InQuorum: true, Revision: 1}})
+	}
+	v.adopt(held(1, 10, "10"))
+	v.reportTo.Store(source)
+	leader.fetches()
+	source.fetches()
+	v.took(leader, update{FollowUpdate: &fleetpb.FollowUpdate{Routers: 1, InQuorum: true, Revision: 2}})
+	if leader.fetches() || source.fetches() {
+		t.Error("the revision was fetched at once")
+	}
+	cmd, err := v.state.Publication(20, []byte("20"), false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	v.took(source, update{FollowUpdate: &fleetpb.FollowUpdate{Revision: 2, Steps: []*fleetpb.Command{cmd}, StepsFrom: 1}})
+	if v.version() != 20 || v.Snapshot().Revision != 2 {
+		t.Errorf("version %d, revision %d after the steps", v.version(), v.Snapshot().Revision)
+	}
+	// Steps that come again, or that start beyond what is held, change nothing.
+	v.took(leader, update{FollowUpdate: &fleetpb.FollowUpdate{Revision: 2, Steps: []*fleetpb.Command{cmd}, StepsFrom: 1}})
+	v.took(leader, update{FollowUpdate: &fleetpb.FollowUpdate{Revision: 9, Steps: []*fleetpb.Command{cmd}, StepsFrom: 8}})
+	if v.version() != 20 || v.Snapshot().Revision != 2 {
+		t.Errorf("version %d, revision %d after steps that do not fit", v.version(), v.Snapshot().Revision)
+	}
+	// What does not come in time is asked for, first of the source, then of others.
+	v.heardAt -= fetchTimeout
+	v.links["d:2"].revision = 9
+	v.catchUp()
+	if !source.fetches() || leader.fetches() {
+		t.Error("the source was not asked first")
+	}
+	v.catchUp()
+	if source.fetches() || leader.fetches() {
+		t.Error("two were asked at once")
+	}
+	v.fetchedAt -= fetchTimeout
+	v.catchUp()
+	if source.fetches() || !leader.fetches() {
+		t.Error("no other was asked after the source sent nothing")
+	}
+}
--- a/internal/publication/doc.go
+++ b/internal/publication/doc.go
@@ -8,5 +8,9 @@
 // increases the revision, by which routers order what they learn from several
 // processes.
 //
+// A configuration travels packed relative to the one in force, since a change
+// mostly touches little of it. A command whose base is no longer in force is
+// refused, and its proposer sends the whole document.
+//
 // Machine implements replication.StateMachine; it reads no clock.
 package publication
--- a/internal/publication/document.go
+++ b/internal/publication/document.go
@@ -1,38 +1,53 @@
 package publication
 
 import (
-	"bytes"
-	"compress/flate"
-	"io"
-
 	"github.com/cockroachdb/errors"
+	"github.com/klauspost/compress/zstd"
 )
 
-// maxDocumentBytes bounds a configuration document.
-const maxDocumentBytes = 8 << 20
+const (
+	// maxDocumentBytes bounds a configuration document.
+	maxDocumentBytes = 8 << 20
+	// minWindowBytes is the least window of the packed format.
+	minWindowBytes = 64 << 10
+	// baseID marks packed documents that need a base.
+	baseID = 1
+)
 
-// Compress packs a configuration document for the log and the network.
-func Compress(document []byte) ([]byte, error) {
-	var buf bytes.Buffer
-	w, err := flate.NewWriter(&buf, flate.BestSpeed)
-	if err != nil {
-		return nil, err
+// Pack packs a configuration document for the log and the network. What it has
+// in common with base takes next to no space; base may be nil.
+func Pack(document, base []byte) ([]byte, error) {
+	// Each part of the base must stay within reach up to the document's end.
+	window := minWindowBytes
+	for window < len(document)+len(base) {
+		window *= 2
+	}
+	options := []zstd.EOption{
+		zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true), zstd.WithWindowSize(window),
 	}
-	if _, err := w.Write(document); err != nil {
-		return nil, err
+	if len(base) > 0 {
+		options = append(options, zstd.WithEncoderDictRaw(baseID, base))
 	}
-	if err := w.Close(); err != nil {
-		return nil, err
+	w, err := zstd.NewWriter(nil, options...)
+	if err != nil {
+		return nil, errors.Wrap(err, "pack a configuration")
 	}
-	return buf.Bytes(), nil
+	return w.EncodeAll(document, nil), errors.Wrap(w.Close(), "pack a configuration")
 }
 
-// Uncompress returns the document that Compress packed.
-func Uncompress(packed []byte) ([]byte, error) {
-	r := flate.NewReader(bytes.NewReader(packed))
-	out, err := io.ReadAll(io.LimitReader(r, maxDocumentBytes+1))
-	if err == nil && len(out) > maxDocumentBytes {
-		err = errors.Newf("a configuration of over %d bytes", maxDocumentBytes)
+// Unpack returns the document that Pack packed relative to the same base.
+func Unpack(packed, base []byte) ([]byte, error) {
+	options := []zstd.DOption{
+		zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(maxDocumentBytes),
+	}
+	if len(base) > 0 {
+		options = append(options, zstd.WithDecoderDictRaw(baseID, base))
+	}
+	r, err := zstd.NewReader(nil, options...)
+	if err != nil {
+		return nil, errors.Wrap(err, "unpack a configuration")
 	}
-	return out, errors.CombineErrors(err, r.Close())
+	defer r.Close()
+	document, err := r.DecodeAll(packed, nil)
+	return document, errors.Wrap(err, "unpack a configuration")
 }
--- a/internal/publication/machine.go
+++ b/internal/publication/machine.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"slices"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -12,25 +11,62 @@
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 )
 
+const (
+	// maxSteps and maxStepBytes bound the commands kept for routers that lag. Beyond
+	// them the whole state is no dearer.
+	maxSteps     = 64
+	maxStepBytes = 32 << 10
+)
+
 // Machine holds the replicated state.
 type Machine struct {
 	// Changed, if set, is called by the group's goroutine after the state changed.
-	Changed func(*fleetpb.State)
+	Changed func(*State)
 
 	mu    sync.RWMutex
-	state *fleetpb.State
+	state *State
+	// steps are the last commands that had an effect, oldest first.
+	steps     []*fleetpb.Command
+	stepBytes int
+	// encoded is the encoded state, once it was asked for.
+	encoded *fleetpb.State
 }
 
 // New returns a Machine without a configuration.
-func New() *Machine { return &Machine{state: &fleetpb.State{}} }
+func New() *Machine { return &Machine{state: &State{}} }
 
-// State returns the newest state. It must not be changed.
-func (m *Machine) State() *fleetpb.State {
+// State returns the newest state.
+func (m *Machine) State() *State {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	return m.state
 }
 
+// Encoded returns the newest state as it is sent. It must not be changed.
+func (m *Machine) Encoded() (*fleetpb.State, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.encoded == nil {
+		encoded, err := m.state.Encode()
+		if err != nil {
+			return nil, err
+		}
+		m.encoded = encoded
+	}
+	return m.encoded, nil
+}
+
+// Steps returns the commands that lead from a revision to the newest one, and
+// false if they are not all kept.
+func (m *Machine) Steps(from uint64) ([]*fleetpb.Command, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	if from > m.state.Revision || m.state.Revision-from > uint64(len(m.steps)) {
+		return nil, false
+	}
+	return m.steps[len(m.steps)-int(m.state.Revision-from):], true
+}
+
 // Result is what Apply returns to the proposer.
 type Result struct {
 	// Revision is the newest one after the command.
@@ -48,35 +84,22 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	next := after(m.state, cmd)
+	next, err := m.state.After(cmd)
 	effective := next != m.state
-	m.state = next
-	return Result{Revision: next.Revision, Effective: effective}
+	if effective {
+		m.state, m.encoded = next, nil
+		m.keep(cmd)
+	}
+	return Result{Revision: next.Revision, Effective: effective, Err: err}
 }
 
-// after returns the state after the command; the same one if it has no effect.
-func after(s *fleetpb.State, cmd *fleetpb.Command) *fleetpb.State {
-	next := &fleetpb.State{Revision: s.Revision + 1, Configuration: s.Configuration, Evacuated: s.Evacuated}
-	switch op := cmd.Op.(type) {
-	case *fleetpb.Command_Publish:
-		if op.Publish.Version <= s.Configuration.GetVersion() {
-			return s
-		}
-		next.Configuration = op.Publish
-	case *fleetpb.Command_Evacuate:
-		at, out := slices.BinarySearch(s.Evacuated, op.Evacuate.DataCentre)
-		switch {
-		case out == op.Evacuate.Out:
-			return s
-		case out:
-			next.Evacuated = slices.Delete(slices.Clone(s.Evacuated), at, at+1)
-		default:
-			next.Evacuated = slices.Insert(slices.Clone(s.Evacuated), at, op.Evacuate.DataCentre)
-		}
-	default:
-		return s
+func (m *Machine) keep(cmd *fleetpb.Command) {
+	m.steps = append(m.steps, cmd)
+	m.stepBytes += proto.Size(cmd)
+	for len(m.steps) > maxSteps || m.stepBytes > maxStepBytes {
+		m.stepBytes -= proto.Size(m.steps[0])
+		m.steps = m.steps[1:]
 	}
-	return next
 }
 
 // Publish implements replication.StateMachine.
@@ -88,7 +111,11 @@
 
 // Snapshot implements replication.StateMachine.
 func (m *Machine) Snapshot(w io.Writer) error {
-	data, err := proto.Marshal(m.State())
+	encoded, err := m.Encoded()
+	if err != nil {
+		return err
+	}
+	data, err := proto.Marshal(encoded)
 	if err != nil {
 		return errors.Wrap(err, "encode the state")
 	}
@@ -102,12 +129,16 @@
 	if err != nil {
 		return err
 	}
-	state := &fleetpb.State{}
-	if err := proto.Unmarshal(data, state); err != nil {
+	encoded := &fleetpb.State{}
+	if err := proto.Unmarshal(data, encoded); err != nil {
 		return errkind.Wrap(err, errkind.DamagedStorage, "decode the state of a snapshot")
 	}
+	state, err := Decode(encoded)
+	if err != nil {
+		return errkind.Wrap(err, errkind.DamagedStorage, "read the state of a snapshot")
+	}
 	m.mu.Lock()
-	m.state = state
-	m.mu.Unlock()
+	defer m.mu.Unlock()
+	m.state, m.encoded, m.steps, m.stepBytes = state, encoded, nil, 0
 	return nil
 }
