Remember where shared parts of prompts were read

Ruled out: lists and events of what servers keep (priced, and most of the gain is reached without); copying ahead of a cut (moves are priced at 1/7 of a read, and most copies would not be used).

Servers that come back from an evacuation count as settling.

Change to a test: TestTheLeavingServerIsTheSourceOfItsPrompts ends the request that fetched before it asks again, as a request does; its assertions stand.

What is left comes from routers that start again and found other homes than the ones before, and from cuts.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -37,6 +37,7 @@
 	ctx      context.Context
 	deadline time.Time
 	key      uint64
+	parts    []uint64
 	spread   uint64
 	// shared is the number of tokens of the prompt's shared parts.
 	shared int
@@ -119,7 +120,10 @@
 	if n := len(x.call.Prompt); x.route.Affinity && n > 0 {
 		// The last part is the request's own; the one before it tells the session
 		// or subject, and stands for the whole chain before it.
-		x.key = routing.Hash(x.call.Prompt[max(0, n-2)].ID)
+		for _, part := range x.call.Prompt[:max(1, n-1)] {
+			x.parts = append(x.parts, routing.Hash(part.ID))
+		}
+		x.key = x.parts[len(x.parts)-1]
 		for _, part := range x.call.Prompt[:n-1] {
 			x.shared += part.Tokens
 		}
@@ -195,7 +199,7 @@
 // the only place from which a request is sent again.
 func (x *exchange) run() error {
 	for {
-		place, err := x.f.opts.Fleet.Pick(placement.Ask{Service: x.service, Key: x.key, Shared: x.shared, Spread: x.spread, Exclude: x.excluded}, time.Now())
+		place, err := x.f.opts.Fleet.Pick(placement.Ask{Service: x.service, Key: x.key, Parts: x.parts, Shared: x.shared, Spread: x.spread, Exclude: x.excluded}, time.Now())
 		if err != nil {
 			return x.giveUp(err)
 		}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -50,6 +50,9 @@
 	Service *catalog.Service
 	// Key is the hash of the prompt prefix; 0 if the request has none.
 	Key uint64
+	// Parts are the hashes of the prompt's shared parts, the most shared first; the
+	// last one is the key.
+	Parts []uint64
 	// Shared is the number of tokens of the prompt's shared parts.
 	Shared int
 	// Spread orders servers that are equally good, differently for each request.
@@ -71,6 +74,8 @@
 	Source *Server
 	// Load is the server's requests in flight at all routers, this one included.
 	Load int
+
+	parts []uint64
 }
 
 // Pick chooses a server. The error has kind no-backend or data-centre-out, with
@@ -89,9 +94,9 @@
 		if !c.take(f, a.Service, now) {
 			continue
 		}
-		place := &Place{Server: c.Server, fleet: f, PoolSize: len(usable), Rank: c.rank, Load: c.load + 1}
+		place := &Place{Server: c.Server, fleet: f, PoolSize: len(usable), Rank: c.rank, Load: c.load + 1, parts: a.Parts}
 		if a.Key != 0 {
-			place.Source = p.source(c, all, now)
+			place.Source = f.source(p, c, a, all, now)
 		}
 		return place, nil
 	}
@@ -280,14 +285,43 @@
 	return true
 }
 
-// source returns the server that probably keeps the key's prompt, if the chosen
-// one may lack it: the key's home, the server whose place the chosen one took, or
-// the next in the key's order, which served the key meanwhile.
-// Servers that are taken out serve as sources: they get no request by it.
-func (p *pool) source(c *candidate, all []candidate, now time.Time) *Server {
+// source returns a server that probably keeps what the chosen one may lack of the
+// prompt. The server that read the key's part last, as far as this router knows,
+// comes first; then whoever should keep it; then the one that last read a part
+// which other keys share. Servers that are taken out serve as sources: they get
+// no request by it.
+func (f *Fleet) source(p *pool, c *candidate, a Ask, all []candidate, now time.Time) *Server {
+	for _, part := range slices.Backward(a.Parts) {
+		s := f.recall.at(part)
+		if s == c.Server {
+			return nil
+		}
+		if s != nil && p.answers(s, all) {
+			return s
+		}
+		if s := p.keeper(c, all, now); part == a.Key && s != nil {
+			return s
+		}
+	}
+	return nil
+}
+
+// answers reports whether the server still runs and is not avoided.
+func (p *pool) answers(s *Server, all []candidate) bool {
+	if p.leaving[s.ID] == s {
+		return true
+	}
+	return slices.ContainsFunc(all, func(c candidate) bool { return c.Server == s && !c.silent && !c.avoided })
+}
+
+// keeper returns the server that keeps the key's prompt by its order, if the
+// chosen one may lack it: the key's home, the server whose place the chosen one
+// took, or the next in the key's order, which served the key meanwhile.
+func (p *pool) keeper(c *candidate, all []candidate, now time.Time) *Server {
+	back := c.returned(now)
 	if c.rank == 0 {
 		previous, ok := p.order.settling(c.Server, now)
-		if !ok {
+		if !ok && !back {
 			return nil
 		}
 		if s := p.leaving[previous]; s != nil {
@@ -297,7 +331,10 @@
 	var best *candidate
 	for i := range all {
 		o := &all[i]
-		if o.Server != c.Server && !o.silent && !o.avoided && (best == nil || o.rank < best.rank) {
+		if o.Server == c.Server || o.silent || o.avoided || back && o.returned(now) {
+			continue
+		}
+		if best == nil || o.rank < best.rank {
 			best = o
 		}
 	}
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -32,6 +32,7 @@
 	out        atomic.Pointer[[]string]
 	routers    atomic.Int64
 	reach      reach
+	recall     recall
 	// usualPrompt is the moving average of shared prompts, as the bits of a float64.
 	usualPrompt atomic.Uint64
 }
@@ -89,7 +90,7 @@
 		}
 		for _, s := range f.byID {
 			if s.DataCentre == dc {
-				s.chill(now.Add(coldTime(s.Service)))
+				s.takeBack(now, coldTime(s.Service))
 			}
 		}
 	}
@@ -184,6 +185,9 @@
 	}
 	p.Server.done(o, latency, poolRate, now)
 	p.fleet.reach.done(p.DataCentre, p.ID, o, now)
+	if o == Good {
+		p.fleet.recall.had(p.parts, p.Server)
+	}
 }
 
 // Reported takes in the load that the server told in its answer.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -83,6 +83,9 @@
 	if a.Service == nil {
 		a.Service = chat
 	}
+	if a.Key != 0 && a.Parts == nil {
+		a.Parts = []uint64{a.Key}
+	}
 	p, err := w.fleet.Pick(a, w.now)
 	if err != nil {
 		w.t.Fatal(err)
@@ -178,6 +181,7 @@
 	if p.ID != "new0" || p.Source == nil || p.Source.ID != "old2" {
 		t.Errorf("placed at %s with source %v", p.ID, p.Source)
 	}
+	p.Done(Good, time.Millisecond, w.now)
 	w.alive(settleTime + time.Second)
 	if p := w.pick(Ask{Key: key(k)}); p.Source != nil {
 		t.Errorf("a settled server fetches from %s", p.Source.ID)
@@ -566,3 +570,81 @@
 		})
 	}
 }
+
+// Pattern: a data centre comes back. What others read for its servers meanwhile
+// is fetched from them, not read again.
+func TestServersThatComeBackFetchWhatOthersRead(t *testing.T) {
+	w := newWorld(t)
+	w.join(6, "s")
+	w.alive(time.Minute)
+	homes := w.allHomes(50)
+	cold := func(string) time.Duration { return 0 }
+	w.fleet.SetOut([]string{"b"}, cold, w.now)
+	w.alive(time.Second)
+	meanwhile := w.allHomes(50)
+	w.fleet.SetOut(nil, cold, w.now)
+	// Another router has sent none of the prompts itself.
+	other := newWorld(t)
+	other.join(6, "s")
+	other.alive(time.Minute)
+	other.fleet.SetOut([]string{"b"}, cold, other.now)
+	other.fleet.SetOut(nil, cold, other.now)
+	for i, home := range homes {
+		for name, v := range map[string]*world{"that sent them": w, "that did not": other} {
+			p := v.pick(Ask{Key: key(i)})
+			isBack := home == "s1" || home == "s4"
+			switch {
+			case p.ID != home:
+				t.Fatalf("key %d of %s went to %s", i, home, p.ID)
+			case isBack && (p.Source == nil || p.Source.ID != meanwhile[i]):
+				t.Errorf("router %s: key %d of %s is fetched from %v, want %s", name, i, home, p.Source, meanwhile[i])
+			case !isBack && p.Source != nil:
+				t.Errorf("router %s: key %d, which never left %s, is fetched from %s", name, i, home, p.Source.ID)
+			}
+			p.Done(Good, time.Millisecond, v.now)
+			p = v.pick(Ask{Key: key(i)})
+			if v == w && p.Source != nil {
+				t.Errorf("key %d is fetched again from %s", i, p.Source.ID)
+			}
+			p.Done(Good, time.Millisecond, v.now)
+		}
+	}
+}
+
+// Pattern: many subjects share the first part of their prompts. A server that
+// reads a subject for the first time gets the shared part from one that has it.
+func TestASharedPartIsFetchedFromAServerThatReadIt(t *testing.T) {
+	w := newWorld(t)
+	w.join(6, "s")
+	w.alive(time.Minute)
+	manual := routing.Hash("manual")
+	ask := func(i int) *Place {
+		p := w.pick(Ask{Key: key(i), Parts: []uint64{manual, key(i)}})
+		p.Done(Good, time.Millisecond, w.now)
+		return p
+	}
+	if p := ask(0); p.Source != nil {
+		t.Errorf("a part that nobody has read is fetched from %s", p.Source.ID)
+	}
+	last := w.home(key(0))
+	for i := 1; i < 50; i++ {
+		p := ask(i)
+		switch {
+		case p.ID == last && p.Source != nil:
+			t.Errorf("subject %d: %s read the part last and fetches it from %s", i, p.ID, p.Source.ID)
+		case p.ID != last && (p.Source == nil || p.Source.ID != last):
+			t.Errorf("subject %d at %s fetches from %v, want %s", i, p.ID, p.Source, last)
+		}
+		last = p.ID
+	}
+	// A server that is gone is no source.
+	w.drain(last)
+	s := *w.table.Get(last)
+	s.State, s.Sequence = inventory.Gone, s.Sequence+1
+	w.announce(s)
+	for i := 50; i < 60; i++ {
+		if p := w.pick(Ask{Key: key(i), Parts: []uint64{manual, key(i)}}); p.Source != nil && p.Source.ID == last {
+			t.Errorf("subject %d is fetched from %s, which is gone", i, last)
+		}
+	}
+}
--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -24,7 +24,9 @@
 	said inventory.Server
 	// coldUntil may be later than announced, after a return from evacuation.
 	coldUntil time.Time
-	inFlight  int
+	// backAt is when the server's data centre was last taken back.
+	backAt   time.Time
+	inFlight int
 	// told is inFlight as last reported to other routers.
 	told int
 	// sent holds the times of the last sends while the server is cold.
@@ -66,15 +68,25 @@
 	}
 }
 
-// chill makes the server count as cold until the given time.
-func (s *Server) chill(until time.Time) {
+// takeBack is told when the server's data centre is no longer taken out. The
+// server counts as cold for the time given, and lacks the prompts that others
+// read for it meanwhile.
+func (s *Server) takeBack(now time.Time, cold time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if until.After(s.coldUntil) {
+	s.backAt = now
+	if until := now.Add(cold); until.After(s.coldUntil) {
 		s.coldUntil = until
 	}
 }
 
+// returned reports whether the server was taken back a short time ago.
+func (s *Server) returned(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.backAt.IsZero() && now.Sub(s.backAt) < settleTime
+}
+
 const (
 	// failureWeight is the weight of the newest outcome in the moving averages;
 	// about the last five outcomes decide.
