Replicate the places of the backend servers in the directory

Cause: each router kept its own list of places, founded with what was ready when it started.

Ruled out: homes by the servers' own hashes alone (each replacement moves twice as many keys); routers telling each other (nothing is left after a power loss).

Change: package homes decides, on the leader of the directory; a command Assign changes places, and they are part of the state that routers follow. One command is on its way at a time and gathers what comes meanwhile. A new leader waits 30 s for servers that it has not heard, and is told by the others of those they know. A pool that more than doubles at once shares its keys. The router keeps when a place changed hands, for its sources.

Changes to tests: placement's tests keep the places by the same Keeper as the directory; their assertions stand. TestARouterThatStartsAgainFindsTheSameHomes fails with the former founding of homes at each router.

--- a/internal/directory/cluster_test.go
+++ b/internal/directory/cluster_test.go
@@ -11,6 +11,9 @@
 
 	"github.com/cockroachdb/pebble/v2/vfs"
 	"github.com/hashicorp/go-hclog"
+
+	"github.com/kumquathollow/kumquathollow/internal/homes"
+	"github.com/kumquathollow/kumquathollow/internal/inventory"
 )
 
 // cluster runs directory processes on loopback. All use one port and differ by
@@ -203,6 +206,47 @@
 	c.holds(hosts[2], "seven")
 }
 
+// Places outlive the loss of all processes at once: routers that start again would
+// send prompts elsewhere than before.
+func TestPlacesSurviveARestartOfAll(t *testing.T) {
+	c := newCluster(t, 3)
+	announce := func(host, id string, state inventory.State) {
+		c.t.Helper()
+		err := c.nodes[host].p.Announce(context.Background(), inventory.Server{
+			ID: id, Born: 1, Sequence: 1 + uint64(state), Service: "chat", Address: id + ":1", State: state, Heard: time.Now(),
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i, id := range []string{"x", "y", "z"} {
+		announce(hosts[i], id, inventory.Ready)
+	}
+	places := func(host string) []homes.Place { return c.nodes[host].p.machine.State().Places["chat"] }
+	c.eventually("give each server a place", func() bool { return len(places(hosts[1])) == 3 })
+	before := places(hosts[1])
+	disks := map[string]vfs.FS{}
+	for _, h := range hosts[:3] {
+		disks[h] = c.nodes[h].fs
+	}
+	for _, h := range hosts[:3] {
+		c.kill(h)
+	}
+	for _, h := range hosts[:3] {
+		c.start(h, disks[h])
+	}
+	c.eventually("restore the places", func() bool { return slices.Equal(places(hosts[2]), before) })
+	// A server that is heard first takes no place of those that are not heard yet.
+	announce(hosts[0], "new", inventory.Ready)
+	c.publish(hosts[0], 1, "one")
+	for _, h := range hosts[:3] {
+		c.holds(h, "one")
+		if got := places(h); !slices.Equal(got, before) {
+			t.Errorf("%s: places %v, were %v", h, got, before)
+		}
+	}
+}
+
 // A process without a quorum answers no read and accepts no change.
 func TestAMinorityAcceptsAndReadsNothing(t *testing.T) {
 	c := newCluster(t, 3)
--- a/internal/directory/hub.go
+++ b/internal/directory/hub.go
@@ -30,8 +30,9 @@
 	log   hclog.Logger
 	inbox chan func()
 	now   func() time.Time
-	// spread passes changed announcements to the other directory processes.
-	spread func([]*fleetpb.Announcement)
+	// spread passes announcements to the directory process at the address, or to
+	// all others if it is empty.
+	spread func(to string, news []*fleetpb.Announcement)
 
 	machine  *publication.Machine
 	table    *inventory.Table
@@ -40,13 +41,14 @@
 	// revision is the newest one that the routers were told of.
 	revision uint64
 	members  []string
-	// leader is true while a leader is heard.
-	leader bool
+	// leader is the address of the leader, or "".
+	leader string
+	places places
 	// reported is set if a router reported its load before the last flush.
 	reported bool
 }
 
-func newHub(log hclog.Logger, machine *publication.Machine, spread func([]*fleetpb.Announcement)) *hub {
+func newHub(log hclog.Logger, machine *publication.Machine, spread func(string, []*fleetpb.Announcement)) *hub {
 	return &hub{
 		log: log, inbox: make(chan func(), hubInbox), now: time.Now, machine: machine, spread: spread,
 		table: inventory.New(), dirty: map[string]bool{}, sessions: map[*session]bool{},
@@ -122,14 +124,16 @@
 	h.broadcast(&fleetpb.FollowUpdate{Announcements: news})
 	delete(h.dirty, id)
 	if first {
-		h.spread(news)
+		h.spread("", news)
 	}
+	h.keepPlaces()
 }
 
 // flush tells all routers which servers were heard since the last flush, and what
 // the routers that report here have in flight.
 func (h *hub) flush() {
 	h.bringUp()
+	h.keepPlaces()
 	load := h.load()
 	if len(h.dirty) == 0 && load == nil {
 		return
@@ -171,7 +175,7 @@
 }
 
 func (h *hub) broadcast(u *fleetpb.FollowUpdate) {
-	u.Revision, u.InQuorum, u.Routers = h.machine.State().Revision, h.leader, uint32(len(h.sessions))
+	u.Revision, u.InQuorum, u.Routers = h.machine.State().Revision, h.leader != "", uint32(len(h.sessions))
 	for s := range h.sessions {
 		s.push(u)
 	}
@@ -180,8 +184,8 @@
 // open adds a session and tells it everything.
 func (h *hub) open(s *session) {
 	h.sessions[s] = true
-	u := &fleetpb.FollowUpdate{Revision: h.machine.State().Revision, InQuorum: h.leader, Members: h.members, Routers: uint32(len(h.sessions))}
-	h.table.All(func(sv *inventory.Server) { u.Announcements = append(u.Announcements, inventory.Encode(sv, h.now())) })
+	u := &fleetpb.FollowUpdate{Revision: h.machine.State().Revision, InQuorum: h.leader != "", Members: h.members, Routers: uint32(len(h.sessions))}
+	u.Announcements = h.known()
 	s.push(u)
 	h.log.Info("router follows", "router", s.router, "routers", len(h.sessions), "servers", len(u.Announcements), "revision", u.Revision, "its-revision", s.have)
 	h.broadcast(&fleetpb.FollowUpdate{})
@@ -272,11 +276,24 @@
 	}
 }
 
-// groupChanged tells the routers of other members, or of a leader found or lost.
-func (h *hub) groupChanged(members []string, leader bool) {
+// known returns announcements of all servers.
+func (h *hub) known() []*fleetpb.Announcement {
+	var out []*fleetpb.Announcement
+	h.table.All(func(s *inventory.Server) { out = append(out, inventory.Encode(s, h.now())) })
+	return out
+}
+
+// groupChanged tells the routers of other members, or of a leader found or lost,
+// and a new leader of the servers known here.
+func (h *hub) groupChanged(members []string, leader string) {
 	if slices.Equal(members, h.members) && leader == h.leader {
 		return
 	}
+	if leader != "" && leader != h.leader {
+		if all := h.known(); len(all) > 0 {
+			h.spread(leader, all)
+		}
+	}
 	h.members, h.leader = members, leader
 	h.broadcast(&fleetpb.FollowUpdate{Members: members})
 }
--- a/internal/directory/hub_test.go
+++ b/internal/directory/hub_test.go
@@ -11,13 +11,14 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/kumquathollow/kumquathollow/api/fleetpb"
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/inventory"
 	"github.com/kumquathollow/kumquathollow/internal/publication"
 )
 
 func newTestHub() (*hub, *[]*fleetpb.Announcement) {
 	var spread []*fleetpb.Announcement
-	h := newHub(hclog.NewNullLogger(), publication.New(), func(news []*fleetpb.Announcement) { spread = append(spread, news...) })
+	h := newHub(hclog.NewNullLogger(), publication.New(), func(_ string, news []*fleetpb.Announcement) { spread = append(spread, news...) })
 	now := time.Unix(1_700_000_000, 0)
 	h.now = func() time.Time { return now }
 	return h, &spread
@@ -96,7 +97,7 @@
 	}
 	h.leave("s0", 0)
 	change(t, h, 9)
-	h.groupChanged([]string{"a:1"}, true)
+	h.groupChanged([]string{"a:1"}, "a:1")
 	got := drain(newSession(h, "r1"))[0]
 	if len(got.Announcements) != 5 || got.Revision != 1 || !got.InQuorum || len(got.Members) != 1 || got.Routers != 1 {
 		t.Errorf("the first update is %v", got)
@@ -294,3 +295,54 @@
 		t.Error("what was lost is not sent again")
 	}
 }
+
+// The leader gives the places to the servers that are ready, one command at a
+// time; other processes propose nothing.
+func TestOnlyTheLeaderChangesPlaces(t *testing.T) {
+	h, _ := newTestHub()
+	var proposed []*fleetpb.Command
+	var done []func(error)
+	h.places.propose = func(cmd *fleetpb.Command, then func(error)) {
+		proposed, done = append(proposed, cmd), append(done, then)
+	}
+	h.merge(announced("x", 1, inventory.Ready), true)
+	h.flush()
+	if len(proposed) != 0 {
+		t.Fatal("a process that does not lead changes places")
+	}
+	h.lead(true)
+	h.merge(announced("y", 1, inventory.Ready), true)
+	h.merge(announced("z", 1, inventory.Ready), false)
+	if len(proposed) != 1 {
+		t.Fatalf("%d commands at once", len(proposed))
+	}
+	commit := func() {
+		data, err := proto.Marshal(proposed[len(proposed)-1])
+		if err != nil {
+			t.Fatal(err)
+		}
+		h.machine.Apply(data)
+		h.stateChanged()
+		done[len(done)-1](nil)
+	}
+	commit()
+	if len(proposed) != 2 || len(proposed[1].GetAssign().Pools[0].Places) != 2 {
+		t.Fatalf("what came meanwhile is not gathered: %v", proposed)
+	}
+	// A command that fails is proposed again with the next flush.
+	done[1](errkind.New(errkind.NoQuorum, "lost"))
+	h.flush()
+	if len(proposed) != 3 {
+		t.Fatal("a command that failed is not proposed again")
+	}
+	commit()
+	if n := len(h.machine.State().Places["chat"]); n != 3 {
+		t.Errorf("%d places for 3 servers", n)
+	}
+	h.flush()
+	h.lead(false)
+	h.merge(announced("x", 2, inventory.Draining), true)
+	if len(proposed) != 3 {
+		t.Error("places are changed without need")
+	}
+}
--- a/internal/directory/process.go
+++ b/internal/directory/process.go
@@ -117,6 +117,7 @@
 	p.server = &server{group: p.group, machine: p.machine, roster: r, dialer: p.dialer, log: p.log}
 	p.hub = newHub(p.log.Named("servers"), p.machine, p.spread)
 	p.server.hub = p.hub
+	p.hub.places.propose = p.assign
 	p.machine.Changed = func(*publication.State) { p.hub.post(context.Background(), p.hub.stateChanged) }
 	p.server.confirms = newConfirmer(p.server.barrier)
 	p.metrics.Gauge("directory.revision", func() int64 { return int64(p.machine.State().Revision) })
@@ -124,10 +125,14 @@
 	p.metrics.Gauge("directory.voters", func() int64 { return int64(len(p.group.Status().Voters.GetVoters())) })
 }
 
-// spread passes announcements to the other directory processes, so that routers
-// learn them even if this process stops.
-func (p *Process) spread(news []*fleetpb.Announcement) {
-	for _, a := range p.roster().members() {
+// spread passes announcements to the directory process at the address, or to all
+// others if it is empty, so that routers learn them even if this process stops.
+func (p *Process) spread(to string, news []*fleetpb.Announcement) {
+	addresses := []string{to}
+	if to == "" {
+		addresses = p.roster().members()
+	}
+	for _, a := range addresses {
 		if a == p.fleet.Addr().String() {
 			continue
 		}
@@ -206,8 +211,12 @@
 		}
 		s := p.group.Status()
 		p.ready.Set(reasonNoLeader, s.Leader == "")
-		members, leader := p.roster().members(), s.Leader != ""
-		p.hub.post(ctx, func() { p.hub.groupChanged(members, leader) })
+		// A process's id is its address.
+		members, leader, leading := p.roster().members(), s.Leader, s.Leading
+		p.hub.post(ctx, func() {
+			p.hub.groupChanged(members, leader)
+			p.hub.lead(leading)
+		})
 	}
 }
 
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -388,6 +388,7 @@
 	}
 	v.state, v.fetchedAt, v.asked = st, 0, nil
 	v.snapshot.Store(next)
+	v.opts.Fleet.SetPlaces(st.Places, time.Now())
 	v.opts.Fleet.SetOut(next.Evacuated, next.coldTime, time.Now())
 	var version uint64
 	if next.Set != nil {
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -88,7 +88,7 @@
 		return nil, errkind.New(errkind.DataCentreOut, "every data centre with servers of %q is taken out", a.Service.Name).WithRetryAfter(noServerRetry)
 	}
 	usable = f.reachable(usable)
-	f.order(usable, a, mean)
+	f.sortByPreference(usable, a, mean)
 	for i := range usable {
 		c := &usable[i]
 		if !c.take(f, a.Service, now) {
@@ -204,9 +204,9 @@
 	}
 }
 
-// order sorts by preference. mean is the load of all the service's servers, those
+// sortByPreference sorts so that the best comes first. mean is the load of all the service's servers, those
 // included that may take nothing: skew is measured against it.
-func (f *Fleet) order(cs []candidate, a Ask, mean float64) {
+func (f *Fleet) sortByPreference(cs []candidate, a Ask, mean float64) {
 	if a.Key == 0 {
 		slices.SortFunc(cs, func(x, y candidate) int {
 			return cmp.Or(cmp.Compare(x.expected/latencyStep, y.expected/latencyStep), f.distance(x)-f.distance(y), cmp.Compare(x.cost, y.cost))
@@ -318,10 +318,10 @@
 // chosen one may lack it: the key's home, the server whose place the chosen one
 // took, or the next in the key's order, which served the key meanwhile.
 func (p *pool) keeper(c *candidate, all []candidate, now time.Time) *Server {
-	back := c.returned(now)
+	lacks := c.lacks(now)
 	if c.rank == 0 {
 		previous, ok := p.order.settling(c.Server, now)
-		if !ok && !back {
+		if !ok && !lacks {
 			return nil
 		}
 		if s := p.leaving[previous]; s != nil {
@@ -331,7 +331,7 @@
 	var best *candidate
 	for i := range all {
 		o := &all[i]
-		if o.Server == c.Server || o.silent || o.avoided || back && o.returned(now) {
+		if o.Server == c.Server || o.silent || o.avoided || lacks && o.lacks(now) {
 			continue
 		}
 		if best == nil || o.rank < best.rank {
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/kumquathollow/kumquathollow/internal/homes"
 	"github.com/kumquathollow/kumquathollow/internal/inventory"
 	"github.com/kumquathollow/kumquathollow/internal/routing"
 )
@@ -26,7 +27,7 @@
 	dataCentre string
 	bounds     Bounds
 	byID       map[string]*Server
-	homes      map[string]*homes
+	orders     map[string]*order
 	pools      atomic.Pointer[map[string]*pool]
 	loads      atomic.Pointer[loads]
 	out        atomic.Pointer[[]string]
@@ -65,7 +66,7 @@
 
 // NewFleet returns an empty Fleet of the named router in the data centre.
 func NewFleet(router, dataCentre string, bounds Bounds) *Fleet {
-	f := &Fleet{name: routing.Hash(router), dataCentre: dataCentre, bounds: bounds, byID: map[string]*Server{}, homes: map[string]*homes{}}
+	f := &Fleet{name: routing.Hash(router), dataCentre: dataCentre, bounds: bounds, byID: map[string]*Server{}, orders: map[string]*order{}}
 	f.pools.Store(&map[string]*pool{})
 	f.loads.Store(&loads{})
 	f.out.Store(&[]string{})
@@ -111,7 +112,10 @@
 	t.All(func(said *inventory.Server) {
 		s := f.byID[said.ID]
 		if s == nil || s.Born != said.Born || s.Address != said.Address || s.Service != said.Service {
-			s = newServer(said)
+			again := s != nil && s.Born != said.Born
+			if s = newServer(said); again {
+				s.lacking(now)
+			}
 		} else {
 			s.hear(said)
 		}
@@ -130,16 +134,38 @@
 	})
 	for service, p := range pools {
 		slices.SortFunc(p.servers, func(a, b *Server) int { return cmp.Compare(a.ID, b.ID) })
-		if f.homes[service] == nil {
-			f.homes[service] = &homes{}
-		}
-		f.homes[service].update(p.servers, now)
-		p.order = f.homes[service].order()
+		p.order = f.order(service)
 	}
 	f.byID = byID
 	f.pools.Store(&pools)
 }
 
+// SetPlaces replaces the places of all pools. Like Update it is called by one
+// goroutine.
+func (f *Fleet) SetPlaces(places map[string][]homes.Place, now time.Time) {
+	orders := make(map[string]*order, len(places))
+	for service, ps := range places {
+		orders[service] = newOrder(ps, f.orders[service], now)
+	}
+	f.orders = orders
+	pools := map[string]*pool{}
+	for service, p := range *f.pools.Load() {
+		next := *p
+		next.order = f.order(service)
+		pools[service] = &next
+	}
+	f.pools.Store(&pools)
+}
+
+func (f *Fleet) order(service string) *order {
+	if o := f.orders[service]; o != nil {
+		return o
+	}
+	return noOrder
+}
+
+var noOrder = &order{}
+
 // Servers returns the ready servers of a service. The slice must not be changed.
 func (f *Fleet) Servers(service string) []*Server { return f.pool(service).servers }
 
@@ -150,7 +176,7 @@
 	return emptyPool
 }
 
-var emptyPool = &pool{order: &order{}}
+var emptyPool = &pool{order: noOrder}
 
 // InFlight returns this router's requests in flight, by the server's hash.
 func (f *Fleet) InFlight() map[uint32]int {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -8,23 +8,27 @@
 
 	"github.com/kumquathollow/kumquathollow/internal/catalog"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/homes"
 	"github.com/kumquathollow/kumquathollow/internal/inventory"
 	"github.com/kumquathollow/kumquathollow/internal/routing"
 )
 
 var start = time.Unix(1_700_000_000, 0)
 
-// world drives a Fleet as a router's view does.
+// world drives a Fleet as a router's view does, and keeps the places as the
+// directory does.
 type world struct {
-	t     *testing.T
-	fleet *Fleet
-	table *inventory.Table
-	now   time.Time
-	seq   uint64
+	keeper *homes.Keeper
+	places map[string][]homes.Place
+	t      *testing.T
+	fleet  *Fleet
+	table  *inventory.Table
+	now    time.Time
+	seq    uint64
 }
 
 func newWorld(t *testing.T) *world {
-	return &world{t: t, fleet: NewFleet("r", "a", Bounds{ColdFactor: 1.5, ColdSlack: 5}), table: inventory.New(), now: start}
+	return &world{t: t, fleet: NewFleet("r", "a", Bounds{ColdFactor: 1.5, ColdSlack: 5}), table: inventory.New(), now: start, keeper: homes.NewKeeper(), places: map[string][]homes.Place{}}
 }
 
 func (w *world) server(id, dc string) inventory.Server {
@@ -40,6 +44,20 @@
 		w.table.Merge(s)
 	}
 	w.fleet.Update(w.table, w.now)
+	w.keepPlaces()
+}
+
+func (w *world) keepPlaces() {
+	members := map[string][]homes.Member{}
+	w.table.All(func(s *inventory.Server) {
+		members[s.Service] = append(members[s.Service], homes.Member{ID: s.ID, Born: s.Born, Ready: s.State == inventory.Ready})
+	})
+	for service, ms := range members {
+		for _, change := range w.keeper.Next(service, w.places[service], ms, w.now) {
+			w.places[service] = homes.Apply(w.places[service], change)
+		}
+	}
+	w.fleet.SetPlaces(w.places, w.now)
 }
 
 func (w *world) join(n int, prefix string) {
@@ -131,7 +149,7 @@
 		t.Errorf("%d of 300 keys moved when 5 servers joined 10", n)
 	}
 	// A pool that has grown for good uses its new servers.
-	w.alive(spareTime + time.Second)
+	w.alive(homes.SpareTime + time.Second)
 	w.announce()
 	w.alive(time.Second)
 	n := moved(before, w.allHomes(300))
@@ -648,3 +666,25 @@
 		}
 	}
 }
+
+// Pattern: servers are released one after the other, then a router starts again.
+// It must find the homes that the others know, or prompts are read again at both.
+func TestARouterThatStartsAgainFindsTheSameHomes(t *testing.T) {
+	w := newWorld(t)
+	w.join(9, "old")
+	w.alive(time.Minute)
+	for i := range 5 {
+		w.join(1, fmt.Sprint("new", i, "-"))
+		w.alive(time.Second)
+		w.drain(fmt.Sprintf("old%d", i))
+		w.alive(time.Second)
+	}
+	before := w.allHomes(300)
+	again := newWorld(t)
+	again.now, again.table, again.places = w.now, w.table, w.places
+	again.fleet.SetPlaces(again.places, again.now)
+	again.fleet.Update(again.table, again.now)
+	if n := moved(before, again.allHomes(300)); n != 0 {
+		t.Errorf("%d of 300 keys have another home at a router that started again", n)
+	}
+}
--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -24,9 +24,10 @@
 	said inventory.Server
 	// coldUntil may be later than announced, after a return from evacuation.
 	coldUntil time.Time
-	// backAt is when the server's data centre was last taken back.
-	backAt   time.Time
-	inFlight int
+	// lackingSince is when the server last began to lack prompts that others read
+	// for it, or that it had before it started again.
+	lackingSince time.Time
+	inFlight     int
 	// told is inFlight as last reported to other routers.
 	told int
 	// sent holds the times of the last sends while the server is cold.
@@ -74,17 +75,24 @@
 func (s *Server) takeBack(now time.Time, cold time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.backAt = now
+	s.lackingSince = now
 	if until := now.Add(cold); until.After(s.coldUntil) {
 		s.coldUntil = until
 	}
 }
 
-// returned reports whether the server was taken back a short time ago.
-func (s *Server) returned(now time.Time) bool {
+// lacking notes that the server lacks prompts from now on.
+func (s *Server) lacking(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.backAt.IsZero() && now.Sub(s.backAt) < settleTime
+	s.lackingSince = now
+}
+
+// lacks reports whether the server began to lack prompts a short time ago.
+func (s *Server) lacks(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.lackingSince.IsZero() && now.Sub(s.lackingSince) < settleTime
 }
 
 const (
--- a/internal/publication/doc.go
+++ b/internal/publication/doc.go
@@ -1,6 +1,6 @@
 // Package publication is the replicated state of a fleet that takes whole
-// configurations ordered by version: the newest configuration and the data
-// centres whose backend servers are taken out.
+// configurations ordered by version: the newest configuration, the data centres
+// whose backend servers are taken out, and the servers' places.
 //
 // The configuration with the highest version is in force. Publishing a version
 // that is not higher succeeds and changes nothing, so operators may send a
--- a/internal/publication/state.go
+++ b/internal/publication/state.go
@@ -1,10 +1,12 @@
 package publication
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/kumquathollow/kumquathollow/api/fleetpb"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/homes"
 )
 
 // Configuration is a document and its version. It is immutable.
@@ -21,6 +23,8 @@
 	Configuration *Configuration
 	// Evacuated lists the data centres that are taken out, sorted.
 	Evacuated []string
+	// Places are the shares of each service's keys, sorted by hash.
+	Places map[string][]homes.Place
 }
 
 // Version returns the version in force, or 0.
@@ -42,7 +46,8 @@
 // An error of kind change-conflict says that the command rests on another
 // configuration than the one in force, and changed nothing.
 func (s *State) After(cmd *fleetpb.Command) (*State, error) {
-	next := &State{Revision: s.Revision + 1, Configuration: s.Configuration, Evacuated: s.Evacuated}
+	next := *s
+	next.Revision++
 	switch op := cmd.Op.(type) {
 	case *fleetpb.Command_Publish:
 		if op.Publish.Version <= s.Version() {
@@ -62,10 +67,53 @@
 		default:
 			next.Evacuated = slices.Insert(slices.Clone(s.Evacuated), at, op.Evacuate.DataCentre)
 		}
+	case *fleetpb.Command_Assign:
+		if !next.assign(op.Assign) {
+			return s, nil
+		}
 	default:
 		return s, nil
 	}
-	return next, nil
+	return &next, nil
+}
+
+// assign reports whether anything changed.
+func (s *State) assign(a *fleetpb.Assign) bool {
+	all := maps.Clone(s.Places)
+	if all == nil {
+		all = map[string][]homes.Place{}
+	}
+	changed := false
+	for _, pool := range a.Pools {
+		for _, p := range pool.Places {
+			was := all[pool.Service]
+			is := homes.Apply(was, homes.Place{Hash: p.Hash, Server: p.Server})
+			changed = changed || !slices.Equal(was, is)
+			all[pool.Service] = is
+			if len(is) == 0 {
+				delete(all, pool.Service)
+			}
+		}
+	}
+	s.Places = all
+	return changed
+}
+
+// Assignment returns the command that changes places.
+func Assignment(changes map[string][]homes.Place) *fleetpb.Command {
+	return &fleetpb.Command{Op: &fleetpb.Command_Assign{Assign: &fleetpb.Assign{Pools: encodePlaces(changes)}}}
+}
+
+func encodePlaces(all map[string][]homes.Place) []*fleetpb.PoolPlaces {
+	var out []*fleetpb.PoolPlaces
+	for _, service := range slices.Sorted(maps.Keys(all)) {
+		pool := &fleetpb.PoolPlaces{Service: service}
+		for _, p := range all[service] {
+			pool.Places = append(pool.Places, &fleetpb.Place{Hash: p.Hash, Server: p.Server})
+		}
+		out = append(out, pool)
+	}
+	return out
 }
 
 func (s *State) read(p *fleetpb.Publish) (*Configuration, error) {
@@ -101,7 +149,7 @@
 
 // Encode returns the whole state as it is sent and stored.
 func (s *State) Encode() (*fleetpb.State, error) {
-	out := &fleetpb.State{Revision: s.Revision, Evacuated: s.Evacuated}
+	out := &fleetpb.State{Revision: s.Revision, Evacuated: s.Evacuated, Pools: encodePlaces(s.Places)}
 	if c := s.Configuration; c != nil {
 		packed, err := Pack(c.Document, nil)
 		if err != nil {
@@ -115,6 +163,9 @@
 // Decode returns the state that Encode encoded.
 func Decode(in *fleetpb.State) (*State, error) {
 	out := &State{Revision: in.Revision, Evacuated: in.Evacuated}
+	if len(in.Pools) > 0 {
+		out.assign(&fleetpb.Assign{Pools: in.Pools})
+	}
 	if in.Configuration != nil {
 		c, err := (&State{}).read(in.Configuration)
 		if err != nil {
