Tell each router of a changed server twice, not by every directory process

Each of eight processes passed each of 200 servers on to each of 64 routers, in a message of its own, and a full list at each session's start: more than 1 MB for a link of 0.75 MB/s. The leader that was elected at 47.5 s lost its quorum behind that at 49.2 s.

Change: what a process hears from a server goes to all routers; what another process passes on goes to the routers that report here. A router gets the list once it reports. News that takes no server out waits 50 ms for more, counts of routers too. An announcement that takes a server out is told before it is acknowledged, as before.

--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -19,6 +19,9 @@
 
 	// load is what the router has in flight; set if the router reports here.
 	load *fleetpb.Load
+	// listed is set once the router was told of all servers; relayed news is sent
+	// to it from then on, while it reports here.
+	listed bool
 	// have is the revision that the router holds, or will with what was sent.
 	have uint64
 	// behind is set while the router is to be sent what it lacks.
--- a/internal/directory/hub.go
+++ b/internal/directory/hub.go
@@ -34,10 +34,16 @@
 	// all others if it is empty.
 	spread func(to string, news []*fleetpb.Announcement)
 
-	machine  *publication.Machine
-	table    *inventory.Table
-	dirty    map[string]bool
-	sessions map[*session]bool
+	machine *publication.Machine
+	table   *inventory.Table
+	// dirty are servers that were heard as they were; news and relayed are those
+	// that changed, heard from themselves and from other processes.
+	dirty, news, relayed map[string]bool
+	sessions             map[*session]bool
+	// counted is set if the number of routers changed since they were told.
+	counted bool
+	// due fires when what is gathered is to be told; nil if nothing is.
+	due <-chan time.Time
 	// revision is the newest one that the routers were told of.
 	revision uint64
 	members  []string
@@ -51,7 +57,7 @@
 func newHub(log hclog.Logger, machine *publication.Machine, spread func(string, []*fleetpb.Announcement)) *hub {
 	return &hub{
 		log: log, inbox: make(chan func(), hubInbox), now: time.Now, machine: machine, spread: spread,
-		table: inventory.New(), dirty: map[string]bool{}, sessions: map[*session]bool{},
+		table: inventory.New(), dirty: map[string]bool{}, news: map[string]bool{}, relayed: map[string]bool{}, sessions: map[*session]bool{},
 	}
 }
 
@@ -66,6 +72,8 @@
 			return nil
 		case f := <-h.inbox:
 			f()
+		case <-h.due:
+			h.tell()
 		case <-refresh.C:
 			h.flush()
 		case <-expire.C:
@@ -120,15 +128,64 @@
 	s := h.table.Get(id)
 	h.log.Info("server changed", "server", s.ID, "service", s.Service, "address", s.Address, "data-centre", s.DataCentre,
 		"state", s.State.String(), "born", s.Born, "sequence", s.Sequence, "direct", first, "cold", max(0, s.ColdUntil.Sub(h.now())).Round(time.Millisecond))
-	news := []*fleetpb.Announcement{inventory.Encode(s, h.now())}
-	h.broadcast(&fleetpb.FollowUpdate{Announcements: news})
 	delete(h.dirty, id)
 	if first {
-		h.spread("", news)
+		h.news[id] = true
+	} else if !h.news[id] {
+		h.relayed[id] = true
+	}
+	if s.State == inventory.Ready {
+		h.soon()
+	} else {
+		h.tell()
 	}
 	h.keepPlaces()
 }
 
+// gatherNews is how long news that is not urgent waits for more. When a fleet
+// starts, all servers and routers come at once, and a message for each would fill
+// a slow link for seconds.
+const gatherNews = 50 * time.Millisecond
+
+func (h *hub) soon() {
+	if h.due == nil {
+		h.due = time.After(gatherNews)
+	}
+}
+
+// tell passes on what changed: what servers said here to all routers and to the
+// other processes, what those passed on to the routers that report here. So each
+// router hears of a change twice.
+func (h *hub) tell() {
+	h.due = nil
+	if direct := h.announcements(h.news); len(direct) > 0 || h.counted {
+		h.broadcast(&fleetpb.FollowUpdate{Announcements: direct})
+		if len(direct) > 0 {
+			h.spread("", direct)
+		}
+	}
+	if relayed := h.announcements(h.relayed); len(relayed) > 0 {
+		for s := range h.sessions {
+			if s.load != nil {
+				s.push(h.common(&fleetpb.FollowUpdate{Announcements: relayed}))
+			}
+		}
+	}
+	clear(h.news)
+	clear(h.relayed)
+	h.counted = false
+}
+
+func (h *hub) announcements(ids map[string]bool) []*fleetpb.Announcement {
+	var out []*fleetpb.Announcement
+	for id := range ids {
+		if s := h.table.Get(id); s != nil {
+			out = append(out, inventory.Encode(s, h.now()))
+		}
+	}
+	return out
+}
+
 // flush tells all routers which servers were heard since the last flush, and what
 // the routers that report here have in flight.
 func (h *hub) flush() {
@@ -138,12 +195,7 @@
 	if len(h.dirty) == 0 && load == nil {
 		return
 	}
-	u := &fleetpb.FollowUpdate{Load: load}
-	for id := range h.dirty {
-		if s := h.table.Get(id); s != nil {
-			u.Announcements = append(u.Announcements, inventory.Encode(s, h.now()))
-		}
-	}
+	u := &fleetpb.FollowUpdate{Load: load, Announcements: h.announcements(h.dirty)}
 	clear(h.dirty)
 	h.broadcast(u)
 }
@@ -174,28 +226,35 @@
 	return out
 }
 
-func (h *hub) broadcast(u *fleetpb.FollowUpdate) {
+// common fills in what each update tells.
+func (h *hub) common(u *fleetpb.FollowUpdate) *fleetpb.FollowUpdate {
 	u.Revision, u.InQuorum, u.Routers = h.machine.State().Revision, h.leader != "", uint32(len(h.sessions))
+	return u
+}
+
+func (h *hub) broadcast(u *fleetpb.FollowUpdate) {
+	h.common(u)
 	for s := range h.sessions {
 		s.push(u)
 	}
 }
 
-// open adds a session and tells it everything.
+// open adds a session. It is told of the servers once it reports here.
 func (h *hub) open(s *session) {
 	h.sessions[s] = true
-	u := &fleetpb.FollowUpdate{Revision: h.machine.State().Revision, InQuorum: h.leader != "", Members: h.members, Routers: uint32(len(h.sessions))}
-	u.Announcements = h.known()
+	u := h.common(&fleetpb.FollowUpdate{Members: h.members})
 	s.push(u)
-	h.log.Info("router follows", "router", s.router, "routers", len(h.sessions), "servers", len(u.Announcements), "revision", u.Revision, "its-revision", s.have)
-	h.broadcast(&fleetpb.FollowUpdate{})
+	h.log.Info("router follows", "router", s.router, "routers", len(h.sessions), "revision", u.Revision, "its-revision", s.have)
+	h.counted = true
+	h.soon()
 }
 
 func (h *hub) close(s *session) {
 	if h.sessions[s] {
 		delete(h.sessions, s)
 		h.log.Info("router no longer follows", "router", s.router, "routers", len(h.sessions))
-		h.broadcast(&fleetpb.FollowUpdate{})
+		h.counted = true
+		h.soon()
 	}
 }
 
@@ -218,6 +277,10 @@
 func (h *hub) asked(s *session, req *fleetpb.FollowRequest) {
 	// A router that reports to another process now sends no load.
 	s.load = req.Load
+	if s.load != nil && !s.listed {
+		s.push(h.common(&fleetpb.FollowUpdate{Announcements: h.known()}))
+	}
+	s.listed = s.load != nil
 	if req.Fetch {
 		s.have, s.behind = req.Have, true
 	}
--- a/internal/directory/operations.go
+++ b/internal/directory/operations.go
@@ -84,8 +84,8 @@
 	}
 }
 
-// Announce takes in what a backend server says of itself. It returns once the
-// routers that follow this process have been sent it.
+// Announce takes in what a backend server says of itself. If that takes the server
+// out, it returns once the routers that follow this process have been sent it.
 func (p *Process) Announce(ctx context.Context, s inventory.Server) error {
 	return p.hub.do(ctx, func() { p.hub.merge(s, true) })
 }
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -222,7 +222,9 @@
 			best, least = l, cost
 		}
 	}
-	v.reportTo.Store(best)
+	if was := v.reportTo.Swap(best); best != nil && best != was {
+		best.nudge() // What it reports to tells it of all servers.
+	}
 }
 
 // loads sums what the directory's processes know of the routers' load.
