Elect a first leader without splitting votes

Cause: a group that starts whole waited 150 to 300 ms for its first election, but an attempt that split the votes was followed by a wait of 0.5 to 1 s.

Ruled out: a wider first wait (slows the usual start); fixed turns by rank (a round of pre-vote and vote takes longer than a turn, and the first may be dead).

Change: until a leader is known the waits grow from the first one (150, 300, 500 ms), and a voter that grants a pre-vote, or is in one itself and has the higher id, puts its own campaign off, once between two of its own.

Elections after a leader was known are as before.

--- a/internal/replication/core.go
+++ b/internal/replication/core.go
@@ -102,7 +102,13 @@
 	uncommitted int
 	marks       map[string]*pb.Mark
 
-	electionDue   time.Duration
+	electionDue time.Duration
+	// starting is true from a start with FirstElection set until a leader is known;
+	// attempts counts the elections meanwhile.
+	starting bool
+	attempts int
+	// gaveWay is set once another's campaign has put off the next one of this voter.
+	gaveWay       bool
 	heartbeatDue  time.Duration
 	quorumDue     time.Duration
 	leaderContact time.Duration
@@ -180,10 +186,8 @@
 		c.marks[m.Disk] = m
 	}
 	c.advanceCommit(min(hs.Commit, c.log.last()))
+	c.starting = cfg.FirstElection > 0
 	c.resetElection()
-	if first := cfg.FirstElection; first > 0 {
-		c.electionDue = now + first + time.Duration(rng.Int64N(int64(first)))
-	}
 	c.confirmDue = now + cfg.ConfirmTime
 	c.checkConfirmed()
 	return c
@@ -221,8 +225,11 @@
 func (c *Core) mayCampaign() bool { return c.self() && c.Confirmed() }
 
 func (c *Core) resetElection() {
-	jitter := time.Duration(c.rng.Int64N(int64(c.cfg.ElectionTimeout)))
-	c.electionDue = c.now + c.cfg.ElectionTimeout + jitter
+	timeout := c.cfg.ElectionTimeout
+	if c.starting {
+		timeout = min(timeout, c.cfg.FirstElection<<c.attempts)
+	}
+	c.electionDue = c.now + timeout + time.Duration(c.rng.Int64N(int64(timeout)))
 }
 
 func (c *Core) advance(now time.Duration) { c.now = max(c.now, now) }
@@ -236,9 +243,12 @@
 		return
 	}
 	if c.now >= c.electionDue {
-		c.resetElection()
 		if c.mayCampaign() {
+			c.attempts++
+			c.gaveWay = false
 			c.campaign(PreCandidate)
+		} else {
+			c.resetElection()
 		}
 	}
 }
--- a/internal/replication/election.go
+++ b/internal/replication/election.go
@@ -113,6 +113,7 @@
 		reply := &pb.Message{Type: pb.MessageType_PRE_VOTE_REPLY, Reject: !grant}
 		if grant {
 			reply.Term = m.Term
+			c.giveWay(m)
 		}
 		c.send(sender(m), reply)
 		return
@@ -125,6 +126,22 @@
 	c.send(sender(m), &pb.Message{Type: pb.MessageType_VOTE_REPLY, Reject: !grant})
 }
 
+// giveWay puts the own campaign off for that of another voter, so that voters
+// which start together do not split the votes. Each voter does so once between
+// two campaigns of its own: the other's may come to nothing.
+func (c *Core) giveWay(m *pb.Message) {
+	if !c.starting || c.gaveWay || c.role == PreCandidate && m.From > c.cfg.ID {
+		return
+	}
+	if c.role == PreCandidate {
+		c.role, c.votes = Follower, nil
+	}
+	if c.role == Follower {
+		c.gaveWay = true
+		c.resetElection()
+	}
+}
+
 func (c *Core) onVoteReply(m *pb.Message) {
 	preVote := m.Type == pb.MessageType_PRE_VOTE_REPLY
 	switch {
@@ -163,6 +180,7 @@
 
 func (c *Core) becomeLeader() {
 	c.role, c.leader = Leader, c.cfg.ID
+	c.starting, c.attempts = false, 0
 	c.progress = map[string]*progress{}
 	c.syncProgress()
 	c.quorumDue = c.now + c.cfg.ElectionTimeout
@@ -196,6 +214,7 @@
 
 func (c *Core) followLeader(m *pb.Message) {
 	c.role, c.leader, c.votes = Follower, m.From, nil
+	c.starting, c.attempts = false, 0
 	c.leaderContact = c.now
 	if c.vote == "" {
 		// Who has seen the leader of a term never votes for another in it, even if
--- a/internal/replication/sim_test.go
+++ b/internal/replication/sim_test.go
@@ -63,6 +63,8 @@
 	net     []flight
 	cut     map[[2]string]bool
 	lossPct int
+	// maxDelay bounds the delay of a message without loss.
+	maxDelay time.Duration
 	// chosen is the one history of committed entries, by index.
 	chosen  []*pb.Entry
 	leaders map[uint64]string
@@ -82,7 +84,7 @@
 func newSim(t testing.TB, seed uint64, n int) *sim {
 	s := &sim{
 		t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]*simNode{},
-		cut: map[[2]string]bool{}, leaders: map[uint64]string{},
+		cut: map[[2]string]bool{}, leaders: map[uint64]string{}, maxDelay: 15 * time.Millisecond,
 	}
 	set := &pb.VoterSet{}
 	for i := range n {
@@ -240,7 +242,7 @@
 			copies = 2
 		}
 		for range copies {
-			d := time.Duration(s.rng.IntN(15)) * time.Millisecond
+			d := time.Duration(s.rng.IntN(int(s.maxDelay.Milliseconds()))) * time.Millisecond
 			if s.lossPct > 0 && s.rng.IntN(10) == 0 {
 				d *= 20
 			}
