Soak: cuts between the fleet's own processes, disks that misbehave, lost data

Directory processes stand behind a proxy of their own now, named by the new setting fleetAddress (where others reach the fleet listener, as kqcontrol has it): their connections are delayed, cut one way, silenced or refused. kqsoak directory runs one on a file system whose syncs stall or fail while a control file says so, by the interface that the process takes anyway. A process can lose its data folder between two starts; it counts as down until it is a voter again.

Ruled out: clocks (no interface takes one in these processes); cuts between two processes only (connections on loopback do not tell who opened them).

--- a/cmd/kqplatform/main.go
+++ b/cmd/kqplatform/main.go
@@ -7,6 +7,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/cockroachdb/pebble/v2/vfs"
 	"github.com/integrii/flaggy"
 
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
@@ -37,7 +38,9 @@
 	run := platform.RunRouter
 	switch {
 	case directory.Used:
-		run = platform.RunDirectory
+		run = func(path string, stop, reload <-chan os.Signal, out *eventlog.Writer) error {
+			return platform.RunDirectory(path, vfs.Default, stop, reload, out)
+		}
 	case !router.Used:
 		flaggy.ShowHelpAndExit("name a process: router or directory")
 	}
--- a/cmd/kqsoak/main.go
+++ b/cmd/kqsoak/main.go
@@ -1,5 +1,6 @@
 // Command kqsoak disturbs a fleet of kqplatform processes on loopback and checks
-// its promises. It exits non-zero if one was broken.
+// its promises. It exits non-zero if one was broken. Its subcommand directory runs
+// a directory process on a disk that misbehaves on demand.
 package main
 
 import (
@@ -11,10 +12,13 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/pebble/v2/vfs"
 	"github.com/integrii/flaggy"
 
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/eventlog"
 	"github.com/kumquathollow/kumquathollow/internal/version"
+	"github.com/kumquathollow/kumquathollow/platform"
 	"github.com/kumquathollow/kumquathollow/platform/soak"
 )
 
@@ -34,14 +38,27 @@
 	flaggy.Int(&routers, "", "routers", "routers")
 	flaggy.Int(&servers, "", "servers", "backend servers")
 	flaggy.Int(&clients, "", "clients", "clients")
+	directory := flaggy.NewSubcommand("directory")
+	directory.Description = "runs a directory process on a disk that misbehaves while $" + soak.DiskVariable + " says so"
+	flaggy.AttachSubcommand(directory, 1)
 	flaggy.Parse()
+	if directory.Used {
+		runDirectory()
+		return
+	}
 	if directories < 3 || routers < 1 || servers < 1 || clients < 1 || seeds < 1 || seconds < 1 {
 		fmt.Fprintln(os.Stderr, "kqsoak: at least 3 directories and 1 of each other are needed")
 		os.Exit(errkind.ExitUsage)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
+	self, err := os.Executable()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "kqsoak:", err)
+		os.Exit(errkind.ExitFailed)
+	}
 	conf := soak.Config{
+		Self: self,
 		Time: time.Duration(seconds) * time.Second, Directories: directories, Routers: routers, Servers: servers, Clients: clients,
 		Binary: binary, Out: os.Stdout,
 	}
@@ -61,6 +78,22 @@
 	}
 }
 
+func runDirectory() {
+	stop := make(chan os.Signal, 2)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	out := eventlog.NewWriter(os.Stdout)
+	path, err := platform.SettingsPath()
+	if err == nil {
+		disk := soak.Disk{FS: vfs.Default, Control: os.Getenv(soak.DiskVariable)}
+		err = platform.RunDirectory(path, disk, stop, nil, out)
+	}
+	out.Close()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "kqsoak directory:", err)
+		os.Exit(errkind.Lookup(errkind.Of(err)).Exit)
+	}
+}
+
 // maxShown bounds the broken promises that are printed for a seed.
 const maxShown = 20
 
--- a/internal/directory/process.go
+++ b/internal/directory/process.go
@@ -41,6 +41,8 @@
 	ready   *telemetry.Readiness
 
 	operations, fleet, admin net.Listener
+	// own is where the fleet's own processes reach this one.
+	own string
 }
 
 // Open opens the data folder, restores the state and takes the addresses.
@@ -66,7 +68,11 @@
 		}
 	}
 	p.admin = telemetry.ListenAdmin(p.conf.Admin, p.log)
-	own := p.fleet.Addr().String()
+	p.own = p.fleet.Addr().String()
+	if p.conf.FleetAddress != "" {
+		p.own = p.conf.FleetAddress
+	}
+	own := p.own
 	seeds := p.fleetAddresses(p.conf.Seeds)
 	store, restored, err := storage.Open(fs, p.conf.Data, own)
 	if err != nil {
@@ -133,7 +139,7 @@
 		addresses = p.roster().members()
 	}
 	for _, a := range addresses {
-		if a == p.fleet.Addr().String() {
+		if a == p.own {
 			continue
 		}
 		go func() {
@@ -157,7 +163,7 @@
 		return errors.CombineErrors(err, p.close())
 	}
 	p.log.Info("listening", "name", p.conf.Name, "data-centre", p.conf.DataCentre, "operations", p.conf.Operations,
-		"fleet", p.fleet.Addr().String(), "disk", p.store.Disk(), "founding", p.conf.Founding, "revision", p.machine.State().Revision)
+		"fleet", p.own, "disk", p.store.Disk(), "founding", p.conf.Founding, "revision", p.machine.State().Revision)
 	asked := ctx
 	ctx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -225,9 +231,9 @@
 // fleetAddresses returns where the seeds answer the fleet's own processes, which
 // all listen on the port of the own address.
 func (p *Process) fleetAddresses(seeds []string) []string {
-	_, port, err := net.SplitHostPort(p.fleet.Addr().String())
+	_, port, err := net.SplitHostPort(p.own)
 	if err != nil {
-		p.log.Error("the own fleet address has no port; no seed can be reached", "address", p.fleet.Addr().String(), "error", err)
+		p.log.Error("the own fleet address has no port; no seed can be reached", "address", p.own, "error", err)
 	}
 	return rpc.OnPort(seeds, port)
 }
--- a/internal/directory/settings.go
+++ b/internal/directory/settings.go
@@ -18,6 +18,9 @@
 	// Fleet is the address for the fleet's own processes, host:port. All directory
 	// processes use the same port.
 	Fleet string `yaml:"fleet"`
+	// FleetAddress is where others reach the fleet listener, if not at Fleet. All
+	// directory processes use the same port there.
+	FleetAddress string `yaml:"fleetAddress,omitempty"`
 	// Admin is the HTTP address of /metrics, /healthz and /readyz.
 	Admin string `yaml:"admin"`
 	// Data is the folder of the replicated state.
@@ -52,6 +55,9 @@
 	if err == nil {
 		err = settings.CheckAddresses(append([]string{s.Operations, s.Fleet, s.Admin}, s.Seeds...)...)
 	}
+	if err == nil && s.FleetAddress != "" {
+		err = settings.CheckAddresses(s.FleetAddress)
+	}
 	if err != nil {
 		return err
 	}
