--- a/internal/directory/process.go
+++ b/internal/directory/process.go
@@ -205,10 +205,12 @@
 // watchInterval is how often the hub looks at the group's members and leader.
 const watchInterval = 100 * time.Millisecond
 
-// watch tells the hub of other members, and of leaders found or lost.
+// watch tells the hub of other members, and of leaders found or lost. It gives
+// leadership up while this process is slow.
 func (p *Process) watch(ctx context.Context) error {
 	tick := time.NewTicker(watchInterval)
 	defer tick.Stop()
+	own := &lateness{interval: watchInterval}
 	for {
 		select {
 		case <-ctx.Done():
@@ -216,6 +218,12 @@
 		case <-tick.C:
 		}
 		s := p.group.Status()
+		if own.tick(time.Now(), s.Leading) {
+			hctx, cancel := context.WithTimeout(ctx, handOverTime)
+			p.group.HandOver(hctx)
+			cancel()
+			p.log.Warn("leadership given up", "because", "this process is slow", "late", own.average, "leading", p.group.Status().Leading)
+		}
 		p.ready.Set(reasonNoLeader, s.Leader == "")
 		// A process's id is its address.
 		members, leader, leading := p.roster().members(), s.Leader, s.Leading
