Refuse requests whose headers are over the configuration's limit

The configuration's max_header_bytes was read and not used: the router took 64 KiB from anybody. A request's line and headers are counted as HTTP/1.1 writes them and refused with 431 beyond the limit. The time for headers is still the router's own 10 s (open).

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -101,6 +101,9 @@
 	if set == nil {
 		return x.f.notReady("no configuration in force yet")
 	}
+	if bound := set.Limits.HeaderBytes; bound > 0 && httphead.Size(x.r) > bound {
+		return errkind.New(errkind.HeadersTooLarge, "the request's line and headers are over %d bytes", bound)
+	}
 	age, confirmed := x.f.opts.View.Age()
 	if !confirmed {
 		return x.f.notReady("the configuration held is not confirmed yet")
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -53,3 +53,17 @@
 		dst[k] = v
 	}
 }
+
+// Size returns the bytes of a request's line and headers as HTTP/1.1 writes them.
+func Size(r *http.Request) int {
+	n := len(r.Method) + 1 + len(r.RequestURI) + 1 + len(r.Proto) + 2
+	if r.Host != "" {
+		n += len("Host: ") + len(r.Host) + 2
+	}
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + 2 + len(v) + 2
+		}
+	}
+	return n + 2
+}
