Tell heartbeats as hashes; acknowledge a leaving server once a majority knows

Change: a server that lives on as it was is told as four bytes; a router that hears of one it does not know asks for all. The load takes a fifth of the link at the most and comes less often beyond, down to once a second. Places are looked at once per gathered news, not once per server.

Change: every process tells all its routers of a server that leaves, and the acknowledgement waits until a majority of the processes has done so, 0.2 s at the most.

--- a/internal/directory/hub.go
+++ b/internal/directory/hub.go
@@ -6,10 +6,12 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/kumquathollow/kumquathollow/api/fleetpb"
 	"github.com/kumquathollow/kumquathollow/internal/inventory"
 	"github.com/kumquathollow/kumquathollow/internal/publication"
+	"github.com/kumquathollow/kumquathollow/internal/routing"
 )
 
 const (
@@ -20,6 +22,11 @@
 	refreshInterval = 300 * time.Millisecond
 	// expireInterval is how often silent servers are looked for.
 	expireInterval = 5 * time.Second
+	// loadBytesPerSecond bounds what the load takes of the link: a fifth of the 6
+	// Mbit/s of a small VM. Where it is more, routers are told less often, down to
+	// maxLoadInterval, half of the time for which they believe it.
+	loadBytesPerSecond = 150_000
+	maxLoadInterval    = time.Second
 	// sessionQueue bounds the updates that wait for one router; a router that
 	// takes none is disconnected and starts again.
 	sessionQueue = 64
@@ -31,8 +38,11 @@
 	inbox chan func()
 	now   func() time.Time
 	// spread passes announcements to the directory process at the address, or to
-	// all others if it is empty.
-	spread func(to string, news []*fleetpb.Announcement)
+	// all others if it is empty. What it returns is closed once a majority of the
+	// processes knows of them, this one included, or no more will.
+	spread func(to string, news []*fleetpb.Announcement) <-chan struct{}
+	// passed is what the last spread to all others returned.
+	passed <-chan struct{}
 
 	machine *publication.Machine
 	table   *inventory.Table
@@ -42,6 +52,8 @@
 	sessions             map[*session]bool
 	// counted is set if the number of routers changed since they were told.
 	counted bool
+	// loadDue is when routers are to be told the load again.
+	loadDue time.Time
 	// due fires when what is gathered is to be told; nil if nothing is.
 	due <-chan time.Time
 	// revision is the newest one that the routers were told of.
@@ -54,7 +66,7 @@
 	reported bool
 }
 
-func newHub(log hclog.Logger, machine *publication.Machine, spread func(string, []*fleetpb.Announcement)) *hub {
+func newHub(log hclog.Logger, machine *publication.Machine, spread func(string, []*fleetpb.Announcement) <-chan struct{}) *hub {
 	return &hub{
 		log: log, inbox: make(chan func(), hubInbox), now: time.Now, machine: machine, spread: spread,
 		table: inventory.New(), dirty: map[string]bool{}, news: map[string]bool{}, relayed: map[string]bool{}, sessions: map[*session]bool{},
@@ -139,7 +151,6 @@
 	} else {
 		h.tell()
 	}
-	h.keepPlaces()
 }
 
 // gatherNews is how long news that is not urgent waits for more. When a fleet
@@ -155,25 +166,42 @@
 
 // tell passes on what changed: what servers said here to all routers and to the
 // other processes, what those passed on to the routers that report here. So each
-// router hears of a change twice.
+// router hears of a server that joins twice, and of one that leaves from every
+// process: some may stop before all routers have heard them.
 func (h *hub) tell() {
 	h.due = nil
 	if direct := h.announcements(h.news); len(direct) > 0 || h.counted {
 		h.broadcast(&fleetpb.FollowUpdate{Announcements: direct})
 		if len(direct) > 0 {
-			h.spread("", direct)
+			h.passed = h.spread("", direct)
 		}
 	}
-	if relayed := h.announcements(h.relayed); len(relayed) > 0 {
-		for s := range h.sessions {
-			if s.load != nil {
-				s.push(h.common(&fleetpb.FollowUpdate{Announcements: relayed}))
-			}
+	joining, leaving := h.relayedNews()
+	for s := range h.sessions {
+		if s.load != nil && len(joining) > 0 {
+			s.push(h.common(&fleetpb.FollowUpdate{Announcements: joining}))
+		}
+		if len(leaving) > 0 {
+			s.push(h.common(&fleetpb.FollowUpdate{Announcements: leaving}))
 		}
 	}
 	clear(h.news)
 	clear(h.relayed)
 	h.counted = false
+	h.keepPlaces()
+}
+
+// relayedNews returns what other processes passed on of servers that are ready,
+// and of others.
+func (h *hub) relayedNews() (joining, leaving []*fleetpb.Announcement) {
+	for _, a := range h.announcements(h.relayed) {
+		if a.State == fleetpb.ServerState_READY {
+			joining = append(joining, a)
+		} else {
+			leaving = append(leaving, a)
+		}
+	}
+	return joining, leaving
 }
 
 func (h *hub) announcements(ids map[string]bool) []*fleetpb.Announcement {
@@ -191,11 +219,17 @@
 func (h *hub) flush() {
 	h.bringUp()
 	h.keepPlaces()
-	load := h.load()
-	if len(h.dirty) == 0 && load == nil {
+	u := &fleetpb.FollowUpdate{}
+	if now := h.now(); !now.Before(h.loadDue) {
+		u.Load = h.load()
+		h.loadDue = now.Add(min(maxLoadInterval, time.Duration(len(h.sessions)*proto.Size(u.Load))*time.Second/loadBytesPerSecond))
+	}
+	if len(h.dirty) == 0 && u.Load == nil {
 		return
 	}
-	u := &fleetpb.FollowUpdate{Load: load, Announcements: h.announcements(h.dirty)}
+	for id := range h.dirty {
+		u.Heard = append(u.Heard, uint32(routing.Hash(id)))
+	}
 	clear(h.dirty)
 	h.broadcast(u)
 }
@@ -277,7 +311,7 @@
 func (h *hub) asked(s *session, req *fleetpb.FollowRequest) {
 	// A router that reports to another process now sends no load.
 	s.load = req.Load
-	if s.load != nil && !s.listed {
+	if req.List || s.load != nil && !s.listed {
 		s.push(h.common(&fleetpb.FollowUpdate{Announcements: h.known()}))
 	}
 	s.listed = s.load != nil
--- a/internal/directory/hub_test.go
+++ b/internal/directory/hub_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -14,11 +15,15 @@
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/inventory"
 	"github.com/kumquathollow/kumquathollow/internal/publication"
+	"github.com/kumquathollow/kumquathollow/internal/routing"
 )
 
 func newTestHub() (*hub, *[]*fleetpb.Announcement) {
 	var spread []*fleetpb.Announcement
-	h := newHub(hclog.NewNullLogger(), publication.New(), func(_ string, news []*fleetpb.Announcement) { spread = append(spread, news...) })
+	h := newHub(hclog.NewNullLogger(), publication.New(), func(_ string, news []*fleetpb.Announcement) <-chan struct{} {
+		spread = append(spread, news...)
+		return nil
+	})
 	now := time.Unix(1_700_000_000, 0)
 	h.now = func() time.Time { return now }
 	return h, &spread
@@ -84,7 +89,9 @@
 		t.Errorf("a heartbeat without news was sent at once: %v, %v", got, *spread)
 	}
 	h.flush()
-	if got := drain(s); len(got) != 1 || got[0].Announcements[0].Sequence != 2 {
+	// Four bytes tell that a server lives on; a fleet tells it of all servers to all
+	// routers each 1.2 s.
+	if got := drain(s); len(got) != 1 || len(got[0].Announcements) != 0 || !slices.Equal(got[0].Heard, []uint32{uint32(routing.Hash("x"))}) {
 		t.Errorf("flush sent %v", got)
 	}
 	h.flush()
@@ -129,9 +136,10 @@
 	}
 }
 
-// A change is told to all routers by the process that heard it, and by each other
-// process to those that report there: twice to each router, however many
-// processes there are.
+// A server that joins is told to all routers by the process that heard it, and by
+// each other process to those that report there: twice to each router, however
+// many processes there are. One that leaves is told by every process: the one that
+// heard it may stop before all routers have it.
 func TestEachRouterIsToldOfAChangeTwice(t *testing.T) {
 	h, _ := newTestHub()
 	here, elsewhere := newSession(h, "here"), newSession(h, "elsewhere")
@@ -162,8 +170,8 @@
 	// What takes a server out is not held back.
 	h.merge(announced("relayed1", 2, inventory.Draining), false)
 	h.merge(announced("direct1", 2, inventory.Draining), true)
-	if a, b := told(here), told(elsewhere); a != 2 || b != 1 {
-		t.Errorf("told of %d and %d servers that leave, want 2 and 1", a, b)
+	if a, b := told(here), told(elsewhere); a != 2 || b != 2 {
+		t.Errorf("told of %d and %d servers that leave, want 2 and 2", a, b)
 	}
 }
 
@@ -396,6 +404,7 @@
 	h.lead(true)
 	h.merge(announced("y", 1, inventory.Ready), true)
 	h.merge(announced("z", 1, inventory.Ready), false)
+	h.tell()
 	if len(proposed) != 1 {
 		t.Fatalf("%d commands at once", len(proposed))
 	}
@@ -429,3 +438,68 @@
 		t.Error("places are changed without need")
 	}
 }
+
+// A router that hears of a server it does not know asks for all.
+func TestAllServersAreListedOnRequest(t *testing.T) {
+	h, _ := newTestHub()
+	s := newSession(h, "r")
+	for i := range 3 {
+		h.merge(announced(fmt.Sprint("s", i), 1, inventory.Ready), false)
+	}
+	h.tell()
+	drain(s)
+	h.asked(s, &fleetpb.FollowRequest{List: true})
+	if got := drain(s); len(got) != 1 || len(got[0].Announcements) != 3 {
+		t.Errorf("told %v", got)
+	}
+}
+
+// Pattern: many routers and many busy servers. What the load takes of the link
+// stays within its bound, and is not older than routers believe.
+func TestTheLoadStaysWithinItsPartOfTheLink(t *testing.T) {
+	for _, c := range []struct{ routers, servers int }{{8, 20}, {64, 140}, {80, 1000}} {
+		h, _ := newTestHub()
+		now := time.Unix(1_700_000_000, 0)
+		h.now = func() time.Time { return now }
+		load := &fleetpb.Load{}
+		for i := range c.servers {
+			load.Servers, load.InFlight = append(load.Servers, uint32(i)<<8), append(load.InFlight, 5)
+		}
+		var ss []*session
+		for i := range c.routers {
+			s := newSession(h, fmt.Sprint("r", i))
+			h.asked(s, &fleetpb.FollowRequest{Load: load})
+			ss = append(ss, s)
+		}
+		h.tell()
+		for _, s := range ss {
+			drain(s)
+		}
+		bytes, told, last, longest := 0, 0, now, time.Duration(0)
+		began := now
+		for now.Sub(began) < 10*time.Second {
+			now = now.Add(refreshInterval)
+			h.flush()
+			for i, s := range ss {
+				for _, u := range drain(s) {
+					bytes += proto.Size(u.Load)
+					if i == 0 && u.Load != nil {
+						told++
+						longest = max(longest, now.Sub(last))
+						last = now
+					}
+				}
+			}
+		}
+		atMost := float64(loadBytesPerSecond) * 1.1 // One flush more within the span.
+		if whole := proto.Size(load) * c.routers; whole > loadBytesPerSecond {
+			atMost = float64(whole) // Once a second in any case.
+		}
+		if rate := float64(bytes) / 10; rate > atMost*1.1 {
+			t.Errorf("%d routers, %d servers: %.0f bytes/s", c.routers, c.servers, rate)
+		}
+		if longest > maxLoadInterval+refreshInterval || told == 0 {
+			t.Errorf("%d routers, %d servers: told %d times, after %s at the longest", c.routers, c.servers, told, longest)
+		}
+	}
+}
--- a/internal/directory/operations.go
+++ b/internal/directory/operations.go
@@ -85,14 +85,42 @@
 }
 
 // Announce takes in what a backend server says of itself. If that takes the server
-// out, it returns once the routers that follow this process have been sent it.
+// out, it returns once the routers that follow this process have been sent it, and
+// a majority of the directory's processes have passed it on to theirs, or passTime
+// is over.
 func (p *Process) Announce(ctx context.Context, s inventory.Server) error {
-	return p.hub.do(ctx, func() { p.hub.merge(s, true) })
+	var passed <-chan struct{}
+	err := p.hub.do(ctx, func() {
+		p.hub.merge(s, true)
+		passed = p.hub.passed
+	})
+	if err != nil || s.State == inventory.Ready {
+		return err
+	}
+	return awaitPassed(ctx, passed)
+}
+
+func awaitPassed(ctx context.Context, passed <-chan struct{}) error {
+	select {
+	case <-passed:
+	case <-time.After(passTime):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return nil
 }
 
 // Leave takes in that a backend server is leaving.
 func (p *Process) Leave(ctx context.Context, id string, born int64) error {
-	return p.hub.do(ctx, func() { p.hub.leave(id, born) })
+	var passed <-chan struct{}
+	err := p.hub.do(ctx, func() {
+		p.hub.leave(id, born)
+		passed = p.hub.passed
+	})
+	if err != nil {
+		return err
+	}
+	return awaitPassed(ctx, passed)
 }
 
 // change replicates a command here or at the leader.
--- a/internal/directory/process.go
+++ b/internal/directory/process.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -133,25 +134,28 @@
 
 // spread passes announcements to the directory process at the address, or to all
 // others if it is empty, so that routers learn them even if this process stops.
-func (p *Process) spread(to string, news []*fleetpb.Announcement) {
+func (p *Process) spread(to string, news []*fleetpb.Announcement) <-chan struct{} {
 	addresses := []string{to}
 	if to == "" {
-		addresses = p.roster().members()
+		addresses = slices.DeleteFunc(p.roster().members(), func(a string) bool { return a == p.own })
 	}
+	passed := newPassed(len(addresses))
 	for _, a := range addresses {
-		if a == p.own {
-			continue
-		}
 		go func() {
+			known := false
+			defer func() { passed.answered(known) }()
 			ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 			defer cancel()
 			conn := p.dialer.Conn(ctx, a)
 			defer conn.Close()
 			if _, err := fleetpb.NewDRPCDirectoryClient(conn).Spread(ctx, &fleetpb.SpreadRequest{Announcements: news}); err != nil {
 				p.log.Debug("announcements not passed on", "address", a, "error", err)
+				return
 			}
+			known = true
 		}()
 	}
+	return passed.done
 }
 
 // Run serves until ctx ends or the disk fails. handler answers the operations
@@ -168,7 +172,7 @@
 	ctx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	g, ctx := errgroup.WithContext(ctx)
-	operations := &http.Server{Handler: handler, ReadHeaderTimeout: adminTimeout, ReadTimeout: adminTimeout}
+	operations := &http.Server{Handler: handler, ReadHeaderTimeout: adminTimeout, ReadTimeout: adminTimeout, IdleTimeout: operationsIdle}
 	admin := &http.Server{Handler: telemetry.AdminHandler(p.metrics, p.ready), ReadHeaderTimeout: adminTimeout}
 	g.Go(func() error {
 		select {
--- a/internal/directory/settings.go
+++ b/internal/directory/settings.go
@@ -77,6 +77,13 @@
 	barrierTimeout = 800 * time.Millisecond
 	// handOverTime bounds giving leadership away at the end.
 	handOverTime = 500 * time.Millisecond
+	// passTime bounds the wait for other processes to know of a server that leaves; a
+	// round trip between data centres and their work fit in it several times.
+	passTime = 200 * time.Millisecond
+	// operationsIdle ends idle connections at the operations address: with many
+	// backend servers, which spread their heartbeats over the processes, they would
+	// take the VM's memory and file descriptors.
+	operationsIdle = 5 * time.Second
 	// adminTimeout bounds reading a request on the admin address.
 	adminTimeout = 5 * time.Second
 )
--- a/internal/fleetview/link.go
+++ b/internal/fleetview/link.go
@@ -25,6 +25,7 @@
 	address string
 	ping    uint64
 	fetch   atomic.Bool
+	list    atomic.Bool
 	wake    chan struct{}
 	stop    context.CancelFunc
 
@@ -130,7 +131,7 @@
 		case pings <- p:
 		default: // Nothing was received meanwhile; the watchdog ends the session.
 		}
-		req := &fleetpb.FollowRequest{Router: l.v.opts.Router, Ping: p.number, Have: l.v.Snapshot().Revision, Fetch: l.fetch.Swap(false)}
+		req := &fleetpb.FollowRequest{Router: l.v.opts.Router, Ping: p.number, Have: l.v.Snapshot().Revision, Fetch: l.fetch.Swap(false), List: l.list.Swap(false)}
 		if l.v.reportTo.Load() == l {
 			req.Load = encodeLoad(l.v.opts.Fleet.InFlight())
 		}
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -74,6 +74,8 @@
 	gather <-chan time.Time
 	// fetchedAt is when a process was last asked for what is missing.
 	fetchedAt time.Duration
+	// listedAt is when all servers were last asked for.
+	listedAt time.Duration
 	// asked is that process.
 	asked *link
 }
@@ -93,6 +95,8 @@
 	// fetchTimeout is how long a process has to send what is missing, unasked or
 	// asked, before another is asked.
 	fetchTimeout = 300 * time.Millisecond
+	// listPause is the time between two requests for all servers.
+	listPause = time.Second
 	// sweepInterval is how often lapses are looked for.
 	sweepInterval = 250 * time.Millisecond
 )
@@ -267,6 +271,7 @@
 		v.loads()
 	}
 	v.announced(u.Announcements)
+	v.heard(l, u.Heard)
 	l.revision = max(l.revision, u.Revision)
 	v.newest = max(v.newest, u.Revision, u.Newest)
 	v.received(l, u.FollowUpdate)
@@ -303,6 +308,25 @@
 	}
 }
 
+// heard takes in servers that live on as they were. If one is not known, all are
+// asked for.
+func (v *View) heard(l *link, hashes []uint32) {
+	now, unknown := time.Now(), false
+	for _, hash := range hashes {
+		if id := v.opts.Fleet.HearAgain(hash, now); id != "" {
+			v.table.Hear(id, now)
+		} else {
+			unknown = true
+		}
+	}
+	if at := clock.Boot(); unknown && at-v.listedAt >= listPause {
+		v.listedAt = at
+		v.opts.Log.Info("unknown server heard of; all are asked for", "address", l.address)
+		l.list.Store(true)
+		l.nudge()
+	}
+}
+
 // catchUp asks for what is missing, one process at a time. The process that the
 // router reports to sends new revisions unasked, and is waited for.
 func (v *View) catchUp() {
--- a/internal/fleetview/view_test.go
+++ b/internal/fleetview/view_test.go
@@ -13,6 +13,7 @@
 	"github.com/kumquathollow/kumquathollow/internal/clock"
 	"github.com/kumquathollow/kumquathollow/internal/placement"
 	"github.com/kumquathollow/kumquathollow/internal/publication"
+	"github.com/kumquathollow/kumquathollow/internal/routing"
 )
 
 // newView returns a view whose documents are versions in decimal.
@@ -190,3 +191,36 @@
 		t.Error("no other was asked after the source sent nothing")
 	}
 }
+
+// Heartbeats come as hashes. One of a server that is not known makes the router ask
+// for all servers, once in a while.
+func TestHeartbeatsComeAsHashes(t *testing.T) {
+	v, l := newView()
+	old := time.Now().Add(-4 * time.Second)
+	v.took(l, update{FollowUpdate: &fleetpb.FollowUpdate{Announcements: []*fleetpb.Announcement{
+		{Id: "x", Born: 1, Sequence: 1, Service: "chat", Address: "x:1", State: fleetpb.ServerState_READY, AgeMs: 4000},
+	}}})
+	heard := func(ids ...string) {
+		u := &fleetpb.FollowUpdate{}
+		for _, id := range ids {
+			u.Heard = append(u.Heard, uint32(routing.Hash(id)))
+		}
+		v.took(l, update{FollowUpdate: u})
+	}
+	heard("x")
+	if at := v.table.Get("x").Heard; at.Sub(old) < 3*time.Second {
+		t.Errorf("x was heard %s ago", time.Since(at))
+	}
+	if l.list.Load() {
+		t.Error("all servers are asked for without need")
+	}
+	v.listedAt = clock.Boot() - listPause
+	heard("x", "new")
+	if !l.list.Swap(false) {
+		t.Error("an unknown server does not make the router ask")
+	}
+	heard("new")
+	if l.list.Load() {
+		t.Error("asked again at once")
+	}
+}
--- a/internal/inventory/table.go
+++ b/internal/inventory/table.go
@@ -120,6 +120,15 @@
 	return s.Sequence > old.Sequence || s.Sequence == old.Sequence && s.State > old.State
 }
 
+// Hear notes that the server lives on as it was.
+func (t *Table) Hear(id string, now time.Time) {
+	if old := t.servers[id]; old != nil && now.After(old.Heard) {
+		next := *old
+		next.Heard = now
+		t.servers[id] = &next
+	}
+}
+
 // Leave marks the incarnation that is known under the id as gone. A leave that
 // names an older incarnation is stale; born 0 means the known one.
 func (t *Table) Leave(id string, born int64, now time.Time) (*Server, Change) {
--- a/internal/inventory/table_test.go
+++ b/internal/inventory/table_test.go
@@ -160,3 +160,20 @@
 		t.Errorf("a server that is not cold is cold until %s", got.ColdUntil)
 	}
 }
+
+func TestAServerThatIsHeardDoesNotExpire(t *testing.T) {
+	tab := New()
+	tab.Merge(ready("x", 1, 1, "x:1"))
+	tab.Merge(ready("y", 1, 1, "y:1"))
+	held := tab.Get("x")
+	tab.Hear("x", start.Add(forgetAfter))
+	tab.Hear("x", start) // A late one changes nothing.
+	tab.Hear("unknown", start)
+	tab.Expire(start.Add(forgetAfter + time.Second))
+	if tab.Get("x") == nil || tab.Get("y") != nil || tab.Len() != 1 {
+		t.Errorf("x %v, y %v", tab.Get("x"), tab.Get("y"))
+	}
+	if !held.Heard.Equal(start) {
+		t.Error("a server that was handed out changed")
+	}
+}
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -27,6 +27,7 @@
 	dataCentre string
 	bounds     Bounds
 	byID       map[string]*Server
+	byHash     map[uint32]*Server
 	orders     map[string]*order
 	pools      atomic.Pointer[map[string]*pool]
 	loads      atomic.Pointer[loads]
@@ -104,6 +105,17 @@
 	}
 }
 
+// HearAgain takes in that the server of that hash lives on as it was, and returns
+// its id; "" if it is not known.
+func (f *Fleet) HearAgain(hash uint32, now time.Time) string {
+	s := f.byHash[hash]
+	if s == nil {
+		return ""
+	}
+	s.hearAgain(now)
+	return s.ID
+}
+
 // Update replaces the list of servers. A server keeps what is known of it as long
 // as its incarnation lasts.
 func (f *Fleet) Update(t *inventory.Table, now time.Time) {
@@ -137,6 +149,10 @@
 		p.order = f.order(service)
 	}
 	f.byID = byID
+	f.byHash = make(map[uint32]*Server, len(byID))
+	for _, s := range byID {
+		f.byHash[uint32(s.hash)] = s
+	}
 	f.pools.Store(&pools)
 }
 
--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -69,6 +69,12 @@
 	}
 }
 
+func (s *Server) hearAgain(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.said.Heard = now
+}
+
 // takeBack is told when the server's data centre is no longer taken out. The
 // server counts as cold for the time given, and lacks the prompts that others
 // read for it meanwhile.
