--- a/internal/directory/doc.go
+++ b/internal/directory/doc.go
@@ -9,9 +9,13 @@
 //   - Any process takes an operator's change and passes it to the leader; it is
 //     acknowledged once a majority holds it on disk (operations.go).
 //   - Announcements are kept in memory by the process that received them, passed
-//     to the other processes when they change something, and sent to every router
-//     that follows (hub.go). Nobody elects an owner of the list, so a data centre
-//     that is cut off goes on with the servers that it hears.
+//     to the other processes when they change something, and told to the routers
+//     (news.go). Nobody elects an owner of the list, so a data centre that is cut
+//     off goes on with the servers that it hears.
+//   - A router has a session with each process and reports what it has in flight to
+//     one of them (hub.go). That one sends it new revisions and what other processes
+//     passed on (catchup.go).
+//   - The leader decides on the servers' places (places.go).
 //   - A router's session confirms, by a round to a quorum, how new the router's
 //     configuration is (follow.go). A router without confirmations knows that it
 //     may be behind.
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -204,8 +204,9 @@
 	}
 }
 
-// sortByPreference sorts so that the best comes first. mean is the load of all the service's servers, those
-// included that may take nothing: skew is measured against it.
+// sortByPreference sorts so that the best comes first. mean is the load of all the
+// service's servers, those included that may take nothing: skew is measured against
+// it.
 func (f *Fleet) sortByPreference(cs []candidate, a Ask, mean float64) {
 	if a.Key == 0 {
 		slices.SortFunc(cs, func(x, y candidate) int {
--- a/internal/publication/machine.go
+++ b/internal/publication/machine.go
@@ -18,7 +18,7 @@
 	maxStepBytes = 32 << 10
 )
 
-// Machine holds the replicated state.
+// Machine holds the replicated state. It is safe for concurrent use.
 type Machine struct {
 	// Changed, if set, is called by the group's goroutine after the state changed.
 	Changed func(*State)
