Answer an announcement once the routers were sent it, also of a server that joins

Change: an announcement that changed something is answered once its news was told. TestAnAnnouncementIsAnsweredOnceItWasTold fails without it.

--- a/internal/directory/cluster_test.go
+++ b/internal/directory/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +13,7 @@
 	"github.com/cockroachdb/pebble/v2/vfs"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/kumquathollow/kumquathollow/api/fleetpb"
 	"github.com/kumquathollow/kumquathollow/internal/homes"
 	"github.com/kumquathollow/kumquathollow/internal/inventory"
 )
@@ -247,6 +249,31 @@
 	}
 }
 
+// A server's announcement is answered once the routers were sent it, although news
+// is gathered for a while.
+func TestAnAnnouncementIsAnsweredOnceItWasTold(t *testing.T) {
+	c := newCluster(t, 3)
+	p := c.nodes[hosts[0]].p
+	s := &session{router: "r", queue: make(chan *fleetpb.FollowUpdate, sessionQueue), end: func() {}}
+	if err := p.hub.do(context.Background(), func() { p.hub.open(s) }); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 20 {
+		id := fmt.Sprint("s", i)
+		err := p.Announce(context.Background(), inventory.Server{ID: id, Born: 1, Sequence: 1, Service: "chat", Address: id + ":1", State: inventory.Ready, Heard: time.Now()})
+		if err != nil {
+			t.Fatal(err)
+		}
+		told := false
+		for _, u := range drain(s) {
+			told = told || slices.ContainsFunc(u.Announcements, func(a *fleetpb.Announcement) bool { return a.Id == id })
+		}
+		if !told {
+			t.Fatalf("%s was answered before routers were sent it", id)
+		}
+	}
+}
+
 // A process without a quorum answers no read and accepts no change.
 func TestAMinorityAcceptsAndReadsNothing(t *testing.T) {
 	c := newCluster(t, 3)
--- a/internal/directory/hub.go
+++ b/internal/directory/hub.go
@@ -54,8 +54,10 @@
 	counted bool
 	// loadDue is when routers are to be told the load again.
 	loadDue time.Time
-	// due fires when what is gathered is to be told; nil if nothing is.
-	due <-chan time.Time
+	// due fires when what is gathered is to be told; nil if nothing is. told is closed
+	// then.
+	due  <-chan time.Time
+	told chan struct{}
 	// revision is the newest one that the routers were told of.
 	revision uint64
 	members  []string
--- a/internal/directory/news.go
+++ b/internal/directory/news.go
@@ -8,9 +8,10 @@
 )
 
 // merge takes an announcement in; first is true if it came from the server itself.
-func (h *hub) merge(s inventory.Server, first bool) {
+func (h *hub) merge(s inventory.Server, first bool) inventory.Change {
 	change := h.table.Merge(s)
 	h.took(s.ID, change, first)
+	return change
 }
 
 func (h *hub) leave(id string, born int64) {
@@ -49,7 +50,7 @@
 
 func (h *hub) soon() {
 	if h.due == nil {
-		h.due = time.After(gatherNews)
+		h.due, h.told = time.After(gatherNews), make(chan struct{})
 	}
 }
 
@@ -58,7 +59,6 @@
 // router hears of a server that joins twice, and of one that leaves from every
 // process: some may stop before all routers have heard them.
 func (h *hub) tell() {
-	h.due = nil
 	if direct := h.announcements(h.news); len(direct) > 0 || h.counted {
 		h.broadcast(&fleetpb.FollowUpdate{Announcements: direct})
 		if len(direct) > 0 {
@@ -77,6 +77,10 @@
 	clear(h.news)
 	clear(h.relayed)
 	h.counted = false
+	if h.due != nil {
+		h.due = nil
+		close(h.told)
+	}
 	h.keepPlaces()
 }
 
--- a/internal/directory/operations.go
+++ b/internal/directory/operations.go
@@ -84,20 +84,33 @@
 	}
 }
 
-// Announce takes in what a backend server says of itself. If that takes the server
-// out, it returns once the routers that follow this process have been sent it, and
-// a majority of the directory's processes have passed it on to theirs, or passTime
-// is over.
+// Announce takes in what a backend server says of itself. It returns once the
+// routers that follow this process have been sent what changed. If that takes the
+// server out, a majority of the directory's processes have passed it on to theirs
+// then, or passTime is over.
 func (p *Process) Announce(ctx context.Context, s inventory.Server) error {
-	var passed <-chan struct{}
+	var passed, told <-chan struct{}
 	err := p.hub.do(ctx, func() {
-		p.hub.merge(s, true)
+		changed := p.hub.merge(s, true) == inventory.Changed
 		passed = p.hub.passed
+		if changed && p.hub.due != nil {
+			told = p.hub.told
+		}
 	})
-	if err != nil || s.State == inventory.Ready {
+	switch {
+	case err != nil:
 		return err
+	case s.State != inventory.Ready:
+		return awaitPassed(ctx, passed)
+	case told == nil:
+		return nil
+	}
+	select {
+	case <-told:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
 	}
-	return awaitPassed(ctx, passed)
 }
 
 func awaitPassed(ctx context.Context, passed <-chan struct{}) error {
