--- a/internal/directory/catchup.go
+++ b/internal/directory/catchup.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/kumquathollow/kumquathollow/api/fleetpb"
 )
 
@@ -18,17 +20,18 @@
 		s.behind = s.behind || s.load != nil
 	}
 	h.catchUpRouters()
-	h.broadcast(&fleetpb.FollowUpdate{})
+	h.broadcast(func() *fleetpb.FollowUpdate { return &fleetpb.FollowUpdate{} })
 }
 
 // handleRequest processes one message of a router's session.
 func (h *hub) handleRequest(s *session, req *fleetpb.FollowRequest) {
-	// Load is nil if the router now reports to another process.
-	s.load = req.Load
-	if req.List || s.load != nil && !s.serversSent {
-		s.push(h.withStatus(&fleetpb.FollowUpdate{Announcements: h.allAnnouncements()}))
+	if !h.sessions[s] {
+		return
 	}
-	s.serversSent = s.load != nil
+	startsReporting := s.load == nil && req.Load != nil
+	h.setLoad(s, req.Load)
+	s.listDue = s.load != nil && (s.listDue || startsReporting) || req.List
+	h.sendLists()
 	if req.Fetch {
 		s.revision, s.behind = req.Have, true
 	}
@@ -40,6 +43,43 @@
 	h.catchUpRouters()
 }
 
+const (
+	// listBytesPerSecond limits the bandwidth of server lists to half of the 6 Mbit/s
+	// link of a small VM. listBurstBytes may be sent at once: they take that link 50 ms,
+	// which is half of a replication heartbeat interval.
+	listBytesPerSecond = 375_000
+	listBurstBytes     = 37_500
+)
+
+// sendLists sends the list of all servers to the routers that are due to get it, as the
+// bandwidth allows. Without a leader it waits: no router serves before its configuration
+// is confirmed, and the election needs the VM.
+func (h *hub) sendLists() {
+	if h.leader == "" {
+		return
+	}
+	now := h.now()
+	h.listBytes = min(listBurstBytes, h.listBytes+now.Sub(h.listBytesAt).Seconds()*listBytesPerSecond)
+	h.listBytesAt = now
+	var list []*fleetpb.Announcement
+	size := 0
+	for s := range h.sessions {
+		if h.listBytes <= 0 {
+			return
+		}
+		if !s.listDue {
+			continue
+		}
+		if list == nil {
+			list = h.allAnnouncements()
+			size = proto.Size(&fleetpb.FollowUpdate{Announcements: list})
+		}
+		s.listDue = false
+		s.push(h.withStatus(&fleetpb.FollowUpdate{Announcements: list}))
+		h.listBytes -= float64(size)
+	}
+}
+
 const (
 	// maxFullStatesInFlight limits the concurrent transfers of the full state. More
 	// would delay replication heartbeats on a slow link beyond the election timeout.
@@ -83,6 +123,6 @@
 			inFlight++
 		}
 		s.revision, s.behind = u.Revision, false
-		s.push(u)
+		s.push(h.withStatus(u))
 	}
 }
--- a/internal/directory/changes.go
+++ b/internal/directory/changes.go
@@ -1,10 +1,12 @@
 package directory
 
 import (
+	"slices"
 	"time"
 
 	"github.com/kumquathollow/kumquathollow/api/fleetpb"
 	"github.com/kumquathollow/kumquathollow/internal/inventory"
+	"github.com/kumquathollow/kumquathollow/internal/routing"
 )
 
 // merge adds an announcement to the server table. direct is true if it came from the
@@ -25,10 +27,17 @@
 	case inventory.Stale:
 		return
 	case inventory.Refreshed:
-		h.refreshed[id] = true
+		// What another process announces again may be as old as its age says.
+		if direct {
+			h.refreshed[id] = true
+			for _, p := range h.peers {
+				p.heard[id] = true
+			}
+		}
 		return
 	}
 	s := h.table.Get(id)
+	h.idByHash[uint32(routing.Hash(id))] = id
 	h.log.Info("server changed", "server", s.ID, "service", s.Service, "address", s.Address, "data-centre", s.DataCentre,
 		"state", s.State.String(), "born", s.Born, "sequence", s.Sequence, "direct", direct, "cold", max(0, s.ColdUntil.Sub(h.now())).Round(time.Millisecond))
 	delete(h.refreshed, id)
@@ -56,29 +65,31 @@
 }
 
 // broadcastChanges sends the pending changes. Changes received from servers go to all
-// routers and to the other directory processes; joins relayed by other processes go
-// only to the routers that report here, and relayed leaves to all routers. So a router
-// receives a join twice, and a leave from every process, since some processes may stop
-// before all routers have received it.
+// routers that follow this process and to the other directory processes; joins relayed
+// by other processes go only to the routers that report here, and relayed leaves to all
+// that follow. So a router receives a leave from each process that it follows, since
+// one may stop before it has sent it. A router that is due to get the list of all servers
+// gets the joins with it.
 func (h *hub) broadcastChanges() {
-	if direct := h.announcements(h.directChanges); len(direct) > 0 || h.routerCountChanged {
-		h.broadcast(&fleetpb.FollowUpdate{Announcements: direct})
-		if len(direct) > 0 {
-			h.relayAcked = h.relay("", direct)
-		}
+	if len(h.directChanges) > 0 {
+		h.relayAcked = h.relay(h.directChanges)
 	}
-	joining, leaving := h.relayedAnnouncements()
+	joining, leaving := splitByState(h.announcements(h.directChanges))
+	relayedJoining, relayedLeaving := splitByState(h.announcements(h.relayedChanges))
 	for s := range h.sessions {
-		if s.load != nil && len(joining) > 0 {
-			s.push(h.withStatus(&fleetpb.FollowUpdate{Announcements: joining}))
+		changes := slices.Concat(leaving, relayedLeaving)
+		if !s.listDue {
+			changes = append(changes, joining...)
+		}
+		if !s.listDue && s.load != nil {
+			changes = append(changes, relayedJoining...)
 		}
-		if len(leaving) > 0 {
-			s.push(h.withStatus(&fleetpb.FollowUpdate{Announcements: leaving}))
+		if len(changes) > 0 {
+			s.push(h.withStatus(&fleetpb.FollowUpdate{Announcements: changes}))
 		}
 	}
 	clear(h.directChanges)
 	clear(h.relayedChanges)
-	h.routerCountChanged = false
 	if h.broadcastTimer != nil {
 		h.broadcastTimer = nil
 		close(h.broadcastDone)
@@ -86,10 +97,9 @@
 	h.reconcilePlaces()
 }
 
-// relayedAnnouncements returns the pending announcements that other processes relayed:
-// those of servers that are ready, and those of servers that are not.
-func (h *hub) relayedAnnouncements() (joining, leaving []*fleetpb.Announcement) {
-	for _, a := range h.announcements(h.relayedChanges) {
+// splitByState separates the announcements of servers that are ready from the others.
+func splitByState(announcements []*fleetpb.Announcement) (joining, leaving []*fleetpb.Announcement) {
+	for _, a := range announcements {
 		if a.State == fleetpb.ServerState_READY {
 			joining = append(joining, a)
 		} else {
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -19,9 +19,10 @@
 
 	// load is the router's requests in flight; nil unless the router reports here.
 	load *fleetpb.Load
-	// serversSent is true once the router has been sent all servers. From then on, while
-	// it reports here, it is sent the changes relayed by other processes.
-	serversSent bool
+	// listDue is true while the router is to be sent the list of all servers: it has
+	// begun to report here, or asked for the list. Besides, while it reports here, it is
+	// sent the changes relayed by other processes.
+	listDue bool
 	// revision is the revision that the router holds, or will hold once it has received
 	// what was sent.
 	revision uint64
@@ -31,6 +32,25 @@
 	// fullStateSentAt is when it was sent.
 	fullStateRevision uint64
 	fullStateSentAt   time.Time
+	// pong is the result of the last ping that the router has yet to be sent; nil if
+	// there is none.
+	pong *fleetpb.FollowUpdate
+	// flushedAt is when the last flush sent the router something.
+	flushedAt time.Time
+	// confirmed is true once the router was sent a confirmation. The first one is sent
+	// at once, since a router serves nothing without it.
+	confirmed bool
+}
+
+// takePong returns an update with the pong that the router is owed, if any.
+func (s *session) takePong() *fleetpb.FollowUpdate {
+	u := s.pong
+	s.pong = nil
+	if u == nil {
+		return &fleetpb.FollowUpdate{}
+	}
+	s.confirmed = s.confirmed || u.Confirmed
+	return u
 }
 
 // push queues an update. It ends the session if the queue is full.
@@ -88,34 +108,49 @@
 func (s *server) handleRequest(ctx context.Context, ss *session, req *fleetpb.FollowRequest) {
 	s.hub.post(ctx, func() { s.hub.handleRequest(ss, req) })
 	if req.Ping != 0 {
-		s.confirmer.add(ss, req.Ping)
+		s.confirmer.add(ss, req.Ping, req.Ping == 1)
 	}
 }
 
-// confirmer answers each ping with the result of a quorum round that started after the
+// confirmer settles each ping with the result of a quorum round that started after the
 // ping arrived. Pings that arrive during a round are batched into the next one.
 type confirmer struct {
 	// barrier returns the latest revision committed before the call.
 	barrier func(context.Context) (uint64, error)
+	// report is called with the pings of a round and its result.
+	report func(pings map[*session]uint64, newest uint64, err error)
 
-	mu      sync.Mutex
-	pending map[*session]uint64
-	wake    chan struct{}
+	mu           sync.Mutex
+	pending      map[*session]uint64
+	wake, urgent chan struct{}
 }
 
-// confirmDelay is how long a round is delayed to batch the pings of several routers.
-const confirmDelay = 40 * time.Millisecond
+const (
+	// confirmDelay is how long a round is delayed to batch the pings of several
+	// routers. Their results are sent with the next flush.
+	confirmDelay = 150 * time.Millisecond
+	// firstConfirmDelay is confirmDelay if a session's first ping is pending.
+	firstConfirmDelay = 40 * time.Millisecond
+)
 
-func newConfirmer(barrier func(context.Context) (uint64, error)) *confirmer {
-	return &confirmer{barrier: barrier, pending: map[*session]uint64{}, wake: make(chan struct{}, 1)}
+func newConfirmer(barrier func(context.Context) (uint64, error), report func(map[*session]uint64, uint64, error)) *confirmer {
+	return &confirmer{barrier: barrier, report: report, pending: map[*session]uint64{}, wake: make(chan struct{}, 1), urgent: make(chan struct{}, 1)}
 }
 
-func (c *confirmer) add(s *session, ping uint64) {
+func (c *confirmer) add(s *session, ping uint64, urgent bool) {
 	c.mu.Lock()
 	c.pending[s] = ping
 	c.mu.Unlock()
+	if urgent {
+		signal(c.urgent)
+	}
+	signal(c.wake)
+}
+
+// signal wakes the goroutine that receives from a channel of capacity 1.
+func signal(c chan struct{}) {
 	select {
-	case c.wake <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -127,7 +162,11 @@
 			return nil
 		case <-c.wake:
 		}
-		time.Sleep(confirmDelay)
+		select {
+		case <-time.After(confirmDelay):
+		case <-c.urgent:
+			time.Sleep(firstConfirmDelay)
+		}
 		c.confirmPending(ctx)
 	}
 }
@@ -142,8 +181,19 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, barrierTimeout)
 	defer cancel()
-	latest, err := c.barrier(ctx)
+	newest, err := c.barrier(ctx)
+	c.report(pings, newest, err)
+}
+
+// confirmRouters records the result of a round for the sessions whose pings it answers.
+func (h *hub) confirmRouters(pings map[*session]uint64, newest uint64, err error) {
 	for s, ping := range pings {
-		s.push(&fleetpb.FollowUpdate{Pong: ping, Confirmed: err == nil, Newest: latest})
+		if !h.sessions[s] {
+			continue
+		}
+		s.pong = &fleetpb.FollowUpdate{Pong: ping, Confirmed: err == nil, Newest: newest}
+		if !s.confirmed && err == nil {
+			s.push(h.withStatus(s.takePong()))
+		}
 	}
 }
--- a/internal/directory/hub.go
+++ b/internal/directory/hub.go
@@ -17,15 +17,20 @@
 const (
 	// inboxSize limits the functions queued for the hub's goroutine.
 	inboxSize = 1024
-	// refreshInterval is how often routers are sent the servers that are still alive. It
-	// is well below the time after which routers consider a silent server down.
-	refreshInterval = 300 * time.Millisecond
+	// minFlushInterval and maxFlushInterval limit how often routers are sent the load of
+	// all routers and the servers that are still alive. Placement errs by what other
+	// routers start between two flushes, so small fleets flush more often.
+	minFlushInterval = 100 * time.Millisecond
+	maxFlushInterval = 300 * time.Millisecond
+	// flushTimePerRouter is the flush interval for each router that reports here. It
+	// limits the messages of a process on a small VM.
+	flushTimePerRouter = 5 * time.Millisecond
 	// expireInterval is how often servers that have been silent too long are expired.
 	expireInterval = 5 * time.Second
-	// loadBytesPerSecond limits the bandwidth of load updates to a fifth of the 6 Mbit/s
-	// link of a small VM. If the load needs more, it is sent less often, but at least
-	// every maxLoadInterval, which is half the time after which routers consider it
-	// stale.
+	// loadBytesPerSecond limits the bandwidth of load updates to routers to a fifth of
+	// the 6 Mbit/s link of a small VM. If the load needs more, it is sent less often, but
+	// at least every maxLoadInterval, which is half the time after which routers consider
+	// it stale.
 	loadBytesPerSecond = 150_000
 	maxLoadInterval    = time.Second
 	// sessionQueueSize limits the updates queued for one router. A router that does not
@@ -39,11 +44,17 @@
 	log   hclog.Logger
 	inbox chan func()
 	now   func() time.Time
-	// relay sends announcements to the directory process at the address, or to all
-	// others if the address is empty. The returned channel is closed once a majority of
-	// the processes, including this one, has them, or all calls have finished.
-	relay func(to string, announcements []*fleetpb.Announcement) <-chan struct{}
-	// relayAcked is the channel returned by the last relay to all other processes.
+	// ownAddress and dataCentre are the address and data centre of this process.
+	ownAddress, dataCentre string
+	// peers are the other directory processes of the group, by address. startPeer
+	// starts the goroutine that keeps a new one up to date.
+	peers     map[string]*peer
+	startPeer func(*peer)
+	// peerReports is what each directory process last reported of its routers, by its
+	// address.
+	peerReports map[string]*peerReport
+	// relayAcked is closed once a majority of the processes, including this one, has the
+	// last change that a server announced here, or all of them were tried.
 	relayAcked <-chan struct{}
 
 	machine *publication.Machine
@@ -52,10 +63,16 @@
 	// and relayedChanges hold those that changed, as announced by the servers themselves
 	// and as relayed by other processes.
 	refreshed, directChanges, relayedChanges map[string]bool
-	sessions                                 map[*session]bool
-	// routerCountChanged is true if the number of routers changed since the last
-	// broadcast.
-	routerCountChanged bool
+	// idByHash maps the low 32 bits of the hash of a server's id to the id.
+	idByHash map[uint32]string
+	sessions map[*session]bool
+	// reporting is the number of sessions in which a router reports its load.
+	reporting int
+	// opened and closed count the sessions since the last flush, for the log.
+	opened, closed int
+	// listBytes is how many bytes of server lists may be sent, as of listBytesAt.
+	listBytes   float64
+	listBytesAt time.Time
 	// nextLoadAt is when the load is next sent to the routers.
 	nextLoadAt time.Time
 	// broadcastTimer fires when the batched changes are due; nil if there are none.
@@ -64,7 +81,9 @@
 	broadcastDone  chan struct{}
 	// broadcastRevision is the latest revision announced to the routers.
 	broadcastRevision uint64
-	members           []string
+	// members are the addresses of the directory processes, and memberDataCentres their
+	// data centres as last sent to the routers.
+	members, memberDataCentres []string
 	// leader is the address of the leader, or "" if none is known.
 	leader string
 	places placeUpdater
@@ -72,30 +91,36 @@
 	loadReported bool
 }
 
-func newHub(log hclog.Logger, machine *publication.Machine, relay func(string, []*fleetpb.Announcement) <-chan struct{}) *hub {
+func newHub(log hclog.Logger, machine *publication.Machine, ownAddress, dataCentre string, startPeer func(*peer)) *hub {
 	return &hub{
-		log: log, inbox: make(chan func(), inboxSize), now: time.Now, machine: machine, relay: relay,
-		table: inventory.New(), refreshed: map[string]bool{}, directChanges: map[string]bool{}, relayedChanges: map[string]bool{}, sessions: map[*session]bool{},
+		log: log, inbox: make(chan func(), inboxSize), now: time.Now, machine: machine, ownAddress: ownAddress, dataCentre: dataCentre,
+		peers: map[string]*peer{}, startPeer: startPeer, peerReports: map[string]*peerReport{}, relayAcked: newAckCounter(0).done,
+		table: inventory.New(), refreshed: map[string]bool{}, directChanges: map[string]bool{}, relayedChanges: map[string]bool{},
+		idByHash: map[uint32]string{}, sessions: map[*session]bool{},
 	}
 }
 
 func (h *hub) run(ctx context.Context) error {
-	refresh := time.NewTicker(refreshInterval)
-	defer refresh.Stop()
+	flush := time.NewTimer(minFlushInterval)
+	defer flush.Stop()
 	expire := time.NewTicker(expireInterval)
 	defer expire.Stop()
 	for {
 		select {
 		case <-ctx.Done():
+			for _, p := range h.peers {
+				p.stop()
+			}
 			return nil
 		case f := <-h.inbox:
 			f()
 		case <-h.broadcastTimer:
 			h.broadcastChanges()
-		case <-refresh.C:
+		case <-flush.C:
 			h.flush()
+			flush.Reset(h.flushInterval())
 		case <-expire.C:
-			h.table.Expire(h.now())
+			h.expireServers()
 		}
 	}
 }
@@ -124,44 +149,93 @@
 	}
 }
 
-// flush sends all routers the servers that were announced unchanged since the last
-// flush, and the load of the routers that report here.
+// expireServers removes the servers that have been silent too long.
+func (h *hub) expireServers() {
+	if !h.table.Expire(h.now()) {
+		return
+	}
+	for hash, id := range h.idByHash {
+		if h.table.Get(id) == nil {
+			delete(h.idByHash, hash)
+		}
+	}
+}
+
+// flushInterval is also how often the routers that report here are to report. Without a
+// leader it is the longest, which leaves the VM to the election.
+func (h *hub) flushInterval() time.Duration {
+	if h.leader == "" {
+		return maxFlushInterval
+	}
+	return min(maxFlushInterval, max(minFlushInterval, time.Duration(h.reporting)*flushTimePerRouter))
+}
+
+// flush sends every router the confirmation that it is owed and, if it reports here, the
+// servers that were announced unchanged since the last flush and the load of all
+// routers. Every router is sent something within maxFlushInterval, since one that
+// receives nothing for longer closes its session.
 func (h *hub) flush() {
 	h.catchUpRouters()
 	h.reconcilePlaces()
-	u := &fleetpb.FollowUpdate{}
+	h.sendMembers()
+	h.sendLists()
+	var load *fleetpb.Load
 	if now := h.now(); !now.Before(h.nextLoadAt) {
-		u.Load = h.totalLoad()
-		h.nextLoadAt = now.Add(min(maxLoadInterval, time.Duration(len(h.sessions)*proto.Size(u.Load))*time.Second/loadBytesPerSecond))
-	}
-	if len(h.refreshed) == 0 && u.Load == nil {
-		return
+		load = h.totalLoad()
+		h.nextLoadAt = now.Add(min(maxLoadInterval, time.Duration(h.reporting*proto.Size(load))*time.Second/loadBytesPerSecond))
 	}
+	var heard []uint32
 	for id := range h.refreshed {
-		u.Heard = append(u.Heard, uint32(routing.Hash(id)))
+		heard = append(heard, uint32(routing.Hash(id)))
 	}
 	clear(h.refreshed)
-	h.broadcast(u)
+	now, interval := h.now(), h.flushInterval()
+	for s := range h.sessions {
+		if s.load == nil && s.pong == nil && now.Sub(s.flushedAt) < maxFlushInterval-interval/2 {
+			continue
+		}
+		u := s.takePong()
+		if s.load != nil {
+			u.Heard, u.Load, u.ReportMs = heard, load, uint32(interval.Milliseconds())
+		}
+		s.flushedAt = now
+		s.push(h.withStatus(u))
+	}
+	if h.opened > 0 || h.closed > 0 {
+		h.log.Info("routers changed", "opened", h.opened, "closed", h.closed, "sessions", len(h.sessions), "reporting", h.reporting, "fleet", h.routers(), "revision", h.machine.State().Revision)
+		h.opened, h.closed = 0, 0
+	}
 }
 
-// totalLoad sums the sessions' load reports. It is nil if no router reports here and
-// none did at the last flush.
-func (h *hub) totalLoad() *fleetpb.Load {
+// routers returns the number of routers of the fleet, as far as it is known here.
+func (h *hub) routers() int {
+	n := h.reporting
+	for _, r := range h.peerReports {
+		if h.now().Sub(r.receivedAt) < routerCountTTL {
+			n += r.routers
+		}
+	}
+	return n
+}
+
+// ownLoad sums the load of the routers that report here, by server.
+func (h *hub) ownLoad() map[uint32]uint32 {
 	sum := map[uint32]uint32{}
-	hasReports := false
 	for s := range h.sessions {
-		hasReports = hasReports || s.load != nil
-		for i, server := range s.load.GetServers() {
-			if i < len(s.load.InFlight) {
-				sum[server] += s.load.InFlight[i]
-			}
-		}
+		addLoad(sum, s.load)
 	}
-	hadReports := h.loadReported
-	h.loadReported = hasReports
-	if !hasReports && !hadReports {
-		return nil
+	return sum
+}
+
+func addLoad(sum map[uint32]uint32, l *fleetpb.Load) {
+	for i, server := range l.GetServers() {
+		if i < len(l.InFlight) {
+			sum[server] += l.InFlight[i]
+		}
 	}
+}
+
+func encodeLoad(sum map[uint32]uint32) *fleetpb.Load {
 	out := &fleetpb.Load{}
 	for server, n := range sum {
 		out.Servers = append(out.Servers, server)
@@ -170,49 +244,105 @@
 	return out
 }
 
+// totalLoad sums the loads of all routers. It is nil if no router is known to report
+// and none was at the last flush.
+func (h *hub) totalLoad() *fleetpb.Load {
+	sum, hasReports := h.ownLoad(), h.reporting > 0
+	for _, r := range h.peerReports {
+		if h.now().Sub(r.receivedAt) < peerLoadTTL {
+			addLoad(sum, r.load)
+			hasReports = hasReports || r.routers > 0
+		}
+	}
+	hadReports := h.loadReported
+	h.loadReported = hasReports
+	if !hasReports && !hadReports {
+		return nil
+	}
+	return encodeLoad(sum)
+}
+
 // withStatus sets the fields that every update carries, and returns u.
 func (h *hub) withStatus(u *fleetpb.FollowUpdate) *fleetpb.FollowUpdate {
-	u.Revision, u.InQuorum, u.Routers = h.machine.State().Revision, h.leader != "", uint32(len(h.sessions))
+	u.InQuorum, u.Routers = h.leader != "", uint32(max(1, h.routers()))
+	if u.Revision == 0 {
+		u.Revision = h.machine.State().Revision
+	}
 	return u
 }
 
-func (h *hub) broadcast(u *fleetpb.FollowUpdate) {
-	h.withStatus(u)
+// broadcast sends all routers the update that build returns; each gets its own copy.
+func (h *hub) broadcast(build func() *fleetpb.FollowUpdate) {
 	for s := range h.sessions {
-		s.push(u)
+		s.push(h.withStatus(build()))
 	}
 }
 
 // openSession adds a session. The router is sent the servers once it reports here.
 func (h *hub) openSession(s *session) {
 	h.sessions[s] = true
-	u := h.withStatus(&fleetpb.FollowUpdate{Members: h.members})
-	s.push(u)
-	h.log.Info("router follows", "router", s.router, "routers", len(h.sessions), "revision", u.Revision, "its-revision", s.revision)
-	h.routerCountChanged = true
-	h.scheduleBroadcast()
+	h.opened++
+	s.push(h.withStatus(&fleetpb.FollowUpdate{Members: h.members, MemberDataCentres: h.memberDataCentres}))
 }
 
 func (h *hub) closeSession(s *session) {
 	if h.sessions[s] {
+		h.setLoad(s, nil)
 		delete(h.sessions, s)
-		h.log.Info("router no longer follows", "router", s.router, "routers", len(h.sessions))
-		h.routerCountChanged = true
-		h.scheduleBroadcast()
+		h.closed++
 	}
 }
 
+// setLoad records what a router reported; nil if it now reports to another process.
+func (h *hub) setLoad(s *session, load *fleetpb.Load) {
+	if s.load != nil {
+		h.reporting--
+	}
+	if load != nil {
+		h.reporting++
+	}
+	s.load = load
+}
+
 // groupChanged sends the routers the new members, or that a leader was found or lost.
-// It relays all servers known here to a new leader.
+// A new leader is sent all servers known here.
 func (h *hub) groupChanged(members []string, leader string) {
 	if slices.Equal(members, h.members) && leader == h.leader {
 		return
 	}
-	if leader != "" && leader != h.leader {
-		if announcements := h.allAnnouncements(); len(announcements) > 0 {
-			h.relay(leader, announcements)
+	isNewLeader := leader != "" && leader != h.leader
+	h.members, h.leader = members, leader
+	h.reconcilePeers()
+	if p := h.peers[leader]; p != nil && isNewLeader {
+		h.addAllServers(p)
+	}
+	h.memberDataCentres = h.dataCentresOf(members)
+	h.broadcast(h.membersUpdate)
+}
+
+func (h *hub) membersUpdate() *fleetpb.FollowUpdate {
+	return &fleetpb.FollowUpdate{Members: h.members, MemberDataCentres: h.memberDataCentres}
+}
+
+// sendMembers sends the routers the members again once more of their data centres are
+// known.
+func (h *hub) sendMembers() {
+	if dcs := h.dataCentresOf(h.members); !slices.Equal(dcs, h.memberDataCentres) {
+		h.memberDataCentres = dcs
+		h.broadcast(h.membersUpdate)
+	}
+}
+
+// dataCentresOf returns the data centres of members, with "" for those that are not
+// known.
+func (h *hub) dataCentresOf(members []string) []string {
+	out := make([]string, len(members))
+	for i, a := range members {
+		if a == h.ownAddress {
+			out[i] = h.dataCentre
+		} else if r := h.peerReports[a]; r != nil {
+			out[i] = r.dataCentre
 		}
 	}
-	h.members, h.leader = members, leader
-	h.broadcast(&fleetpb.FollowUpdate{Members: members})
+	return out
 }
--- /dev/null
+++ b/internal/directory/peers.go
@@ -0,0 +1,196 @@
+package directory
+
+import (
+	"context"
+	"time"
+
+	"github.com/kumquathollow/kumquathollow/api/fleetpb"
+	"github.com/kumquathollow/kumquathollow/internal/inventory"
+	"github.com/kumquathollow/kumquathollow/internal/routing"
+)
+
+const (
+	// minPeerInterval and maxPeerInterval limit how often the other directory processes
+	// are sent heartbeats and loads. Changes of servers are sent at once.
+	minPeerInterval = 100 * time.Millisecond
+	maxPeerInterval = 300 * time.Millisecond
+	// timePerPeer is that interval for each other process. It limits the messages of a
+	// process on a small VM.
+	timePerPeer = 25 * time.Millisecond
+	// peerLoadTTL is how long the load that a silent process reported still counts. The
+	// routers of a stopped process report to another one by then.
+	peerLoadTTL = time.Second
+	// routerCountTTL is how long the routers of a silent process still count. It exceeds
+	// peerLoadTTL, since a count that is too high only lowers each router's share of
+	// what routers may do together.
+	routerCountTTL = 3 * time.Second
+)
+
+// peer is another directory process and what it has yet to be sent. All access runs on
+// the hub's goroutine.
+type peer struct {
+	address string
+	// pending holds the ids of servers whose announcements the peer has not
+	// acknowledged, heard those that were announced unchanged since the last call.
+	pending, heard map[string]bool
+	// acks are the counters of changes that are not yet sent to the peer.
+	acks []*ackCounter
+	// process is the run of the peer's process that acknowledged last.
+	process string
+	// wake makes the peer's goroutine call at once.
+	wake chan struct{}
+	stop context.CancelFunc
+}
+
+// peerReport is what another directory process reported of the routers that report to
+// it.
+type peerReport struct {
+	dataCentre string
+	load       *fleetpb.Load
+	routers    int
+	receivedAt time.Time
+}
+
+func newPeer(address string) *peer {
+	return &peer{address: address, pending: map[string]bool{}, heard: map[string]bool{}, wake: make(chan struct{}, 1), stop: func() {}}
+}
+
+// reconcilePeers starts and stops peers after a change of the members.
+func (h *hub) reconcilePeers() {
+	members := map[string]bool{}
+	for _, a := range h.members {
+		members[a] = true
+		if a != h.ownAddress && h.peers[a] == nil {
+			p := newPeer(a)
+			h.peers[a] = p
+			h.addAllServers(p)
+			h.startPeer(p)
+		}
+	}
+	for a, p := range h.peers {
+		if members[a] {
+			continue
+		}
+		p.stop()
+		for _, c := range p.acks {
+			c.record(false)
+		}
+		delete(h.peers, a)
+	}
+}
+
+func (h *hub) addAllServers(p *peer) {
+	h.table.All(func(s *inventory.Server) { p.pending[s.ID] = true })
+}
+
+// relay marks servers to be sent to all peers at once. The returned channel is closed
+// once a majority of the processes, including this one, has them, or all peers were
+// tried.
+func (h *hub) relay(ids map[string]bool) <-chan struct{} {
+	acks := newAckCounter(len(h.peers))
+	for _, p := range h.peers {
+		for id := range ids {
+			p.pending[id] = true
+			delete(p.heard, id)
+		}
+		p.acks = append(p.acks, acks)
+		signal(p.wake)
+	}
+	return acks.done
+}
+
+// spreadCall is one call to a peer.
+type spreadCall struct {
+	req  *fleetpb.SpreadRequest
+	ids  map[string]bool
+	acks []*ackCounter
+}
+
+// takeCall returns what the peer is to be sent now.
+func (h *hub) takeCall(p *peer) *spreadCall {
+	call := &spreadCall{ids: p.pending, acks: p.acks}
+	call.req = &fleetpb.SpreadRequest{
+		Announcements: h.announcements(p.pending), From: h.ownAddress, DataCentre: h.dataCentre,
+		Load: encodeLoad(h.ownLoad()), Routers: uint32(h.reporting),
+	}
+	for id := range p.heard {
+		call.req.Heard = append(call.req.Heard, uint32(routing.Hash(id)))
+	}
+	p.pending, p.heard, p.acks = map[string]bool{}, map[string]bool{}, nil
+	return call
+}
+
+// finishCall processes the outcome of a call. What the peer did not acknowledge is sent
+// again with the next one; a peer that has started again is sent all servers.
+func (h *hub) finishCall(p *peer, call *spreadCall, resp *fleetpb.SpreadResponse, err error) {
+	if err != nil {
+		h.log.Debug("relaying announcements failed", "address", p.address, "announcements", len(call.ids), "error", err)
+		for id := range call.ids {
+			p.pending[id] = true
+		}
+		return
+	}
+	if resp.List || p.process != "" && resp.Process != p.process {
+		h.addAllServers(p)
+	}
+	p.process = resp.Process
+}
+
+// receiveSpread merges what another directory process sent, and reports whether it
+// names a server that is not known here.
+func (h *hub) receiveSpread(req *fleetpb.SpreadRequest) (list bool) {
+	now := h.now()
+	for _, a := range req.Announcements {
+		h.merge(inventory.Decode(a, now), false)
+	}
+	for _, hash := range req.Heard {
+		id, known := h.idByHash[hash]
+		if !known {
+			list = true
+			continue
+		}
+		h.table.RefreshHeartbeat(id, now)
+		h.refreshed[id] = true
+	}
+	if req.From != "" {
+		h.peerReports[req.From] = &peerReport{dataCentre: req.DataCentre, load: req.Load, routers: int(req.Routers), receivedAt: now}
+	}
+	return list
+}
+
+func (h *hub) peerInterval() time.Duration {
+	return min(maxPeerInterval, max(minPeerInterval, time.Duration(len(h.peers))*timePerPeer))
+}
+
+// updatePeer keeps one peer up to date until ctx ends.
+func (s *server) updatePeer(ctx context.Context, p *peer) {
+	due := time.NewTimer(minPeerInterval)
+	defer due.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.wake:
+		case <-due.C:
+		}
+		var call *spreadCall
+		var interval time.Duration
+		if s.hub.do(ctx, func() { call, interval = s.hub.takeCall(p), s.hub.peerInterval() }) != nil {
+			return
+		}
+		due.Reset(interval)
+		resp, err := s.callPeer(ctx, p.address, call.req)
+		for _, c := range call.acks {
+			c.record(err == nil)
+		}
+		s.hub.post(ctx, func() { s.hub.finishCall(p, call, resp, err) })
+	}
+}
+
+func (s *server) callPeer(ctx context.Context, address string, req *fleetpb.SpreadRequest) (*fleetpb.SpreadResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
+	defer cancel()
+	conn := s.dialer.Conn(ctx, address)
+	defer conn.Close()
+	return fleetpb.NewDRPCDirectoryClient(conn).Spread(ctx, req)
+}
--- a/internal/directory/process.go
+++ b/internal/directory/process.go
@@ -4,11 +4,11 @@
 	"context"
 	"net"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/cockroachdb/pebble/v2/vfs"
+	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
 	"storj.io/drpc/drpcmux"
@@ -122,45 +122,32 @@
 		id: ownAddress, address: ownAddress, disk: p.store.DiskID(), group: p.group, dialer: p.dialer, log: p.log.Named("roster"),
 		now: time.Now, seeds: seeds, pendingJoins: map[string]pendingJoin{},
 	}
-	p.server = &server{group: p.group, machine: p.machine, voterManager: manager, dialer: p.dialer, log: p.log}
-	p.hub = newHub(p.log.Named("servers"), p.machine, p.relay)
+	p.server = &server{process: uuid.NewString(), group: p.group, machine: p.machine, voterManager: manager, dialer: p.dialer, log: p.log}
+	p.hub = newHub(p.log.Named("servers"), p.machine, ownAddress, p.conf.DataCentre, p.startPeer)
 	p.server.hub = p.hub
 	p.hub.places.propose = p.proposePlaces
 	p.machine.OnChange = func(*publication.State) { p.hub.post(context.Background(), p.hub.stateChanged) }
-	p.server.confirmer = newConfirmer(p.server.barrier)
+	p.server.confirmer = newConfirmer(p.server.barrier, func(pings map[*session]uint64, newest uint64, err error) {
+		p.hub.post(context.Background(), func() { p.hub.confirmRouters(pings, newest, err) })
+	})
 	p.metrics.Gauge("directory.revision", func() int64 { return int64(p.machine.State().Revision) })
 	p.metrics.Gauge("directory.term", func() int64 { return int64(p.group.Status().Term) })
 	p.metrics.Gauge("directory.voters", func() int64 { return int64(len(p.group.Status().Voters.GetVoters())) })
 }
 
-// relay sends announcements to the directory process at the address, or to all others
-// if the address is empty, so that routers receive them even if this process stops.
-// The returned channel is closed once a majority of the processes, including this one,
-// has them, or all calls have finished.
-func (p *Process) relay(to string, announcements []*fleetpb.Announcement) <-chan struct{} {
-	addresses := []string{to}
-	if to == "" {
-		addresses = slices.DeleteFunc(p.voterManager().members(), func(a string) bool { return a == p.ownAddress })
-	}
-	acks := newAckCounter(len(addresses))
-	for _, a := range addresses {
-		go func() {
-			acked := false
-			defer func() { acks.record(acked) }()
-			ctx, cancel := context.WithTimeout(context.Background(), peerCallTimeout)
-			defer cancel()
-			conn := p.dialer.Conn(ctx, a)
-			defer conn.Close()
-			if _, err := fleetpb.NewDRPCDirectoryClient(conn).Spread(ctx, &fleetpb.SpreadRequest{Announcements: announcements}); err != nil {
-				p.log.Debug("relaying announcements failed", "address", a, "error", err)
-				return
-			}
-			acked = true
-		}()
-	}
-	return acks.done
+// startPeer starts the goroutine that keeps another directory process up to date.
+func (p *Process) startPeer(to *peer) {
+	ctx, stop := context.WithCancel(context.Background())
+	to.stop = stop
+	go p.server.updatePeer(ctx, to)
 }
 
+// OperationsAddress returns the address that serves operators and backend servers.
+func (p *Process) OperationsAddress() string { return p.operations.Addr().String() }
+
+// FleetAddress returns the address that serves routers and other directory processes.
+func (p *Process) FleetAddress() string { return p.ownAddress }
+
 // Run serves until ctx ends or the disk fails. handler serves the operations address.
 func (p *Process) Run(ctx context.Context, handler http.Handler) error {
 	mux := drpcmux.New()
--- a/internal/directory/server.go
+++ b/internal/directory/server.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/kumquathollow/kumquathollow/api/fleetpb"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
-	"github.com/kumquathollow/kumquathollow/internal/inventory"
 	"github.com/kumquathollow/kumquathollow/internal/publication"
 	"github.com/kumquathollow/kumquathollow/internal/replication"
 	"github.com/kumquathollow/kumquathollow/internal/rpc"
@@ -16,8 +14,10 @@
 
 // server implements the Directory service.
 type server struct {
-	group        *replication.Group
-	machine      *publication.Machine
+	group   *replication.Group
+	machine *publication.Machine
+	// process names this run of the process.
+	process      string
 	hub          *hub
 	confirmer    *confirmer
 	voterManager *voterManager
@@ -55,13 +55,12 @@
 
 // Spread implements the Directory service.
 func (s *server) Spread(ctx context.Context, req *fleetpb.SpreadRequest) (*fleetpb.SpreadResponse, error) {
-	now := time.Now()
-	err := s.hub.do(ctx, func() {
-		for _, a := range req.Announcements {
-			s.hub.merge(inventory.Decode(a, now), false)
-		}
-	})
-	return &fleetpb.SpreadResponse{}, err
+	resp := &fleetpb.SpreadResponse{Process: s.process}
+	err := s.hub.do(ctx, func() { resp.List = s.hub.receiveSpread(req) })
+	if err != nil {
+		return nil, err
+	}
+	return resp, nil
 }
 
 // Join implements the Directory service.
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -35,10 +35,10 @@
 	// directory's quorum before it reports that it is cut off. It covers several
 	// confirmations, and most leader elections.
 	quorumTimeout = 2500 * time.Millisecond
-	// minorityTimeout is how long the router may be without sessions to a majority of
-	// the directory's processes before it reports that it is cut off. A restart
-	// of a directory process takes less time.
-	minorityTimeout = 700 * time.Millisecond
+	// outOfQuorumTimeout is how long the router may be without a session to a directory
+	// process that is in quorum before it reports that it is cut off. Most leader
+	// elections take less time.
+	outOfQuorumTimeout = 700 * time.Millisecond
 	// headerTimeout limits reading a request header.
 	headerTimeout = 10 * time.Second
 	// maxHeaderBytes limits a request header.
@@ -96,7 +96,7 @@
 	r.admin = telemetry.ListenAdmin(conf.Admin, log)
 	r.fleet = placement.NewFleet(conf.Name, conf.DataCentre, placement.Bounds{ColdFactor: conf.Bounds.ColdFactor, ColdSlack: conf.Bounds.ColdSlack})
 	r.view = fleetview.New(fleetview.Options{
-		RouterID: conf.Name + "/" + uuid.NewString(), Dialer: r.dialer, Seeds: rpc.WithPort(conf.Seeds, conf.DirectoryPort),
+		RouterID: conf.Name + "/" + uuid.NewString(), DataCentre: conf.DataCentre, Dialer: r.dialer, Seeds: rpc.WithPort(conf.Seeds, conf.DirectoryPort),
 		Decode: adapter.Decode, Fleet: r.fleet, Log: log.Named("fleet"),
 	})
 	opened := r.metrics.Counter("backend.connections_opened")
@@ -122,6 +122,17 @@
 	}
 }
 
+// ClientsAddress returns the address that serves clients.
+func (r *Router) ClientsAddress() string { return r.clients.Addr().String() }
+
+// AdminAddress returns the address of the metrics, or "" if it could not be opened.
+func (r *Router) AdminAddress() string {
+	if r.admin == nil {
+		return ""
+	}
+	return r.admin.Addr().String()
+}
+
 // SetSeeds replaces the seeds after a change of the settings.
 func (r *Router) SetSeeds(ctx context.Context, seeds []string) {
 	r.view.SetSeeds(ctx, rpc.WithPort(seeds, r.settings.DirectoryPort))
@@ -205,7 +216,7 @@
 	for {
 		_, confirmed := r.view.ConfirmationAge()
 		r.ready.SetReason(reasonConfiguration, !confirmed || r.view.Snapshot().Configuration == nil)
-		r.ready.SetReason(reasonNoQuorum, r.view.QuorumAge() > quorumTimeout || r.view.MinorityDuration() > minorityTimeout)
+		r.ready.SetReason(reasonNoQuorum, r.view.QuorumAge() > quorumTimeout || r.view.OutOfQuorumDuration() > outOfQuorumTimeout)
 		if isReady := r.ready.Ready(); isReady != wasReady {
 			wasReady = isReady
 			r.log.Info("readiness", "ready", isReady, "reasons", r.ready.Reasons(), "quorum-heard-ago", r.view.QuorumAge().Round(time.Millisecond), "revision", r.view.Snapshot().Revision)
--- a/internal/fleetview/link.go
+++ b/internal/fleetview/link.go
@@ -10,52 +10,43 @@
 )
 
 const (
-	// pingInterval is the interval at which the router requests a confirmation.
+	// pingInterval is the interval at which the router requests a confirmation, and the
+	// longest one at which it reports its load.
 	pingInterval = 300 * time.Millisecond
-	// receiveTimeout is how long a session may receive nothing before it is closed:
-	// three ping intervals.
-	receiveTimeout = 900 * time.Millisecond
-	// minRedialBackoff and maxRedialBackoff limit the backoff after a failed session.
-	minRedialBackoff = 100 * time.Millisecond
-	maxRedialBackoff = 300 * time.Millisecond
+	// minReportInterval is the shortest interval at which the router reports its load.
+	minReportInterval = 50 * time.Millisecond
+	// receiveTimeout is how long a session may receive nothing before it is closed: four
+	// times the interval at which the directory process sends.
+	receiveTimeout = 1200 * time.Millisecond
 )
 
-// link keeps a session with one directory process, and reopens it when it fails.
+// link is a session with one directory process.
 type link struct {
 	view           *View
 	address        string
 	lastPing       uint64
 	fetchRequested atomic.Bool
 	listRequested  atomic.Bool
+	// reportInterval is how often the process wants the router's load; 0 if it did not
+	// say.
+	reportInterval atomic.Int64
 	wake           chan struct{}
 	cancel         context.CancelFunc
 
 	// The fields below are owned by the goroutine of View.Run.
 	connected bool
 	inQuorum  bool
-	routers   int
+	// openedAt is when the link was opened, and outOfQuorumSince when the process was
+	// first heard to be out of quorum, 0 if it is in quorum; by the boot clock.
+	openedAt, outOfQuorumSince time.Duration
+	routers                    int
 	// revision is the newest revision that the directory process is known to have.
 	revision uint64
-	// load is the total number of requests in flight at the routers that report to
-	// this directory process, by the hash of the backend server's id.
-	load map[uint32]int
 }
 
 func (l *link) run(ctx context.Context) {
-	backoff := minRedialBackoff
-	for ctx.Err() == nil {
-		start := time.Now()
-		err := l.follow(ctx)
-		l.view.enqueue(ctx, func() { l.view.onDisconnect(l, err) })
-		if time.Since(start) > receiveTimeout {
-			backoff = minRedialBackoff
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(backoff):
-		}
-		backoff = min(2*backoff, maxRedialBackoff)
-	}
+	err := l.follow(ctx)
+	l.view.enqueue(ctx, func() { l.view.onDisconnect(l, err) })
 }
 
 // update is a received message and, if it is a pong, the boot-clock time at which the
@@ -124,29 +115,42 @@
 }
 
 // send sends a ping, together with any pending requests and the load report, every
-// pingInterval and when woken.
+// pingInterval and when woken. If the router reports here, it sends further load reports
+// in between.
 func (l *link) send(ctx context.Context, stream fleetpb.DRPCDirectory_FollowClient, pings chan<- ping) error {
-	tick := time.NewTicker(pingInterval)
-	defer tick.Stop()
-	for {
-		l.lastPing++
-		p := ping{number: l.lastPing, sentAt: clock.SinceBoot()}
-		select {
-		case pings <- p:
-		default: // The buffer is full: nothing was received meanwhile, and the watchdog closes the session.
+	var pingDue time.Duration
+	due := time.NewTimer(pingInterval)
+	defer due.Stop()
+	for woken := true; ; {
+		now, reporting := clock.SinceBoot(), l.view.reportTo.Load() == l
+		req := &fleetpb.FollowRequest{Have: l.view.Snapshot().Revision, Fetch: l.fetchRequested.Swap(false), List: l.listRequested.Swap(false)}
+		if woken || now >= pingDue {
+			l.lastPing++
+			req.Router, req.Ping = l.view.opts.RouterID, l.lastPing
+			select {
+			case pings <- ping{number: l.lastPing, sentAt: now}:
+			default: // The buffer is full: nothing was received meanwhile, and the watchdog closes the session.
+			}
+			pingDue = now + pingInterval
 		}
-		req := &fleetpb.FollowRequest{Router: l.view.opts.RouterID, Ping: p.number, Have: l.view.Snapshot().Revision, Fetch: l.fetchRequested.Swap(false), List: l.listRequested.Swap(false)}
-		if l.view.reportTo.Load() == l {
+		wait := pingDue - now
+		if reporting {
 			req.Load = encodeLoad(l.view.opts.Fleet.InFlight())
+			if report := time.Duration(l.reportInterval.Load()); report > 0 {
+				wait = min(wait, max(minReportInterval, report))
+			}
 		}
 		if err := stream.Send(req); err != nil {
 			return err
 		}
+		due.Reset(wait)
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-tick.C:
+		case <-due.C:
+			woken = false
 		case <-l.wake:
+			woken = true
 		}
 	}
 }
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -14,7 +13,6 @@
 	"github.com/kumquathollow/kumquathollow/internal/inventory"
 	"github.com/kumquathollow/kumquathollow/internal/placement"
 	"github.com/kumquathollow/kumquathollow/internal/publication"
-	"github.com/kumquathollow/kumquathollow/internal/routing"
 	"github.com/kumquathollow/kumquathollow/internal/rpc"
 )
 
@@ -30,7 +28,10 @@
 type Options struct {
 	// RouterID identifies this run of the process; it differs after a restart.
 	RouterID string
-	Dialer   *rpc.Dialer
+	// DataCentre is the router's data centre. One of the directory processes that the
+	// router follows is of this data centre, if there is one.
+	DataCentre string
+	Dialer     *rpc.Dialer
 	// Seeds are the addresses of directory processes to connect to first.
 	Seeds []string
 	// Decode parses a configuration document.
@@ -51,9 +52,9 @@
 	// quorumConfirmedAt is when a confirmation by the directory's quorum was last
 	// received, by the boot clock.
 	quorumConfirmedAt atomic.Int64
-	// minoritySince is the time since which the router has not had sessions with a
-	// majority of the directory's processes, by the boot clock; 0 while it has them.
-	minoritySince atomic.Int64
+	// outOfQuorumSince is the time since which the router has had no session with a
+	// directory process that is in quorum, by the boot clock; 0 while it has one.
+	outOfQuorumSince atomic.Int64
 	// reportTo is the link on which the router reports its requests in flight.
 	reportTo atomic.Pointer[link]
 
@@ -62,8 +63,15 @@
 	table *inventory.Table
 	links map[string]*link
 	seeds []string
-	// members are the addresses of the directory's processes, as last received.
-	members []string
+	// members are the directory's processes, as last received.
+	members []member
+	// membersFromQuorum is true if members came from a process in quorum.
+	membersFromQuorum bool
+	selector          *selector
+	// reselect fires when the choice of the links is next due. linksChanged is set when
+	// it is due at once.
+	reselect     <-chan time.Time
+	linksChanged bool
 	// pendingRevision is the newest revision that was confirmed before the router had
 	// it, and pendingPingSentAt is when the ping of that confirmation was sent.
 	pendingRevision   uint64
@@ -86,7 +94,10 @@
 
 // New returns a View that does nothing until Run is called.
 func New(opts Options) *View {
-	v := &View{opts: opts, inbox: make(chan func(), inboxSize), table: inventory.New(), links: map[string]*link{}, seeds: opts.Seeds, state: &publication.State{}}
+	v := &View{
+		opts: opts, inbox: make(chan func(), inboxSize), table: inventory.New(), links: map[string]*link{}, seeds: opts.Seeds, state: &publication.State{},
+		selector: newSelector(opts.RouterID, opts.DataCentre),
+	}
 	v.snapshot.Store(&Snapshot{})
 	return v
 }
@@ -127,41 +138,33 @@
 	return clock.SinceBoot() - time.Duration(v.quorumConfirmedAt.Load())
 }
 
-// MinorityDuration returns how long the router has been without sessions with a
-// majority of the directory's processes; 0 while it has them.
-func (v *View) MinorityDuration() time.Duration {
-	since := v.minoritySince.Load()
+// OutOfQuorumDuration returns how long the router has had no session with a directory
+// process that is in quorum; 0 while it has one.
+func (v *View) OutOfQuorumDuration() time.Duration {
+	since := v.outOfQuorumSince.Load()
 	if since == 0 {
 		return 0
 	}
 	return clock.SinceBoot() - time.Duration(since)
 }
 
-// updateMinority updates minoritySince after a change of the members or of the
-// connected links.
-func (v *View) updateMinority() {
-	reached, members := 0, v.members
-	if len(members) == 0 {
-		members = v.seeds
-	}
-	for _, a := range members {
-		if l := v.links[a]; l != nil && l.connected {
-			reached++
+// updateOutOfQuorum updates outOfQuorumSince after a change of the links.
+func (v *View) updateOutOfQuorum() {
+	for _, l := range v.links {
+		if l.connected && l.inQuorum {
+			v.outOfQuorumSince.Store(0)
+			return
 		}
 	}
-	switch {
-	case 2*reached > len(members):
-		v.minoritySince.Store(0)
-	case v.minoritySince.Load() == 0:
-		v.minoritySince.Store(int64(clock.SinceBoot()))
+	if v.outOfQuorumSince.Load() == 0 {
+		v.outOfQuorumSince.Store(int64(clock.SinceBoot()))
 	}
 }
 
 // SetSeeds replaces the seeds after a change of the settings.
 func (v *View) SetSeeds(ctx context.Context, seeds []string) {
 	v.enqueue(ctx, func() {
-		v.seeds = seeds
-		v.reconcileLinks(ctx)
+		v.seeds, v.linksChanged = seeds, true
 	})
 }
 
@@ -183,6 +186,10 @@
 			return nil
 		case f := <-v.inbox:
 			f()
+			if v.linksChanged {
+				v.reconcileLinks(ctx)
+			}
+		case <-v.reselect:
 			v.reconcileLinks(ctx)
 		case <-v.initialFetch:
 			v.catchUp()
@@ -195,44 +202,65 @@
 	}
 }
 
-// reconcileLinks opens links to new members and seeds, and closes those to processes
-// that are neither.
+// reconcileLinks opens and closes links as the selector chooses.
 func (v *View) reconcileLinks(ctx context.Context) {
-	wanted := slices.Concat(v.seeds, v.members)
-	for _, a := range wanted {
-		if v.links[a] == nil {
-			lctx, cancel := context.WithCancel(ctx)
-			l := &link{view: v, address: a, wake: make(chan struct{}, 1), cancel: cancel}
-			v.links[a] = l
-			go l.run(lctx)
-		}
+	now := clock.SinceBoot()
+	states := make([]linkState, 0, len(v.links))
+	for _, l := range v.links {
+		states = append(states, linkState{address: l.address, connected: l.connected, openedAt: l.openedAt, outOfQuorumSince: l.outOfQuorumSince})
 	}
-	for a, l := range v.links {
-		if !slices.Contains(wanted, a) {
-			l.cancel()
-			delete(v.links, a)
-		}
+	want := sessionCount
+	if v.confirmedPingSentAt.Load() == 0 {
+		want = 1 // Routers that start together leave the VMs of the directory to its election.
+	}
+	open, closed, next := v.selector.choose(v.selector.preference(v.members, v.seeds), states, want, now)
+	for _, a := range open {
+		lctx, cancel := context.WithCancel(ctx)
+		l := &link{view: v, address: a, wake: make(chan struct{}, 1), cancel: cancel, openedAt: now}
+		v.links[a] = l
+		go l.run(lctx)
+	}
+	for _, a := range closed {
+		v.removeLink(v.links[a])
+	}
+	v.chooseReportLink()
+	v.linksChanged, v.reselect = false, nil
+	if next != 0 {
+		v.reselect = time.After(next - now)
 	}
 }
 
 func (v *View) onDisconnect(l *link, err error) {
-	if l.connected {
-		v.opts.Log.Warn("directory process lost", "address", l.address, "error", err, "revision", v.Snapshot().Revision)
+	if v.links[l.address] != l {
+		return
 	}
-	l.connected, l.inQuorum, l.routers, l.load, l.revision = false, false, 0, nil, 0
-	v.updateMinority()
+	now := clock.SinceBoot()
+	lasting := l.connected && now-l.openedAt > receiveTimeout
+	v.opts.Log.Warn("directory process lost", "address", l.address, "was-connected", l.connected, "after", (now - l.openedAt).Round(time.Millisecond), "error", err, "revision", v.Snapshot().Revision)
+	v.selector.recordEnd(l.address, lasting, now)
+	v.removeLink(l)
+}
+
+func (v *View) removeLink(l *link) {
+	l.cancel()
+	delete(v.links, l.address)
+	v.linksChanged = true
+	v.updateOutOfQuorum()
 	v.chooseReportLink()
 }
 
-// chooseReportLink picks, by rendezvous hash, the one directory process to which this
-// router reports its load, so that the routers are spread over the processes.
+// chooseReportLink picks the directory process to which this router reports its load:
+// the most preferred one of those that it follows. One that has been out of quorum for
+// longer than an election takes comes after the others.
 func (v *View) chooseReportLink() {
 	var best *link
-	var lowest uint64
-	own := routing.Hash(v.opts.RouterID)
-	for a, l := range v.links {
-		if cost := routing.Mix(own, routing.Hash(a)); l.connected && (best == nil || cost < lowest) {
-			best, lowest = l, cost
+	now := clock.SinceBoot()
+	isolated := func(l *link) bool {
+		return l.outOfQuorumSince != 0 && now-l.outOfQuorumSince >= outOfQuorumTolerance
+	}
+	for _, a := range v.selector.preference(v.members, v.seeds) {
+		if l := v.links[a]; l != nil && l.connected && (best == nil || isolated(best) && !isolated(l)) {
+			best = l
 		}
 	}
 	if previous := v.reportTo.Swap(best); best != nil && best != previous {
@@ -240,18 +268,6 @@
 	}
 }
 
-// updateLoads passes the sum of the loads that the directory's processes reported to
-// the fleet.
-func (v *View) updateLoads() {
-	sum := map[uint32]int{}
-	for _, l := range v.links {
-		for server, n := range l.load {
-			sum[server] += n
-		}
-	}
-	v.opts.Fleet.SetLoads(sum, time.Now())
-}
-
 // onUpdate handles one message from a directory process.
 func (v *View) onUpdate(l *link, u update) {
 	if v.links[l.address] != l {
@@ -259,26 +275,35 @@
 	}
 	if !l.connected {
 		l.connected = true
-		v.updateMinority()
-		v.chooseReportLink()
-		v.opts.Log.Info("directory process reached", "address", l.address, "servers", len(u.Announcements), "its-revision", u.Revision)
+		v.opts.Log.Info("directory process reached", "address", l.address, "after", (clock.SinceBoot() - l.openedAt).Round(time.Millisecond), "in-quorum", u.InQuorum, "its-revision", u.Revision)
+		v.updateLink(l, u.InQuorum)
 	}
 	if u.Routers > 0 {
-		l.inQuorum, l.routers = u.InQuorum, int(u.Routers)
+		l.routers = int(u.Routers)
 		v.updateRouterCount()
+		if u.InQuorum != l.inQuorum {
+			v.updateLink(l, u.InQuorum)
+		}
 	}
-	if len(u.Members) > 0 && l.inQuorum {
-		v.members = u.Members
-		v.updateMinority()
-	}
-	if u.Load != nil {
-		l.load = make(map[uint32]int, len(u.Load.Servers))
-		for i, server := range u.Load.Servers {
-			if i < len(u.Load.InFlight) {
-				l.load[server] = int(u.Load.InFlight[i])
+	// Before the first list from a process in quorum, any other one tells more than the
+	// seeds, on which all routers that start together would stay.
+	if len(u.Members) > 0 && (l.inQuorum || !v.membersFromQuorum) {
+		v.membersFromQuorum = l.inQuorum
+		v.members = make([]member, len(u.Members))
+		for i, a := range u.Members {
+			v.members[i].address = a
+			if i < len(u.MemberDataCentres) {
+				v.members[i].dataCentre = u.MemberDataCentres[i]
 			}
 		}
-		v.updateLoads()
+		v.linksChanged = true
+		v.chooseReportLink()
+	}
+	if u.ReportMs > 0 {
+		l.reportInterval.Store(int64(time.Duration(u.ReportMs) * time.Millisecond))
+	}
+	if u.Load != nil && l == v.reportTo.Load() {
+		v.setLoads(u.Load)
 	}
 	v.mergeAnnouncements(u.Announcements)
 	v.refreshServers(l, u.Heard)
@@ -292,6 +317,31 @@
 	v.catchUp()
 }
 
+// updateLink records whether the process of a link is in quorum.
+func (v *View) updateLink(l *link, inQuorum bool) {
+	l.inQuorum = inQuorum
+	switch {
+	case inQuorum:
+		l.outOfQuorumSince = 0
+	case l.outOfQuorumSince == 0:
+		l.outOfQuorumSince = clock.SinceBoot()
+	}
+	v.linksChanged = true
+	v.updateOutOfQuorum()
+	v.chooseReportLink()
+}
+
+// setLoads passes the load of all routers to the fleet.
+func (v *View) setLoads(load *fleetpb.Load) {
+	sum := make(map[uint32]int, len(load.Servers))
+	for i, server := range load.Servers {
+		if i < len(load.InFlight) {
+			sum[server] = int(load.InFlight[i])
+		}
+	}
+	v.opts.Fleet.SetLoads(sum, time.Now())
+}
+
 func (v *View) updateRouterCount() {
 	n := 1
 	for _, l := range v.links {
@@ -457,6 +507,9 @@
 		}
 		return
 	}
+	if v.confirmedPingSentAt.Load() == 0 {
+		v.linksChanged = true
+	}
 	if int64(pingSentAt) > v.confirmedPingSentAt.Load() {
 		v.confirmedPingSentAt.Store(int64(pingSentAt))
 	}
