Bound the load skew with a margin for what other routers start meanwhile

Change: the bound on a server's load is twice the mean, without the 1 added before, so that all 3 requests of the limit's slack are the margin.

--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -21,10 +21,10 @@
 	// counts lag.
 	minLoadFactor, maxLoadFactor = 1.3, 1.9
 	minLoadSlack, maxLoadSlack   = 1.0, 2.0
-	// skewFactor and skewSlack bound a server's load relative to the mean over all
-	// servers of its service, evacuated ones included: the limit on load skew
-	// (2 x mean + 3) less a margin for the lag of the in-flight counts.
-	skewFactor, skewSlack = 2.0, 1.0
+	// skewFactor bounds a server's load relative to the mean over all servers of its
+	// service, evacuated ones included. It is the limit on load skew (2 x mean + 3)
+	// without the 3 requests, which are the margin for the lag of the in-flight counts.
+	skewFactor = 2.0
 	// loadStep is the granularity with which loads above the bound are compared.
 	loadStep = 4
 	// costlyPromptRatio is the ratio of a prompt's shared tokens to their mean
@@ -237,7 +237,7 @@
 	for i := range cs {
 		usableLoad += cs[i].load
 	}
-	bound := min(f.loadBound(req, float64(usableLoad+1)/float64(max(1, len(cs)))), int(skewFactor*mean+skewSlack))
+	bound := min(f.loadBound(req, float64(usableLoad+1)/float64(max(1, len(cs)))), int(skewFactor*mean))
 	// Below the bound a key goes to the first server in its rendezvous order,
 	// spares last. Above it, less loaded servers come first, but loads are
 	// compared in steps: the in-flight counts lag, so that otherwise all routers
