--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -134,10 +135,29 @@
 	}
 	if !x.bodyRead && r.ContentLength != 0 {
 		w.Header().Set("Connection", "close")
+		x.discardBody()
 	}
 	writeError(w, f.opts.Protocol.IDHeader(), x.requestInfo.ID, err)
 }
 
+const (
+	// discardTimeout and maxDiscardedBytes limit how much of a refused request's body is
+	// read before the response.
+	discardTimeout    = 200 * time.Millisecond
+	maxDiscardedBytes = 256 << 10
+)
+
+// discardBody reads the body of a request that is refused without it. A connection that
+// is closed with unread bytes is reset, and the reset can overtake the response.
+func (x *exchange) discardBody() {
+	if x.r.ContentLength < 0 {
+		return // Its framing may be invalid.
+	}
+	// Errors are ignored: the connection is closed after the response anyway.
+	_ = x.rc.SetReadDeadline(time.Now().Add(discardTimeout))
+	_, _ = io.CopyN(io.Discard, x.r.Body, maxDiscardedBytes)
+}
+
 // writeError responds with the status of the error's kind, and with Retry-After if
 // a later retry makes sense.
 func writeError(w http.ResponseWriter, idHeader, id string, err error) {
