--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 LDFLAGS := -X github.com/kumquathollow/kumquathollow/internal/version.Version=$(VERSION)
 GOFILES := $(shell find . -name '*.go' -not -name '*.pb.go' -not -path './$(BIN)/*')
 
-.PHONY: build test lint format unit generate bench measure measure-capacity demo soak soak-declared clean
+.PHONY: build test lint format unit generate bench bench-score bench-hunt measure measure-capacity demo soak soak-declared clean
 
 build:
 	$(GO) build -ldflags "$(LDFLAGS)" -o $(BIN)/ ./cmd/...
@@ -33,6 +33,13 @@
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
 
+# bench-score and bench-hunt play the sites of BENCH_SITES with the users' bench, whose
+# program is BENCH and whose site files are below BENCH_ROOT. They take up to an hour.
+BENCH_SITES ?= scripts/bench-sites.txt
+WHY ?= regression run
+bench-score bench-hunt:
+	scripts/bench.sh $(@:bench-%=%) "$(BENCH)" "$(BENCH_ROOT)" "$(BENCH_SITES)" "$(WHY)"
+
 # measure compares ways of placing requests, in virtual time.
 measure:
 	mkdir -p docs/measurements
