Send fewer messages in a large fleet, and loads every 50 ms in a small one

Change: the flush interval grows by 8 ms for each reporting router, from 50 to 300 ms; calls between processes are no more frequent than flushes; a session in which the router does not report pings every 500 ms; pings wait up to 250 ms for a round.

--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -128,7 +128,7 @@
 const (
 	// confirmDelay is how long a round is delayed to batch the pings of several
 	// routers. Their results are sent with the next flush.
-	confirmDelay = 150 * time.Millisecond
+	confirmDelay = 250 * time.Millisecond
 	// firstConfirmDelay is confirmDelay if a session's first ping is pending.
 	firstConfirmDelay = 40 * time.Millisecond
 )
--- a/internal/directory/hub.go
+++ b/internal/directory/hub.go
@@ -20,11 +20,14 @@
 	// minFlushInterval and maxFlushInterval limit how often routers are sent the load of
 	// all routers and the servers that are still alive. Placement errs by what other
 	// routers start between two flushes, so small fleets flush more often.
-	minFlushInterval = 100 * time.Millisecond
+	minFlushInterval = 50 * time.Millisecond
 	maxFlushInterval = 300 * time.Millisecond
+	// standbyInterval is how often a router that reports elsewhere is sent something at
+	// least.
+	standbyInterval = 500 * time.Millisecond
 	// flushTimePerRouter is the flush interval for each router that reports here. It
 	// limits the messages of a process on a small VM.
-	flushTimePerRouter = 5 * time.Millisecond
+	flushTimePerRouter = 8 * time.Millisecond
 	// expireInterval is how often servers that have been silent too long are expired.
 	expireInterval = 5 * time.Second
 	// loadBytesPerSecond limits the bandwidth of load updates to routers to a fifth of
@@ -172,7 +175,7 @@
 
 // flush sends every router the confirmation that it is owed and, if it reports here, the
 // servers that were announced unchanged since the last flush and the load of all
-// routers. Every router is sent something within maxFlushInterval, since one that
+// routers. Every router is sent something within standbyInterval, since one that
 // receives nothing for longer closes its session.
 func (h *hub) flush() {
 	h.catchUpRouters()
@@ -191,7 +194,7 @@
 	clear(h.refreshed)
 	now, interval := h.now(), h.flushInterval()
 	for s := range h.sessions {
-		if s.load == nil && s.pong == nil && now.Sub(s.flushedAt) < maxFlushInterval-interval/2 {
+		if s.load == nil && s.pong == nil && now.Sub(s.flushedAt) < standbyInterval-interval/2 {
 			continue
 		}
 		u := s.takePong()
--- a/internal/directory/peers.go
+++ b/internal/directory/peers.go
@@ -10,12 +10,9 @@
 )
 
 const (
-	// minPeerInterval and maxPeerInterval limit how often the other directory processes
-	// are sent heartbeats and loads. Changes of servers are sent at once.
-	minPeerInterval = 100 * time.Millisecond
-	maxPeerInterval = 300 * time.Millisecond
-	// timePerPeer is that interval for each other process. It limits the messages of a
-	// process on a small VM.
+	// timePerPeer is the interval, for each other process, at which the others are sent
+	// heartbeats and loads, at least the flush interval and at most maxFlushInterval. It
+	// limits the messages of a process on a small VM. Changes of servers are sent at once.
 	timePerPeer = 25 * time.Millisecond
 	// peerLoadTTL is how long the load that a silent process reported still counts. The
 	// routers of a stopped process report to another one by then.
@@ -159,12 +156,12 @@
 }
 
 func (h *hub) peerInterval() time.Duration {
-	return min(maxPeerInterval, max(minPeerInterval, time.Duration(len(h.peers))*timePerPeer))
+	return min(maxFlushInterval, max(h.flushInterval(), time.Duration(len(h.peers))*timePerPeer))
 }
 
 // updatePeer keeps one peer up to date until ctx ends.
 func (s *server) updatePeer(ctx context.Context, p *peer) {
-	due := time.NewTimer(minPeerInterval)
+	due := time.NewTimer(minFlushInterval)
 	defer due.Stop()
 	for {
 		select {
--- a/internal/fleetview/link.go
+++ b/internal/fleetview/link.go
@@ -10,13 +10,15 @@
 )
 
 const (
-	// pingInterval is the interval at which the router requests a confirmation, and the
-	// longest one at which it reports its load.
+	// pingInterval is the interval at which the router requests a confirmation where it
+	// reports its load, and the longest one at which it reports.
 	pingInterval = 300 * time.Millisecond
+	// standbyPingInterval is the interval at which it requests a confirmation elsewhere.
+	standbyPingInterval = 500 * time.Millisecond
 	// minReportInterval is the shortest interval at which the router reports its load.
-	minReportInterval = 50 * time.Millisecond
-	// receiveTimeout is how long a session may receive nothing before it is closed: four
-	// times the interval at which the directory process sends.
+	minReportInterval = 30 * time.Millisecond
+	// receiveTimeout is how long a session may receive nothing before it is closed: over
+	// twice the longest interval at which the directory process sends.
 	receiveTimeout = 1200 * time.Millisecond
 )
 
@@ -114,9 +116,9 @@
 	sentAt time.Duration
 }
 
-// send sends a ping, together with any pending requests and the load report, every
-// pingInterval and when woken. If the router reports here, it sends further load reports
-// in between.
+// send sends a ping, together with any pending requests and the load report, at the
+// interval between pings and when woken. If the router reports here, it sends further
+// load reports in between.
 func (l *link) send(ctx context.Context, stream fleetpb.DRPCDirectory_FollowClient, pings chan<- ping) error {
 	var pingDue time.Duration
 	due := time.NewTimer(pingInterval)
@@ -131,7 +133,10 @@
 			case pings <- ping{number: l.lastPing, sentAt: now}:
 			default: // The buffer is full: nothing was received meanwhile, and the watchdog closes the session.
 			}
-			pingDue = now + pingInterval
+			pingDue = now + standbyPingInterval
+			if reporting {
+				pingDue = now + pingInterval
+			}
 		}
 		wait := pingDue - now
 		if reporting {
