Share out a server's room between two updates of the loads

While a data centre is out and two servers are cold, nearly every key leaves its home, and all routers choose the one server that seems to have room: 20 requests within 50 ms, the load believed 10 and truly 26.

Change: a key that leaves its home goes to the first server of whose room this router has a share left: room / routers, rounded at random, counted over the three updates that it takes until others know of a request. Homes are taken as before.

Test: the pattern with clumps of 3 and two cold servers, reports every 75 ms, 40 seeds: fails in all 40 without the shares, in none with them.

--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -25,14 +25,16 @@
 // other methods are safe for concurrent use.
 type Fleet struct {
 	// routerHash is the hash of the router's name.
-	routerHash   uint64
-	dataCentre   string
-	bounds       Bounds
-	byID         map[string]*Server
-	byHash       map[uint32]*Server
-	rankings     map[string]*ranking
-	pools        atomic.Pointer[map[string]*pool]
-	peerLoads    atomic.Pointer[peerLoads]
+	routerHash uint64
+	dataCentre string
+	bounds     Bounds
+	byID       map[string]*Server
+	byHash     map[uint32]*Server
+	rankings   map[string]*ranking
+	pools      atomic.Pointer[map[string]*pool]
+	peerLoads  atomic.Pointer[peerLoads]
+	// loadUpdates counts the calls of SetLoads.
+	loadUpdates  atomic.Uint64
 	evacuated    atomic.Pointer[[]string]
 	routers      atomic.Int64
 	reachability reachability
@@ -218,12 +220,14 @@
 func (f *Fleet) SetLoads(sum map[uint32]int, now time.Time) {
 	for _, p := range *f.pools.Load() {
 		p.forEachServer(func(s *Server) {
+			reported := s.loadsUpdated()
 			if n, ok := sum[uint32(s.hash)]; ok {
-				sum[uint32(s.hash)] = max(0, n-s.lastReportedInFlight())
+				sum[uint32(s.hash)] = max(0, n-reported)
 			}
 		})
 	}
 	f.peerLoads.Store(&peerLoads{inFlight: sum, receivedAt: now})
+	f.loadUpdates.Add(1)
 }
 
 // Done records the outcome of the attempt and releases its slot in the in-flight
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -25,6 +25,10 @@
 	// service, evacuated ones included. It is the limit on load skew (2 x mean + 3)
 	// without the 3 requests, which are the margin for the lag of the in-flight counts.
 	skewFactor = 2.0
+	// loadLagUpdates is how many updates of the loads it takes until they contain what a
+	// router has started: its report, the exchange between the directory's processes
+	// and the update itself take up to one interval each.
+	loadLagUpdates = 3
 	// loadStep is the granularity with which loads above the bound are compared.
 	loadStep = 4
 	// costlyPromptRatio is the ratio of a prompt's shared tokens to their mean
@@ -165,15 +169,19 @@
 	// probe is set if the request would be the probe after an ejection.
 	probe           bool
 	expectedLatency time.Duration
+	// added is by how much inFlight grew while other routers may not have heard of it.
+	added int
 	// cost is the server's rendezvous cost for the key, or a tie-breaker if the
 	// request has no key.
 	cost uint64
+	// steps orders the candidates for a key by their load.
+	steps int
 }
 
 func (s *Server) candidate(now time.Time, req PickRequest) candidate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := candidate{Server: s, inFlight: s.inFlight, silent: now.Sub(s.announced.LastSeen) > heartbeatTimeout}
+	c := candidate{Server: s, inFlight: s.inFlight, added: s.inFlight - s.atUpdates[loadLagUpdates-1], silent: now.Sub(s.announced.LastSeen) > heartbeatTimeout}
 	if s.ejectionTime > 0 {
 		c.ejected = now.Before(s.ejectedUntil) || s.probing
 		c.probe = !c.ejected
@@ -238,13 +246,29 @@
 		usableLoad += cs[i].load
 	}
 	bound := min(f.loadBound(req, float64(usableLoad+1)/float64(max(1, len(cs)))), int(skewFactor*mean))
-	// Below the bound a key goes to the first server in its rendezvous order,
-	// spares last. Above it, less loaded servers come first, but loads are
-	// compared in steps: the in-flight counts lag, so that otherwise all routers
-	// would choose the one server that appears to be the least loaded.
-	slices.SortStableFunc(cs, func(x, y candidate) int {
-		return cmp.Compare(stepsOverBound(x.load, bound), stepsOverBound(y.load, bound))
-	})
+	// Below the bound a key goes to its home, or else to the first server in its
+	// rendezvous order, spares last, of whose room this router has a share left. Above it,
+	// less loaded servers come first, but loads are compared in steps: the in-flight
+	// counts lag, so that otherwise all routers would choose the one server that appears
+	// to be the least loaded.
+	updates := f.loadUpdates.Load()
+	for i := range cs {
+		c := &cs[i]
+		c.steps = 2 * stepsOverBound(c.load, bound)
+		if c.steps == 0 && c.rank > 0 && c.added >= f.roomShare(c.Server, bound-(c.load-c.added), updates) {
+			c.steps = 1
+		}
+	}
+	slices.SortStableFunc(cs, func(x, y candidate) int { return cmp.Compare(x.steps, y.steps) })
+}
+
+// roomShare returns how many requests this router may add to a server between two
+// updates of the loads, if all routers together are to fill the room that it had. The
+// fraction is rounded at random, so that the shares of all routers add up on average.
+func (f *Fleet) roomShare(s *Server, room int, updates uint64) int {
+	share := float64(room) / float64(f.routers.Load())
+	draw := float64(routing.Mix(f.routerHash^updates, s.hash)>>11) / (1 << 53)
+	return int(share + draw)
 }
 
 // loadBound returns the load up to which a server takes the request.
--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -31,6 +31,8 @@
 	inFlight             int
 	// reportedInFlight is inFlight as last reported to other routers.
 	reportedInFlight int
+	// atUpdates is inFlight at the last updates of the loads, the newest first.
+	atUpdates [loadLagUpdates]int
 	// coldSends holds the times of the requests sent within the last coldWindow
 	// while the server is cold.
 	coldSends []time.Time
@@ -190,9 +192,13 @@
 	return s.reportedInFlight
 }
 
-func (s *Server) lastReportedInFlight() int {
+// loadsUpdated records that the loads of all routers were updated, and returns the
+// requests in flight as last reported.
+func (s *Server) loadsUpdated() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	copy(s.atUpdates[1:], s.atUpdates[:])
+	s.atUpdates[0] = s.inFlight
 	return s.reportedInFlight
 }
 
--- a/internal/placement/skew_test.go
+++ b/internal/placement/skew_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/kumquathollow/kumquathollow/internal/catalog"
 	"github.com/kumquathollow/kumquathollow/internal/routing"
 )
 
@@ -33,6 +34,9 @@
 	skewed, sent []time.Time
 }
 
+// fragileChat is a service whose cold servers take next to nothing.
+var fragileChat = &catalog.Service{Name: chat.Name, ColdRate: 1}
+
 type runningRequest struct {
 	ends   time.Time
 	server string
@@ -67,9 +71,9 @@
 	return l
 }
 
-// run sends perSecond requests a second for d. Each lasts about duration; a tenth of
-// them has the same prompt, a quarter has a long one.
-func (l *laggingFleet) run(d time.Duration, perSecond float64, duration, reportInterval, flushInterval time.Duration) {
+// run sends perSecond requests a second for d, in clumps that arrive together. Each
+// lasts about duration; a tenth of them has the same prompt, a quarter has a long one.
+func (l *laggingFleet) run(d time.Duration, perSecond float64, clump int, duration, reportInterval, flushInterval time.Duration) {
 	const step = time.Millisecond
 	for end := l.now.Add(d); l.now.Before(end); l.now = l.now.Add(step) {
 		for len(l.running) > 0 && !l.running[0].ends.After(l.now) {
@@ -78,8 +82,10 @@
 			r.result.Done(Success, duration, l.now)
 		}
 		l.exchange(reportInterval, flushInterval)
-		for n := l.rng.Float64() * 2 * perSecond * step.Seconds(); n > l.rng.Float64(); n-- {
-			l.send(duration)
+		if l.rng.Float64() < perSecond*step.Seconds()/float64(clump) {
+			for range clump {
+				l.send(duration)
+			}
 		}
 	}
 }
@@ -88,7 +94,7 @@
 func (l *laggingFleet) exchange(reportInterval, flushInterval time.Duration) {
 	at := l.now.Sub(start)
 	for i, w := range l.routers {
-		phase := reportInterval * time.Duration(i) / time.Duration(len(l.routers))
+		phase := (reportInterval * time.Duration(i) / time.Duration(len(l.routers))).Truncate(time.Millisecond)
 		if (at+phase)%reportInterval == 0 {
 			l.reports[i] = w.fleet.InFlight()
 		}
@@ -125,7 +131,7 @@
 		tokens = 10_500
 	}
 	key := routing.Hash(fmt.Sprint("subject", subject))
-	req := PickRequest{Service: chat, Key: key, Parts: []uint64{key}, SharedTokens: tokens, TieBreaker: l.rng.Uint64()}
+	req := PickRequest{Service: fragileChat, Key: key, Parts: []uint64{key}, SharedTokens: tokens, TieBreaker: l.rng.Uint64()}
 	picked, err := w.fleet.Pick(req, l.now)
 	if err != nil {
 		l.t.Fatal(err)
@@ -167,23 +173,36 @@
 // three of one data centre have just been taken out, and one prompt gets a tenth of the
 // traffic. The routers hear of each other's requests as late as the directory tells a
 // small fleet. Fewer than 20, or less than 3 in 100, of the requests of any 5 s may
-// reach a server above the limit on load skew.
+// reach a server above the limit on load skew: with even arrivals, and with clumps that
+// arrive while two more servers have just been replaced and are cold, so that nearly all
+// keys leave their homes and all routers look for room at the same moment.
 func TestSkewHoldsWhileCountsLagAndADataCentreIsOut(t *testing.T) {
 	const (
 		routers, servers, dataCentres = 9, 12, 4
 		perSecond                     = 165
 		duration                      = 700 * time.Millisecond
-		interval                      = 100 * time.Millisecond
+		interval                      = 75 * time.Millisecond
 	)
-	for seed := range uint64(40) {
-		l := newLaggingFleet(t, seed, routers, servers, dataCentres)
-		l.run(3*time.Second, perSecond, duration, interval, interval)
-		for _, w := range l.routers {
-			w.fleet.SetEvacuated([]string{"c"}, func(string) time.Duration { return 0 }, l.now)
-		}
-		l.run(8*time.Second, perSecond, duration, interval, interval)
-		if most, share := l.worstWindow(); most >= 20 && share > 0.03 {
-			t.Errorf("seed %d: %d requests of 5 s, %.0f in 100, reached servers above the limit", seed, most, 100*share)
-		}
+	for _, c := range []struct {
+		name  string
+		clump int
+		cold  []string
+	}{{"even arrivals", 1, nil}, {"clumps and cold servers", 3, []string{"s0", "s1"}}} {
+		t.Run(c.name, func(t *testing.T) {
+			for seed := range uint64(40) {
+				l := newLaggingFleet(t, seed, routers, servers, dataCentres)
+				l.run(3*time.Second, perSecond, c.clump, duration, interval, interval)
+				for _, w := range l.routers {
+					w.fleet.SetEvacuated([]string{"c"}, func(string) time.Duration { return 0 }, l.now)
+					for _, id := range c.cold {
+						w.fleet.byID[id].returnToService(l.now, time.Minute)
+					}
+				}
+				l.run(8*time.Second, perSecond, c.clump, duration, interval, interval)
+				if most, share := l.worstWindow(); most >= 20 && share > 0.03 {
+					t.Errorf("seed %d: %d requests of 5 s, %.0f in 100, reached servers above the limit", seed, most, 100*share)
+				}
+			}
+		})
 	}
 }
