Refuse at once what a cut-off router cannot serve

Its routers may not use the servers near them and reach no other; each request waited for three or four connections of 400 ms and was refused after 1.2 to 1.6 s.

Change: a router that finds all data centres with usable servers partitioned, two at least, refuses at once, is unready, and probes each data centre every 200 ms with one request. Retry-After is what is left of the time that the load balancer takes to send elsewhere.

Test: the pattern in virtual time (TestACutOffRouterRefusesAtOnceAndProbes).

--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -26,6 +26,7 @@
 const (
 	reasonConfiguration = "no confirmed configuration yet"
 	reasonNoQuorum      = "the directory's quorum is not reached"
+	reasonNoBackend     = "no backend server can be reached"
 	reasonStopping      = "the process is stopping"
 )
 
@@ -217,6 +218,7 @@
 		_, confirmed := r.view.ConfirmationAge()
 		r.ready.SetReason(reasonConfiguration, !confirmed || r.view.Snapshot().Configuration == nil)
 		r.ready.SetReason(reasonNoQuorum, r.view.QuorumAge() > quorumTimeout || r.view.OutOfQuorumDuration() > outOfQuorumTimeout)
+		r.ready.SetReason(reasonNoBackend, r.fleet.CutOff(time.Now()))
 		if isReady := r.ready.Ready(); isReady != wasReady {
 			wasReady = isReady
 			r.log.Info("readiness", "ready", isReady, "reasons", r.ready.Reasons(), "quorum-heard-ago", r.view.QuorumAge().Round(time.Millisecond), "revision", r.view.Snapshot().Revision)
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -201,6 +201,21 @@
 
 var emptyPool = &pool{ranking: emptyRanking}
 
+// CutOff reports whether this router fails to reach any server that may take requests,
+// in at least two data centres.
+func (f *Fleet) CutOff(now time.Time) bool {
+	dataCentres, evacuated := map[string]bool{}, *f.evacuated.Load()
+	for _, p := range *f.pools.Load() {
+		for _, s := range p.servers {
+			if !slices.Contains(evacuated, s.DataCentre) {
+				dataCentres[s.DataCentre] = true
+			}
+		}
+	}
+	state := f.reachability.cutOff(dataCentres, now)
+	return state != nil && now.Sub(state.failedAt) < cutOffTTL
+}
+
 // InFlight returns this router's requests in flight, by the low 32 bits of the
 // server's hash, and records them as reported.
 func (f *Fleet) InFlight() map[uint32]int {
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -101,6 +101,10 @@
 	if len(usable) == 0 && slices.ContainsFunc(all, func(c candidate) bool { return c.evacuated }) {
 		return nil, errkind.New(errkind.DataCentreOut, "every data centre with servers of service %q is evacuated", req.Service.Name).WithRetryAfter(noServerRetryAfter)
 	}
+	usable, err := f.limitProbesWhenCutOff(usable, now)
+	if err != nil {
+		return nil, err
+	}
 	usable = f.preferHealthy(usable)
 	f.sortByPreference(usable, req, mean)
 	for i := range usable {
@@ -117,6 +121,26 @@
 	return nil, errkind.New(errkind.NoBackend, "no server of service %q can take the request: %d are ready, %d of them usable", req.Service.Name, len(p.servers), len(usable)).WithRetryAfter(noServerRetryAfter)
 }
 
+// limitProbesWhenCutOff drops the candidates in data centres that this router cannot
+// reach, if there are no others, except for one request that probes from time to time.
+// The others would wait for one connection after the other that cannot be opened; they
+// are refused at once, and their clients can try another router.
+func (f *Fleet) limitProbesWhenCutOff(cs []candidate, now time.Time) ([]candidate, error) {
+	dataCentres := map[string]bool{}
+	for i := range cs {
+		dataCentres[cs[i].DataCentre] = true
+	}
+	state := f.reachability.cutOff(dataCentres, now)
+	if state == nil {
+		return cs, nil
+	}
+	if len(state.probeDue) == 0 {
+		retryAfter := max(minCutOffRetryAfter, balancerDetectionTime-now.Sub(state.since))
+		return nil, errkind.New(errkind.NoBackend, "no server can be reached: connections to all %d data centres with usable servers fail", len(dataCentres)).WithRetryAfter(retryAfter)
+	}
+	return filterOut(cs, func(c *candidate) bool { return !state.probeDue[c.DataCentre] }), nil
+}
+
 // candidates returns all ready servers of a pool, ranked if the request has a key,
 // and the mean load of the pool, draining servers and this request included.
 func (f *Fleet) candidates(p *pool, req PickRequest, now time.Time) (all []candidate, mean float64) {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/kumquathollow/kumquathollow/internal/assignment"
 	"github.com/kumquathollow/kumquathollow/internal/catalog"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
@@ -523,6 +525,71 @@
 	}
 }
 
+// The pattern: a data centre is taken out and then cut off. Its routers may not use the
+// servers near them and cannot reach any other. After the first failed connections they
+// refuse requests at once, with the time until the load balancer sends elsewhere, instead
+// of letting each wait for several connections in turn, and are unready; one request
+// probes from time to time, and once the cut is over the next probe brings all back.
+func TestACutOffRouterRefusesAtOnceAndProbes(t *testing.T) {
+	w := newFleetSim(t)
+	w.join(12, "s")
+	w.advance(time.Minute)
+	w.fleet.SetEvacuated([]string{"a"}, func(string) time.Duration { return 0 }, w.now)
+	const dialTimeout = 400 * time.Millisecond
+	cutOffAt := w.now.Add(dialTimeout + 100*time.Millisecond) // at the latest
+	type dial struct {
+		ends   time.Time
+		picked *PickResult
+	}
+	cut, dials := true, []dial{}
+	// run sends a request every 10 ms and returns how many were refused and sent.
+	run := func(d time.Duration) (refused, sent int) {
+		for end := w.now.Add(d); w.now.Before(end); w.advance(10 * time.Millisecond) {
+			for len(dials) > 0 && !dials[0].ends.After(w.now) {
+				dials[0].picked.Done(Unreachable, dialTimeout, w.now)
+				dials = dials[1:]
+			}
+			p, err := w.fleet.Pick(PickRequest{Service: chat, Key: key(sent + refused), TieBreaker: uint64(sent + refused)}, w.now)
+			switch {
+			case err != nil:
+				refused++
+				var e *errkind.Error
+				if !errors.As(err, &e) || e.Kind != errkind.NoBackend || e.RetryAfter < minCutOffRetryAfter ||
+					e.RetryAfter > max(minCutOffRetryAfter, cutOffAt.Add(balancerDetectionTime).Sub(w.now)) {
+					t.Fatalf("refused with %v %s after the cut was noticed", err, w.now.Sub(cutOffAt))
+				}
+			case cut:
+				sent++
+				dials = append(dials, dial{w.now.Add(dialTimeout), p})
+			default:
+				sent++
+				p.Done(Success, 10*time.Millisecond, w.now)
+			}
+		}
+		return refused, sent
+	}
+	run(dialTimeout + 100*time.Millisecond)
+	refused, sent := run(4 * time.Second)
+	if probes := int(4*time.Second/cutOffProbeInterval) + 1; sent > 2*probes || sent < probes/2 || refused+sent != 400 {
+		t.Errorf("of 400 requests %d were refused and %d sent to two data centres that cannot be reached", refused, sent)
+	}
+	if !w.fleet.CutOff(w.now) || w.fleet.CutOff(w.now.Add(cutOffTTL)) {
+		t.Error("the router does not count as cut off, or does without requests that probe")
+	}
+	cut = false
+	for _, d := range dials {
+		d.picked.Done(Unreachable, dialTimeout, w.now)
+	}
+	dials = nil
+	run(cutOffProbeInterval)
+	if refused, _ := run(time.Second); refused > 0 {
+		t.Errorf("%d requests were refused after the cut", refused)
+	}
+	if w.fleet.CutOff(w.now) {
+		t.Error("the router counts as cut off after the cut")
+	}
+}
+
 // A single unreachable server must not stop requests to the rest of its data
 // centre.
 func TestOneUnreachableServerIsNoPartition(t *testing.T) {
--- a/internal/placement/reachability.go
+++ b/internal/placement/reachability.go
@@ -15,6 +15,20 @@
 	// partitionProbeInterval is how long a partitioned data centre gets no
 	// requests before a single one probes it.
 	partitionProbeInterval = 700 * time.Millisecond
+	// cutOffProbeInterval replaces partitionProbeInterval while no other data centre can
+	// take the request.
+	cutOffProbeInterval = 200 * time.Millisecond
+	// minCutOffDataCentres is how many data centres must be partitioned, and no other be
+	// left, for this router to count as cut off. The servers of one could have crashed.
+	minCutOffDataCentres = 2
+	// balancerDetectionTime is how long the load balancer takes to send new connections
+	// to other routers once this one is cut off and therefore unready. A refused client
+	// comes back after the rest of it, and minCutOffRetryAfter at least.
+	balancerDetectionTime = 2500 * time.Millisecond
+	minCutOffRetryAfter   = 500 * time.Millisecond
+	// cutOffTTL is how long after the last failed connection a router without requests
+	// still counts as cut off. Then it takes requests again, which probe.
+	cutOffTTL = 2 * time.Second
 )
 
 // reachability tracks which data centres this router can reach. Without it a
@@ -29,8 +43,12 @@
 	// unreachable holds when each server was last found unreachable, by id.
 	unreachable map[string]time.Time
 	partitioned bool
-	// probeAt is when a request may next probe the partitioned data centre.
-	probeAt time.Time
+	// probeAt is when a request may next probe the partitioned data centre, and probedAt
+	// when one last did.
+	probeAt, probedAt time.Time
+	// failedAt is when a server was last found unreachable, partitionedAt when the data
+	// centre was found partitioned.
+	failedAt, partitionedAt time.Time
 }
 
 func (r *reachability) dataCentre(name string) *dcReachability {
@@ -60,9 +78,12 @@
 				delete(d.unreachable, id)
 			}
 		}
-		d.unreachable[server] = now
+		d.unreachable[server], d.failedAt = now, now
 		if d.partitioned || len(d.unreachable) >= minUnreachableServers {
-			d.partitioned, d.probeAt = true, now.Add(partitionProbeInterval)
+			if !d.partitioned {
+				d.partitioned, d.partitionedAt = true, now
+			}
+			d.probeAt = now.Add(partitionProbeInterval)
 		}
 	}
 }
@@ -83,6 +104,42 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if d := r.dataCentres[dc]; d != nil && d.partitioned {
-		d.probeAt = now.Add(partitionProbeInterval)
+		d.probeAt, d.probedAt = now.Add(partitionProbeInterval), now
+	}
+}
+
+// cutOffState describes a router that reaches none of the data centres that it needs.
+type cutOffState struct {
+	// since is when it was cut off, and failedAt when a connection last failed.
+	since, failedAt time.Time
+	// probeDue are the data centres that a request may probe now.
+	probeDue map[string]bool
+}
+
+// cutOff returns the state of a router all of whose data centres are partitioned, or nil.
+func (r *reachability) cutOff(dataCentres map[string]bool, now time.Time) *cutOffState {
+	if len(dataCentres) < minCutOffDataCentres {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	state := &cutOffState{probeDue: map[string]bool{}}
+	for dc := range dataCentres {
+		d := r.dataCentres[dc]
+		if d == nil || !d.partitioned {
+			return nil
+		}
+		state.since, state.failedAt = latest(state.since, d.partitionedAt), latest(state.failedAt, d.failedAt)
+		if now.Sub(d.probedAt) >= cutOffProbeInterval {
+			state.probeDue[dc] = true
+		}
+	}
+	return state
+}
+
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
 	}
+	return a
 }
