Bound the time of a request's header by the configuration

header_timeout_ms was read and not used; the router's own 10 s applied. The guard around client connections now sets the deadline at a header's first byte.

--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -40,7 +40,8 @@
 	// process that is in quorum before it reports that it is cut off. Most leader
 	// elections take less time.
 	outOfQuorumTimeout = 700 * time.Millisecond
-	// headerTimeout limits reading a request header.
+	// headerTimeout limits reading a request header where the configuration sets no
+	// shorter time, and waiting for its first byte.
 	headerTimeout = 10 * time.Second
 	// maxHeaderBytes limits a request header.
 	maxHeaderBytes = 64 << 10
@@ -157,7 +158,7 @@
 	for _, s := range []struct {
 		server   *http.Server
 		listener net.Listener
-	}{{clients, &httpguard.Listener{Listener: r.clients, IdleTimeout: r.clientIdleTimeout}}, {readiness, r.readiness}, {admin, r.admin}} {
+	}{{clients, &httpguard.Listener{Listener: r.clients, IdleTimeout: r.clientIdleTimeout, HeaderTimeout: r.clientHeaderTimeout}}, {readiness, r.readiness}, {admin, r.admin}} {
 		if s.listener == nil {
 			continue
 		}
@@ -192,6 +193,13 @@
 	return 0
 }
 
+func (r *Router) clientHeaderTimeout() time.Duration {
+	if config := r.view.Snapshot().Configuration; config != nil {
+		return config.Limits.HeaderTime
+	}
+	return 0
+}
+
 // drain makes the router unready, waits until the load balancer has noticed, and
 // then waits for the requests in flight until the grace period is almost over.
 func (r *Router) drain(clients *http.Server) {
--- a/internal/httpguard/guard.go
+++ b/internal/httpguard/guard.go
@@ -4,8 +4,8 @@
 // Content-Length before a handler sees it, so the package records the raw bytes
 // of the header.
 //
-// It also applies an idle timeout to connections; the timeout may change while
-// the server runs.
+// It also applies an idle timeout to connections and a timeout to request headers; both
+// may change while the server runs.
 package httpguard
 
 import (
@@ -26,6 +26,9 @@
 	net.Listener
 	// IdleTimeout returns how long a connection may be idle; 0 means no limit.
 	IdleTimeout func() time.Duration
+	// HeaderTimeout returns how long a request's header may take from its first byte; 0
+	// means no limit.
+	HeaderTimeout func() time.Duration
 }
 
 // Accept implements net.Listener.
@@ -34,7 +37,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, idleTimeout: l.IdleTimeout, readingHeader: true}, nil
+	return &conn{Conn: c, idleTimeout: l.IdleTimeout, headerTimeout: l.HeaderTimeout, readingHeader: true}, nil
 }
 
 // maxHeaderBytes limits the bytes that are recorded of one header; a chunked
@@ -44,7 +47,7 @@
 // conn records the bytes of the current request's header.
 type conn struct {
 	net.Conn
-	idleTimeout func() time.Duration
+	idleTimeout, headerTimeout func() time.Duration
 
 	mu sync.Mutex
 	// readingHeader is true from the end of a request to the end of the next
@@ -77,8 +80,12 @@
 	defer c.mu.Unlock()
 	switch {
 	case c.readingHeader:
+		first := len(c.header) == 0 && n > 0
 		c.header = append(c.header, p[:n]...)
 		c.readingHeader = len(c.header) < maxHeaderBytes && !bytes.Contains(c.header, headerEnd)
+		if d := c.headerTimeout(); first && c.readingHeader && d > 0 && err == nil {
+			err = c.SetReadDeadline(time.Now().Add(d)) // net/http lifts it after the header.
+		}
 	case n == 1 && len(p) == 1:
 		// While it serves a request, net/http reads one byte ahead to detect
 		// that the client has disconnected.
