--- a/internal/directory/doc.go
+++ b/internal/directory/doc.go
@@ -10,12 +10,13 @@
 //   - Any process accepts an operator's change and forwards it to the leader. The
 //     change is acknowledged once a majority has it on disk (operations.go).
 //   - Announcements are kept in memory by the process that received them. Those that
-//     change a server are relayed to the other processes and broadcast to the routers
-//     (changes.go). The server list has no elected owner, so a partitioned data centre
-//     keeps working with the servers that still reach it.
-//   - A router has a session with every process and reports its requests in flight to
-//     one of them (hub.go). That process sends it new revisions and the changes
-//     relayed by other processes (catchup.go).
+//     change a server are broadcast to the routers (changes.go) and relayed to the other
+//     processes, as are heartbeats and the load of the routers (peers.go). The server
+//     list has no elected owner, so a partitioned data centre keeps working with the
+//     servers that still reach it.
+//   - A router has sessions with two processes and reports its requests in flight to
+//     one of them (hub.go). That process sends it new revisions, the changes relayed by
+//     other processes and the load of all routers (catchup.go).
 //   - The leader assigns places to servers (places.go).
 //   - A router's session confirms by a quorum round how recent the router's
 //     configuration is (follow.go). A router without confirmations knows that its
