Pace full states with the server lists, and send none without a leader

Cause: after a power cut of everything all routers fetch the configuration at once, while the election needs the link. Change: full states and lists share two thirds of a small link, and wait for a leader; a state in flight to a router is not sent again. Test: TestFullStatesWaitForALeaderAndBandwidth. Two existing tests of full states let time pass between the states, which the bandwidth now needs; they check as much.

--- a/internal/directory/catchup.go
+++ b/internal/directory/catchup.go
@@ -44,39 +44,45 @@
 }
 
 const (
-	// listBytesPerSecond limits the bandwidth of server lists to half of the 6 Mbit/s
-	// link of a small VM. listBurstBytes may be sent at once: they take that link 50 ms,
-	// which is half of a replication heartbeat interval.
-	listBytesPerSecond = 375_000
-	listBurstBytes     = 37_500
+	// bulkBytesPerSecond limits the bandwidth of server lists and full states to two
+	// thirds of the 6 Mbit/s link of a small VM. bulkBurstBytes may be sent at once: they
+	// take that link 50 ms, which is half of a replication heartbeat interval.
+	bulkBytesPerSecond = 500_000
+	bulkBurstBytes     = 37_500
 )
 
-// sendLists sends the list of all servers to the routers that are due to get it, as the
-// bandwidth allows. Without a leader it waits: no router serves before its configuration
-// is confirmed, and the election needs the VM.
-func (h *hub) sendLists() {
+// maySendBulk reports whether a server list or a full state may be sent now. Without a
+// leader none is: no router serves before its configuration is confirmed, and the
+// election needs the VM and its link.
+func (h *hub) maySendBulk() bool {
 	if h.leader == "" {
-		return
+		return false
 	}
 	now := h.now()
-	h.listBytes = min(listBurstBytes, h.listBytes+now.Sub(h.listBytesAt).Seconds()*listBytesPerSecond)
-	h.listBytesAt = now
+	h.bulkBytes = min(bulkBurstBytes, h.bulkBytes+now.Sub(h.bulkBytesAt).Seconds()*bulkBytesPerSecond)
+	h.bulkBytesAt = now
+	return h.bulkBytes > 0
+}
+
+// sendLists sends the list of all servers to the routers that are due to get it, as the
+// bandwidth allows.
+func (h *hub) sendLists() {
 	var list []*fleetpb.Announcement
 	size := 0
 	for s := range h.sessions {
-		if h.listBytes <= 0 {
-			return
-		}
 		if !s.listDue {
 			continue
 		}
+		if !h.maySendBulk() {
+			return
+		}
 		if list == nil {
 			list = h.allAnnouncements()
 			size = proto.Size(&fleetpb.FollowUpdate{Announcements: list})
 		}
 		s.listDue = false
 		s.push(h.withStatus(&fleetpb.FollowUpdate{Announcements: list}))
-		h.listBytes -= float64(size)
+		h.bulkBytes -= float64(size)
 	}
 }
 
@@ -110,7 +116,9 @@
 		switch {
 		case ok:
 			u.Steps, u.StepsFrom, u.Revision = commands, s.revision, s.revision+uint64(len(commands))
-		case inFlight >= maxFullStatesInFlight:
+		case s.fullStateRevision != 0 && h.now().Sub(s.fullStateSentAt) < fullStateTimeout:
+			continue // It is in flight to this router.
+		case inFlight >= maxFullStatesInFlight || !h.maySendBulk():
 			continue
 		default:
 			state, err := h.machine.Encoded()
@@ -119,6 +127,7 @@
 				return
 			}
 			u.State, u.Revision = state, state.Revision
+			h.bulkBytes -= float64(proto.Size(state))
 			s.fullStateRevision, s.fullStateSentAt = state.Revision, h.now()
 			inFlight++
 		}
--- a/internal/directory/hub.go
+++ b/internal/directory/hub.go
@@ -73,9 +73,10 @@
 	reporting int
 	// opened and closed count the sessions since the last flush, for the log.
 	opened, closed int
-	// listBytes is how many bytes of server lists may be sent, as of listBytesAt.
-	listBytes   float64
-	listBytesAt time.Time
+	// bulkBytes is how many bytes of server lists and full states may be sent, as of
+	// bulkBytesAt.
+	bulkBytes   float64
+	bulkBytesAt time.Time
 	// nextLoadAt is when the load is next sent to the routers.
 	nextLoadAt time.Time
 	// broadcastTimer fires when the batched changes are due; nil if there are none.
--- a/internal/directory/hub_test.go
+++ b/internal/directory/hub_test.go
@@ -339,6 +339,8 @@
 	}
 	completed := map[*session]bool{}
 	for len(completed) < len(ss) {
+		now = now.Add(bulkPause)
+		h.flush()
 		var sent []*session
 		for _, s := range ss {
 			if _, full := countStateUpdates(s); full > 0 {
@@ -352,14 +354,62 @@
 		if len(sent) == 0 || len(sent) > maxFullStatesInFlight {
 			t.Fatalf("%d full states at once after %d, want 1 to %d", len(sent), len(completed)-len(sent), maxFullStatesInFlight)
 		}
-		// One router has received it; the others' are still in flight.
+		// One router has received it; the others' are still in flight, also if they ask
+		// again.
 		h.handleRequest(sent[0], &fleetpb.FollowRequest{Have: h.broadcastRevision})
 		if len(sent) == 1 {
 			continue
 		}
+		now = now.Add(bulkPause)
+		h.handleRequest(sent[1], &fleetpb.FollowRequest{Fetch: true})
 		if _, full := countStateUpdates(sent[1]); full != 0 {
 			t.Error("a full state in flight was sent again")
 		}
+		h.handleRequest(sent[1], &fleetpb.FollowRequest{Have: h.broadcastRevision})
+	}
+}
+
+// bulkPause is how long it takes until the bandwidth for full states allows another one
+// of those that the tests send.
+const bulkPause = 200 * time.Millisecond
+
+// Without a leader, or beyond their share of a small link, full states wait.
+func TestFullStatesWaitForALeaderAndBandwidth(t *testing.T) {
+	h, _ := newTestHub()
+	now := time.Unix(1_700_000_000, 0)
+	h.now = func() time.Time { return now }
+	applyConfiguration(t, h, 5)
+	h.groupChanged([]string{"d:1", "d:2"}, "")
+	var ss []*session
+	for i := range 10 {
+		ss = append(ss, newSession(h, fmt.Sprint("r", i)))
+		h.handleRequest(ss[i], &fleetpb.FollowRequest{Fetch: true})
+	}
+	received := func() (full int) {
+		for _, s := range ss {
+			if _, n := countStateUpdates(s); n > 0 {
+				full += n
+				h.handleRequest(s, &fleetpb.FollowRequest{Have: h.broadcastRevision})
+			}
+		}
+		return full
+	}
+	if n := received(); n != 0 {
+		t.Errorf("%d full states were sent without a leader", n)
+	}
+	h.groupChanged([]string{"d:1", "d:2"}, "d:2")
+	bytes := 0
+	state, err := h.machine.Encoded()
+	if err != nil {
+		t.Fatal(err)
+	}
+	const seconds = 1
+	for end := now.Add(seconds * time.Second); now.Before(end); now = now.Add(20 * time.Millisecond) {
+		h.flush()
+		bytes += received() * proto.Size(state)
+	}
+	if limit := seconds*bulkBytesPerSecond + bulkBurstBytes + proto.Size(state); bytes == 0 || bytes > limit {
+		t.Errorf("%d bytes of full states were sent in %d s, want 1 to %d", bytes, seconds, limit)
 	}
 }
 
@@ -372,6 +422,7 @@
 	applyConfiguration(t, h, 5)
 	for i := range maxFullStatesInFlight {
 		h.handleRequest(newSession(h, fmt.Sprint("lost", i)), &fleetpb.FollowRequest{Fetch: true})
+		now = now.Add(bulkPause)
 	}
 	s := newSession(h, "r")
 	h.handleRequest(s, &fleetpb.FollowRequest{Fetch: true})
