--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -45,9 +45,6 @@
 	headerTimeout = 10 * time.Second
 	// maxHeaderBytes limits a request header.
 	maxHeaderBytes = 64 << 10
-	// balancerDetectionTime is how long the load balancer may take to notice that the
-	// router is not ready: two health checks a second apart, and one more.
-	balancerDetectionTime = 2500 * time.Millisecond
 	// closeMargin is the part of the grace period that is reserved for closing
 	// connections and listeners at its end.
 	closeMargin = 700 * time.Millisecond
@@ -207,8 +204,8 @@
 	r.log.Info("stopping", "in-flight", r.forwarder.InFlight())
 	r.ready.SetReason(reasonStopping, true)
 	r.forwarder.DisableKeepAlives()
-	time.Sleep(balancerDetectionTime)
-	ctx, cancel := context.WithTimeout(context.Background(), r.settings.Grace.AsDuration()-balancerDetectionTime-closeMargin)
+	time.Sleep(placement.BalancerDetectionTime)
+	ctx, cancel := context.WithTimeout(context.Background(), r.settings.Grace.AsDuration()-placement.BalancerDetectionTime-closeMargin)
 	defer cancel()
 	if err := clients.Shutdown(ctx); err != nil {
 		r.log.Warn("requests aborted: still in flight at the end of the grace period", "in-flight", r.forwarder.InFlight(), "error", err)
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -25,10 +25,11 @@
 	// servers of its service, evacuated ones included: the limit on load skew
 	// (2 x mean + 3) less a margin for the lag of the in-flight counts. The margin grows
 	// with the load, as the number of requests does that other routers start meanwhile.
-	skewFactor    = 2.0
-	maxSkewSlack  = 1.0
-	skewSlackBase = 1.5
-	skewSlackStep = 1.0 / 6
+	// The slack is maxSkewSlack up to a mean of 3 and falls to 0 at a mean of 9.
+	skewFactor       = 2.0
+	maxSkewSlack     = 1.0
+	skewSlackAtZero  = 1.5
+	skewSlackPerMean = -1.0 / 6
 	// loadLagUpdates is how many updates of the loads it takes until they contain what a
 	// router has started: its report, the exchange between the directory's processes
 	// and the update itself take up to one interval each.
@@ -128,8 +129,11 @@
 // limitProbesWhenCutOff drops the candidates in data centres that this router cannot
 // reach, if there are no others, except for one request that probes from time to time.
 // The others would wait for one connection after the other that cannot be opened; they
-// are refused at once, and their clients can try another router.
+// are refused at once until the load balancer sends their clients to another router.
 func (f *Fleet) limitProbesWhenCutOff(cs []candidate, now time.Time) ([]candidate, error) {
+	if len(cs) == 0 || !f.reachability.isPartitionKnown(cs[0].DataCentre) {
+		return cs, nil
+	}
 	dataCentres := map[string]bool{}
 	for i := range cs {
 		dataCentres[cs[i].DataCentre] = true
@@ -139,7 +143,7 @@
 		return cs, nil
 	}
 	if len(state.probeDue) == 0 {
-		retryAfter := max(minCutOffRetryAfter, balancerDetectionTime-now.Sub(state.since))
+		retryAfter := max(minCutOffRetryAfter, BalancerDetectionTime-now.Sub(state.since))
 		return nil, errkind.New(errkind.NoBackend, "no server can be reached: connections to all %d data centres with usable servers fail", len(dataCentres)).WithRetryAfter(retryAfter)
 	}
 	return filterOut(cs, func(c *candidate) bool { return !state.probeDue[c.DataCentre] }), nil
@@ -304,7 +308,7 @@
 
 // skewBound returns the load up to which a server takes any request.
 func skewBound(mean float64) int {
-	return int(skewFactor*mean + max(0, min(maxSkewSlack, skewSlackBase-skewSlackStep*mean)))
+	return int(skewFactor*mean + max(0, min(maxSkewSlack, skewSlackAtZero+skewSlackPerMean*mean)))
 }
 
 // loadBound returns the load up to which a server takes the request.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -555,7 +555,7 @@
 				refused++
 				var e *errkind.Error
 				if !errors.As(err, &e) || e.Kind != errkind.NoBackend || e.RetryAfter < minCutOffRetryAfter ||
-					e.RetryAfter > max(minCutOffRetryAfter, cutOffAt.Add(balancerDetectionTime).Sub(w.now)) {
+					e.RetryAfter > max(minCutOffRetryAfter, cutOffAt.Add(BalancerDetectionTime).Sub(w.now)) {
 					t.Fatalf("refused with %v %s after the cut was noticed", err, w.now.Sub(cutOffAt))
 				}
 			case cut:
--- a/internal/placement/reachability.go
+++ b/internal/placement/reachability.go
@@ -21,16 +21,18 @@
 	// minCutOffDataCentres is how many data centres must be partitioned, and no other be
 	// left, for this router to count as cut off. The servers of one could have crashed.
 	minCutOffDataCentres = 2
-	// balancerDetectionTime is how long the load balancer takes to send new connections
-	// to other routers once this one is cut off and therefore unready. A refused client
-	// comes back after the rest of it, and minCutOffRetryAfter at least.
-	balancerDetectionTime = 2500 * time.Millisecond
-	minCutOffRetryAfter   = 500 * time.Millisecond
+	// minCutOffRetryAfter is the shortest Retry-After of a router that is cut off.
+	minCutOffRetryAfter = 500 * time.Millisecond
 	// cutOffTTL is how long after the last failed connection a router without requests
 	// still counts as cut off. Then it takes requests again, which probe.
 	cutOffTTL = 2 * time.Second
 )
 
+// BalancerDetectionTime is how long the load balancer may take to send new connections to
+// other routers after a router has become unready: two health checks a second apart, and
+// one more.
+const BalancerDetectionTime = 2500 * time.Millisecond
+
 // reachability tracks which data centres this router can reach. Without it a
 // partition would be detected server by server, and each detection would cost one
 // request its time-out.
@@ -108,6 +110,15 @@
 	}
 }
 
+// isPartitionKnown reports whether the data centre is partitioned, also while a probe is
+// due.
+func (r *reachability) isPartitionKnown(dc string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	d := r.dataCentres[dc]
+	return d != nil && d.partitioned
+}
+
 // cutOffState describes a router that reaches none of the data centres that it needs.
 type cutOffState struct {
 	// since is when it was cut off, and failedAt when a connection last failed.
