Pace large changes too, and send them once

Change: commands of more than 2 KB together, or the full state if that is smaller, wait for a leader and for bandwidth, and are not sent again while in flight.

--- a/internal/directory/catchup.go
+++ b/internal/directory/catchup.go
@@ -37,21 +37,22 @@
 	}
 	s.revision = max(s.revision, req.Have)
 	s.behind = s.behind || req.Load != nil && s.revision < h.machine.State().Revision
-	if req.Have >= s.fullStateRevision {
-		s.fullStateRevision = 0
+	if req.Have >= s.bulkRevision {
+		s.bulkRevision = 0
 	}
 	h.catchUpRouters()
 }
 
 const (
-	// bulkBytesPerSecond limits the bandwidth of server lists and full states to two
-	// thirds of the 6 Mbit/s link of a small VM. bulkBurstBytes may be sent at once: they
+	// bulkBytesPerSecond limits the bandwidth of server lists, full states and large
+	// changes to two thirds of the 6 Mbit/s link of a small VM. bulkBurstBytes may be sent at once: they
 	// take that link 50 ms, which is half of a replication heartbeat interval.
 	bulkBytesPerSecond = 500_000
 	bulkBurstBytes     = 37_500
 )
 
-// maySendBulk reports whether a server list or a full state may be sent now. Without a
+// maySendBulk reports whether a server list, a full state or a large change may be sent
+// now. Without a
 // leader none is: no router serves before its configuration is confirmed, and the
 // election needs the VM and its link.
 func (h *hub) maySendBulk() bool {
@@ -90,17 +91,22 @@
 	// maxFullStatesInFlight limits the concurrent transfers of the full state. More
 	// would delay replication heartbeats on a slow link beyond the election timeout.
 	maxFullStatesInFlight = 2
-	// fullStateTimeout is how long a transfer may take before it is considered lost.
-	fullStateTimeout = time.Second
+	// bulkTimeout is how long a transfer of a full state or a large change may take before
+	// it is considered lost.
+	bulkTimeout = time.Second
+	// smallStepsBytes is the size up to which changes are sent at once. Most changes of a
+	// configuration take 100 to 300 bytes.
+	smallStepsBytes = 2 << 10
 )
 
 // catchUpRouters sends each router that is behind the commands since its revision, or
-// the full state if those commands are no longer retained.
+// the full state if that is smaller or those commands are no longer retained. A few
+// commands are sent at once; more of them, and full states, as the bandwidth allows.
 func (h *hub) catchUpRouters() {
-	latest, inFlight := h.machine.State().Revision, 0
+	latest, statesInFlight := h.machine.State().Revision, 0
 	for s := range h.sessions {
-		if s.fullStateRevision != 0 && h.now().Sub(s.fullStateSentAt) < fullStateTimeout {
-			inFlight++
+		if s.bulkInFlight(h.now()) && s.bulkIsState {
+			statesInFlight++
 		}
 	}
 	for s := range h.sessions {
@@ -113,25 +119,39 @@
 		}
 		u := &fleetpb.FollowUpdate{Revision: latest}
 		commands, ok := h.machine.CommandsSince(s.revision)
-		switch {
-		case ok:
+		size := commandsSize(commands)
+		if ok {
 			u.Steps, u.StepsFrom, u.Revision = commands, s.revision, s.revision+uint64(len(commands))
-		case s.fullStateRevision != 0 && h.now().Sub(s.fullStateSentAt) < fullStateTimeout:
-			continue // It is in flight to this router.
-		case inFlight >= maxFullStatesInFlight || !h.maySendBulk():
-			continue
-		default:
+		}
+		if !ok || size > smallStepsBytes {
+			if s.bulkInFlight(h.now()) || !h.maySendBulk() {
+				continue
+			}
 			state, err := h.machine.Encoded()
 			if err != nil {
 				h.log.Error("full state not sent: encoding failed", "router", s.router, "revision", latest, "error", err)
 				return
 			}
-			u.State, u.Revision = state, state.Revision
-			h.bulkBytes -= float64(proto.Size(state))
-			s.fullStateRevision, s.fullStateSentAt = state.Revision, h.now()
-			inFlight++
+			isState := !ok || proto.Size(state) < size
+			if isState {
+				if statesInFlight >= maxFullStatesInFlight {
+					continue
+				}
+				u = &fleetpb.FollowUpdate{State: state, Revision: state.Revision}
+				size = proto.Size(state)
+				statesInFlight++
+			}
+			h.bulkBytes -= float64(size)
+			s.bulkRevision, s.bulkSentAt, s.bulkIsState = u.Revision, h.now(), isState
 		}
 		s.revision, s.behind = u.Revision, false
 		s.push(h.withStatus(u))
 	}
 }
+
+func commandsSize(commands []*fleetpb.Command) (size int) {
+	for _, c := range commands {
+		size += proto.Size(c)
+	}
+	return size
+}
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -28,10 +28,11 @@
 	revision uint64
 	// behind is true while the router is to be brought up to the latest revision.
 	behind bool
-	// fullStateRevision is the revision of the full state in flight to the router, or 0;
-	// fullStateSentAt is when it was sent.
-	fullStateRevision uint64
-	fullStateSentAt   time.Time
+	// bulkRevision is the revision that the full state or large change in flight to the
+	// router leads to, or 0; bulkSentAt is when it was sent.
+	bulkRevision uint64
+	bulkSentAt   time.Time
+	bulkIsState  bool
 	// pong is the result of the last ping that the router has yet to be sent; nil if
 	// there is none.
 	pong *fleetpb.FollowUpdate
@@ -42,6 +43,12 @@
 	confirmed bool
 }
 
+// bulkInFlight reports whether a full state or a large change is on its way to the
+// router.
+func (s *session) bulkInFlight(now time.Time) bool {
+	return s.bulkRevision != 0 && now.Sub(s.bulkSentAt) < bulkTimeout
+}
+
 // takePong returns an update with the pong that the router is owed, if any.
 func (s *session) takePong() *fleetpb.FollowUpdate {
 	u := s.pong
--- a/internal/directory/hub.go
+++ b/internal/directory/hub.go
@@ -73,8 +73,8 @@
 	reporting int
 	// opened and closed count the sessions since the last flush, for the log.
 	opened, closed int
-	// bulkBytes is how many bytes of server lists and full states may be sent, as of
-	// bulkBytesAt.
+	// bulkBytes is how many bytes of server lists, full states and large changes may be
+	// sent, as of bulkBytesAt.
 	bulkBytes   float64
 	bulkBytesAt time.Time
 	// nextLoadAt is when the load is next sent to the routers.
--- a/internal/directory/hub_test.go
+++ b/internal/directory/hub_test.go
@@ -373,6 +373,67 @@
 // of those that the tests send.
 const bulkPause = 200 * time.Millisecond
 
+// The pattern: all processes were killed and start together, with the commands of a large
+// configuration still in their logs. Routers without any revision ask again every 0.3 s.
+// Nobody may send them all commands at once: on a small link that takes seconds, in which
+// no leader can be elected.
+func TestLargeChangesWaitForALeaderAndBandwidth(t *testing.T) {
+	h, _ := newTestHub()
+	now := time.Unix(1_700_000_000, 0)
+	h.now = func() time.Time { return now }
+	rng := rand.New(rand.NewPCG(1, 1))
+	for version := uint64(1); version <= 3; version++ {
+		document := make([]byte, 8<<10) // that does not compress
+		for i := range document {
+			document[i] = byte(rng.Uint32())
+		}
+		applyDocument(t, h, &publication.State{}, version, document)
+	}
+	if _, ok := h.machine.CommandsSince(0); !ok {
+		t.Fatal("the commands are not retained")
+	}
+	h.groupChanged([]string{"d:1", "d:2"}, "")
+	var ss []*session
+	for i := range 40 {
+		ss = append(ss, newSession(h, fmt.Sprint("r", i)))
+	}
+	have := map[*session]uint64{}
+	run := func(d time.Duration) (bytes int) {
+		for end := now.Add(d); now.Before(end); now = now.Add(50 * time.Millisecond) {
+			for _, s := range ss {
+				h.handleRequest(s, &fleetpb.FollowRequest{Have: have[s], Fetch: have[s] == 0})
+				for _, u := range drain(s) {
+					bytes += proto.Size(u)
+					if u.State != nil || len(u.Steps) > 0 {
+						have[s] = u.Revision
+					}
+				}
+			}
+			h.flush()
+		}
+		return bytes
+	}
+	if n := run(time.Second); n > 100_000 {
+		t.Errorf("%d bytes were sent within a second without a leader", n)
+	}
+	h.groupChanged([]string{"d:1", "d:2"}, "d:2")
+	if n := run(2 * time.Second); n > 2*bulkBytesPerSecond+200_000 || len(have) != len(ss) {
+		t.Errorf("%d bytes were sent within 2 s with a leader, and %d of %d routers have the configuration", n, len(have), len(ss))
+	}
+	// A small change is sent at once.
+	for _, s := range ss {
+		h.handleRequest(s, &fleetpb.FollowRequest{Have: 3, Load: &fleetpb.Load{}})
+		drain(s)
+	}
+	base := h.machine.State()
+	applyDocument(t, h, base, 4, append([]byte("changed"), base.Configuration.Document...))
+	for _, s := range ss {
+		if commands, _ := countStateUpdates(s); commands != 1 {
+			t.Errorf("%s was not sent a small change at once", s.router)
+		}
+	}
+}
+
 // Without a leader, or beyond their share of a small link, full states wait.
 func TestFullStatesWaitForALeaderAndBandwidth(t *testing.T) {
 	h, _ := newTestHub()
@@ -429,7 +490,7 @@
 	if _, full := countStateUpdates(s); full != 0 {
 		t.Error("the full state was sent beyond the limit in flight")
 	}
-	now = now.Add(fullStateTimeout)
+	now = now.Add(bulkTimeout)
 	h.flush()
 	if _, full := countStateUpdates(s); full != 1 {
 		t.Error("the full state was not sent after the others timed out")
