--- a/internal/directory/peers.go
+++ b/internal/directory/peers.go
@@ -74,6 +74,12 @@
 		}
 		delete(h.peers, a)
 	}
+	// What a process that left reported is kept while it still counts.
+	for a, r := range h.peerReports {
+		if !members[a] && h.now().Sub(r.receivedAt) >= routerCountTTL {
+			delete(h.peerReports, a)
+		}
+	}
 }
 
 func (h *hub) addAllServers(p *peer) {
--- a/internal/directory/peers_test.go
+++ b/internal/directory/peers_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/kumquathollow/kumquathollow/api/fleetpb"
@@ -13,8 +14,6 @@
 	"github.com/kumquathollow/kumquathollow/internal/inventory"
 	"github.com/kumquathollow/kumquathollow/internal/publication"
 	"github.com/kumquathollow/kumquathollow/internal/routing"
-
-	"github.com/hashicorp/go-hclog"
 )
 
 // pair is the hubs of two directory processes in one group, d:1 and d:2, at one clock.
