Work out the size of waiting changes once for each revision

Change: sizes are kept by revision, and only a message of a waiting router, or one that ends a transfer, looks for routers to catch up.

--- a/internal/directory/catchup.go
+++ b/internal/directory/catchup.go
@@ -37,10 +37,13 @@
 	}
 	s.revision = max(s.revision, req.Have)
 	s.behind = s.behind || req.Load != nil && s.revision < h.machine.State().Revision
-	if req.Have >= s.bulkRevision {
+	received := s.bulkRevision != 0 && req.Have >= s.bulkRevision
+	if received {
 		s.bulkRevision = 0
 	}
-	h.catchUpRouters()
+	if s.behind || received {
+		h.catchUpRouters()
+	}
 }
 
 const (
@@ -119,7 +122,7 @@
 		}
 		u := &fleetpb.FollowUpdate{Revision: latest}
 		commands, ok := h.machine.CommandsSince(s.revision)
-		size := commandsSize(commands)
+		size := h.stepsSize(s.revision, latest, commands)
 		if ok {
 			u.Steps, u.StepsFrom, u.Revision = commands, s.revision, s.revision+uint64(len(commands))
 		}
@@ -149,9 +152,19 @@
 	}
 }
 
-func commandsSize(commands []*fleetpb.Command) (size int) {
-	for _, c := range commands {
-		size += proto.Size(c)
+// stepsSize returns the size of the commands that lead from one revision to the latest.
+// It is called for every waiting router at each message of any router, so that sizes are
+// kept until there is a newer revision.
+func (h *hub) stepsSize(from, latest uint64, commands []*fleetpb.Command) int {
+	if h.stepsSizesOf != latest {
+		h.stepsSizes, h.stepsSizesOf = map[uint64]int{}, latest
+	}
+	size, known := h.stepsSizes[from]
+	if !known {
+		for _, c := range commands {
+			size += proto.Size(c)
+		}
+		h.stepsSizes[from] = size
 	}
 	return size
 }
--- a/internal/directory/hub.go
+++ b/internal/directory/hub.go
@@ -73,6 +73,10 @@
 	reporting int
 	// opened and closed count the sessions since the last flush, for the log.
 	opened, closed int
+	// stepsSizes holds the sizes of the commands that lead to revision stepsSizesOf, by
+	// the revision before them.
+	stepsSizes   map[uint64]int
+	stepsSizesOf uint64
 	// bulkBytes is how many bytes of server lists, full states and large changes may be
 	// sent, as of bulkBytesAt.
 	bulkBytes   float64
