Share the coding of loads; send one update to all sessions; look for lists only where one is due

The sums of loads were encoded and added up by twins in directory and fleetview; both use inventory now. broadcast had been given a function for a copy per session that it does not need.

--- a/internal/directory/catchup.go
+++ b/internal/directory/catchup.go
@@ -20,7 +20,7 @@
 		s.behind = s.behind || s.load != nil
 	}
 	h.catchUpRouters()
-	h.broadcast(func() *fleetpb.FollowUpdate { return &fleetpb.FollowUpdate{} })
+	h.broadcast(&fleetpb.FollowUpdate{})
 }
 
 // handleRequest processes one message of a router's session.
@@ -31,7 +31,9 @@
 	startsReporting := s.load == nil && req.Load != nil
 	h.setLoad(s, req.Load)
 	s.listDue = s.load != nil && (s.listDue || startsReporting) || req.List
-	h.sendLists()
+	if s.listDue {
+		h.sendLists()
+	}
 	if req.Fetch {
 		s.revision, s.behind = req.Have, true
 	}
--- a/internal/directory/hub.go
+++ b/internal/directory/hub.go
@@ -227,38 +227,21 @@
 }
 
 // ownLoad sums the load of the routers that report here, by server.
-func (h *hub) ownLoad() map[uint32]uint32 {
-	sum := map[uint32]uint32{}
+func (h *hub) ownLoad() map[uint32]int {
+	sum := map[uint32]int{}
 	for s := range h.sessions {
-		addLoad(sum, s.load)
+		inventory.AddLoad(sum, s.load)
 	}
 	return sum
 }
 
-func addLoad(sum map[uint32]uint32, l *fleetpb.Load) {
-	for i, server := range l.GetServers() {
-		if i < len(l.InFlight) {
-			sum[server] += l.InFlight[i]
-		}
-	}
-}
-
-func encodeLoad(sum map[uint32]uint32) *fleetpb.Load {
-	out := &fleetpb.Load{}
-	for server, n := range sum {
-		out.Servers = append(out.Servers, server)
-		out.InFlight = append(out.InFlight, n)
-	}
-	return out
-}
-
 // totalLoad sums the loads of all routers. It is nil if no router is known to report
 // and none was at the last flush.
 func (h *hub) totalLoad() *fleetpb.Load {
 	sum, hasReports := h.ownLoad(), h.reporting > 0
 	for _, r := range h.peerReports {
 		if h.now().Sub(r.receivedAt) < peerLoadTTL {
-			addLoad(sum, r.load)
+			inventory.AddLoad(sum, r.load)
 			hasReports = hasReports || r.routers > 0
 		}
 	}
@@ -267,7 +250,7 @@
 	if !hasReports && !hadReports {
 		return nil
 	}
-	return encodeLoad(sum)
+	return inventory.EncodeLoad(sum)
 }
 
 // withStatus sets the fields that every update carries, and returns u.
@@ -279,10 +262,10 @@
 	return u
 }
 
-// broadcast sends all routers the update that build returns; each gets its own copy.
-func (h *hub) broadcast(build func() *fleetpb.FollowUpdate) {
+func (h *hub) broadcast(u *fleetpb.FollowUpdate) {
+	h.withStatus(u)
 	for s := range h.sessions {
-		s.push(h.withStatus(build()))
+		s.push(u)
 	}
 }
 
@@ -290,7 +273,7 @@
 func (h *hub) openSession(s *session) {
 	h.sessions[s] = true
 	h.opened++
-	s.push(h.withStatus(&fleetpb.FollowUpdate{Members: h.members, MemberDataCentres: h.memberDataCentres}))
+	s.push(h.withStatus(h.membersUpdate()))
 }
 
 func (h *hub) closeSession(s *session) {
@@ -325,7 +308,7 @@
 		h.addAllServers(p)
 	}
 	h.memberDataCentres = h.dataCentresOf(members)
-	h.broadcast(h.membersUpdate)
+	h.broadcast(h.membersUpdate())
 }
 
 func (h *hub) membersUpdate() *fleetpb.FollowUpdate {
@@ -337,7 +320,7 @@
 func (h *hub) sendMembers() {
 	if dcs := h.dataCentresOf(h.members); !slices.Equal(dcs, h.memberDataCentres) {
 		h.memberDataCentres = dcs
-		h.broadcast(h.membersUpdate)
+		h.broadcast(h.membersUpdate())
 	}
 }
 
--- a/internal/directory/peers.go
+++ b/internal/directory/peers.go
@@ -114,7 +114,7 @@
 	call := &spreadCall{ids: p.pending, acks: p.acks}
 	call.req = &fleetpb.SpreadRequest{
 		Announcements: h.announcements(p.pending), From: h.ownAddress, DataCentre: h.dataCentre,
-		Load: encodeLoad(h.ownLoad()), Routers: uint32(h.reporting),
+		Load: inventory.EncodeLoad(h.ownLoad()), Routers: uint32(h.reporting),
 	}
 	for id := range p.heard {
 		call.req.Heard = append(call.req.Heard, uint32(routing.Hash(id)))
--- a/internal/fleetview/link.go
+++ b/internal/fleetview/link.go
@@ -7,6 +7,7 @@
 
 	"github.com/kumquathollow/kumquathollow/api/fleetpb"
 	"github.com/kumquathollow/kumquathollow/internal/clock"
+	"github.com/kumquathollow/kumquathollow/internal/inventory"
 )
 
 const (
@@ -140,7 +141,7 @@
 		}
 		wait := pingDue - now
 		if reporting {
-			req.Load = encodeLoad(l.view.opts.Fleet.InFlight())
+			req.Load = inventory.EncodeLoad(l.view.opts.Fleet.InFlight())
 			if report := time.Duration(l.reportInterval.Load()); report > 0 {
 				wait = min(wait, max(minReportInterval, report))
 			}
@@ -174,12 +175,3 @@
 	default:
 	}
 }
-
-func encodeLoad(load map[uint32]int) *fleetpb.Load {
-	out := &fleetpb.Load{}
-	for server, n := range load {
-		out.Servers = append(out.Servers, server)
-		out.InFlight = append(out.InFlight, uint32(n))
-	}
-	return out
-}
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -334,11 +334,7 @@
 // setLoads passes the load of all routers to the fleet.
 func (v *View) setLoads(load *fleetpb.Load) {
 	sum := make(map[uint32]int, len(load.Servers))
-	for i, server := range load.Servers {
-		if i < len(load.InFlight) {
-			sum[server] = int(load.InFlight[i])
-		}
-	}
+	inventory.AddLoad(sum, load)
 	v.opts.Fleet.SetLoads(sum, time.Now())
 }
 
--- a/internal/inventory/codec.go
+++ b/internal/inventory/codec.go
@@ -29,3 +29,24 @@
 	}
 	return out
 }
+
+// EncodeLoad returns the message for the requests in flight by server, which is named by
+// the low 32 bits of the hash of its id.
+func EncodeLoad(inFlight map[uint32]int) *fleetpb.Load {
+	out := &fleetpb.Load{}
+	for server, n := range inFlight {
+		out.Servers = append(out.Servers, server)
+		out.InFlight = append(out.InFlight, uint32(n))
+	}
+	return out
+}
+
+// AddLoad adds the requests in flight of a message, which may be nil, to sum. Servers
+// without a number are left out.
+func AddLoad(sum map[uint32]int, l *fleetpb.Load) {
+	for i, server := range l.GetServers() {
+		if i < len(l.InFlight) {
+			sum[server] += int(l.InFlight[i])
+		}
+	}
+}
