--- a/internal/storage/log_reader.go
+++ b/internal/storage/log_reader.go
@@ -25,24 +25,24 @@
 
 // readLog calls apply for each batch of one log file. The sequence number of the first
 // batch must be next. readLog returns the number after the last batch, with which the
-// next file must begin. This detects damage to the last synced record of any file but
-// the newest.
-func readLog(data []byte, next uint64, apply func(*pb.LogBatch) error) (uint64, error) {
+// next file must begin, and the size of the torn tail. The number detects damage to the
+// last synced record of any file but the newest.
+func readLog(data []byte, next uint64, apply func(*pb.LogBatch) error) (uint64, int64, error) {
 	rr := record.NewReader(bytes.NewReader(data), 0)
 	for {
 		at := rr.Offset()
 		b, err := readBatch(rr)
 		if err == io.EOF {
-			return next, nil
+			return next, 0, nil
 		}
 		if err != nil {
-			return next, damageError(data, at, next, err)
+			return next, int64(len(data)) - at, damageError(data, at, next, err)
 		}
 		if b.Sequence != next {
-			return next, errkind.New(errkind.DamagedStorage, "log record has sequence number %d and %d was expected; %s", b.Sequence, next, repairHint)
+			return next, 0, errkind.New(errkind.DamagedStorage, "log record has sequence number %d and %d was expected; %s", b.Sequence, next, repairHint)
 		}
 		if err := apply(b); err != nil {
-			return next, err
+			return next, 0, err
 		}
 		next++
 	}
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -38,6 +38,17 @@
 	// pendingReset, if set, becomes the ResetIndex of the next log file's first record.
 	pendingReset uint64
 	snapshot     *pb.SnapshotMeta
+	summary      Summary
+}
+
+// Summary says what Open found in a data folder.
+type Summary struct {
+	// Files and Records count the log's files and their valid records.
+	Files, Records int
+	// TornBytes is the size of the torn tails that were discarded.
+	TornBytes int64
+	// SnapshotIndex and LastIndex are the last entries of the snapshot and of the log.
+	SnapshotIndex, LastIndex uint64
 }
 
 // segment is one log file. lastIndex is the highest index of its entries and resets.
@@ -76,6 +87,14 @@
 	return s, r, nil
 }
 
+// Fields returns the summary as key-value pairs for a log line.
+func (m Summary) Fields() []any {
+	return []any{"log-files", m.Files, "records", m.Records, "torn-bytes", m.TornBytes, "snapshot-index", m.SnapshotIndex, "last-index", m.LastIndex}
+}
+
+// Summary returns what Open found in the folder.
+func (s *Store) Summary() Summary { return s.summary }
+
 // DiskID returns the random id of the folder.
 func (s *Store) DiskID() string { return s.id.Disk }
 
@@ -100,6 +119,8 @@
 	}
 	restored.HardState, restored.Snapshot, restored.Marks = s.latest.HardState, s.snapshot, s.latest.Marks
 	restored.Entries, err = loader.entriesAfterSnapshot()
+	s.summary.SnapshotIndex = s.snapshot.GetIndex()
+	s.summary.LastIndex = s.summary.SnapshotIndex + uint64(len(restored.Entries))
 	if len(restored.Entries) == 0 && len(loader.entries) > 0 {
 		// The process crashed after the snapshot was installed and before the batch with
 		// the ResetIndex was written.
@@ -140,23 +161,37 @@
 
 func (s *Store) loadLog(numbers []uint64, l *logLoader) error {
 	for i, n := range numbers {
-		if i > 0 && n != s.sequence || i == 0 && s.snapshot == nil && n != 1 {
-			return errkind.New(errkind.DamagedStorage, "log file begins with record %d and record %d was expected: a file is missing; %s", n, s.sequence, repairHint)
+		if i == 0 && s.snapshot == nil && n != 1 {
+			return errkind.New(errkind.DamagedStorage, "the first log file begins with record %d and the folder has no snapshot: a file is missing; %s", n, repairHint)
+		}
+		if i > 0 && n != s.sequence {
+			return s.gapError(numberedName(logPrefix, numbers[i-1]), n)
 		}
 		data, err := readFile(s.fs, s.fs.PathJoin(s.dir, numberedName(logPrefix, n)))
 		if err != nil {
 			return errors.Wrap(err, "read the log")
 		}
 		l.highestIndex = 0
-		s.sequence, err = readLog(data, n, l.applyBatch)
+		var torn int64
+		s.sequence, torn, err = readLog(data, n, l.applyBatch)
 		if err != nil {
 			return err
 		}
 		s.segments = append(s.segments, segment{firstSequence: n, lastIndex: l.highestIndex})
+		s.summary.Files++
+		s.summary.Records += int(s.sequence - n)
+		s.summary.TornBytes += torn
 	}
 	return nil
 }
 
+// gapError says that the log continues with a later record than the one that should
+// follow the file named previous.
+func (s *Store) gapError(previous string, next uint64) error {
+	return errkind.New(errkind.DamagedStorage, "log file %s ends with record %d, with %d unreadable bytes after it in this and earlier files, and the next file begins with record %d: records or a file are missing; %s",
+		previous, s.sequence-1, s.summary.TornBytes, next, repairHint)
+}
+
 // Append makes the hard state, entries and marks durable. hs may be nil. After an error
 // the Store refuses all further use.
 func (s *Store) Append(hs *pb.HardState, entries []*pb.Entry, marks []*pb.Mark) error {
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -205,7 +205,7 @@
 	for at := range data {
 		bad := bytes.Clone(data)
 		bad[at] ^= 0x10
-		next, err := readLog(bad, 1, func(*pb.LogBatch) error { return nil })
+		next, _, err := readLog(bad, 1, func(*pb.LogBatch) error { return nil })
 		if at < lastAt && !errkind.Is(err, errkind.DamagedStorage) {
 			t.Fatalf("bit flip in byte %d of %d: got %v and next sequence %d, want kind damaged-storage", at, len(data), err, next)
 		}
@@ -214,7 +214,7 @@
 		}
 	}
 	for cut := range data {
-		if _, err := readLog(data[:cut], 1, func(*pb.LogBatch) error { return nil }); err != nil {
+		if _, _, err := readLog(data[:cut], 1, func(*pb.LogBatch) error { return nil }); err != nil {
 			t.Fatalf("log truncated to %d bytes: %v", cut, err)
 		}
 	}
@@ -268,7 +268,7 @@
 	f.Add(whole[:len(whole)-3])
 	f.Fuzz(func(t *testing.T, data []byte) {
 		l := &logLoader{latest: &pb.LogBatch{}}
-		next, err := readLog(data, 1, l.applyBatch)
+		next, _, err := readLog(data, 1, l.applyBatch)
 		if err != nil && !errkind.Is(err, errkind.DamagedStorage) {
 			t.Fatalf("got %v, want kind damaged-storage", err)
 		}
