Add a failing test of a power loss after a kill

TestKillThenPowerLoss stops the process before each write in turn, keeps the files as a kill does, lets the next process work on and then loses what was not synced. TestCrashAtEachOperation always takes a power loss as the first crash, so it never sees unsynced data that a later process has read.

--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -154,26 +154,62 @@
 // runUntilCrash runs the schedule, crashes before the write operation number at, and
 // returns the content of the disk after the crash.
 func runUntilCrash(mem *vfs.MemFS, at, keepPercent int, rng *rand.Rand, p *acknowledged) (*vfs.MemFS, bool) {
-	n, crashed := 0, false
 	var remaining *vfs.MemFS
+	lose := func() { remaining = mem.CrashClone(vfs.CrashCloneCfg{UnsyncedDataPercent: keepPercent, RNG: rng}) }
+	crashed := runUntilStop(mem, at, lose, p)
+	if !crashed {
+		lose()
+	}
+	return remaining, crashed
+}
+
+// runUntilStop runs the schedule, calls stop before the write operation number at and
+// lets that operation and all later ones fail. It returns whether it came that far.
+func runUntilStop(mem *vfs.MemFS, at int, stop func(), p *acknowledged) bool {
+	n, stopped := 0, false
 	fs := errorfs.Wrap(mem, errorfs.InjectorFunc(func(op errorfs.Op) error {
-		if crashed || op.Kind.ReadOrWrite() == errorfs.OpIsWrite {
+		if stopped || op.Kind.ReadOrWrite() == errorfs.OpIsWrite {
 			n++
 		}
-		if n > at && !crashed {
-			crashed = true
-			remaining = mem.CrashClone(vfs.CrashCloneCfg{UnsyncedDataPercent: keepPercent, RNG: rng})
+		if n > at && !stopped {
+			stopped = true
+			stop()
 		}
-		if crashed {
+		if stopped {
 			return errors.New("crashed")
 		}
 		return nil
 	}))
 	runSchedule(fs, p)
-	if !crashed {
-		remaining = mem.CrashClone(vfs.CrashCloneCfg{UnsyncedDataPercent: keepPercent, RNG: rng})
+	return stopped
+}
+
+// TestKillThenPowerLoss guards against a data folder that does not open, or has lost
+// acknowledged data, after a power loss that follows a kill of the process. The kill
+// leaves unsynced data that the next process reads back and builds on.
+func TestKillThenPowerLoss(t *testing.T) {
+	losses := 0
+	for _, keepPercent := range []int{0, 50} {
+		for killAt, killed := 0, true; killed; killAt++ {
+			for lossAt, lost := 0, true; lost; lossAt++ {
+				at := fmt.Sprintf("keep %d%%, kill at %d, power loss at %d", keepPercent, killAt, lossAt)
+				p := &acknowledged{entries: map[uint64]uint64{}}
+				mem := vfs.NewCrashableMem()
+				killed = runUntilStop(mem, killAt, func() {}, p)
+				rng := rand.New(rand.NewPCG(uint64(killAt), uint64(lossAt)))
+				mem, lost = runUntilCrash(mem, lossAt, keepPercent, rng, p)
+				_, r, err := Open(mem, testDir, "c1")
+				if err != nil {
+					t.Fatalf("%s: %v", at, err)
+				}
+				checkRestored(t, at, r, p)
+				losses++
+			}
+		}
+	}
+	if losses < 1000 {
+		t.Fatalf("only %d power losses were simulated, want at least 1000", losses)
 	}
-	return remaining, crashed
 }
 
 // encodedLog writes a log of n batches and returns the content of the file.
