Make what a started voter reads from its disk durable

Cause: Open took whatever it read for durable. A process that is killed between the write and the sync of a record leaves it in the page cache; the next process reported it to the leader as held and began the next log file after it. A later power loss dropped the record, and the folder had a gap. The voter had also confirmed entries that its disk did not hold, so an acknowledged change could be lost with one more disk. Change: Open syncs the folder and each file that it reads, before anything is built on it. Cost: one sync a file and start.

--- a/internal/storage/files.go
+++ b/internal/storage/files.go
@@ -1,6 +1,7 @@
 package storage
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sort"
@@ -79,12 +80,17 @@
 	return syncDir(fs, dir)
 }
 
+// readFile reads a file and makes its content durable. The process that wrote it may have
+// been killed before its sync, and what is read here is acted on.
 func readFile(fs vfs.FS, path string) ([]byte, error) {
 	f, err := fs.Open(path)
 	if err != nil {
 		return nil, err
 	}
 	defer f.Close()
+	if err := f.Sync(); err != nil {
+		return nil, errors.Wrapf(err, "sync %s", path)
+	}
 	return io.ReadAll(f)
 }
 
@@ -103,13 +109,12 @@
 }
 
 func readIdentity(fs vfs.FS, dir string) (*pb.DiskIdentity, error) {
-	f, err := fs.Open(fs.PathJoin(dir, identityName))
+	data, err := readFile(fs, fs.PathJoin(dir, identityName))
 	if err != nil {
 		return nil, err
 	}
-	defer f.Close()
 	id := &pb.DiskIdentity{}
-	r, err := record.NewReader(f, 0).Next()
+	r, err := record.NewReader(bytes.NewReader(data), 0).Next()
 	if err == nil {
 		err = readMessage(r, id)
 	}
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -263,7 +263,8 @@
 	return f, s.snapshot, err
 }
 
-// loadSnapshot reads the newest snapshot once to verify it, and keeps its metadata.
+// loadSnapshot reads the newest snapshot once to verify it, makes it durable and keeps
+// its metadata.
 func (s *Store) loadSnapshot(numbers []uint64) error {
 	if len(numbers) == 0 {
 		return nil
@@ -274,6 +275,9 @@
 		return errors.Wrap(err, "open a snapshot")
 	}
 	defer f.Close()
+	if err := f.Sync(); err != nil {
+		return errors.Wrap(err, "sync a snapshot")
+	}
 	r, err := ReadSnapshot(f)
 	if err != nil {
 		return err
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -57,8 +57,8 @@
 	lastIndex     uint64
 }
 
-// Open locks the data folder, reads and verifies all of it, and returns the state that
-// it holds. A folder without an identity gets a new one with a random disk id. Errors
+// Open locks the data folder, reads and verifies all of it, makes it durable, and returns
+// the state that it holds. A folder without an identity gets a new one with a random disk id. Errors
 // have kind damaged-storage, wrong-disk, invalid-settings (another process uses the
 // folder) or internal.
 func Open(fs vfs.FS, dir, node string) (*Store, replication.RestoredState, error) {
@@ -100,6 +100,10 @@
 
 func (s *Store) load(node string) (replication.RestoredState, error) {
 	restored := replication.RestoredState{}
+	// Files that a killed process created, renamed or removed may not be durable yet.
+	if err := syncDir(s.fs, s.dir); err != nil {
+		return restored, err
+	}
 	names, err := s.fs.List(s.dir)
 	if err != nil {
 		return restored, errors.Wrap(err, "list the data folder")
