Sync the folder before a stored configuration is loaded

Cause: a router that was killed between the rename and the sync of the folder left the newer configuration visible but not durable. The next process loaded it, and a power loss brought the older file back: the node steps back.

--- a/internal/distribution/core_test.go
+++ b/internal/distribution/core_test.go
@@ -4,7 +4,9 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/cockroachdb/pebble/v2/vfs"
+	"github.com/cockroachdb/pebble/v2/vfs/errorfs"
 
 	"github.com/kumquathollow/kumquathollow/api/controlpb"
 	"github.com/kumquathollow/kumquathollow/internal/clock"
@@ -153,6 +155,38 @@
 	}
 }
 
+// TestLoadedConfigurationSurvivesAPowerLoss guards against a node that steps back to an
+// older configuration. The process that saved the newer one was killed before it synced
+// the folder, so the rename was not durable yet when the next process loaded the file.
+func TestLoadedConfigurationSurvivesAPowerLoss(t *testing.T) {
+	sets := history(t, 1, 2)
+	mem := vfs.NewCrashableMem()
+	killed := false
+	s := &store{dir: "/data", fs: errorfs.Wrap(mem, errorfs.InjectorFunc(func(op errorfs.Op) error {
+		if killed && op.Kind == errorfs.OpOpenDir {
+			return errors.New("killed")
+		}
+		return nil
+	}))}
+	if _, err := s.load(); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.save(sets[0]); err != nil {
+		t.Fatal(err)
+	}
+	killed = true
+	if err := s.save(sets[1]); err == nil {
+		t.Fatal("the folder was synced after the kill")
+	}
+	if got, err := (&store{fs: mem, dir: "/data"}).load(); err != nil || !equalSets(t, got, sets[1]) {
+		t.Fatalf("after the kill: %v %v", got, err)
+	}
+	after := &store{fs: mem.CrashClone(vfs.CrashCloneCfg{}), dir: "/data"}
+	if got, err := after.load(); err != nil || !equalSets(t, got, sets[1]) {
+		t.Errorf("revision %v was loaded before the power loss, after it: %v (%v)", sets[1].Revision, got, err)
+	}
+}
+
 func TestDamagedStoreIsReported(t *testing.T) {
 	mem := vfs.NewMem()
 	s := &store{fs: mem, dir: "/data"}
--- a/internal/distribution/store.go
+++ b/internal/distribution/store.go
@@ -79,6 +79,11 @@
 	if err := syncDir(s.fs, s.fs.PathDir(s.dir)); err != nil {
 		return nil, errkind.Wrap(err, errkind.InvalidSettings, "sync the parent of the data folder")
 	}
+	// A process that was killed after the rename has not synced the folder, and a power
+	// loss would bring the older file back.
+	if err := syncDir(s.fs, s.dir); err != nil {
+		return nil, errkind.Wrap(err, errkind.DamagedStorage, "sync the data folder")
+	}
 	f, err := s.fs.Open(s.fs.PathJoin(s.dir, storeFile))
 	if oserror.IsNotExist(err) {
 		return nil, nil
