Follow what servers say of themselves in responses

Requests went on to servers that had declined them, and clients were told to return too early. Change: the adapter decodes Server-Leaving and the Retry-After of a 503; placement keeps both per incarnation and leaves such servers out; with none left, requests are refused at once with the time of the first server, spread. Unusable values are logged and ignored. Not done: other routers and the directory do not learn it from this router, and declared fleets have no such headers.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -64,11 +64,14 @@
 	if info.Load != nil {
 		picked.RecordLoad(*info.Load, time.Now())
 	}
+	if !info.OtherInstance {
+		x.recordNotice(picked, info)
+	}
 	switch {
 	case info.OtherInstance:
 		return attemptResult{err: errkind.New(errkind.BackendRefused, "the address of server %q belongs to another incarnation now", picked.ID), sent: true, retryable: true, outcome: placement.Unreachable}
 	case info.NotExecuted:
-		return x.notExecuted(picked, resp)
+		return x.notExecuted(picked, resp, info)
 	case resp.StatusCode == http.StatusSwitchingProtocols || resp.Header.Get("Content-Encoding") != "":
 		return x.invalidResponse("the response of server %q switches protocols or has a content encoding, which the router does not support", picked.ID)
 	case resp.StatusCode < 300 && (info.ID != x.requestInfo.ID || !info.Signed):
@@ -161,14 +164,42 @@
 	return attemptResult{err: err, sent: true, mayHaveRun: true, retryable: true, outcome: placement.Failure}
 }
 
-func (x *exchange) notExecuted(picked *placement.PickResult, resp *backend.Response) attemptResult {
+func (x *exchange) notExecuted(picked *placement.PickResult, resp *backend.Response, info ResponseInfo) attemptResult {
 	// The body is read only so that the connection can be reused.
 	_, _ = resp.ReadAll(maxResponseBytes)
 	if resp.StatusCode == http.StatusBadRequest {
 		return attemptResult{err: errkind.New(errkind.BadRequest, "server %q rejected the request as malformed", picked.ID), sent: true, outcome: placement.Neutral}
 	}
-	err := errkind.New(errkind.BackendRefused, "server %q did not run the request and responded with status %d", picked.ID, resp.StatusCode).WithRetryAfter(refusedRetryAfter)
-	return attemptResult{err: err, sent: true, retryable: true, outcome: placement.Failure}
+	outcome := placement.Failure
+	if info.Notice.StayAway > 0 {
+		outcome = placement.Neutral // It gets no requests for as long as it asked, and needs no probe then.
+	}
+	retryAfter := x.f.opts.Fleet.RetryAfter(x.service.Name, x.requestHash, refusedRetryAfter, time.Now())
+	err := errkind.New(errkind.BackendRefused, "server %q did not run the request and responded with status %d", picked.ID, resp.StatusCode).WithRetryAfter(retryAfter)
+	return attemptResult{err: err, sent: true, retryable: true, outcome: outcome}
+}
+
+// recordNotice records, counts and logs what the server says of itself.
+func (x *exchange) recordNotice(picked *placement.PickResult, info ResponseInfo) {
+	log := x.f.opts.Log
+	if info.InvalidRetryAfter != "" {
+		if suppressed, ok := x.f.sampler.Allow("invalid retry-after", time.Now()); ok {
+			log.Warn("retry-after ignored", "server", picked.ID, "request", x.requestInfo.ID, "value", info.InvalidRetryAfter, "because", "it names no usable time", "left-out", suppressed)
+		}
+	}
+	if !picked.RecordNotice(info.Notice, time.Now()) {
+		return
+	}
+	if info.Notice.Leaving {
+		x.f.opts.Metrics.Counter("forward.notice.leaving").Inc(1)
+	}
+	if info.Notice.StayAway > 0 {
+		x.f.opts.Metrics.Counter("forward.notice.stay_away").Inc(1)
+	}
+	if suppressed, ok := x.f.sampler.Allow("server notice", time.Now()); ok {
+		log.Info("server wants no requests", "server", picked.ID, "born", picked.Born, "service", picked.Service, "request", x.requestInfo.ID,
+			"leaving", info.Notice.Leaving, "for", info.Notice.StayAway, "left-out", suppressed)
+	}
 }
 
 // invalidResponse returns the result for a response that cannot be attributed to
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -66,6 +66,10 @@
 	OtherInstance bool
 	// Load is the load that the backend server reported, or nil.
 	Load *placement.Load
+	// Notice is what the backend server says of itself.
+	Notice placement.Notice
+	// InvalidRetryAfter is the text of a Retry-After that names no usable time, or empty.
+	InvalidRetryAfter string
 }
 
 // Protocol translates between HTTP headers and the values that this package uses.
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -25,11 +25,13 @@
 // other methods are safe for concurrent use.
 type Fleet struct {
 	// routerHash is the hash of the router's name.
-	routerHash   uint64
-	dataCentre   string
-	bounds       Bounds
-	byID         map[string]*Server
-	byHash       map[uint32]*Server
+	routerHash uint64
+	dataCentre string
+	bounds     Bounds
+	byID       map[string]*Server
+	byHash     map[uint32]*Server
+	// departed holds the notices of servers that are no longer in the list.
+	departed     map[incarnation]*notices
 	rankings     map[string]*ranking
 	pools        atomic.Pointer[map[string]*pool]
 	peerLoads    atomic.Pointer[peerLoads]
@@ -71,7 +73,7 @@
 
 // NewFleet returns an empty Fleet for the named router in the data centre.
 func NewFleet(router, dataCentre string, bounds Bounds) *Fleet {
-	f := &Fleet{routerHash: routing.Hash(router), dataCentre: dataCentre, bounds: bounds, byID: map[string]*Server{}, rankings: map[string]*ranking{}}
+	f := &Fleet{routerHash: routing.Hash(router), dataCentre: dataCentre, bounds: bounds, byID: map[string]*Server{}, departed: map[incarnation]*notices{}, rankings: map[string]*ranking{}}
 	f.pools.Store(&map[string]*pool{})
 	f.peerLoads.Store(&peerLoads{})
 	f.evacuated.Store(&[]string{})
@@ -130,7 +132,7 @@
 		s := f.byID[announced.ID]
 		if s == nil || s.Born != announced.Born || s.Address != announced.Address || s.Service != announced.Service {
 			restarted := s != nil && s.Born != announced.Born
-			if s = newServer(announced); restarted {
+			if s = newServer(announced, f.noticesOf(announced)); restarted {
 				s.markCacheIncomplete(now)
 			}
 		} else {
@@ -153,6 +155,7 @@
 		slices.SortFunc(p.servers, func(a, b *Server) int { return cmp.Compare(a.ID, b.ID) })
 		p.ranking = f.ranking(service)
 	}
+	f.keepDepartedNotices(byID, now)
 	f.byID = byID
 	f.byHash = make(map[uint32]*Server, len(byID))
 	for _, s := range byID {
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -102,7 +102,11 @@
 func (f *Fleet) Pick(req PickRequest, now time.Time) (*PickResult, error) {
 	p := f.pool(req.Service.Name)
 	all, mean := f.candidates(p, req, now)
-	usable := filterOut(all, func(c *candidate) bool { return c.evacuated || c.excluded })
+	usable := filterOut(all, func(c *candidate) bool { return c.evacuated || c.excluded || c.declines })
+	if len(usable) == 0 && slices.ContainsFunc(all, func(c candidate) bool { return !c.evacuated && c.declines }) {
+		return nil, errkind.New(errkind.NoBackend, "no server of service %q wants requests: %d are listed as ready, and those that the request was not sent to are leaving or have named a time", req.Service.Name, len(p.servers)).
+			WithRetryAfter(f.RetryAfter(req.Service.Name, req.TieBreaker, noServerRetryAfter, now))
+	}
 	if len(usable) == 0 && slices.ContainsFunc(all, func(c candidate) bool { return c.evacuated }) {
 		return nil, errkind.New(errkind.DataCentreOut, "every data centre with servers of service %q is evacuated", req.Service.Name).WithRetryAfter(noServerRetryAfter)
 	}
@@ -190,6 +194,9 @@
 	// evacuated is set if the server's data centre is evacuated, excluded if the
 	// request was already sent to the server.
 	evacuated, excluded bool
+	// declines is set if the server has said that it is leaving, or that it wants no
+	// requests from this router yet.
+	declines bool
 	// spare is set if the server has no place: it takes keys only when others are
 	// loaded.
 	spare bool
@@ -214,6 +221,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := candidate{Server: s, inFlight: s.inFlight, added: s.inFlight - s.atUpdates[loadLagUpdates-1], silent: now.Sub(s.announced.LastSeen) > heartbeatTimeout}
+	wait, leaving := s.notices.wait(now)
+	c.declines = leaving || wait > 0
 	if s.ejectionTime > 0 {
 		c.ejected = now.Before(s.ejectedUntil) || s.probing
 		c.probe = !c.ejected
--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -18,6 +18,7 @@
 	Slots      int
 	Born       int64
 	hash       uint64
+	notices    *notices
 
 	mu sync.Mutex
 	// announced is the newest announcement.
@@ -60,10 +61,10 @@
 	Running, Waiting, Slots int
 }
 
-func newServer(s *inventory.Server) *Server {
+func newServer(s *inventory.Server, n *notices) *Server {
 	out := &Server{
 		ID: s.ID, Service: s.Service, Address: s.Address, DataCentre: s.DataCentre, Slots: s.Slots, Born: s.Born,
-		hash: routing.Hash(s.ID),
+		hash: routing.Hash(s.ID), notices: n,
 	}
 	out.updateAnnouncement(s)
 	return out
