Let a leader stop only once its successor leads

Cause: TransferLeadership returned when this process no longer led, a few milliseconds after it had queued its vote for the successor. The stop then ended the connection; under load the vote was lost, and while the third voter is down or not confirmed yet (it has just started, as in a rolling restart) the successor lost its election: no leader for an election timeout. TestHandOver was seen to fail like this once ("term 6 after 4", listed). Change: the transfer ends once another process leads, or this one has stepped down in its own term for lack of a quorum.

--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -360,6 +362,41 @@
 	}
 }
 
+// slowCandidates blocks a process, while armed, each time that it logs a new term. That
+// is after a candidate has asked for votes and before it reads the replies.
+type slowCandidates struct{ armed atomic.Bool }
+
+// Accept implements hclog.SinkAdapter.
+func (s *slowCandidates) Accept(_ string, _ hclog.Level, msg string, _ ...any) {
+	if s.armed.Load() && msg == "leadership" {
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+// TestHandOverWaitsForTheSuccessor guards against a leader that stops with its vote for
+// its successor still in its send queue. If the third voter is down or has just started,
+// the successor then loses its election, and the group has no leader for an election
+// timeout.
+func TestHandOverWaitsForTheSuccessor(t *testing.T) {
+	slow := &slowCandidates{}
+	c := newCluster(t, 3, func(o *replication.Options) {
+		log := hclog.NewInterceptLogger(&hclog.LoggerOptions{Output: io.Discard})
+		log.RegisterSink(slow)
+		o.Log = log
+	})
+	l := c.leader()
+	c.apply(l, change("change-1", initialRevision(), workspace("w", "1")))
+	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+	defer cancel()
+	group := c.procs[l].p.group
+	slow.armed.Store(true)
+	group.TransferLeadership(ctx)
+	if s := group.Status(); s.Leading || s.Leader == "" {
+		t.Errorf("the transfer ended with leading %v and leader %q, want another process as the leader", s.Leading, s.Leader)
+	}
+	slow.armed.Store(false)
+}
+
 // TestHandOver checks that a leader transfers leadership before it stops, so that a
 // rolling restart does not wait for an election timeout.
 func TestHandOver(t *testing.T) {
--- a/internal/replication/group.go
+++ b/internal/replication/group.go
@@ -361,14 +361,19 @@
 const leadershipTransferRetryInterval = 5 * time.Millisecond
 
 // TransferLeadership transfers leadership to another voter that holds the whole log,
-// if this process is the leader. It returns once this process no longer leads, the
-// group stops or ctx ends.
+// if this process is the leader. It returns once another process leads, this one has
+// given up leadership for lack of a quorum, the group stops or ctx ends. Until another one
+// leads this process must not stop, since the successor may still need its vote.
 func (g *Group) TransferLeadership(ctx context.Context) {
 	tick := time.NewTicker(leadershipTransferRetryInterval)
 	defer tick.Stop()
-	for g.Status().Leading {
-		if g.enqueue(ctx, func() { g.core.TransferLeadership() }) != nil {
-			return
+	led := g.Status()
+	for s := led; s.Leading || s.Leader == "" && s.Term > led.Term; s = g.Status() {
+		if s.Leading {
+			led = s
+			if g.enqueue(ctx, func() { g.core.TransferLeadership() }) != nil {
+				return
+			}
 		}
 		select {
 		case <-tick.C:
