Do not issue a permit id twice in a term

Cause: the slab index of a permit takes its next id from the one that it held last. The end of one request could then release the place of another that still runs, and the server gets more than it may. Change: the generation of an index is kept apart from the id. Measured: TestPermitIDsDoNotRepeatAfterAnAdoptedPermit failed ("permit was issued twice in a term") and passes; the other tests of admission pass, schedules included.

--- a/internal/admission/core_test.go
+++ b/internal/admission/core_test.go
@@ -337,6 +337,35 @@
 	}
 }
 
+// Guards against two permits of one term with the same id. The second one was granted
+// after a permit of another term had used the first one's index.
+func TestPermitIDsDoNotRepeatAfterAnAdoptedPermit(t *testing.T) {
+	b := newTestBench(1, 1)
+	seen := map[uint64]bool{}
+	grant := func() {
+		t.Helper()
+		e := b.ask("w", 5, 0)
+		if e == nil || e.Kind != Granted {
+			t.Fatalf("got %+v, want a permit", e)
+		}
+		if seen[e.Permit] {
+			t.Fatalf("permit %d was issued twice in a term", e.Permit)
+		}
+		seen[e.Permit] = true
+		b.finish(e.Permit, grantpb.Outcome_OUTCOME_COMPLETED)
+	}
+	for range 3 {
+		grant()
+	}
+	b.core.OpenSession(b.now, 2, &grantpb.Hello{Router: "r2", Held: []*grantpb.Held{
+		{PermitId: 9, Term: 7, Server: "e0", Service: "s", Workspace: "w", RemainingMs: 60_000, RunningMs: 100},
+	}})
+	b.core.Result(b.now, 2, &grantpb.Result{PermitId: 9, Term: 7, Outcome: grantpb.Outcome_OUTCOME_COMPLETED})
+	for range 3 {
+		grant()
+	}
+}
+
 func TestOverrideOutlivesItsGrantor(t *testing.T) {
 	b := newTestBench(2, 4)
 	b.core.Override(b.now, Override{Target: "backendServer/e0", Out: true, StampMS: 10})
--- a/internal/admission/permit.go
+++ b/internal/admission/permit.go
@@ -11,6 +11,8 @@
 type permit struct {
 	id   uint64
 	term uint64
+	// generation counts the grants at this index of the slab in this term.
+	generation uint64
 	// session is 0 if the router's session has ended.
 	session   SessionID
 	server    int32
@@ -40,7 +42,8 @@
 )
 
 // allocPermit returns a free index of the slab. Ids do not repeat within a term,
-// because each reuse of an index increments the upper bits.
+// because each grant at an index increments its generation, the upper bits of the id. A
+// permit of another term keeps the id that it had there and leaves the generation alone.
 func (c *Core) allocPermit() int32 {
 	if n := len(c.freePermits); n > 0 {
 		i := c.freePermits[n-1]
@@ -95,8 +98,7 @@
 	if p.term != c.term {
 		delete(c.priorPermits, permitKey{p.term, p.id})
 	}
-	id := p.id
-	*p = permit{id: id}
+	*p = permit{generation: p.generation}
 	c.freePermits = append(c.freePermits, i)
 }
 
@@ -130,14 +132,15 @@
 func (c *Core) grant(now Instant, p *pool, t *tenant, session SessionID, a *grantpb.Ask, server int32, enqueued Instant) {
 	i := c.allocPermit()
 	pm := &c.permits[i]
-	id := (pm.id>>permitIndexBits+1)<<permitIndexBits | uint64(i)
+	generation := pm.generation + 1
+	id := generation<<permitIndexBits | uint64(i)
 	wait := now - enqueued
 	run := time.Duration(a.RunMs) * time.Millisecond
 	if run == 0 {
 		run = p.service.maxRunTime
 	}
 	*pm = permit{
-		id: id, term: c.term, session: session, server: server, pool: p, tenant: t, workspace: t.workspace,
+		id: id, term: c.term, generation: generation, session: session, server: server, pool: p, tenant: t, workspace: t.workspace,
 		grantedAt: now, deadline: now + run + c.options.StartWindow + c.options.Margin,
 	}
 	c.activatePermit(i)
--- a/internal/admission/session.go
+++ b/internal/admission/session.go
@@ -114,7 +114,7 @@
 	}
 	i := c.allocPermit()
 	c.permits[i] = permit{
-		id: held.PermitId, term: held.Term, session: id, server: server,
+		id: held.PermitId, term: held.Term, generation: c.permits[i].generation, session: id, server: server,
 		workspace: c.workspaceOf(held.Workspace), grantedAt: granted, startedAt: started,
 		deadline: now + time.Duration(held.RemainingMs)*time.Millisecond + c.options.Margin,
 	}
