Charge a flow once for each grant

Cause: a flow was charged for its next grant at each grant, and once more when a request came while it was empty. Change: a flow that a grant empties is charged by the next request only. Measured: TestAWorkspaceWithOneWaitingRequestGetsItsShare failed (40 to 20) and passes (29 to 31 of 60 allowed); admission, grantor, measure and dispatch pass.

--- a/internal/admission/core_test.go
+++ b/internal/admission/core_test.go
@@ -366,6 +366,35 @@
 	}
 }
 
+// Guards against a workspace that gets less than its share because it has one request
+// waiting at a time, beside one whose queue is never empty.
+func TestAWorkspaceWithOneWaitingRequestGetsItsShare(t *testing.T) {
+	b := newTestBench(1, 1)
+	permit := b.ask("w", 5, 0).Permit
+	owner := map[uint64]string{}
+	wait := func(workspace string) {
+		b.sendAsk(workspace, 5, time.Hour)
+		owner[b.lastAsk] = workspace
+	}
+	for range 100 {
+		wait("backlog")
+	}
+	wait("single")
+	grants := map[string]int{}
+	for range 60 {
+		b.finish(permit, grantpb.Outcome_OUTCOME_COMPLETED)
+		e := b.firstEffect()
+		permit = e.Permit
+		workspace := owner[e.AskID]
+		if grants[workspace]++; workspace == "single" {
+			wait("single")
+		}
+	}
+	if n := grants["single"]; n < 29 || n > 31 {
+		t.Errorf("grants %v, want 30 of 60 for each of two workspaces of the same weight", grants)
+	}
+}
+
 func TestOverrideOutlivesItsGrantor(t *testing.T) {
 	b := newTestBench(2, 4)
 	b.core.Override(b.now, Override{Target: "backendServer/e0", Out: true, StampMS: 10})
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -136,13 +136,13 @@
 	w.tenant.addUsage(0, -1)
 }
 
-// removeGranted removes a waiter whose ask was granted and charges its flow for
-// the grant.
+// removeGranted removes a waiter whose ask was granted and charges its flow for the
+// next grant. A flow that is empty now is charged by push once it has another waiter.
 func (q *queue) removeGranted(w *waiter) {
 	f := w.flow
 	f.level.virtualTime = max(f.level.virtualTime, f.finishTag)
-	f.finishTag += virtualCost / uint64(w.tenant.workspace.weight)
 	if f.head != f.tail {
+		f.finishTag += virtualCost / uint64(w.tenant.workspace.weight)
 		heap.Fix(f.level, f.heapIndex)
 	}
 	q.remove(w)
