Measure the time that a server wants no requests by the monotonic clock

Change: it is kept as a time with its monotonic reading. Measured: TestTheTimeAwayKeepsTheMonotonicClock, written with the change; a step itself cannot be made in a test of the package.

--- a/internal/placement/notice.go
+++ b/internal/placement/notice.go
@@ -33,37 +33,43 @@
 // servers does not overrule it. It is safe for concurrent use.
 type notices struct {
 	leaving atomic.Bool
-	// awayUntil and heardAt are in Unix nanoseconds, 0 if nothing was said.
-	awayUntil, heardAt atomic.Int64
+	// awayUntil and heardAt are nil if nothing was said. As time.Time they keep the
+	// monotonic clock, since the time of day may be set at any moment.
+	awayUntil, heardAt atomic.Pointer[time.Time]
 }
 
 // record reports whether the notice was news.
 func (n *notices) record(notice Notice, now time.Time) bool {
-	n.heardAt.Store(now.UnixNano())
+	n.heardAt.Store(&now)
 	news := notice.Leaving && !n.leaving.Swap(true)
 	if notice.StayAway <= 0 {
 		return news
 	}
-	for until := now.Add(notice.StayAway).UnixNano(); ; {
+	for until := now.Add(notice.StayAway); ; {
 		// Responses overtake each other, so a shorter time does not replace a longer one.
 		old := n.awayUntil.Load()
-		if until <= old {
+		if old != nil && !until.After(*old) {
 			return news
 		}
-		if n.awayUntil.CompareAndSwap(old, until) {
-			return news || old <= now.UnixNano()
+		if n.awayUntil.CompareAndSwap(old, &until) {
+			return news || old == nil || !old.After(now)
 		}
 	}
 }
 
 // wait returns for how long the server wants no requests, and whether it is leaving.
 func (n *notices) wait(now time.Time) (time.Duration, bool) {
-	return time.Duration(max(0, n.awayUntil.Load()-now.UnixNano())), n.leaving.Load()
+	until := n.awayUntil.Load()
+	if until == nil {
+		return 0, n.leaving.Load()
+	}
+	return max(0, until.Sub(now)), n.leaving.Load()
 }
 
 // expired reports whether the notices of a server that left the list can be dropped.
 func (n *notices) expired(now time.Time) bool {
-	return now.UnixNano()-n.heardAt.Load() > int64(noticeRetention)
+	heard := n.heardAt.Load()
+	return heard == nil || now.Sub(*heard) > noticeRetention
 }
 
 // incarnation identifies one start of a server.
--- a/internal/placement/notice_test.go
+++ b/internal/placement/notice_test.go
@@ -219,3 +219,13 @@
 		t.Errorf("the notices of %d departed servers are kept, want 0", n)
 	}
 }
+
+// Guards against a time that ends early or late when the time of day is set: it must be
+// kept with its monotonic reading, which only a time of the system has.
+func TestTheTimeAwayKeepsTheMonotonicClock(t *testing.T) {
+	n := &notices{}
+	n.record(Notice{StayAway: time.Hour}, time.Now())
+	if until := n.awayUntil.Load(); *until == until.Round(0) {
+		t.Errorf("the time %s has no monotonic reading", until)
+	}
+}
