--- a/internal/placement/doc.go
+++ b/internal/placement/doc.go
@@ -11,6 +11,10 @@
 // that doubles with each further failure, then probed with a single request.
 // Ejection never leaves a pool without a server.
 //
+// A server that has said in a response that it is leaving, or for how long it wants no
+// requests from this router, gets none, also if no other is left. The request is then
+// refused with the time until the first server takes requests again.
+//
 // Limits: the in-flight counts of other routers arrive with a delay of about half
 // a second; a router that is partitioned from the directory counts only its own.
 package placement
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -58,9 +58,9 @@
 }
 
 // Open locks the data folder, reads and verifies all of it, makes it durable, and returns
-// the state that it holds. A folder without an identity gets a new one with a random disk id. Errors
-// have kind damaged-storage, wrong-disk, invalid-settings (another process uses the
-// folder) or internal.
+// the state that it holds. A folder without an identity gets a new one with a random disk
+// id. Errors have kind damaged-storage, wrong-disk, invalid-settings (another process uses
+// the folder) or internal.
 func Open(fs vfs.FS, dir, node string) (*Store, replication.RestoredState, error) {
 	s := &Store{fs: fs, dir: dir, latest: &pb.LogBatch{HardState: &pb.HardState{}}, sequence: 1}
 	none := replication.RestoredState{}
