Report a TLS alert that arrives before a call's first write

Cause: a server rejects a client's certificate after the client's handshake. If its alert is read before the call writes, drpc answers the write with a bare io.EOF, or the connection with "use of closed network connection", and the reason is lost: the operator is told of a broken connection instead of a rejected certificate. Change: TLS connections remember the error that ended the reading and return it instead.

--- a/internal/keys/keys_test.go
+++ b/internal/keys/keys_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 
 	"github.com/kumquathollow/kumquathollow/api/controlpb"
@@ -134,6 +135,41 @@
 	}
 }
 
+// Guards against a call that reports a bare EOF for a rejected certificate. The server's
+// alert arrives before the call's first write.
+func TestALateWriteReportsTheRejectedCertificate(t *testing.T) {
+	issue, other := newAuthority(t), newAuthority(t)
+	addr := serve(t, must(t)(FleetServerConfig(issue(RoleControl, "c1"))))
+	mixed := other(RoleOperator, "intruder")
+	mixed.CA = issue(RoleRouter, "r1").CA
+	d := rpc.NewDialer(must(t)(FleetClientConfig(mixed)))
+	defer d.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	conn, err := d.DialUnpooled(ctx, addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	stream, err := conn.NewStream(ctx, "/controlpb.Control/Status", nil)
+	if err == nil {
+		<-conn.Closed()
+		err = stream.MsgSend(&controlpb.StatusRequest{}, emptyEncoding{})
+	}
+	if err == nil { // The message may only have been buffered.
+		err = stream.MsgRecv(&controlpb.StatusResponse{}, emptyEncoding{})
+	}
+	if !rpc.IsTLSAlert(err) {
+		t.Errorf("error %v, want a TLS alert", err)
+	}
+}
+
+// emptyEncoding encodes each message as no bytes.
+type emptyEncoding struct{}
+
+func (emptyEncoding) Marshal(drpc.Message) ([]byte, error) { return nil, nil }
+func (emptyEncoding) Unmarshal([]byte, drpc.Message) error { return nil }
+
 func TestCertificateFilesAreReadAgain(t *testing.T) {
 	issue := newAuthority(t)
 	id := issue(RoleControl, "c1")
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -145,7 +145,8 @@
 		_ = raw.Close()
 		return nil, errkind.Wrap(err, handshakeErrorKind(err), "TLS handshake with %s", addr)
 	}
-	return newConn(tc), nil
+	c := &failureConn{Conn: tc}
+	return causeConn{newConn(c), c}, nil
 }
 
 // handshakeErrorKind returns the kind of a failed TLS handshake: unreachable if the
