--- a/internal/distribution/store.go
+++ b/internal/distribution/store.go
@@ -12,12 +12,12 @@
 
 	"github.com/kumquathollow/kumquathollow/api/controlpb"
 	"github.com/kumquathollow/kumquathollow/internal/config"
+	"github.com/kumquathollow/kumquathollow/internal/durable"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 )
 
 const (
 	storeFile     = "configuration"
-	storeTempFile = "configuration.tmp"
 	checksumBytes = 8
 )
 
@@ -38,36 +38,11 @@
 	if err != nil {
 		return errkind.Wrap(err, errkind.Internal, "encode the configuration for the disk")
 	}
-	tmp := s.fs.PathJoin(s.dir, storeTempFile)
-	if err := s.write(tmp, body); err != nil {
-		return errors.Wrap(err, "write the configuration file")
-	}
-	if err := s.fs.Rename(tmp, s.fs.PathJoin(s.dir, storeFile)); err != nil {
-		return errors.Wrap(err, "replace the configuration file")
-	}
-	return errors.Wrap(syncDir(s.fs, s.dir), "sync the data folder")
-}
-
-func (s *store) write(path string, body []byte) (err error) {
-	f, err := s.fs.Create(path, vfs.WriteCategoryUnspecified)
-	if err != nil {
-		return err
-	}
-	defer func() { err = errors.CombineErrors(err, f.Close()) }()
-	sum := binary.LittleEndian.AppendUint64(nil, xxhash.Sum64(body))
-	if _, err := f.Write(append(sum, body...)); err != nil {
+	err = durable.WriteFile(s.fs, s.dir, storeFile, func(w io.Writer) error {
+		_, err := w.Write(append(binary.LittleEndian.AppendUint64(nil, xxhash.Sum64(body)), body...))
 		return err
-	}
-	return f.Sync()
-}
-
-func syncDir(fs vfs.FS, dir string) (err error) {
-	d, err := fs.OpenDir(dir)
-	if err != nil {
-		return err
-	}
-	defer func() { err = errors.CombineErrors(err, d.Close()) }()
-	return d.Sync()
+	})
+	return errors.Wrap(err, "save the configuration file")
 }
 
 // load returns the set that was saved last, or nil if there is none. A damaged file
@@ -76,12 +51,12 @@
 	if err := s.fs.MkdirAll(s.dir, 0o755); err != nil {
 		return nil, errkind.Wrap(err, errkind.InvalidSettings, "create the data folder")
 	}
-	if err := syncDir(s.fs, s.fs.PathDir(s.dir)); err != nil {
+	if err := durable.SyncDir(s.fs, s.fs.PathDir(s.dir)); err != nil {
 		return nil, errkind.Wrap(err, errkind.InvalidSettings, "sync the parent of the data folder")
 	}
 	// A process that was killed after the rename has not synced the folder, and a power
 	// loss would bring the older file back.
-	if err := syncDir(s.fs, s.dir); err != nil {
+	if err := durable.SyncDir(s.fs, s.dir); err != nil {
 		return nil, errkind.Wrap(err, errkind.DamagedStorage, "sync the data folder")
 	}
 	f, err := s.fs.Open(s.fs.PathJoin(s.dir, storeFile))
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/kumquathollow/kumquathollow/api/replicationpb"
+	"github.com/kumquathollow/kumquathollow/internal/durable"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/replication"
 )
@@ -151,7 +152,7 @@
 // SaveSnapshot makes a snapshot durable, then removes what it makes obsolete: older
 // snapshots, and log files without entries after the snapshot.
 func (s *Store) SaveSnapshot(meta *pb.SnapshotMeta, write func(io.Writer) error) error {
-	err := writeFileAtomic(s.fs, s.dir, numberedName(snapshotPrefix, meta.Index), func(w io.Writer) error {
+	err := durable.WriteFile(s.fs, s.dir, numberedName(snapshotPrefix, meta.Index), func(w io.Writer) error {
 		return WriteSnapshot(w, meta, write)
 	})
 	s.mu.Lock()
@@ -194,17 +195,17 @@
 		s.segments = slices.Delete(s.segments, 0, 1)
 		// Removals that are synced together survive a power loss independently, which
 		// could leave a gap between log files.
-		if err := syncDir(s.fs, s.dir); err != nil {
+		if err := durable.SyncDir(s.fs, s.dir); err != nil {
 			return err
 		}
 	}
-	return syncDir(s.fs, s.dir)
+	return durable.SyncDir(s.fs, s.dir)
 }
 
 // ReceiveSnapshot stores a snapshot file from another process under a temporary name
 // and verifies it.
 func (s *Store) ReceiveSnapshot(write func(io.Writer) error) (*replication.ReceivedSnapshot, error) {
-	path := s.fs.PathJoin(s.dir, numberedName("received-", 0)+tempSuffix)
+	path := s.fs.PathJoin(s.dir, numberedName("received-", 0)+durable.TempSuffix)
 	f, err := s.fs.Create(path, vfs.WriteCategoryUnspecified)
 	if err != nil {
 		return nil, errors.Wrap(err, "create a snapshot")
@@ -240,7 +241,7 @@
 	final := s.fs.PathJoin(s.dir, numberedName(snapshotPrefix, r.Meta.Index))
 	err := s.fs.Rename(r.Path, final)
 	if err == nil {
-		err = syncDir(s.fs, s.dir)
+		err = durable.SyncDir(s.fs, s.dir)
 	}
 	s.mu.Lock()
 	if err != nil {
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/kumquathollow/kumquathollow/api/replicationpb"
+	"github.com/kumquathollow/kumquathollow/internal/durable"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/replication"
 )
@@ -70,7 +71,7 @@
 	for d := dir; fs.PathDir(d) != d; d = fs.PathDir(d) {
 		// This process did not create a parent that it has no permission to open, so that
 		// one needs no sync.
-		if err := syncDir(fs, fs.PathDir(d)); err != nil && !oserror.IsPermission(err) {
+		if err := durable.SyncDir(fs, fs.PathDir(d)); err != nil && !oserror.IsPermission(err) {
 			return nil, none, err
 		}
 	}
@@ -101,7 +102,7 @@
 func (s *Store) load(node string) (replication.RestoredState, error) {
 	restored := replication.RestoredState{}
 	// Files that a killed process created, renamed or removed may not be durable yet.
-	if err := syncDir(s.fs, s.dir); err != nil {
+	if err := durable.SyncDir(s.fs, s.dir); err != nil {
 		return restored, err
 	}
 	names, err := s.fs.List(s.dir)
@@ -154,7 +155,7 @@
 
 func (s *Store) removeTemporaryFiles(names []string) error {
 	for _, n := range names {
-		if strings.HasSuffix(n, tempSuffix) {
+		if strings.HasSuffix(n, durable.TempSuffix) {
 			if err := s.fs.Remove(s.fs.PathJoin(s.dir, n)); err != nil {
 				return errors.Wrapf(err, "remove %s", n)
 			}
@@ -171,7 +172,7 @@
 		if i > 0 && n != s.sequence {
 			return s.gapError(numberedName(logPrefix, numbers[i-1]), n)
 		}
-		data, err := readFile(s.fs, s.fs.PathJoin(s.dir, numberedName(logPrefix, n)))
+		data, err := durable.ReadFile(s.fs, s.fs.PathJoin(s.dir, numberedName(logPrefix, n)))
 		if err != nil {
 			return errors.Wrap(err, "read the log")
 		}
@@ -243,7 +244,7 @@
 	if err != nil {
 		return errors.Wrap(err, "create a log file")
 	}
-	if err := syncDir(s.fs, s.dir); err != nil {
+	if err := durable.SyncDir(s.fs, s.dir); err != nil {
 		_ = f.Close()
 		return err
 	}
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/pebble/v2/vfs/errorfs"
 
 	pb "github.com/kumquathollow/kumquathollow/api/replicationpb"
+	"github.com/kumquathollow/kumquathollow/internal/durable"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/replication"
 )
@@ -231,7 +232,7 @@
 			t.Fatal(err)
 		}
 	}
-	data, err := readFile(fs, fs.PathJoin(testDir, numberedName(logPrefix, 1)))
+	data, err := durable.ReadFile(fs, fs.PathJoin(testDir, numberedName(logPrefix, 1)))
 	if err != nil {
 		t.Fatal(err)
 	}
