--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -194,12 +194,13 @@
 		}
 		s.segments = slices.Delete(s.segments, 0, 1)
 		// Removals that are synced together survive a power loss independently, which
-		// could leave a gap between log files.
+		// could leave a gap between log files. A lost removal of a snapshot leaves none:
+		// the newest snapshot is used, and the next one removes the others again.
 		if err := durable.SyncDir(s.fs, s.dir); err != nil {
 			return err
 		}
 	}
-	return durable.SyncDir(s.fs, s.dir)
+	return nil
 }
 
 // ReceiveSnapshot stores a snapshot file from another process under a temporary name
