Log the opening of a data folder in one place

control and directory had the same two log lines, and storage exported a summary and its fields only for them. OpenLogged writes both lines; they are as before.

--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -111,13 +111,11 @@
 }
 
 func (p *Process) openGroup(opt Options) error {
-	store, restored, err := storage.Open(p.fs, p.conf.Data, p.conf.Node)
+	store, restored, err := storage.OpenLogged(p.fs, p.conf.Data, p.conf.Node, p.log)
 	if err != nil {
-		p.log.Error("data folder not opened", "folder", p.conf.Data, "error", err)
 		return err
 	}
 	p.store = store
-	p.log.Info("data folder opened", append([]any{"folder", p.conf.Data, "disk", store.DiskID()}, store.Summary().Fields()...)...)
 	o := replication.Options{
 		Config: replication.DefaultConfig(p.conf.Node, store.DiskID()), Address: p.listener.Addr().String(),
 		Storage: store, Restored: restored, StateMachine: p.stateMachine, Dialer: p.dialer,
--- a/internal/directory/process.go
+++ b/internal/directory/process.go
@@ -75,13 +75,11 @@
 	}
 	ownAddress := p.ownAddress
 	seeds := p.fleetAddresses(p.conf.Seeds)
-	store, restored, err := storage.Open(fs, p.conf.Data, ownAddress)
+	store, restored, err := storage.OpenLogged(fs, p.conf.Data, ownAddress, p.log)
 	if err != nil {
-		p.log.Error("data folder not opened", "folder", p.conf.Data, "error", err)
 		return err
 	}
 	p.store = store
-	p.log.Info("data folder opened", append([]any{"folder", p.conf.Data, "disk", store.DiskID()}, store.Summary().Fields()...)...)
 	var declared []*pb.Voter
 	for _, a := range seeds {
 		declared = append(declared, &pb.Voter{Id: a, Address: a})
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/pebble/v2/record"
 	"github.com/cockroachdb/pebble/v2/vfs"
 	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/kumquathollow/kumquathollow/api/replicationpb"
@@ -39,17 +40,17 @@
 	// pendingReset, if set, becomes the ResetIndex of the next log file's first record.
 	pendingReset uint64
 	snapshot     *pb.SnapshotMeta
-	summary      Summary
+	summary      summary
 }
 
-// Summary says what Open found in a data folder.
-type Summary struct {
-	// Files and Records count the log's files and their valid records.
-	Files, Records int
-	// TornBytes is the size of the torn tails that were discarded.
-	TornBytes int64
-	// SnapshotIndex and LastIndex are the last entries of the snapshot and of the log.
-	SnapshotIndex, LastIndex uint64
+// summary says what Open found in a data folder.
+type summary struct {
+	// files and records count the log's files and their valid records.
+	files, records int
+	// tornBytes is the size of the torn tails that were discarded.
+	tornBytes int64
+	// snapshotIndex and lastIndex are the last entries of the snapshot and of the log.
+	snapshotIndex, lastIndex uint64
 }
 
 // segment is one log file. lastIndex is the highest index of its entries and resets.
@@ -88,14 +89,19 @@
 	return s, r, nil
 }
 
-// Fields returns the summary as key-value pairs for a log line.
-func (m Summary) Fields() []any {
-	return []any{"log-files", m.Files, "records", m.Records, "torn-bytes", m.TornBytes, "snapshot-index", m.SnapshotIndex, "last-index", m.LastIndex}
+// OpenLogged is like Open and logs what it found, or why it failed.
+func OpenLogged(fs vfs.FS, dir, node string, log hclog.Logger) (*Store, replication.RestoredState, error) {
+	s, restored, err := Open(fs, dir, node)
+	if err != nil {
+		log.Error("data folder not opened", "folder", dir, "error", err)
+		return nil, restored, err
+	}
+	m := &s.summary
+	log.Info("data folder opened", "folder", dir, "disk", s.DiskID(), "log-files", m.files, "records", m.records, "torn-bytes", m.tornBytes,
+		"snapshot-index", m.snapshotIndex, "last-index", m.lastIndex)
+	return s, restored, nil
 }
 
-// Summary returns what Open found in the folder.
-func (s *Store) Summary() Summary { return s.summary }
-
 // DiskID returns the random id of the folder.
 func (s *Store) DiskID() string { return s.id.Disk }
 
@@ -124,8 +130,8 @@
 	}
 	restored.HardState, restored.Snapshot, restored.Marks = s.latest.HardState, s.snapshot, s.latest.Marks
 	restored.Entries, err = loader.entriesAfterSnapshot()
-	s.summary.SnapshotIndex = s.snapshot.GetIndex()
-	s.summary.LastIndex = s.summary.SnapshotIndex + uint64(len(restored.Entries))
+	s.summary.snapshotIndex = s.snapshot.GetIndex()
+	s.summary.lastIndex = s.summary.snapshotIndex + uint64(len(restored.Entries))
 	if len(restored.Entries) == 0 && len(loader.entries) > 0 {
 		// The process crashed after the snapshot was installed and before the batch with
 		// the ResetIndex was written.
@@ -183,9 +189,9 @@
 			return err
 		}
 		s.segments = append(s.segments, segment{firstSequence: n, lastIndex: l.highestIndex})
-		s.summary.Files++
-		s.summary.Records += int(s.sequence - n)
-		s.summary.TornBytes += torn
+		s.summary.files++
+		s.summary.records += int(s.sequence - n)
+		s.summary.tornBytes += torn
 	}
 	return nil
 }
@@ -194,7 +200,7 @@
 // follow the file named previous.
 func (s *Store) gapError(previous string, next uint64) error {
 	return errkind.New(errkind.DamagedStorage, "log file %s ends with record %d, with %d unreadable bytes after it in this and earlier files, and the next file begins with record %d: records or a file are missing; %s",
-		previous, s.sequence-1, s.summary.TornBytes, next, repairHint)
+		previous, s.sequence-1, s.summary.tornBytes, next, repairHint)
 }
 
 // Append makes the hard state, entries and marks durable. hs may be nil. After an error
