Use one function for the fraction of a hash, one for the order of addresses

The same expression for a number from 0 to 1 stood in five places, two of them from the notices and the shares of room, and the selector's comparison in two. The values are the same to the bit.

--- a/internal/fleetview/selector.go
+++ b/internal/fleetview/selector.go
@@ -68,9 +68,7 @@
 // that are not members come last: they matter only if no member answers.
 func (s *selector) preference(members []member, seeds []string) []string {
 	ordered := slices.Clone(members)
-	slices.SortFunc(ordered, func(a, b member) int {
-		return cmp.Compare(routing.Mix(s.router, routing.Hash(a.address)), routing.Mix(s.router, routing.Hash(b.address)))
-	})
+	slices.SortFunc(ordered, func(a, b member) int { return s.compare(a.address, b.address) })
 	if i := slices.IndexFunc(ordered, func(m member) bool { return m.dataCentre == s.dataCentre }); i > 0 {
 		nearest := ordered[i]
 		ordered = slices.Insert(slices.Delete(ordered, i, i+1), 0, nearest)
@@ -80,12 +78,15 @@
 		out = append(out, m.address)
 	}
 	rest := slices.DeleteFunc(slices.Clone(seeds), func(a string) bool { return slices.Contains(out, a) })
-	slices.SortFunc(rest, func(a, b string) int {
-		return cmp.Compare(routing.Mix(s.router, routing.Hash(a)), routing.Mix(s.router, routing.Hash(b)))
-	})
+	slices.SortFunc(rest, s.compare)
 	return append(out, rest...)
 }
 
+// compare compares two addresses by this router's rendezvous order.
+func (s *selector) compare(a, b string) int {
+	return cmp.Compare(routing.Mix(s.router, routing.Hash(a)), routing.Mix(s.router, routing.Hash(b)))
+}
+
 // recordEnd records the end of a session. lasting is true if the session was in use for
 // a while, so that its process is worth trying again soon.
 func (s *selector) recordEnd(address string, lasting bool, now time.Duration) {
@@ -95,7 +96,7 @@
 	}
 	f.count++
 	delay := min(maxRedialDelay, minRedialDelay<<min(f.count-1, 10))
-	spread := float64(routing.Mix(s.router^routing.Hash(address), uint64(now))>>11) / (1 << 53)
+	spread := routing.Fraction(routing.Mix(s.router^routing.Hash(address), uint64(now)))
 	f.retryAt = now + time.Duration((0.5+spread)*float64(delay))
 	s.failures[address] = f
 }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -122,7 +122,7 @@
 		return err
 	}
 	x.requestHash = routing.Hash(x.requestInfo.ID)
-	x.service = config.Service(x.route.ChooseService(float64(x.requestHash>>11) / (1 << 53)))
+	x.service = config.Service(x.route.ChooseService(routing.Fraction(x.requestHash)))
 	if n := len(x.requestInfo.Prompt); x.route.Affinity && n > 0 {
 		// The last part belongs to this request only. The part before it identifies
 		// the session or subject, and its hash represents the whole shared prefix.
--- a/internal/placement/cold.go
+++ b/internal/placement/cold.go
@@ -47,7 +47,7 @@
 	if share >= 1 {
 		return int(share)
 	}
-	drawn := float64(routing.Mix(f.routerHash, server)>>11) / (1 << 53)
+	drawn := routing.Fraction(routing.Mix(f.routerHash, server))
 	if drawn < share*drawFraction {
 		return 1
 	}
--- a/internal/placement/notice.go
+++ b/internal/placement/notice.go
@@ -129,6 +129,6 @@
 	if first <= least {
 		return least
 	}
-	draw := float64(routing.Mix(tieBreaker, f.routerHash)>>11) / (1 << 53)
+	draw := routing.Fraction(routing.Mix(tieBreaker, f.routerHash))
 	return first + time.Duration(draw*float64(min(maxStayAwaySpread, time.Duration(stayAwaySpread*float64(first)))))
 }
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -311,7 +311,7 @@
 // the shares add up on average and a key finds the same server again.
 func (f *Fleet) roomShare(s *Server, room int, key uint64) int {
 	share := float64(room) / float64(f.routers.Load())
-	draw := float64(routing.Mix(key, s.hash^roomShareSalt)>>11) / (1 << 53)
+	draw := routing.Fraction(routing.Mix(key, s.hash^roomShareSalt))
 	return int(share + draw)
 }
 
--- a/internal/routing/doc.go
+++ b/internal/routing/doc.go
@@ -12,6 +12,6 @@
 // subset of the pool: the first servers in the workspace's own rendezvous order.
 // The size of the subset depends on the workspace's load (see package admission).
 //
-// All arithmetic is on integers, so that results are the same on every machine.
+// All arithmetic of the order is on integers, so that it is the same on every machine.
 // The package performs no I/O and uses neither a clock nor random numbers.
 package routing
--- a/internal/routing/hash.go
+++ b/internal/routing/hash.go
@@ -74,3 +74,6 @@
 	fraction := low<<8 + (high-low)*rest
 	return uint64(zeros+1)<<logFraction - fraction
 }
+
+// Fraction maps a hash to a number from 0 up to, but not including, 1.
+func Fraction(hash uint64) float64 { return float64(hash>>11) / (1 << 53) }
