--- a/internal/directory/catchup.go
+++ b/internal/directory/catchup.go
@@ -50,16 +50,15 @@
 
 const (
 	// bulkBytesPerSecond limits the bandwidth of server lists, full states and large
-	// changes to two thirds of the 6 Mbit/s link of a small VM. bulkBurstBytes may be sent at once: they
-	// take that link 50 ms, which is half of a replication heartbeat interval.
+	// changes to two thirds of the 6 Mbit/s link of a small VM. bulkBurstBytes may be sent
+	// at once: they take that link 50 ms, which is half of a replication heartbeat interval.
 	bulkBytesPerSecond = 500_000
 	bulkBurstBytes     = 37_500
 )
 
 // maySendBulk reports whether a server list, a full state or a large change may be sent
-// now. Without a
-// leader none is: no router serves before its configuration is confirmed, and the
-// election needs the VM and its link.
+// now. Without a leader none is: no router serves before its configuration is confirmed,
+// and the election needs the VM and its link.
 func (h *hub) maySendBulk() bool {
 	if h.leader == "" {
 		return false
