Log the shared prompt parts of a failed attempt

When a server ends, its ejection and the failed attempts are logged, but not what the requests in flight had in common.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -130,13 +130,18 @@
 			x.prefixHashes = append(x.prefixHashes, routing.Hash(part.ID))
 		}
 		x.affinityKey = x.prefixHashes[len(x.prefixHashes)-1]
-		for _, part := range x.requestInfo.Prompt[:n-1] {
+		for _, part := range x.sharedParts() {
 			x.sharedTokens += part.Tokens
 		}
 	}
 	return nil
 }
 
+// sharedParts returns the parts of the prompt that other requests may have as well.
+func (x *exchange) sharedParts() []PromptPart {
+	return x.requestInfo.Prompt[:max(0, len(x.requestInfo.Prompt)-1)]
+}
+
 func (x *exchange) staleError(age time.Duration) error {
 	return errkind.New(errkind.NotReady, "the configuration is stale: it was last confirmed %s ago", age.Round(time.Millisecond)).WithRetryAfter(staleRetryAfter)
 }
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"strings"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -70,6 +71,19 @@
 	return append(fields, extra...)
 }
 
+// maxLoggedPartBytes limits the part ids in a log line, since clients choose them.
+const maxLoggedPartBytes = 200
+
+// sharedPartIDs lists the ids of the prompt's shared parts for the log.
+func (x *exchange) sharedPartIDs() string {
+	var ids []string
+	for _, part := range x.sharedParts() {
+		ids = append(ids, part.ID)
+	}
+	list := strings.Join(ids, ",")
+	return list[:min(len(list), maxLoggedPartBytes)]
+}
+
 // logFailedAttempt counts and logs an attempt that did not produce the client's
 // response.
 func (f *Forwarder) logFailedAttempt(x *exchange, p *placement.PickResult, res attemptResult) {
@@ -79,7 +93,7 @@
 	if !ok {
 		return
 	}
-	f.opts.Log.Warn("attempt failed", "request", x.requestInfo.ID, "server", p.ID, "address", p.Address, "route", x.route.Name,
+	f.opts.Log.Warn("attempt failed", "request", x.requestInfo.ID, "server", p.ID, "address", p.Address, "route", x.route.Name, "prompt", x.sharedPartIDs(),
 		"sent", res.sent, "may-have-run", res.mayHaveRun, "may-repeat", res.retryable, "events", x.eventsSent, "after", time.Since(x.startedAt).Round(time.Microsecond),
 		"left", time.Until(x.deadline).Round(time.Millisecond), "error", res.err, "left-out", suppressed)
 }
