Share the limits that servers name among the routers

Cause (hypothesis 1): no router read the header. Hypotheses 2 and 3 are ruled out: servers got the same before and after they named a limit, and no request for them was repeated.

Change: a router takes over the limit with each response, per incarnation of the server, and sends at the rate of limit / routers from a token bucket. All buckets together hold 1.6 s of the limit and 4 requests, at least one each. A response without the header ends the limit, unless its request was sent before the limit was last named. Servers without room are passed over; if all are, the request is refused with the time of the next token.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -65,7 +65,7 @@
 		picked.RecordLoad(*info.Load, time.Now())
 	}
 	if !info.OtherInstance {
-		x.recordNotice(picked, info)
+		x.recordNotice(picked, info, sentAt)
 	}
 	switch {
 	case info.OtherInstance:
@@ -180,16 +180,24 @@
 }
 
 // recordNotice records, counts and logs what the server says of itself.
-func (x *exchange) recordNotice(picked *placement.PickResult, info ResponseInfo) {
+func (x *exchange) recordNotice(picked *placement.PickResult, info ResponseInfo, sentAt time.Time) {
 	log := x.f.opts.Log
 	if info.InvalidRetryAfter != "" {
 		if suppressed, ok := x.f.sampler.Allow("invalid retry-after", time.Now()); ok {
 			log.Warn("retry-after ignored", "server", picked.ID, "request", x.requestInfo.ID, "value", info.InvalidRetryAfter, "because", "it names no usable time", "left-out", suppressed)
 		}
 	}
-	if !picked.RecordNotice(info.Notice, time.Now()) {
+	if info.InvalidLimit != "" {
+		if suppressed, ok := x.f.sampler.Allow("invalid limit", time.Now()); ok {
+			log.Warn("limit ignored", "server", picked.ID, "request", x.requestInfo.ID, "value", info.InvalidLimit, "because", "it names no usable rate", "left-out", suppressed)
+		}
+	}
+	if !picked.RecordNotice(info.Notice, sentAt, time.Now()) {
 		return
 	}
+	if info.Notice.HasLimit {
+		x.f.opts.Metrics.Counter("forward.notice.limit").Inc(1)
+	}
 	if info.Notice.Leaving {
 		x.f.opts.Metrics.Counter("forward.notice.leaving").Inc(1)
 	}
@@ -197,8 +205,9 @@
 		x.f.opts.Metrics.Counter("forward.notice.stay_away").Inc(1)
 	}
 	if suppressed, ok := x.f.sampler.Allow("server notice", time.Now()); ok {
-		log.Info("server wants no requests", "server", picked.ID, "born", picked.Born, "service", picked.Service, "request", x.requestInfo.ID,
-			"leaving", info.Notice.Leaving, "for", info.Notice.StayAway, "left-out", suppressed)
+		log.Info("server notice", "server", picked.ID, "born", picked.Born, "service", picked.Service, "request", x.requestInfo.ID,
+			"leaving", info.Notice.Leaving, "for", info.Notice.StayAway,
+			"limited", info.Notice.HasLimit, "per-second", info.Notice.Limit, "left-out", suppressed)
 	}
 }
 
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -70,6 +70,8 @@
 	Notice placement.Notice
 	// InvalidRetryAfter is the text of a Retry-After that names no usable time, or empty.
 	InvalidRetryAfter string
+	// InvalidLimit is the text of a limit that names no usable rate, or empty.
+	InvalidLimit string
 }
 
 // Protocol translates between HTTP headers and the values that this package uses.
--- a/internal/placement/doc.go
+++ b/internal/placement/doc.go
@@ -13,7 +13,8 @@
 //
 // A server that has said in a response that it is leaving, or for how long it wants no
 // requests from this router, gets none, also if no other is left. The request is then
-// refused with the time until the first server takes requests again.
+// refused with the time until the first server takes requests again. A server that names
+// how many requests a second it takes gets them from all routers in equal shares.
 //
 // Limits: the in-flight counts of other routers arrive with a delay of about half
 // a second; a router that is partitioned from the directory counts only its own.
--- a/internal/placement/notice.go
+++ b/internal/placement/notice.go
@@ -27,6 +27,10 @@
 	// StayAway is how long the server wants no requests from this router; 0 if it did
 	// not say.
 	StayAway time.Duration
+	// Limit is how many requests a second the server takes from all routers together, if
+	// HasLimit is set.
+	Limit    float64
+	HasLimit bool
 }
 
 // notices holds what one incarnation of a server has said of itself. A newer list of the
@@ -36,12 +40,15 @@
 	// awayUntil and heardAt are nil if nothing was said. As time.Time they keep the
 	// monotonic clock, since the time of day may be set at any moment.
 	awayUntil, heardAt atomic.Pointer[time.Time]
+	limit              serverLimit
 }
 
-// record reports whether the notice was news.
-func (n *notices) record(notice Notice, now time.Time) bool {
+// record records the notice in the response to a request that was sent at sentAt, and
+// reports whether it was news.
+func (n *notices) record(notice Notice, routers int, sentAt, now time.Time) bool {
 	n.heardAt.Store(&now)
-	news := notice.Leaving && !n.leaving.Swap(true)
+	news := n.limit.record(notice, routers, sentAt, now)
+	news = notice.Leaving && !n.leaving.Swap(true) || news
 	if notice.StayAway <= 0 {
 		return news
 	}
@@ -87,7 +94,8 @@
 	if n := f.departed[incarnation{announced.ID, announced.Born}]; n != nil {
 		return n
 	}
-	return &notices{}
+	phase := routing.Fraction(routing.Mix(f.routerHash, routing.Hash(announced.ID)))
+	return &notices{limit: serverLimit{phase: phase}}
 }
 
 // keepDepartedNotices keeps the notices of servers that the new list lacks.
@@ -104,10 +112,11 @@
 	}
 }
 
-// RecordNotice records what the server said of itself in its response, and reports whether
-// that was news.
-func (p *PickResult) RecordNotice(n Notice, now time.Time) bool {
-	return (n.Leaving || n.StayAway > 0) && p.notices.record(n, now)
+// RecordNotice records what the server said of itself in its response to a request that was
+// sent at sentAt, and reports whether that was news.
+func (p *PickResult) RecordNotice(n Notice, sentAt, now time.Time) bool {
+	said := n.Leaving || n.StayAway > 0 || n.HasLimit || p.notices.limit.inForce(p.fleet.Routers(), now)
+	return said && p.notices.record(n, p.fleet.Routers(), sentAt, now)
 }
 
 // RetryAfter returns the time after which to retry a refused request: least if a server of
@@ -118,6 +127,7 @@
 	first := time.Duration(0)
 	for _, s := range f.Servers(service) {
 		wait, leaving := s.notices.wait(now)
+		wait = max(wait, s.notices.limit.wait(f.Routers(), now))
 		switch {
 		case leaving || slices.Contains(evacuated, s.DataCentre):
 		case wait == 0:
--- a/internal/placement/notice_test.go
+++ b/internal/placement/notice_test.go
@@ -26,7 +26,7 @@
 func (w *fleetSim) notify(id string, n Notice) {
 	w.t.Helper()
 	p := w.pickFrom(id)
-	p.RecordNotice(n, w.now)
+	p.RecordNotice(n, w.now, w.now)
 	p.Done(Neutral, 0, w.now)
 }
 
@@ -146,7 +146,7 @@
 	next := w.server("s0", "a")
 	next.Born += 1000
 	w.announce(next)
-	late.RecordNotice(Notice{Leaving: true, StayAway: time.Minute}, w.now)
+	late.RecordNotice(Notice{Leaving: true, StayAway: time.Minute}, w.now, w.now)
 	late.Done(Neutral, 0, w.now)
 	if counts := w.countPicks(100); counts["s0"] == 0 {
 		t.Errorf("picks %v, want some of the successor", counts)
@@ -196,8 +196,8 @@
 	w := newFleetSim(t)
 	w.join(2, "s")
 	first, second := w.pickFrom("s0"), w.pickFrom("s0")
-	first.RecordNotice(Notice{StayAway: 5 * time.Second}, w.now)
-	second.RecordNotice(Notice{StayAway: time.Second}, w.now.Add(time.Millisecond))
+	first.RecordNotice(Notice{StayAway: 5 * time.Second}, w.now, w.now)
+	second.RecordNotice(Notice{StayAway: time.Second}, w.now, w.now.Add(time.Millisecond))
 	w.now = w.now.Add(4 * time.Second)
 	if counts := w.countPicks(100); counts["s0"] != 0 {
 		t.Errorf("picks %v, want none of s0 within 5 s", counts)
@@ -224,7 +224,7 @@
 // kept with its monotonic reading, which only a time of the system has.
 func TestTheTimeAwayKeepsTheMonotonicClock(t *testing.T) {
 	n := &notices{}
-	n.record(Notice{StayAway: time.Hour}, time.Now())
+	n.record(Notice{StayAway: time.Hour}, 1, time.Now(), time.Now())
 	if until := n.awayUntil.Load(); *until == until.Round(0) {
 		t.Errorf("the time %s has no monotonic reading", until)
 	}
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -127,7 +127,8 @@
 		}
 		return result, nil
 	}
-	return nil, errkind.New(errkind.NoBackend, "no server of service %q can take the request: %d are ready, %d of them usable", req.Service.Name, len(p.servers), len(usable)).WithRetryAfter(noServerRetryAfter)
+	return nil, errkind.New(errkind.NoBackend, "no server of service %q can take the request: %d are ready, %d of them usable", req.Service.Name, len(p.servers), len(usable)).
+		WithRetryAfter(f.RetryAfter(req.Service.Name, req.TieBreaker, noServerRetryAfter, now))
 }
 
 // limitProbesWhenCutOff drops the candidates in data centres that this router cannot
@@ -364,8 +365,8 @@
 	return 1
 }
 
-// reserve counts the request as in flight on the server, unless the server is cold
-// and this router's quota for it is used up.
+// reserve counts the request as in flight on the server, unless the server is cold or has
+// named a limit, and this router's quota for it is used up.
 func (c *candidate) reserve(f *Fleet, service *catalog.Service, now time.Time) bool {
 	s := c.Server
 	s.mu.Lock()
@@ -373,6 +374,9 @@
 	if service.ColdRate > 0 && !s.admitCold(f, service, now) {
 		return false
 	}
+	if !s.notices.limit.admit(f.Routers(), now) {
+		return false
+	}
 	f.reachability.deferProbe(s.DataCentre, now)
 	s.probing = s.probing || c.probe
 	s.inFlight++
