Limit the head of a backend server's response

A server in trouble may send bytes that are no answer without end. A router read a status line or headers of any length: 64 MB of them cost it 390 to 580 MB of allocations for one request, on a VM of 284 MB. The body of a response to another request was read to its end, however long.

Cause: net/http limits neither the status line nor the headers that http.ReadResponse reads. Now reading the head fails after 256 KiB, and a body that is read only to use the connection again after 64 KiB.

TestAnEndlessResponseHeadCostsLittleMemory: four of six cases failed before with 393 to 578 million bytes allocated (4 MiB allowed); all pass.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -11,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -20,6 +22,8 @@
 	// defaultIdleTimeout is how long an idle connection is kept if the backend server
 	// sends no Keep-Alive timeout.
 	defaultIdleTimeout = 4 * time.Second
+	// maxHeadBytes limits the status line and the headers of a response.
+	maxHeadBytes = 256 << 10
 	// idleTimeoutFraction is the fraction of the backend server's idle timeout for
 	// which a connection is kept, so that the backend server does not close it while
 	// a request is on its way.
@@ -29,13 +33,49 @@
 // conn is one connection to a backend server.
 type conn struct {
 	net.Conn
+	// br reads from head, which limits the head of a response.
 	br          *bufio.Reader
+	head        *headLimiter
 	idleSince   time.Time
 	idleTimeout time.Duration
 	pool        *serverPool
 	closed      atomic.Bool
 }
 
+func newConn(raw net.Conn, pool *serverPool) *conn {
+	head := &headLimiter{Reader: raw}
+	return &conn{Conn: raw, br: bufio.NewReaderSize(head, readBufferBytes), head: head, pool: pool}
+}
+
+// headLimiter limits the bytes that are read while limited is set.
+type headLimiter struct {
+	io.Reader
+	limited   bool
+	remaining int
+}
+
+// Read implements io.Reader.
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.Reader.Read(p)
+	}
+	if l.remaining <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := l.Reader.Read(p[:min(len(p), l.remaining)])
+	l.remaining -= n
+	return n, err
+}
+
+var errHeadTooLong = errors.Newf("the head of the response is longer than %d bytes", maxHeadBytes)
+
+// readHead reads the status line and the headers of a response.
+func (c *conn) readHead(req *http.Request) (*http.Response, error) {
+	c.head.limited, c.head.remaining = true, maxHeadBytes
+	defer func() { c.head.limited = false }()
+	return http.ReadResponse(c.br, req)
+}
+
 // Close closes the connection and removes it from the pool's count of open
 // connections. Later calls do nothing.
 func (c *conn) Close() error {
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -49,6 +49,10 @@
 // names the request.
 const maxResponses = 4
 
+// maxDiscardedBytes limits the body of a response that is read only in order to use the
+// connection again.
+const maxDiscardedBytes = 64 << 10
+
 // MayHaveBeenSent reports whether the backend server may have received the request
 // although Do returned err.
 func MayHaveBeenSent(err error) bool {
@@ -123,7 +127,7 @@
 func (c *conn) readResponse(r *Request) (*http.Response, error) {
 	req := &http.Request{Method: r.Method}
 	for range maxResponses {
-		resp, err := http.ReadResponse(c.br, req)
+		resp, err := c.readHead(req)
 		if err != nil {
 			return nil, err
 		}
@@ -136,8 +140,10 @@
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return nil, errMismatchedResponse
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardedBytes+1)); err != nil {
 			return nil, err
+		} else if n > maxDiscardedBytes {
+			return nil, errMismatchedResponse
 		}
 	}
 	return nil, errMismatchedResponse
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -1,7 +1,6 @@
 package backend
 
 import (
-	"bufio"
 	"context"
 	"sync"
 	"syscall"
@@ -100,7 +99,7 @@
 		return nil, errkind.Wrap(err, errkind.Unreachable, "connect to server %q", t.ID)
 	}
 	p.onOpen()
-	return &conn{Conn: raw, br: bufio.NewReaderSize(raw, readBufferBytes), pool: s}, nil
+	return newConn(raw, s), nil
 }
 
 // Refused reports whether the backend server refuses connections, as one does whose process
