Bound the memory of buffered responses and stream events

Now all responses and events of a router together reserve at most 32 MiB, and the buffer grows by doubling. A response for which there is no memory fails with backend-lost, since it has run. The body of a response that did not run is read for 50 ms and 64 KiB at most.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -153,18 +153,54 @@
 // chunked encoding, and not only by the end of the connection.
 func (r *Response) Framed() bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
 
+// initialBodyBytes is the buffer with which a body of unknown length is read.
+const initialBodyBytes = 4 << 10
+
 // ReadAll reads the complete body. It fails if the body breaks off or is longer than
-// limit bytes.
-func (r *Response) ReadAll(limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
-		return nil, errkind.Wrap(err, errkind.BackendLost, "reading the response body failed after %d bytes", len(body))
+// limit bytes, or if reserve, which is called before the buffer grows by n bytes, does.
+func (r *Response) ReadAll(limit int64, reserve func(n int64) error) ([]byte, error) {
+	if r.ContentLength > limit {
+		return nil, errkind.New(errkind.BackendLost, "the response body of %d bytes exceeds the limit of %d bytes", r.ContentLength, limit)
+	}
+	size := int64(initialBodyBytes)
+	if r.ContentLength >= 0 {
+		size = r.ContentLength + 1 // The last byte finds the end of the body.
 	}
-	if int64(len(body)) > limit {
-		return nil, errkind.New(errkind.BackendLost, "the response body exceeds the limit of %d bytes", limit)
+	if err := reserve(size); err != nil {
+		return nil, err
+	}
+	body := make([]byte, 0, size)
+	for {
+		n, err := r.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			r.bodyRead = true
+			return body, nil
+		case err != nil:
+			return nil, errkind.Wrap(err, errkind.BackendLost, "reading the response body failed after %d bytes", len(body))
+		case int64(len(body)) > limit:
+			return nil, errkind.New(errkind.BackendLost, "the response body exceeds the limit of %d bytes", limit)
+		case len(body) == cap(body):
+			if err := reserve(int64(len(body))); err != nil {
+				return nil, err
+			}
+			body = append(make([]byte, 0, 2*len(body)), body...)
+		}
+	}
+}
+
+// discardTimeout limits how long Discard reads.
+const discardTimeout = 50 * time.Millisecond
+
+// Discard reads the rest of a body that is not needed, if it is short and comes soon, so
+// that the connection can be used again.
+func (r *Response) Discard(ctx context.Context) {
+	if r.SetReadTimeout(ctx, discardTimeout) != nil {
+		return
 	}
-	r.bodyRead = true
-	return body, nil
+	n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxDiscardedBytes+1))
+	r.bodyRead = err == nil && n <= maxDiscardedBytes
 }
 
 // MarkBodyRead records that the caller has read the body to its end without ReadAll.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -165,8 +165,7 @@
 }
 
 func (x *exchange) notExecuted(picked *placement.PickResult, resp *backend.Response, info ResponseInfo) attemptResult {
-	// The body is read only so that the connection can be reused.
-	_, _ = resp.ReadAll(maxResponseBytes)
+	resp.Discard(x.ctx)
 	if resp.StatusCode == http.StatusBadRequest {
 		return attemptResult{err: errkind.New(errkind.BadRequest, "server %q rejected the request as malformed", picked.ID), sent: true, outcome: placement.Neutral}
 	}
@@ -220,7 +219,7 @@
 // forwardResponse buffers a response that is not a stream and relays it once it is
 // complete.
 func (x *exchange) forwardResponse(picked *placement.PickResult, resp *backend.Response, info ResponseInfo) attemptResult {
-	body, err := resp.ReadAll(maxResponseBytes)
+	body, err := resp.ReadAll(maxResponseBytes, x.reserveResponse)
 	if err != nil {
 		return attemptResult{err: err, sent: true, mayHaveRun: true, retryable: true, outcome: placement.Failure}
 	}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -33,13 +33,14 @@
 	workspace   *catalog.Workspace
 	body        []byte
 	bodyRead    bool
-	// reservedBytes is the memory reserved for the body.
-	reservedBytes int64
-	ctx           context.Context
-	deadline      time.Time
-	affinityKey   uint64
-	prefixHashes  []uint64
-	requestHash   uint64
+	// reservedBytes is the memory reserved for the body, and reservedResponseBytes that for
+	// responses.
+	reservedBytes, reservedResponseBytes int64
+	ctx                                  context.Context
+	deadline                             time.Time
+	affinityKey                          uint64
+	prefixHashes                         []uint64
+	requestHash                          uint64
 	// sharedTokens is the number of tokens in the shared parts of the prompt.
 	sharedTokens int
 	// quarantineParts identify the shared parts of the prompt, in order.
@@ -80,7 +81,10 @@
 	if err := x.admit(); err != nil {
 		return err
 	}
-	defer func() { x.f.releaseBody(x.reservedBytes) }()
+	defer func() {
+		x.f.requestBodies.release(x.reservedBytes)
+		x.f.responses.release(x.reservedResponseBytes)
+	}()
 	if err := x.readBody(); err != nil {
 		return err
 	}
@@ -198,7 +202,7 @@
 		return errkind.Wrap(err, errkind.BadRequest, "read the request body")
 	}
 	x.body, x.bodyRead = body, true
-	x.f.releaseBody(x.reservedBytes - int64(len(body)))
+	x.f.requestBodies.release(x.reservedBytes - int64(len(body)))
 	x.reservedBytes = int64(len(body))
 	return nil
 }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -42,9 +42,9 @@
 	keepAlivesDisabled atomic.Bool
 	inFlight           atomic.Int64
 	startedAt          time.Time
-	// bufferedBytes is the memory reserved for request bodies.
-	bufferedBytes atomic.Int64
-	crashes       *crashDetector
+	// requestBodies and responses are the memory of what is buffered.
+	requestBodies, responses memoryBudget
+	crashes                  *crashDetector
 
 	mu           sync.Mutex
 	retryBudgets map[string]*retryBudget
@@ -57,9 +57,11 @@
 // New returns a Forwarder.
 func New(opts Options) *Forwarder {
 	f := &Forwarder{opts: opts, startedAt: time.Now(), sampler: eventlog.NewSampler(logLinesPerSecond), retryBudgets: map[string]*retryBudget{}}
+	f.requestBodies.limit, f.responses.limit = maxBufferedBytes, maxBufferedResponseBytes
 	f.crashes = newCrashDetector(opts.Pool, f.reportCrash)
 	opts.Metrics.Gauge("forward.in_flight", f.inFlight.Load)
-	opts.Metrics.Gauge("forward.body_bytes", f.bufferedBytes.Load)
+	opts.Metrics.Gauge("forward.body_bytes", f.requestBodies.used.Load)
+	opts.Metrics.Gauge("forward.response_bytes", f.responses.used.Load)
 	return f
 }
 
@@ -67,22 +69,6 @@
 // connection.
 func (f *Forwarder) DisableKeepAlives() { f.keepAlivesDisabled.Store(true) }
 
-// maxBufferedBytes limits the memory of all buffered request bodies; it suits VMs
-// with a few hundred MB of memory.
-const maxBufferedBytes = 64 << 20
-
-// reserveBody reserves memory for a request body. It fails with kind queue-full if
-// the reservation would exceed maxBufferedBytes.
-func (f *Forwarder) reserveBody(n int64) error {
-	if total := f.bufferedBytes.Add(n); total > maxBufferedBytes {
-		f.bufferedBytes.Add(-n)
-		return errkind.New(errkind.QueueFull, "no memory for the request body: buffered bodies already take %d bytes", total-n)
-	}
-	return nil
-}
-
-func (f *Forwarder) releaseBody(n int64) { f.bufferedBytes.Add(-n) }
-
 // InFlight returns the number of requests in flight.
 func (f *Forwarder) InFlight() int64 { return f.inFlight.Load() }
 
--- /dev/null
+++ b/internal/forward/memory.go
@@ -0,0 +1,65 @@
+package forward
+
+import (
+	"sync/atomic"
+
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
+)
+
+const (
+	// maxBufferedBytes limits the memory of all buffered request bodies, and
+	// maxBufferedResponseBytes that of all buffered responses and stream events. They suit
+	// VMs with a few hundred MB of memory.
+	maxBufferedBytes         = 64 << 20
+	maxBufferedResponseBytes = 32 << 20
+	// eventReservation is the memory that a stream reserves at a time for an event. Events
+	// up to this size need no reservation.
+	eventReservation = 64 << 10
+)
+
+// memoryBudget limits the memory that requests use together.
+type memoryBudget struct {
+	limit int64
+	used  atomic.Int64
+}
+
+// reserve reserves n bytes, and reports whether the budget allows that.
+func (b *memoryBudget) reserve(n int64) bool {
+	if b.used.Add(n) > b.limit {
+		b.used.Add(-n)
+		return false
+	}
+	return true
+}
+
+func (b *memoryBudget) release(n int64) { b.used.Add(-n) }
+
+// reserveBody reserves memory for a request body. It fails with kind queue-full if too much
+// is reserved already.
+func (f *Forwarder) reserveBody(n int64) error {
+	if !f.requestBodies.reserve(n) {
+		return errkind.New(errkind.QueueFull, "no memory for the request body: buffered bodies already take %d bytes", f.requestBodies.used.Load())
+	}
+	return nil
+}
+
+// reserveResponse reserves memory for a response until the request ends. It fails with kind
+// backend-lost, since the request has run, if too much is reserved already.
+func (x *exchange) reserveResponse(n int64) error {
+	if !x.f.responses.reserve(n) {
+		return errkind.New(errkind.BackendLost, "no memory for the response: buffered responses already take %d bytes", x.f.responses.used.Load())
+	}
+	x.reservedResponseBytes += n
+	return nil
+}
+
+// reserveEvent reserves memory for a stream event of n bytes. The memory serves later events
+// as well.
+func (x *exchange) reserveEvent(n int) error {
+	for int64(n) > x.reservedResponseBytes+eventReservation {
+		if err := x.reserveResponse(eventReservation); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -96,6 +96,9 @@
 		if len(event) > maxEventBytes {
 			return event, errkind.New(errkind.StreamBroken, "a stream event exceeds the limit of %d bytes", maxEventBytes)
 		}
+		if err := x.reserveEvent(len(event)); err != nil {
+			return event, err
+		}
 	}
 }
 
