Suspend a voter whose disk is full instead of ending its process

Cause: the storage took every failed operation for an unknown state of the disk. A write that found no room leaves a record without its end, which is a torn tail: the record can be written again to a new log file. Only a failed sync leaves the state unknown.

Change: such a write fails with the new kind disk-full and can be repeated. The group holds the work, suspends the core (no messages, votes or acknowledgements; its status names no leader), hands over leadership at once and tries again with a growing wait.

The simulation's leader() leaves out suspended processes, as their status says that they do not lead; an operator would otherwise change voters by a stale view.

--- a/internal/directory/cluster_test.go
+++ b/internal/directory/cluster_test.go
@@ -6,7 +6,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -15,6 +18,7 @@
 
 	"github.com/kumquathollow/kumquathollow/api/fleetpb"
 	"github.com/kumquathollow/kumquathollow/internal/assignment"
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/inventory"
 )
 
@@ -177,6 +181,89 @@
 	c.awaitDocument(hosts[1], "three")
 }
 
+// fillableFS is a file system that takes no new file and no write while it is full.
+type fillableFS struct {
+	vfs.FS
+	full *atomic.Bool
+}
+
+func (f fillableFS) Create(name string, category vfs.DiskWriteCategory) (vfs.File, error) {
+	if f.full.Load() {
+		return nil, &os.PathError{Op: "create", Path: name, Err: syscall.ENOSPC}
+	}
+	file, err := f.FS.Create(name, category)
+	return fillableFile{file, f.full}, err
+}
+
+type fillableFile struct {
+	vfs.File
+	full *atomic.Bool
+}
+
+func (f fillableFile) Write(p []byte) (int, error) {
+	if f.full.Load() {
+		return 0, syscall.ENOSPC
+	}
+	return f.File.Write(p)
+}
+
+// Guards against directory processes that end, again and again, while their disks are full.
+// The process that leads is taken, so that leadership must pass on, and later a second one
+// as well, so that the group has no quorum until there is room again.
+func TestAFullDiskCostsAProcessItsVoteOnly(t *testing.T) {
+	c := newCluster(t, 0)
+	full := map[string]*atomic.Bool{}
+	for _, h := range hosts[:3] {
+		c.seeds = append(c.seeds, h+":1")
+	}
+	for _, h := range hosts[:3] {
+		full[h] = &atomic.Bool{}
+		c.start(h, fillableFS{vfs.NewMem(), full[h]})
+	}
+	c.publish(hosts[0], 1, "one")
+	leader := ""
+	for h, n := range c.nodes {
+		if n.p.group.Status().Leading {
+			leader = h
+		}
+	}
+	if leader == "" {
+		t.Fatal("no process leads after a change was accepted")
+	}
+	var others []string
+	for _, h := range hosts[:3] {
+		if h != leader {
+			others = append(others, h)
+		}
+	}
+	full[leader].Store(true)
+	c.publish(others[0], 2, "two")
+	c.awaitDocument(others[1], "two")
+	c.eventually("suspend the voter without room", func() bool { return c.nodes[leader].p.group.Status().Suspended })
+	if err := c.nodes[leader].p.Publish(context.Background(), 3, []byte("three")); errkind.Of(err) != errkind.NoQuorum {
+		t.Errorf("a change at the process without room: %v, want kind no-quorum", err)
+	}
+	// What needs no disk goes on.
+	if err := c.nodes[leader].p.Announce(context.Background(), serverAnnouncement("x", 1, inventory.Ready)); err != nil {
+		t.Errorf("an announcement at the process without room: %v", err)
+	}
+	full[others[0]].Store(true)
+	_ = c.nodes[others[1]].p.Publish(context.Background(), 4, []byte("four")) // Its outcome is unknown.
+	for _, f := range full {
+		f.Store(false)
+	}
+	c.publish(others[1], 5, "five")
+	for _, h := range hosts[:3] {
+		c.awaitDocument(h, "five")
+		c.eventually("resume "+h, func() bool { return !c.nodes[h].p.group.Status().Suspended })
+		select {
+		case err := <-c.nodes[h].done:
+			t.Fatalf("the process at %s ended: %v", h, err)
+		default:
+		}
+	}
+}
+
 // A process is lost permanently and a new one starts at another address.
 func TestALostProcessIsReplacedAtAnotherAddress(t *testing.T) {
 	c := newCluster(t, 3)
--- a/internal/durable/durable.go
+++ b/internal/durable/durable.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/cockroachdb/pebble/v2/vfs"
@@ -20,11 +21,29 @@
 	return errors.Wrap(d.Sync(), "sync the data folder")
 }
 
+// IsDiskFull reports whether an operation failed because the disk has no room.
+func IsDiskFull(err error) bool {
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
+}
+
 // WriteFile replaces a file atomically: it writes the file under a temporary name, syncs
-// it, renames it and syncs the folder.
+// it, renames it and syncs the folder. If it fails before the file is renamed, it removes
+// what it has written, which may be all the room that is left.
 func WriteFile(fs vfs.FS, dir, name string, write func(io.Writer) error) error {
 	final := fs.PathJoin(dir, name)
-	f, err := fs.Create(final+TempSuffix, vfs.WriteCategoryUnspecified)
+	if err := writeTemporary(fs, final+TempSuffix, write); err != nil {
+		_ = fs.Remove(final + TempSuffix) // It may not exist. The next start removes it as well.
+		return err
+	}
+	if err := fs.Rename(final+TempSuffix, final); err != nil {
+		return errors.Wrapf(err, "rename %s", name)
+	}
+	return SyncDir(fs, dir)
+}
+
+func writeTemporary(fs vfs.FS, path string, write func(io.Writer) error) error {
+	name := fs.PathBase(path)
+	f, err := fs.Create(path, vfs.WriteCategoryUnspecified)
 	if err != nil {
 		return errors.Wrapf(err, "create %s", name)
 	}
@@ -36,13 +55,7 @@
 		_ = f.Close()
 		return errors.Wrapf(err, "sync %s", name)
 	}
-	if err := f.Close(); err != nil {
-		return errors.Wrapf(err, "close %s", name)
-	}
-	if err := fs.Rename(final+TempSuffix, final); err != nil {
-		return errors.Wrapf(err, "rename %s", name)
-	}
-	return SyncDir(fs, dir)
+	return errors.Wrapf(f.Close(), "close %s", name)
 }
 
 // ReadFile reads a file and makes its content durable.
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -60,6 +60,7 @@
 	BackendLost         Kind = "backend-lost"
 	StartTooLate        Kind = "start-too-late"
 	PromptQuarantined   Kind = "prompt-quarantined"
+	DiskFull            Kind = "disk-full"
 )
 
 // Outcome states whether a request ran.
@@ -174,4 +175,5 @@
 	{BackendLost, 46, http.StatusBadGateway, Unknown, RetrySameKey, hclog.Warn, ExitFailed, "The connection to the backend server broke after the request was sent."},
 	{StartTooLate, 47, http.StatusServiceUnavailable, NotRun, RetryLater, hclog.Warn, ExitFailed, "The permit's start window passed before the first byte could be sent."},
 	{PromptQuarantined, 48, http.StatusServiceUnavailable, NotRun, RetryLater, hclog.Warn, ExitFailed, "Backend servers ended under requests with a part of this prompt, so none gets it for now."},
+	{DiskFull, 49, http.StatusServiceUnavailable, NotRun, RetryLater, hclog.Warn, ExitUnreachable, "The process's disk is full, so it accepts no changes for now."},
 }
--- a/internal/replication/applier.go
+++ b/internal/replication/applier.go
@@ -5,6 +5,7 @@
 	"io"
 	"slices"
 	"sync"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -30,6 +31,8 @@
 	bytesSinceSnapshot   int
 	entriesSinceSnapshot int
 	lastSnapshotBytes    int
+	// snapshotRetryAt is when a snapshot may be saved again for which there was no room.
+	snapshotRetryAt time.Time
 }
 
 type pendingBarrier struct {
@@ -190,12 +193,15 @@
 	})
 }
 
+// snapshotRetryDelay is how long a snapshot waits after the disk had no room for it.
+const snapshotRetryDelay = time.Second
+
 // maybeSnapshot keeps the log bounded. It saves a snapshot once the entries applied
 // since the last one reach SnapshotEntries in number, or reach in bytes the larger of
 // SnapshotBytes and the size of the last snapshot.
 func (a *applier) maybeSnapshot(ctx context.Context) error {
 	limit := max(a.g.opt.SnapshotBytes, a.lastSnapshotBytes)
-	if a.bytesSinceSnapshot < limit && a.entriesSinceSnapshot < a.g.opt.SnapshotEntries {
+	if a.bytesSinceSnapshot < limit && a.entriesSinceSnapshot < a.g.opt.SnapshotEntries || time.Now().Before(a.snapshotRetryAt) {
 		return nil
 	}
 	meta := proto.Clone(a.meta).(*pb.SnapshotMeta)
@@ -204,6 +210,11 @@
 		counter.w = w
 		return a.g.opt.StateMachine.Snapshot(counter)
 	})
+	if errkind.Is(err, errkind.DiskFull) {
+		a.snapshotRetryAt = time.Now().Add(snapshotRetryDelay)
+		a.g.opt.Log.Warn("snapshot not saved", "index", meta.Index, "retry-in", snapshotRetryDelay, "error", err)
+		return nil
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/replication/core.go
+++ b/internal/replication/core.go
@@ -149,6 +149,8 @@
 	// applying is the index of the last entry handed out in Ready.Committed or covered
 	// by a snapshot.
 	applying uint64
+	// suspended is set between Suspend and Resume.
+	suspended bool
 }
 
 type pendingRead struct {
@@ -258,6 +260,9 @@
 // and the quorum check.
 func (c *Core) Tick(now time.Duration) {
 	c.advanceClock(now)
+	if c.suspended {
+		return
+	}
 	c.tickConfirm()
 	if c.role == Leader {
 		c.tickLeader()
--- a/internal/replication/election.go
+++ b/internal/replication/election.go
@@ -5,7 +5,7 @@
 // Step processes one received message. It ignores messages that are addressed to
 // another disk or come from this one.
 func (c *Core) Step(m *pb.Message) {
-	if m.ToDisk != c.cfg.Disk || m.FromDisk == c.cfg.Disk {
+	if c.suspended || m.ToDisk != c.cfg.Disk || m.FromDisk == c.cfg.Disk {
 		return
 	}
 	c.recordMarks(m)
@@ -234,7 +234,7 @@
 // TransferLeadership asks a voter that holds the whole log, and that was heard from
 // within the election timeout, to campaign. It reports whether there is one.
 func (c *Core) TransferLeadership() bool {
-	if c.role != Leader {
+	if c.role != Leader || c.suspended {
 		return false
 	}
 	for _, v := range c.voters.Voters {
@@ -250,7 +250,7 @@
 
 // onTransferLeadership campaigns without a pre-vote, as the leader has asked for it.
 func (c *Core) onTransferLeadership(m *pb.Message) {
-	if m.From != c.leader || c.role != Follower || !c.mayCampaign() {
+	if m.From != c.leader || c.role != Follower || !c.mayCampaign() || c.log.last() < m.Index {
 		return
 	}
 	c.leadershipTransfer = true
--- a/internal/replication/group.go
+++ b/internal/replication/group.go
@@ -17,7 +17,8 @@
 )
 
 // Storage persists the hard state, the log and the snapshots of a group. An error
-// of a method stops the group.
+// of a method stops the group, unless it has kind disk-full: then the group is suspended
+// until the same call succeeds.
 type Storage interface {
 	// Append returns once everything given is durable.
 	Append(hs *pb.HardState, entries []*pb.Entry, marks []*pb.Mark) error
@@ -96,6 +97,7 @@
 
 	// Owned by the goroutine of Run.
 	receivedSnapshot *ReceivedSnapshot
+	suspension       suspension
 	readSeq          uint64
 	pendingReads     map[uint64]*waiter
 
@@ -204,22 +206,44 @@
 
 func (g *Group) processReady(ctx context.Context) error {
 	for {
-		r := g.core.Ready()
-		if r.Empty() {
-			return nil
-		}
-		g.peers.send(ctx, r.Immediate)
-		if err := g.persist(r); err != nil {
+		r, err := g.nextReady(ctx)
+		if r == nil || err != nil {
 			return err
 		}
-		g.core.ReportDurable(r)
+		g.core.ReportDurable(*r)
+		if g.suspension.ready != nil {
+			g.resume()
+		}
 		g.peers.send(ctx, r.Messages)
 		g.applier.enqueue(r.Committed)
-		g.completeReads(r)
+		g.completeReads(*r)
+	}
+}
+
+// nextReady returns the next work once it is persisted. It returns nil if there is none, or
+// if it cannot be persisted for now.
+func (g *Group) nextReady(ctx context.Context) (*Ready, error) {
+	r := g.suspension.ready
+	if r == nil {
+		next := g.core.Ready()
+		if next.Empty() {
+			return nil, nil
+		}
+		g.peers.send(ctx, next.Immediate)
+		r = &next
+	} else if g.now() < g.suspension.retryAt {
+		return nil, nil
+	}
+	err := g.persist(r)
+	if errkind.Is(err, errkind.DiskFull) {
+		g.suspend(ctx, r, err)
+		return nil, nil
 	}
+	return r, err
 }
 
-func (g *Group) persist(r Ready) error {
+// persist makes r durable. It may be called again after an error of kind disk-full.
+func (g *Group) persist(r *Ready) error {
 	if r.Install != nil {
 		if g.receivedSnapshot == nil || g.receivedSnapshot.Meta.Index != r.Install.Index {
 			return errkind.New(errkind.Internal, "the snapshot at index %d to be installed is not the one received last", r.Install.Index)
@@ -228,7 +252,7 @@
 			return err
 		}
 		g.applier.enqueueSnapshot(r.Install)
-		g.receivedSnapshot = nil
+		g.receivedSnapshot, r.Install = nil, nil
 	}
 	if !r.NeedsSync() {
 		return nil
--- a/internal/replication/peerserver.go
+++ b/internal/replication/peerserver.go
@@ -92,8 +92,10 @@
 	s.g.peers.setAddress(m.From, m.FromAddress)
 	stepped := make(chan struct{})
 	err = s.g.enqueue(ctx, func() {
-		s.g.receivedSnapshot = rec
-		s.g.core.Step(m)
+		if s.g.suspension.ready == nil {
+			s.g.receivedSnapshot = rec
+			s.g.core.Step(m)
+		}
 		close(stepped)
 	})
 	if err != nil {
--- a/internal/replication/read.go
+++ b/internal/replication/read.go
@@ -5,7 +5,7 @@
 // ReadIndex requests a linearizable read, which a heartbeat round then confirms. Its
 // id is returned in Ready.Reads or Ready.AbortedReads.
 func (c *Core) ReadIndex(id uint64) error {
-	if c.role != Leader || c.commit < c.termStartIndex {
+	if c.role != Leader || c.suspended || c.commit < c.termStartIndex {
 		return ErrNotLeader
 	}
 	c.reads = append(c.reads, pendingRead{id: id, index: c.commit})
--- a/internal/replication/replicate.go
+++ b/internal/replication/replicate.go
@@ -11,7 +11,7 @@
 // Propose appends a command to the leader's log and returns its index and term.
 // If it returns an error, nothing was appended.
 func (c *Core) Propose(data []byte) (index, term uint64, err error) {
-	if c.role != Leader {
+	if c.role != Leader || c.suspended {
 		return 0, 0, ErrNotLeader
 	}
 	if c.uncommittedBytes > c.cfg.MaxUncommittedBytes {
@@ -24,7 +24,7 @@
 // when it is committed.
 func (c *Core) ProposeVoters(next *pb.VoterSet) (index, term uint64, err error) {
 	switch {
-	case c.role != Leader:
+	case c.role != Leader || c.suspended:
 		return 0, 0, ErrNotLeader
 	case c.pendingVotersIndex > c.commit || c.commit < c.termStartIndex:
 		return 0, 0, ErrChangePending
--- a/internal/replication/schedule_test.go
+++ b/internal/replication/schedule_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"testing"
+	"time"
 
 	pb "github.com/kumquathollow/kumquathollow/api/replicationpb"
 )
@@ -18,7 +19,7 @@
 func (s *sim) injectFault() {
 	n := s.nodes[s.nodeIDs[s.rng.IntN(len(s.nodeIDs))]]
 	other := s.nodeIDs[s.rng.IntN(len(s.nodeIDs))]
-	switch s.rng.IntN(11) {
+	switch s.rng.IntN(13) {
 	case 0:
 		s.crash(n)
 	case 1, 2:
@@ -43,12 +44,19 @@
 		if l := s.leader(); l != nil {
 			l.core.TransferLeadership()
 		}
+	case 11:
+		n.roomAt = s.now + time.Duration(s.rng.IntN(100))*simTick
+	case 12:
+		if l := s.leader(); l != nil {
+			l.roomAt = s.now + time.Duration(s.rng.IntN(100))*simTick
+		}
 	}
 }
 
 // TestSchedules runs thousands of seeded schedules with crashes between any two steps
 // of processing a Ready, network partitions in one or both directions, and lost,
-// delayed, duplicated and reordered messages. It checks election safety, leader
+// delayed, duplicated and reordered messages, and disks that take nothing for a while. It
+// checks election safety, leader
 // completeness and a single history of committed entries at every step, log matching
 // in between, and that all processes make progress once the faults end.
 func TestSchedules(t *testing.T) {
--- a/internal/replication/sim_test.go
+++ b/internal/replication/sim_test.go
@@ -44,6 +44,10 @@
 	core    *Core
 	applied uint64
 	boots   int
+	// Until roomAt the disk takes nothing. held is the work that waits for it, with the core
+	// suspended.
+	roomAt time.Duration
+	held   *Ready
 }
 
 type inFlightMessage struct {
@@ -122,7 +126,7 @@
 	}
 	n.applied = n.disk.snap.GetIndex()
 	rng := rand.New(rand.NewPCG(s.rng.Uint64(), 2))
-	n.core = New(simConfig(n.id, n.disk.id), rng, s.now, r)
+	n.core, n.held = New(simConfig(n.id, n.disk.id), rng, s.now, r), nil
 }
 
 func (s *sim) fail(format string, args ...any) {
@@ -136,6 +140,10 @@
 	if n.core == nil {
 		return
 	}
+	if n.held != nil {
+		n.core = nil
+		return
+	}
 	r := n.core.Ready()
 	switch s.rng.IntN(3) {
 	case 0:
@@ -164,13 +172,32 @@
 
 func (s *sim) processReady(n *simNode) {
 	for n.core != nil {
-		r := n.core.Ready()
-		if r.Empty() {
-			break
+		var r Ready
+		if n.held != nil {
+			if s.now < n.roomAt {
+				s.send(n.core.HandOverSuspended())
+				break
+			}
+			r = *n.held
+		} else {
+			r = n.core.Ready()
+			if r.Empty() {
+				break
+			}
+			s.send(r.Immediate)
+			if s.now < n.roomAt && (r.NeedsSync() || r.Install != nil) {
+				n.held = &r
+				n.core.Suspend()
+				s.send(n.core.HandOverSuspended())
+				break
+			}
 		}
-		s.send(r.Immediate)
 		s.persist(n, r)
 		n.core.ReportDurable(r)
+		if n.held != nil {
+			n.held = nil
+			n.core.Resume()
+		}
 		s.send(r.Messages)
 		for _, e := range r.Committed {
 			s.apply(n, e)
@@ -293,11 +320,13 @@
 	}
 }
 
+// leader returns the leader of the highest term. A suspended process does not count, since
+// it reports that it does not lead.
 func (s *sim) leader() *simNode {
 	var best *simNode
 	for _, id := range s.nodeIDs {
 		n := s.nodes[id]
-		if n.core != nil && n.core.Role() == Leader && (best == nil || n.core.Term() > best.core.Term()) {
+		if n.core != nil && n.held == nil && n.core.Role() == Leader && (best == nil || n.core.Term() > best.core.Term()) {
 			best = n
 		}
 	}
@@ -320,7 +349,7 @@
 	}
 	s.processReady(n)
 	term, ok := n.core.log.term(n.applied)
-	if !ok {
+	if !ok || n.held != nil {
 		return
 	}
 	meta := &pb.SnapshotMeta{Index: n.applied, Term: term, Voters: cloneVoterSet(n.core.Voters())}
@@ -330,12 +359,15 @@
 	n.core.Compact(meta, keep)
 }
 
-// heal ends all network faults and restarts every process that is down.
+// heal ends all network faults, gives all disks room and restarts every process that is
+// down.
 func (s *sim) heal() {
 	s.lossPct = 0
 	s.blockedLinks = map[[2]string]bool{}
 	for _, id := range s.nodeIDs {
-		if n := s.nodes[id]; n.core == nil {
+		n := s.nodes[id]
+		n.roomAt = 0
+		if n.core == nil {
 			s.boot(n)
 		}
 	}
--- a/internal/replication/status.go
+++ b/internal/replication/status.go
@@ -22,7 +22,10 @@
 	Progress    map[string]MemberProgress
 	Confirmed   bool
 	Quarantined bool
-	LogBytes    int
+	// Suspended is set while the disk has no room. The process then knows no leader and
+	// does not lead.
+	Suspended bool
+	LogBytes  int
 }
 
 // MemberProgress is a leader's view of one member: how much of the log it holds
@@ -53,12 +56,17 @@
 const leaderPollInterval = 20 * time.Millisecond
 
 // AwaitLeader waits until a leader is known. It returns the leader's address, or
-// leading if this process is the leader. It fails only with the error of ctx.
+// leading if this process is the leader. It fails with the error of ctx, or with kind
+// disk-full while the process is suspended.
 func (g *Group) AwaitLeader(ctx context.Context) (address string, leading bool, err error) {
 	for {
-		if g.Status().Leading {
+		s := g.Status()
+		if s.Leading {
 			return "", true, nil
 		}
+		if s.Suspended {
+			return "", false, errkind.New(errkind.DiskFull, "the disk of %q is full, so it knows no leader", s.ID)
+		}
 		if _, address := g.LeaderAddress(); address != "" {
 			return address, false, nil
 		}
@@ -76,13 +84,16 @@
 	s := &Status{
 		ID: c.cfg.ID, Disk: c.cfg.Disk, Leading: c.role == Leader, Leader: c.leader, Term: c.term,
 		Commit: c.commit, LastIndex: c.log.last(), Voters: c.voters, Confirmed: c.Confirmed(),
-		Quarantined: c.quarantined, LogBytes: c.log.bytes, Progress: map[string]MemberProgress{},
+		Quarantined: c.quarantined, Suspended: c.suspended, LogBytes: c.log.bytes, Progress: map[string]MemberProgress{},
 	}
 	for _, v := range c.members() {
 		if index, silentMs, ok := c.Progress(v.Id); ok {
 			s.Progress[v.Id] = MemberProgress{MatchIndex: index, SilentMs: silentMs}
 		}
 	}
+	if s.Suspended {
+		s.Leading, s.Leader = false, ""
+	}
 	g.status.Store(s)
 	if previous == nil {
 		return
--- a/internal/storage/doc.go
+++ b/internal/storage/doc.go
@@ -12,8 +12,10 @@
 // only the page cache holds. Records are numbered consecutively, so a valid record proves
 // that the record before it was synced. A damaged record that no valid record follows is
 // a torn tail and is discarded. Any other damage, or a gap in the numbers, makes Open
-// fail with kind damaged-storage. After a failed write or sync the Store refuses all
-// further use, since the content of the disk is then unknown.
+// fail with kind damaged-storage. A record or snapshot for which the disk has no room is
+// refused with kind disk-full and can be written again: what there is of it becomes a torn
+// tail or is removed. After a failed sync, or any other failure, the Store refuses all further
+// use, since the content of the disk is then unknown.
 //
 // Limits: data that a failed sync dropped from the disk can still be read until the page
 // cache is emptied, and Open cannot tell. Damage to the last synced record is
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -150,13 +150,17 @@
 }
 
 // SaveSnapshot makes a snapshot durable, then removes what it makes obsolete: older
-// snapshots, and log files without entries after the snapshot.
+// snapshots, and log files without entries after the snapshot. After an error of kind
+// disk-full it may be called again.
 func (s *Store) SaveSnapshot(meta *pb.SnapshotMeta, write func(io.Writer) error) error {
 	err := durable.WriteFile(s.fs, s.dir, numberedName(snapshotPrefix, meta.Index), func(w io.Writer) error {
 		return WriteSnapshot(w, meta, write)
 	})
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if durable.IsDiskFull(err) {
+		return errkind.Wrap(err, errkind.DiskFull, "the snapshot at index %d was not saved", meta.Index)
+	}
 	if err != nil {
 		return s.fail(err)
 	}
@@ -216,6 +220,7 @@
 		err = f.Sync()
 	}
 	if err := errors.CombineErrors(err, f.Close()); err != nil {
+		_ = s.fs.Remove(path) // The next start removes it as well.
 		return nil, err
 	}
 	return s.verifyReceived(path)
@@ -237,20 +242,12 @@
 	return &replication.ReceivedSnapshot{Meta: r.Meta, Path: path}, nil
 }
 
-// InstallSnapshot replaces the log by a received snapshot.
+// InstallSnapshot replaces the log by a received snapshot. After an error of kind disk-full
+// it may be called again with the same one.
 func (s *Store) InstallSnapshot(r *replication.ReceivedSnapshot) error {
-	final := s.fs.PathJoin(s.dir, numberedName(snapshotPrefix, r.Meta.Index))
-	err := s.fs.Rename(r.Path, final)
-	if err == nil {
-		err = durable.SyncDir(s.fs, s.dir)
-	}
-	s.mu.Lock()
-	if err != nil {
-		defer s.mu.Unlock()
-		return s.fail(err)
+	if err := s.renameReceived(r); err != nil {
+		return err
 	}
-	s.snapshot = r.Meta
-	s.mu.Unlock()
 	if err := s.write(&pb.LogBatch{ResetIndex: r.Meta.Index}); err != nil {
 		return err
 	}
@@ -259,6 +256,24 @@
 	return s.fail(s.removeObsoleteFiles())
 }
 
+// renameReceived makes a received snapshot the newest one, unless it already is.
+func (s *Store) renameReceived(r *replication.ReceivedSnapshot) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.snapshot == r.Meta {
+		return nil
+	}
+	err := s.fs.Rename(r.Path, s.fs.PathJoin(s.dir, numberedName(snapshotPrefix, r.Meta.Index)))
+	if err == nil {
+		err = durable.SyncDir(s.fs, s.dir)
+	}
+	if err != nil {
+		return s.fail(err)
+	}
+	s.snapshot = r.Meta
+	return nil
+}
+
 // OpenSnapshot opens the newest snapshot file, in the format in which it is stored.
 func (s *Store) OpenSnapshot() (io.ReadCloser, *pb.SnapshotMeta, error) {
 	s.mu.Lock()
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -203,7 +203,8 @@
 		previous, s.sequence-1, s.summary.tornBytes, next, repairHint)
 }
 
-// Append makes the hard state, entries and marks durable. hs may be nil. After an error
+// Append makes the hard state, entries and marks durable. hs may be nil. After an error of
+// kind disk-full nothing was accepted, and the call may be repeated; after any other error
 // the Store refuses all further use.
 func (s *Store) Append(hs *pb.HardState, entries []*pb.Entry, marks []*pb.Mark) error {
 	return s.write(&pb.LogBatch{HardState: hs, Entries: entries, Marks: marks})
@@ -215,23 +216,44 @@
 	if s.failure != nil {
 		return s.failure
 	}
+	latest := &pb.LogBatch{HardState: s.latest.HardState, Marks: s.latest.Marks}
 	if b.HardState != nil {
-		s.latest.HardState = b.HardState
+		latest.HardState = b.HardState
 	}
 	if len(b.Marks) > 0 {
-		s.latest.Marks = b.Marks
+		latest.Marks = b.Marks
 	}
 	if s.writer == nil {
 		if err := s.createLogFile(); err != nil {
-			return s.fail(err)
+			return s.failWrite(err)
 		}
-		b.HardState, b.Marks = s.latest.HardState, s.latest.Marks
+		b.HardState, b.Marks = latest.HardState, latest.Marks
 		b.ResetIndex = max(b.ResetIndex, s.pendingReset)
-		s.pendingReset = 0
 	}
-	return s.fail(s.writeRecord(b))
+	if err := s.writeRecord(b); err != nil {
+		return s.failWrite(err)
+	}
+	s.latest, s.pendingReset = latest, 0
+	return nil
 }
 
+// failWrite records that a record was not written. If the disk is full, the record is
+// written again later, to a new log file: what there is of it ends the current one as a torn
+// tail.
+func (s *Store) failWrite(err error) error {
+	if !durable.IsDiskFull(err) || errors.Is(err, errSync) {
+		return s.fail(err)
+	}
+	if s.file != nil {
+		_ = s.file.Close() // All its valid records are synced.
+		s.file, s.writer = nil, nil
+	}
+	return errkind.Wrap(err, errkind.DiskFull, "the log was not written")
+}
+
+// errSync marks a failed sync, after which the content of the disk is unknown.
+var errSync = errors.New("sync failed")
+
 // fail records a failed disk operation, after which the Store refuses all further use.
 // It returns nil if err is nil.
 func (s *Store) fail(err error) error {
@@ -252,7 +274,7 @@
 	}
 	if err := durable.SyncDir(s.fs, s.dir); err != nil {
 		_ = f.Close()
-		return err
+		return errors.Mark(err, errSync)
 	}
 	if n := len(s.segments); n > 0 && s.segments[n-1].firstSequence == s.sequence {
 		s.segments = s.segments[:n-1]
@@ -276,7 +298,7 @@
 		return errors.Wrap(err, "write the log")
 	}
 	if err := s.file.Sync(); err != nil {
-		return errors.Wrap(err, "sync the log")
+		return errors.Mark(errors.Wrap(err, "sync the log"), errSync)
 	}
 	s.sequence++
 	seg := &s.segments[len(s.segments)-1]
