Do not ask to join the group while the disk is full

A suspended process knows no leader, so it asked each 250 ms to be taken in as a voter. In a group of five, whose leader removes a voter that is silent for 3 s, the leader would add it again and wait 5 s in vain until it has caught up, and make no other change of voters meanwhile. Found by reading; TestASuspendedProcessDoesNotAskToJoin fails without the change.

--- a/internal/directory/voters.go
+++ b/internal/directory/voters.go
@@ -91,12 +91,18 @@
 		switch {
 		case s.Leading:
 			m.changeVoters(ctx, s)
-		case !isVoter(s.Voters, m.id, m.disk) || s.Leader == "":
+		case m.wantsToJoin(s):
 			m.requestJoin(ctx)
 		}
 	}
 }
 
+// wantsToJoin reports whether this process asks to become a voter. One without a leader may
+// have been removed. A suspended one could not catch up.
+func (m *voterManager) wantsToJoin(s *replication.Status) bool {
+	return !s.Suspended && (s.Leader == "" || !isVoter(s.Voters, m.id, m.disk))
+}
+
 func isVoter(set *pb.VoterSet, id, disk string) bool {
 	return slices.ContainsFunc(set.GetVoters(), func(v *pb.Voter) bool { return v.Id == id && v.Disk == disk })
 }
--- a/internal/directory/voters_test.go
+++ b/internal/directory/voters_test.go
@@ -49,3 +49,23 @@
 		}
 	}
 }
+
+// Guards against a process with a full disk that the leader adds as a voter again and again,
+// each time waiting in vain until it has caught up.
+func TestASuspendedProcessDoesNotAskToJoin(t *testing.T) {
+	m := &voterManager{id: "a", disk: "a-1"}
+	voter := &pb.VoterSet{Voters: []*pb.Voter{{Id: "a", Disk: "a-1"}}}
+	for _, tc := range []struct {
+		status replication.Status
+		want   bool
+	}{
+		{replication.Status{Voters: voter, Leader: "b"}, false},
+		{replication.Status{Voters: voter}, true},
+		{replication.Status{Leader: "b"}, true},
+		{replication.Status{Suspended: true}, false},
+	} {
+		if got := m.wantsToJoin(&tc.status); got != tc.want {
+			t.Errorf("%+v: asks to join is %v, want %v", tc.status, got, tc.want)
+		}
+	}
+}
