Replace a damaged data folder while the other processes have a quorum

A directory process whose folder could not be read ended and started again until an operator emptied the folder, though a quorum of the others held everything.

A folder of another format is not treated as damaged.

--- a/internal/directory/cluster_test.go
+++ b/internal/directory/cluster_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -86,10 +85,7 @@
 
 func (c *cluster) start(host string, fs vfs.FS) *Process {
 	c.t.Helper()
-	p, err := Open(fs, &Settings{
-		Name: host, DataCentre: "a", Operations: host + ":0", Fleet: net.JoinHostPort(host, c.port), Admin: host + ":0",
-		Data: "data", Seeds: c.seeds, Founding: true,
-	}, hclog.New(&hclog.LoggerOptions{Output: io.Discard}))
+	p, err := OpenOrReplace(c.t.Context(), fs, c.settings(host), hclog.NewNullLogger())
 	if err != nil {
 		c.t.Fatal(err)
 	}
@@ -100,6 +96,13 @@
 	return p
 }
 
+func (c *cluster) settings(host string) *Settings {
+	return &Settings{
+		Name: host, DataCentre: "a", Operations: host + ":0", Fleet: net.JoinHostPort(host, c.port), Admin: host + ":0",
+		Data: "data", Seeds: c.seeds, Founding: true,
+	}
+}
+
 func (c *cluster) stop(host string) {
 	n := c.nodes[host]
 	delete(c.nodes, host)
--- a/internal/storage/files.go
+++ b/internal/storage/files.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/cockroachdb/errors"
 	"github.com/cockroachdb/pebble/v2/record"
 	"github.com/cockroachdb/pebble/v2/vfs"
 	"google.golang.org/protobuf/proto"
@@ -27,6 +28,9 @@
 	repairHint = "see docs/operators/replace-a-vm.md: remove this voter, empty the folder and add it again; with no quorum left see docs/operators/lost-quorum.md"
 )
 
+// ErrFormat marks errors about a folder that another version has written. It is intact.
+var ErrFormat = errors.New("format of another version")
+
 func numberedName(prefix string, n uint64) string { return fmt.Sprintf("%s%020d", prefix, n) }
 
 // listNumbered returns the numbers of all complete files with the prefix in ascending
@@ -74,7 +78,7 @@
 		return nil, errkind.Wrap(err, errkind.DamagedStorage, "the file %s is damaged; %s", identityName, repairHint)
 	}
 	if id.Format != formatVersion {
-		return nil, errkind.New(errkind.DamagedStorage, "the data folder has format %d and this version reads format %d; use the version that wrote it", id.Format, formatVersion)
+		return nil, errors.Mark(errkind.New(errkind.DamagedStorage, "the data folder has format %d and this version reads format %d; use the version that wrote it", id.Format, formatVersion), ErrFormat)
 	}
 	return id, nil
 }
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -102,8 +102,11 @@
 	if err != nil {
 		return nil, damagedSnapshotError(err)
 	}
-	if h.Format != formatVersion || h.Meta == nil {
-		return nil, errkind.New(errkind.DamagedStorage, "the snapshot has format %d and this version reads format %d", h.Format, formatVersion)
+	if h.Format != formatVersion {
+		return nil, errors.Mark(errkind.New(errkind.DamagedStorage, "the snapshot has format %d and this version reads format %d", h.Format, formatVersion), ErrFormat)
+	}
+	if h.Meta == nil {
+		return nil, damagedSnapshotError(errors.New("the header names no index"))
 	}
 	return &SnapshotReader{Meta: h.Meta, rr: rr, hash: xxhash.New()}, nil
 }
