--- a/internal/directory/quarantine.go
+++ b/internal/directory/quarantine.go
@@ -49,10 +49,13 @@
 func (h *hub) recordQuarantineReports(crashes []*fleetpb.Crash, survived []uint64, direct bool) {
 	k, now := &h.quarantine, h.now()
 	for _, c := range quarantine.DecodeCrashes(crashes) {
-		if !k.tracker.RecordCrash(c, now) {
+		first, added := k.tracker.RecordCrash(c, now)
+		if !added {
 			continue
 		}
-		h.log.Info("server ended under requests", "server", c.Server.Server, "born", c.Server.Born, "suspects", len(c.Suspects), "direct", direct)
+		if first {
+			h.log.Info("server ended under requests", "server", c.Server.Server, "born", c.Server.Born, "suspects", len(c.Suspects), "direct", direct)
+		}
 		for _, q := range h.machine.State().Quarantined {
 			if q.Probe != "" && slices.Contains(c.Suspects, q.Part) {
 				k.failed[q.Part] = true
@@ -62,7 +65,9 @@
 			for _, p := range h.peers {
 				p.crashes = append(p.crashes, c)
 				p.crashes = p.crashes[max(0, len(p.crashes)-maxPendingCrashes):]
-				signal(p.wake)
+				if first {
+					signal(p.wake)
+				}
 			}
 		}
 	}
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -56,19 +56,19 @@
 func NewTracker() *Tracker { return &Tracker{watchedSince: map[Part]time.Time{}} }
 
 // RecordCrash records a report of a crash. Reports of several routers about one crash are
-// merged. It reports whether this one contained anything new.
-func (t *Tracker) RecordCrash(c Crash, now time.Time) bool {
+// merged. It returns whether this is the first one, and whether it added any suspects.
+func (t *Tracker) RecordCrash(c Crash, now time.Time) (first, added bool) {
 	t.expire(now)
 	i := slices.IndexFunc(t.crashes, func(known *trackedCrash) bool { return known.server == c.Server })
-	if i < 0 {
+	if first = i < 0; first {
 		t.crashes = append(t.crashes, &trackedCrash{server: c.Server, at: now})
 		t.crashes = t.crashes[max(0, len(t.crashes)-maxCrashes):]
 		i = len(t.crashes) - 1
 	}
-	known, added := t.crashes[i], false
+	known := t.crashes[i]
 	known.suspects, added = appendNew(known.suspects, c.Suspects, maxSuspects)
 	t.updateWatched(now)
-	return added
+	return first, added
 }
 
 // RecordSurvival records that a request with the part succeeded after the crashes known so
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -124,8 +124,9 @@
 func TestReportsOfOneCrashAreMerged(t *testing.T) {
 	tracker := NewTracker()
 	for i, want := range []bool{true, true, false} {
-		if got := tracker.RecordCrash(crashOf(1, Part(min(i, 1))), epoch); got != want {
-			t.Errorf("report %d: news is %v", i, got)
+		first, added := tracker.RecordCrash(crashOf(1, Part(min(i, 1))), epoch)
+		if first != (i == 0) || added != want {
+			t.Errorf("report %d: first is %v, added suspects is %v", i, first, added)
 		}
 	}
 	if len(tracker.crashes) != 1 || len(tracker.crashes[0].suspects) != 2 {
