Write pending changes of kqctl whole, and do not send a damaged one

A change whose outcome is unknown was written in place: a full disk left an empty or cut-off file.

TestADamagedPendingChangeIsNotSent failed before with exit code 4; TestAPendingChangeIsWholeOrMissingOnAFullDisk stops at each operation.

--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -10,6 +10,8 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/pebble/v2/vfs"
+
 	"github.com/kumquathollow/kumquathollow/internal/config"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/keys"
@@ -41,11 +43,13 @@
 	stdout io.Writer
 	stderr io.Writer
 	client *client
+	// files is where pending changes are written.
+	files vfs.FS
 }
 
 // Main runs kqctl with the arguments and returns its exit code.
 func Main(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-	a := &app{ctx: ctx, stdout: stdout, stderr: stderr}
+	a := &app{ctx: ctx, stdout: stdout, stderr: stderr, files: vfs.Default}
 	parser, cmds := commandLine(&a.flags)
 	if err := parser.ParseArgs(args); err != nil {
 		return a.fail(errkind.Wrap(err, errkind.Usage, "command line"))
--- a/internal/ctl/pending.go
+++ b/internal/ctl/pending.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"io"
 	"os"
 	"path/filepath"
 	"strings"
@@ -9,6 +10,7 @@
 
 	"github.com/kumquathollow/kumquathollow/api/controlpb"
 	"github.com/kumquathollow/kumquathollow/internal/config"
+	"github.com/kumquathollow/kumquathollow/internal/durable"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 )
 
@@ -18,7 +20,8 @@
 	return filepath.Join(a.stateDir, filepath.Base(id)+pendingSuffix)
 }
 
-// savePending writes a change whose outcome is unknown to a file and syncs it.
+// savePending writes a change whose outcome is unknown to a durable file. If it fails, the
+// file is whole or missing.
 func (a *app) savePending(req *controlpb.ApplyRequest) error {
 	data, err := proto.Marshal(req)
 	if err != nil {
@@ -27,18 +30,11 @@
 	if err := os.MkdirAll(a.stateDir, 0o700); err != nil {
 		return err
 	}
-	f, err := os.OpenFile(a.pendingPath(req.ChangeId), os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
-	if err != nil {
+	dir, name := filepath.Split(a.pendingPath(req.ChangeId))
+	return durable.WriteFile(a.files, dir, name, func(w io.Writer) error {
+		_, err := w.Write(data)
 		return err
-	}
-	_, err = f.Write(data)
-	if err == nil {
-		err = f.Sync()
-	}
-	if closeErr := f.Close(); err == nil {
-		err = closeErr
-	}
-	return err
+	})
 }
 
 // removePending removes the file of a pending change, if there is one.
@@ -59,23 +55,27 @@
 	return err
 }
 
-// loadPending returns the pending change with the id, or the only pending change
-// if id is empty.
-func (a *app) loadPending(id string) (*controlpb.ApplyRequest, error) {
-	if id == "" {
-		found, err := filepath.Glob(filepath.Join(a.stateDir, "*"+pendingSuffix))
-		if err != nil || len(found) != 1 {
-			return nil, errkind.New(errkind.Usage, "found %d pending changes in %s; give the id of one", len(found), a.stateDir)
-		}
-		id = strings.TrimSuffix(filepath.Base(found[0]), pendingSuffix)
+// pendingID returns the id of the pending change to act on: the one that was given, or else
+// that of the only pending change.
+func (a *app) pendingID() (string, error) {
+	if a.target != "" {
+		return a.target, nil
 	}
+	found, err := filepath.Glob(filepath.Join(a.stateDir, "*"+pendingSuffix))
+	if err != nil || len(found) != 1 {
+		return "", errkind.New(errkind.Usage, "found %d pending changes in %s; give the id of one", len(found), a.stateDir)
+	}
+	return strings.TrimSuffix(filepath.Base(found[0]), pendingSuffix), nil
+}
+
+func (a *app) loadPending(id string) (*controlpb.ApplyRequest, error) {
 	data, err := os.ReadFile(a.pendingPath(id))
 	if err != nil {
 		return nil, errkind.Wrap(err, errkind.NotFound, "no pending change %s", id)
 	}
 	req := &controlpb.ApplyRequest{}
-	if err := proto.Unmarshal(data, req); err != nil {
-		return nil, errkind.Wrap(err, errkind.Internal, "decode the pending change %s", id)
+	if err := proto.Unmarshal(data, req); err != nil || req.ChangeId != id {
+		return nil, errkind.New(errkind.DamagedStorage, "the file %s is damaged; kqctl history tells whether the change was accepted, and kqctl resend --forget %s removes the file", a.pendingPath(id), id)
 	}
 	return req, nil
 }
@@ -83,12 +83,16 @@
 // resend sends a pending change again. With --forget, it removes the change
 // instead.
 func (a *app) resend() error {
-	req, err := a.loadPending(a.target)
+	id, err := a.pendingID()
 	if err != nil {
 		return err
 	}
 	if a.forget {
-		return a.removePending(req.ChangeId)
+		return a.removePending(id)
+	}
+	req, err := a.loadPending(id)
+	if err != nil {
+		return err
 	}
 	base := config.NewSet(config.RevisionFromProto(req.Base))
 	if a.wait {
