Keep a success when a crash is reported again

A router repeats its report of a crash for 2 s. A repeated report added suspects again with which a request had succeeded after the crash, until the next success was told. So a sound part could be quarantined while its successes were being told.

TestARepeatedReportDoesNotUndoASurvival failed before ('quarantined [{1 5}] after a success').

--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -50,6 +50,8 @@
 	server   Incarnation
 	at       time.Time
 	suspects []Part
+	// survived holds parts with which a request succeeded after the crash.
+	survived map[Part]bool
 }
 
 // NewTracker returns an empty Tracker.
@@ -61,12 +63,17 @@
 	t.expire(now)
 	i := slices.IndexFunc(t.crashes, func(known *trackedCrash) bool { return known.server == c.Server })
 	if first = i < 0; first {
-		t.crashes = append(t.crashes, &trackedCrash{server: c.Server, at: now})
+		t.crashes = append(t.crashes, &trackedCrash{server: c.Server, at: now, survived: map[Part]bool{}})
 		t.crashes = t.crashes[max(0, len(t.crashes)-maxCrashes):]
 		i = len(t.crashes) - 1
 	}
 	known := t.crashes[i]
-	known.suspects, added = appendNew(known.suspects, c.Suspects, maxSuspects)
+	for _, p := range c.Suspects {
+		if known.survived[p] || len(known.suspects) >= maxSuspects || slices.Contains(known.suspects, p) {
+			continue
+		}
+		known.suspects, added = append(known.suspects, p), true
+	}
 	t.updateWatched(now)
 	return first, added
 }
@@ -75,7 +82,11 @@
 // far.
 func (t *Tracker) RecordSurvival(p Part) {
 	for _, c := range t.crashes {
+		before := len(c.suspects)
 		c.suspects = slices.DeleteFunc(c.suspects, func(s Part) bool { return s == p })
+		if len(c.suspects) < before {
+			c.survived[p] = true
+		}
 	}
 	delete(t.watchedSince, p)
 }
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -134,6 +134,25 @@
 	}
 }
 
+// Guards against a success that is forgotten since a router repeats its report of an earlier
+// crash, as it does for a while.
+func TestARepeatedReportDoesNotUndoASurvival(t *testing.T) {
+	tracker, now := NewTracker(), epoch
+	for n := range quarantineCrashes {
+		tracker.RecordCrash(crashOf(n, 1), now)
+		now = now.Add(time.Second)
+	}
+	tracker.RecordSurvival(1)
+	for n := range quarantineCrashes {
+		if _, added := tracker.RecordCrash(crashOf(n, 1, Part(100+n)), now); !added {
+			t.Errorf("crash %d: a new suspect was not added", n)
+		}
+	}
+	if got := tracker.Verdicts(nil, now.Add(time.Minute)); len(got) != 0 {
+		t.Errorf("quarantined %v after a success", got)
+	}
+}
+
 func TestRetentionIsBounded(t *testing.T) {
 	tracker := NewTracker()
 	for n := range 3 * maxCrashes {
