Let a directory process that has started learn of earlier crashes

The reports of crashes are in memory. After all directory processes were killed, the count of ends under a part began at nought, and five more servers had to end before it was quarantined.

Routers remember their last 32 crashes for 5 minutes and report them when they begin to report to a process, with their age, less the suspects with which requests have succeeded since. A report of a crash before a test began no longer counts as a failed test, and the test's begin is recorded when the command is applied, not at the next flush.

TestANewLeaderLearnsOfEarlierEnds and TestMonitorRemembersCrashesForNewProcesses; on the code before, the hub takes four ends a second apart that are reported at once for one.

--- a/internal/directory/catchup.go
+++ b/internal/directory/catchup.go
@@ -11,6 +11,8 @@
 // stateChanged announces a new revision to all routers and sends it to those that
 // report here.
 func (h *hub) stateChanged() {
+	// A test may end a server as soon as a router knows of it.
+	h.quarantine.updateSince(h.machine.State().Quarantined, h.now())
 	latest := h.machine.State().Revision
 	if latest == h.broadcastRevision {
 		return
--- a/internal/directory/peers.go
+++ b/internal/directory/peers.go
@@ -124,7 +124,7 @@
 	call.req = &fleetpb.SpreadRequest{
 		Announcements: h.announcements(p.pending), From: h.ownAddress, DataCentre: h.dataCentre,
 		Load: inventory.EncodeLoad(h.ownLoad()), Routers: uint32(h.reporting),
-		Crashes: quarantine.EncodeCrashes(p.crashes), Survived: quarantine.EncodeParts(slices.Sorted(maps.Keys(p.survived))),
+		Crashes: quarantine.EncodeCrashes(p.crashes, h.now()), Survived: quarantine.EncodeParts(slices.Sorted(maps.Keys(p.survived))),
 	}
 	for id := range p.heard {
 		call.req.Heard = append(call.req.Heard, uint32(routing.Hash(id)))
--- a/internal/directory/quarantine.go
+++ b/internal/directory/quarantine.go
@@ -48,7 +48,7 @@
 // reports here sent it, and not another directory process.
 func (h *hub) recordQuarantineReports(crashes []*fleetpb.Crash, survived []uint64, direct bool) {
 	k, now := &h.quarantine, h.now()
-	for _, c := range quarantine.DecodeCrashes(crashes) {
+	for _, c := range quarantine.DecodeCrashes(crashes, now) {
 		first, added := k.tracker.RecordCrash(c, now)
 		if !added {
 			continue
@@ -57,7 +57,7 @@
 			h.log.Info("server ended under requests", "server", c.Server.Server, "born", c.Server.Born, "suspects", len(c.Suspects), "direct", direct)
 		}
 		for _, q := range h.machine.State().Quarantined {
-			if q.Probe != "" && slices.Contains(c.Suspects, q.Part) {
+			if q.Probe != "" && slices.Contains(c.Suspects, q.Part) && c.At.After(k.since[q]) {
 				k.failed[q.Part] = true
 			}
 		}
--- a/internal/directory/quarantine_test.go
+++ b/internal/directory/quarantine_test.go
@@ -32,6 +32,7 @@
 			t.Fatal(err)
 		}
 		h.machine.Apply(data)
+		h.stateChanged()
 		done(nil)
 	}
 	h.setLeading(true)
@@ -139,6 +140,7 @@
 	if got := q.quarantined(); len(got) != 1 || got[0].Probe != "r1" {
 		t.Fatalf("after %s: %v, want a test by r1", quarantine.TestAfter(1), got)
 	}
+	q.at = q.at.Add(time.Millisecond)
 	q.report(s, 7)
 	q.pass(time.Second)
 	if got := q.quarantined(); !slices.Equal(got, []publication.QuarantinedPart{{Part: 7, Strikes: 2}}) {
@@ -162,6 +164,35 @@
 	}
 }
 
+// Guards against a leader that has just started and counts from nought again while servers
+// go on ending: routers report what they remember when they begin to report here.
+func TestANewLeaderLearnsOfEarlierEnds(t *testing.T) {
+	q := newQuarantineHub(t)
+	q.endServers([]*session{newSession(q.hub, "r1")})
+	ended := q.machine.State().Quarantined
+	if len(ended) != 1 {
+		t.Fatalf("quarantined %v", ended)
+	}
+	restarted := newQuarantineHub(t)
+	var remembered []*fleetpb.Crash
+	for i := range 4 {
+		remembered = append(remembered, &fleetpb.Crash{Server: "s", Born: int64(i), Suspects: []uint64{7}, AgeMs: uint32(60_000 - 1000*i)})
+	}
+	slices.Reverse(remembered)
+	s := newSession(restarted.hub, "r1")
+	restarted.handleRequest(s, &fleetpb.FollowRequest{Load: &fleetpb.Load{}, Crashes: remembered})
+	restarted.pass(2 * time.Second)
+	if got := restarted.quarantined(); len(got) != 0 {
+		t.Fatalf("quarantined %v after four ends", got)
+	}
+	restarted.ends = 100
+	restarted.report(s, 7)
+	restarted.pass(2 * time.Second)
+	if got := restarted.quarantined(); len(got) != 1 || got[0].Part != 7 {
+		t.Errorf("quarantined %v after the fifth end, want part 7", got)
+	}
+}
+
 func TestAProcessThatDoesNotLeadQuarantinesNothing(t *testing.T) {
 	q := newQuarantineHub(t)
 	q.setLeading(false)
--- a/internal/fleetview/link.go
+++ b/internal/fleetview/link.go
@@ -125,6 +125,7 @@
 	var pingDue time.Duration
 	due := time.NewTimer(pingInterval)
 	defer due.Stop()
+	wasReporting := false
 	for woken := true; ; {
 		now, reporting := clock.SinceBoot(), l.view.reportTo.Load() == l
 		req := &fleetpb.FollowRequest{Have: l.view.Snapshot().Revision, Fetch: l.fetchRequested.Swap(false), List: l.listRequested.Swap(false)}
@@ -143,12 +144,14 @@
 		wait := pingDue - now
 		if reporting {
 			req.Load = inventory.EncodeLoad(l.view.opts.Fleet.InFlight())
-			crashes, survived := l.view.monitor.Reports(time.Now())
-			req.Crashes, req.Survived = quarantine.EncodeCrashes(crashes), quarantine.EncodeParts(survived)
+			at := time.Now()
+			crashes, survived := l.view.monitor.Reports(!wasReporting, at)
+			req.Crashes, req.Survived = quarantine.EncodeCrashes(crashes, at), quarantine.EncodeParts(survived)
 			if report := time.Duration(l.reportInterval.Load()); report > 0 {
 				wait = min(wait, max(minReportInterval, report))
 			}
 		}
+		wasReporting = reporting
 		if err := stream.Send(req); err != nil {
 			return err
 		}
--- a/internal/quarantine/monitor.go
+++ b/internal/quarantine/monitor.go
@@ -9,10 +9,9 @@
 )
 
 const (
-	// reportRetention is how long a router reports a crash. It covers the change to another
-	// directory process.
+	// reportRetention is how long a router repeats its report of a crash.
 	reportRetention = 2 * time.Second
-	// maxReports limits the crashes that a router reports at a time.
+	// maxReports limits the crashes that a router remembers, the newest ones.
 	maxReports = 32
 	// survivalSlots is the number of parts of which a router remembers when a request last
 	// succeeded with them. A part that maps to an occupied slot replaces the older one.
@@ -26,7 +25,7 @@
 // concurrent use.
 type Monitor struct {
 	mu      sync.Mutex
-	reports []report
+	reports []Crash
 	// survivals are indexed by part modulo survivalSlots.
 	survivals [survivalSlots]survival
 	// suspects holds when the first crash of each suspect was, as of suspectsAt.
@@ -34,11 +33,6 @@
 	suspectsAt time.Time
 }
 
-type report struct {
-	Crash
-	at time.Time
-}
-
 type survival struct {
 	part Part
 	at   time.Time
@@ -52,13 +46,10 @@
 func (m *Monitor) RecordCrash(c Crash, now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.reports = slices.DeleteFunc(m.reports, func(r report) bool { return now.Sub(r.at) > reportRetention })
-	i := slices.IndexFunc(m.reports, func(r report) bool { return r.Server == c.Server })
+	i := slices.IndexFunc(m.reports, func(r Crash) bool { return r.Server == c.Server })
 	if i < 0 {
-		if len(m.reports) >= maxReports {
-			return false
-		}
-		m.reports = append(m.reports, report{Crash: Crash{Server: c.Server}, at: now})
+		m.reports = append(m.reports, Crash{Server: c.Server, At: now})
+		m.reports = m.reports[max(0, len(m.reports)-maxReports):]
 		i = len(m.reports) - 1
 	}
 	r, added := &m.reports[i], false
@@ -99,19 +90,34 @@
 }
 
 // Reports returns the crashes to report and the suspects with which a request has succeeded
-// since their first crash.
-func (m *Monitor) Reports(now time.Time) (crashes []Crash, survived []Part) {
+// since their first crash. If all is set, the crashes are those that the directory would still
+// count, without the suspects that have since succeeded here, for a process that may have
+// started after they were reported.
+func (m *Monitor) Reports(all bool, now time.Time) (crashes []Crash, survived []Part) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, r := range m.reports {
-		if now.Sub(r.at) <= reportRetention {
-			crashes = append(crashes, r.Crash)
+		switch age := now.Sub(r.At); {
+		case age <= reportRetention:
+			crashes = append(crashes, r)
+		case all && age <= crashRetention:
+			r.Suspects = slices.DeleteFunc(slices.Clone(r.Suspects), func(p Part) bool { return m.survivedSince(p, r.At) })
+			if len(r.Suspects) > 0 {
+				crashes = append(crashes, r)
+			}
 		}
 	}
 	for p, since := range m.suspects {
-		if s := m.survivals[p%survivalSlots]; s.part == p && s.at.After(since) {
+		if m.survivedSince(p, since) {
 			survived = append(survived, p)
 		}
 	}
 	return crashes, survived
 }
+
+// survivedSince reports whether a request with the part has succeeded after a time. The
+// caller holds mu.
+func (m *Monitor) survivedSince(p Part, since time.Time) bool {
+	s := m.survivals[p%survivalSlots]
+	return s.part == p && s.at.After(since)
+}
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -28,22 +28,27 @@
 type Crash struct {
 	Server   Incarnation
 	Suspects []Part
+	// At is when it was first observed.
+	At time.Time
 }
 
 // EncodeCrashes returns crashes in the encoding in which they are sent.
-func EncodeCrashes(crashes []Crash) []*fleetpb.Crash {
+func EncodeCrashes(crashes []Crash, now time.Time) []*fleetpb.Crash {
 	var out []*fleetpb.Crash
 	for _, c := range crashes {
-		out = append(out, &fleetpb.Crash{Server: c.Server.Server, Born: c.Server.Born, Suspects: EncodeParts(c.Suspects)})
+		out = append(out, &fleetpb.Crash{
+			Server: c.Server.Server, Born: c.Server.Born, Suspects: EncodeParts(c.Suspects), AgeMs: uint32(max(0, now.Sub(c.At).Milliseconds())),
+		})
 	}
 	return out
 }
 
 // DecodeCrashes returns the crashes encoded by EncodeCrashes.
-func DecodeCrashes(in []*fleetpb.Crash) []Crash {
+func DecodeCrashes(in []*fleetpb.Crash, now time.Time) []Crash {
 	var out []Crash
 	for _, c := range in {
-		out = append(out, Crash{Server: Incarnation{c.Server, c.Born}, Suspects: DecodeParts(c.Suspects)})
+		at := now.Add(-time.Duration(c.AgeMs) * time.Millisecond)
+		out = append(out, Crash{Server: Incarnation{c.Server, c.Born}, Suspects: DecodeParts(c.Suspects), At: at})
 	}
 	return out
 }
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -63,9 +63,17 @@
 	t.expire(now)
 	i := slices.IndexFunc(t.crashes, func(known *trackedCrash) bool { return known.server == c.Server })
 	if first = i < 0; first {
-		t.crashes = append(t.crashes, &trackedCrash{server: c.Server, at: now, survived: map[Part]bool{}})
-		t.crashes = t.crashes[max(0, len(t.crashes)-maxCrashes):]
-		i = len(t.crashes) - 1
+		if now.Sub(c.At) > crashRetention {
+			return false, false
+		}
+		i, _ = slices.BinarySearchFunc(t.crashes, c.At, func(known *trackedCrash, at time.Time) int { return known.at.Compare(at) })
+		t.crashes = slices.Insert(t.crashes, i, &trackedCrash{server: c.Server, at: c.At, survived: map[Part]bool{}})
+		if len(t.crashes) > maxCrashes {
+			t.crashes = t.crashes[1:]
+			if i--; i < 0 {
+				return false, false
+			}
+		}
 	}
 	known := t.crashes[i]
 	for _, p := range c.Suspects {
