--- a/internal/directory/quarantine_test.go
+++ b/internal/directory/quarantine_test.go
@@ -164,7 +164,7 @@
 	}
 }
 
-// Guards against a leader that has just started and counts from nought again while servers
+// Guards against a leader that has just started and counts from zero again while servers
 // go on ending: routers report what they remember when they begin to report here.
 func TestANewLeaderLearnsOfEarlierEnds(t *testing.T) {
 	q := newQuarantineHub(t)
--- a/internal/storage/disk_full_test.go
+++ b/internal/storage/disk_full_test.go
@@ -21,37 +21,37 @@
 	fullFirstSeed = flag.Int("full-first-seed", 0, "seed of the first schedule with full disks")
 )
 
-// crampedFS is a file system that may have no room: then files are not created, and writes
+// noSpaceFS is a file system that may have no room: then files are not created, and writes
 // stop somewhere within their data.
-type crampedFS struct {
+type noSpaceFS struct {
 	vfs.FS
 	rng *rand.Rand
 	// fullPercent is how often an operation finds no room.
 	fullPercent int
 }
 
-func (c *crampedFS) full() bool { return c.rng.IntN(100) < c.fullPercent }
+func (c *noSpaceFS) full() bool { return c.rng.IntN(100) < c.fullPercent }
 
-func (c *crampedFS) Create(name string, category vfs.DiskWriteCategory) (vfs.File, error) {
+func (c *noSpaceFS) Create(name string, category vfs.DiskWriteCategory) (vfs.File, error) {
 	if c.full() {
-		return nil, &vfsError{"create", name}
+		return nil, &noSpaceError{"create", name}
 	}
 	f, err := c.FS.Create(name, category)
-	return &crampedFile{f, c, name}, err
+	return &noSpaceFile{f, c, name}, err
 }
 
-type vfsError struct{ op, path string }
+type noSpaceError struct{ op, path string }
 
-func (e *vfsError) Error() string { return e.op + " " + e.path + ": " + syscall.ENOSPC.Error() }
-func (e *vfsError) Unwrap() error { return syscall.ENOSPC }
+func (e *noSpaceError) Error() string { return e.op + " " + e.path + ": " + syscall.ENOSPC.Error() }
+func (e *noSpaceError) Unwrap() error { return syscall.ENOSPC }
 
-type crampedFile struct {
+type noSpaceFile struct {
 	vfs.File
-	fs   *crampedFS
+	fs   *noSpaceFS
 	name string
 }
 
-func (f *crampedFile) Write(p []byte) (int, error) {
+func (f *noSpaceFile) Write(p []byte) (int, error) {
 	if len(p) == 0 || !f.fs.full() {
 		return f.File.Write(p)
 	}
@@ -59,7 +59,7 @@
 	if err != nil {
 		return n, err
 	}
-	return n, &vfsError{"write", f.name}
+	return n, &noSpaceError{"write", f.name}
 }
 
 // Guards against a data folder that a full disk spoils: what was acknowledged must be there
@@ -69,9 +69,9 @@
 	for seed := *fullFirstSeed; seed < *fullFirstSeed+*fullSeeds; seed++ {
 		rng := rand.New(rand.NewPCG(uint64(seed), 3))
 		mem := vfs.NewCrashableMem()
-		cramped := &crampedFS{FS: mem, rng: rng}
+		disk := &noSpaceFS{FS: mem, rng: rng}
 		p := &acknowledged{entries: map[uint64]uint64{}}
-		s, _, err := Open(cramped, testDir, "c1")
+		s, _, err := Open(disk, testDir, "c1")
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -88,12 +88,12 @@
 				}
 				refused++
 				if attempt > 20 {
-					cramped.fullPercent = 0
+					disk.fullPercent = 0
 				}
 			}
 		}
 		for range 40 {
-			cramped.fullPercent = []int{0, 0, 20, 70, 100}[rng.IntN(5)]
+			disk.fullPercent = []int{0, 0, 20, 70, 100}[rng.IntN(5)]
 			switch rng.IntN(8) {
 			case 0: // A kill or a power loss.
 				if rng.IntN(2) == 0 {
@@ -101,9 +101,9 @@
 				} else if err := s.Close(); err != nil {
 					t.Fatalf("seed %d: %v", seed, err)
 				}
-				cramped = &crampedFS{FS: mem, rng: rng}
+				disk = &noSpaceFS{FS: mem, rng: rng}
 				var r replication.RestoredState
-				if s, r, err = Open(cramped, testDir, "c1"); err != nil {
+				if s, r, err = Open(disk, testDir, "c1"); err != nil {
 					t.Fatalf("seed %d: %v", seed, err)
 				}
 				checkRestored(t, fmt.Sprintf("seed %d", seed), r, p)
