--- a/internal/directory/damaged_test.go
+++ b/internal/directory/damaged_test.go
@@ -76,6 +76,26 @@
 	}
 }
 
+// A process joins while another one's folder is being replaced: two changes of voters at once.
+func TestADamagedFolderIsReplacedDuringAChangeOfVoters(t *testing.T) {
+	c := newCluster(t, 3)
+	c.publish(hosts[0], 1, "one")
+	fs := c.nodes[hosts[1]].fs
+	c.stop(hosts[1])
+	damageFolder(t, fs)
+	joined := c.start(hosts[3], vfs.NewMem())
+	replaced := c.start(hosts[1], fs)
+	for _, p := range []*Process{joined, replaced} {
+		c.eventually("admit "+p.voterManager().id, func() bool {
+			return isVoter(c.nodes[hosts[0]].p.group.Status().Voters, p.voterManager().id, p.store.DiskID())
+		})
+	}
+	c.publish(hosts[1], 2, "two")
+	for _, h := range hosts {
+		c.awaitDocument(h, "two")
+	}
+}
+
 // Two of three damaged folders leave no quorum, and all three leave nothing but them: they
 // must stay as they are.
 func TestDamagedFoldersAreKeptWithoutAQuorum(t *testing.T) {
--- a/internal/directory/process.go
+++ b/internal/directory/process.go
@@ -132,6 +132,13 @@
 	})
 	p.metrics.Gauge("directory.revision", func() int64 { return int64(p.machine.State().Revision) })
 	p.metrics.Gauge("directory.term", func() int64 { return int64(p.group.Status().Term) })
+	p.metrics.Gauge("directory.suspended", func() int64 {
+		if p.group.Status().Suspended {
+			return 1
+		}
+		return 0
+	})
+	p.metrics.Gauge("directory.quarantined", func() int64 { return int64(len(p.machine.State().Quarantined)) })
 	p.metrics.Gauge("directory.voters", func() int64 { return int64(len(p.group.Status().Voters.GetVoters())) })
 }
 
