Choose the voter to hand over to in one place

TransferLeadership and HandOverSuspended had a loop each over the voters, alike but for the condition. handOver takes the condition. The request of a running leader now names its last index as well, which the voter that it is sent to holds by that condition. Of several voters that hold the whole log the first is chosen, as before.

--- a/internal/replication/election.go
+++ b/internal/replication/election.go
@@ -234,18 +234,35 @@
 // TransferLeadership asks a voter that holds the whole log, and that was heard from
 // within the election timeout, to campaign. It reports whether there is one.
 func (c *Core) TransferLeadership() bool {
-	if c.role != Leader || c.suspended {
+	if c.suspended {
 		return false
 	}
+	messages := c.handOver(func(p *progress) bool { return p.match >= c.log.last() })
+	c.ready.Immediate = append(c.ready.Immediate, messages...)
+	return len(messages) > 0
+}
+
+// handOver returns the message of a leader that asks a voter to campaign: of those that are
+// suitable and were heard from within the election timeout, the one known to hold most of the
+// log. It returns nil if there is none.
+func (c *Core) handOver(suitable func(*progress) bool) []*pb.Message {
+	if c.role != Leader {
+		return nil
+	}
+	var best *pb.Voter
 	for _, v := range c.voters.Voters {
 		p := c.progress[v.Id]
-		if p == nil || p.match < c.log.last() || c.now-p.lastContact >= c.cfg.ElectionTimeout {
+		if p == nil || !suitable(p) || c.now-p.lastContact >= c.cfg.ElectionTimeout {
 			continue
 		}
-		c.ready.Immediate = append(c.ready.Immediate, c.fill(v, &pb.Message{Type: pb.MessageType_HAND_OVER}))
-		return true
+		if best == nil || p.match > c.progress[best.Id].match {
+			best = v
+		}
+	}
+	if best == nil {
+		return nil
 	}
-	return false
+	return []*pb.Message{c.fill(best, &pb.Message{Type: pb.MessageType_HAND_OVER, Index: c.log.last()})}
 }
 
 // onTransferLeadership campaigns without a pre-vote, as the leader has asked for it.
--- a/internal/replication/suspend.go
+++ b/internal/replication/suspend.go
@@ -15,23 +15,10 @@
 // HandOverSuspended returns messages to be sent at once: a suspended leader asks a voter that
 // it has sent its whole log to campaign. They may be sent again, in case they are lost.
 func (c *Core) HandOverSuspended() []*pb.Message {
-	if !c.suspended || c.role != Leader {
+	if !c.suspended {
 		return nil
 	}
-	var best *pb.Voter
-	for _, v := range c.voters.Voters {
-		p := c.progress[v.Id]
-		if p == nil || p.next <= c.log.last() || c.now-p.lastContact >= c.cfg.ElectionTimeout {
-			continue
-		}
-		if best == nil || p.match > c.progress[best.Id].match {
-			best = v
-		}
-	}
-	if best == nil {
-		return nil
-	}
-	return []*pb.Message{c.fill(best, &pb.Message{Type: pb.MessageType_HAND_OVER, Index: c.log.last()})}
+	return c.handOver(func(p *progress) bool { return p.next > c.log.last() })
 }
 
 // Resume ends a suspension. ReportDurable must have been called.
