Keep one record for each quarantine instead of three maps

The time since a quarantine is in force, and whether its test failed or a request succeeded, were three maps with different keys, two of which were cleared by hand when the quarantine changed. A record by quarantine is new when that changes. Reports before this process has seen a quarantine were dropped then and are not recorded now.

--- a/internal/directory/catchup.go
+++ b/internal/directory/catchup.go
@@ -12,7 +12,7 @@
 // report here.
 func (h *hub) stateChanged() {
 	// A test may end a server as soon as a router knows of it.
-	h.quarantine.updateSince(h.machine.State().Quarantined, h.now())
+	h.quarantine.updateRecords(h.machine.State().Quarantined, h.now())
 	latest := h.machine.State().Revision
 	if latest == h.broadcastRevision {
 		return
--- a/internal/directory/quarantine.go
+++ b/internal/directory/quarantine.go
@@ -26,22 +26,26 @@
 // process leads, it decides on the quarantines of prompt parts.
 type quarantineKeeper struct {
 	tracker *quarantine.Tracker
-	// since holds when this process first saw each quarantine in force.
-	since map[publication.QuarantinedPart]time.Time
-	// survived holds quarantined parts with which a request succeeded, failed those whose
-	// test ended a server.
-	survived, failed map[quarantine.Part]bool
+	// records hold what is known of each quarantine in force. A change of a quarantine begins
+	// a new record.
+	records map[publication.QuarantinedPart]*quarantineRecord
 	// proposing is true while a command is not yet committed.
 	proposing bool
 	// full is true while a part is not quarantined because of maxQuarantined.
 	full bool
 }
 
+// quarantineRecord is what this process knows of a quarantine.
+type quarantineRecord struct {
+	// since is when this process first saw the quarantine in force.
+	since time.Time
+	// survived is set once a request with the part succeeded, failed once the test ended a
+	// server.
+	survived, failed bool
+}
+
 func newQuarantineKeeper() quarantineKeeper {
-	return quarantineKeeper{
-		tracker: quarantine.NewTracker(), since: map[publication.QuarantinedPart]time.Time{},
-		survived: map[quarantine.Part]bool{}, failed: map[quarantine.Part]bool{},
-	}
+	return quarantineKeeper{tracker: quarantine.NewTracker(), records: map[publication.QuarantinedPart]*quarantineRecord{}}
 }
 
 // recordQuarantineReports records what routers observed. direct is true if a router that
@@ -56,10 +60,8 @@
 		if first {
 			h.log.Info("server ended under requests", "server", c.Server.Server, "born", c.Server.Born, "suspects", len(c.Suspects), "direct", direct)
 		}
-		for _, q := range h.machine.State().Quarantined {
-			if q.Probe != "" && slices.Contains(c.Suspects, q.Part) && c.At.After(k.since[q]) {
-				k.failed[q.Part] = true
-			}
+		for q, r := range k.records {
+			r.failed = r.failed || q.Probe != "" && slices.Contains(c.Suspects, q.Part) && c.At.After(r.since)
 		}
 		if direct {
 			for _, p := range h.peers {
@@ -73,8 +75,8 @@
 	}
 	for _, part := range quarantine.DecodeParts(survived) {
 		k.tracker.RecordSurvival(part)
-		if slices.ContainsFunc(h.machine.State().Quarantined, func(q publication.QuarantinedPart) bool { return q.Part == part }) {
-			k.survived[part] = true
+		for q, r := range k.records {
+			r.survived = r.survived || q.Part == part
 		}
 		if direct {
 			for _, p := range h.peers {
@@ -88,10 +90,8 @@
 // succeeds: those under which servers have ended, and those in quarantine.
 func (h *hub) suspects() []*fleetpb.SuspectPart {
 	watched := map[quarantine.Part]time.Time{}
-	for _, q := range h.machine.State().Quarantined {
-		if since, ok := h.quarantine.since[q]; ok {
-			watched[q.Part] = since
-		}
+	for q, r := range h.quarantine.records {
+		watched[q.Part] = r.since
 	}
 	maps.Copy(watched, h.quarantine.tracker.Watched(h.now()))
 	var out []*fleetpb.SuspectPart
@@ -105,7 +105,7 @@
 // process leads.
 func (h *hub) reconcileQuarantines() {
 	k, now, state := &h.quarantine, h.now(), h.machine.State()
-	k.updateSince(state.Quarantined, now)
+	k.updateRecords(state.Quarantined, now)
 	if h.places.assigner == nil || k.proposing {
 		return
 	}
@@ -121,15 +121,13 @@
 	})
 }
 
-func (k *quarantineKeeper) updateSince(quarantined []publication.QuarantinedPart, now time.Time) {
+func (k *quarantineKeeper) updateRecords(quarantined []publication.QuarantinedPart, now time.Time) {
 	for _, q := range quarantined {
-		if _, known := k.since[q]; !known {
-			k.since[q] = now
-			delete(k.survived, q.Part)
-			delete(k.failed, q.Part)
+		if k.records[q] == nil {
+			k.records[q] = &quarantineRecord{since: now}
 		}
 	}
-	maps.DeleteFunc(k.since, func(q publication.QuarantinedPart, _ time.Time) bool { return !slices.Contains(quarantined, q) })
+	maps.DeleteFunc(k.records, func(q publication.QuarantinedPart, _ *quarantineRecord) bool { return !slices.Contains(quarantined, q) })
 }
 
 // nextQuarantine returns the next change of the quarantines and its reason, or "".
@@ -138,10 +136,11 @@
 	parts := map[quarantine.Part]bool{}
 	for _, q := range quarantined {
 		parts[q.Part] = true
-		switch age := now.Sub(k.since[q]); {
-		case k.survived[q.Part]:
+		r := k.records[q]
+		switch age := now.Sub(r.since); {
+		case r.survived:
 			return publication.QuarantinedPart{Part: q.Part}, "a request succeeded"
-		case q.Probe != "" && k.failed[q.Part]:
+		case r.failed:
 			return publication.QuarantinedPart{Part: q.Part, Strikes: q.Strikes + 1}, "a server ended in the test"
 		case q.Probe == "" && age >= quarantine.TestAfter(q.Strikes), q.Probe != "" && age >= probeTimeout:
 			if probe := h.probingRouter(uint64(q.Part), q.Probe); probe != "" {
