--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -85,12 +85,8 @@
 		}
 	}
 	known := t.crashes[i]
-	for _, p := range c.Suspects {
-		if known.survived[p] || len(known.suspects) >= maxSuspects || slices.Contains(known.suspects, p) {
-			continue
-		}
-		known.suspects, added = append(known.suspects, p), true
-	}
+	suspects := slices.DeleteFunc(slices.Clone(c.Suspects), func(p Part) bool { return known.survived[p] })
+	known.suspects, added = appendNew(known.suspects, suspects, maxSuspects)
 	t.changed = t.changed || added
 	return first, added
 }
