Discard short response bodies by one function

The limit was checked in two places. A body of a response to another request that exceeds it still fails with kind backend-lost; the log names the limit instead of a mismatch.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -140,10 +140,8 @@
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return nil, errMismatchedResponse
 		}
-		if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardedBytes+1)); err != nil {
+		if err := discardShort(resp.Body); err != nil {
 			return nil, err
-		} else if n > maxDiscardedBytes {
-			return nil, errMismatchedResponse
 		}
 	}
 	return nil, errMismatchedResponse
@@ -199,8 +197,16 @@
 	if r.SetReadTimeout(ctx, discardTimeout) != nil {
 		return
 	}
-	n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxDiscardedBytes+1))
-	r.bodyRead = err == nil && n <= maxDiscardedBytes
+	r.bodyRead = discardShort(r.Body) == nil
+}
+
+// discardShort reads a body of at most maxDiscardedBytes to its end.
+func discardShort(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxDiscardedBytes+1))
+	if err == nil && n > maxDiscardedBytes {
+		err = errkind.New(errkind.BackendLost, "an unneeded response body exceeds the limit of %d bytes", maxDiscardedBytes)
+	}
+	return err
 }
 
 // MarkBodyRead records that the caller has read the body to its end without ReadAll.
