Use errorfs for the full disk of the directory's test

The file system that the test declared itself did what pebble's errorfs does, which the other tests of full disks use. The assertions are the same.

--- a/internal/directory/cluster_test.go
+++ b/internal/directory/cluster_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"os"
 	"slices"
 	"sync/atomic"
 	"syscall"
@@ -13,6 +12,7 @@
 	"time"
 
 	"github.com/cockroachdb/pebble/v2/vfs"
+	"github.com/cockroachdb/pebble/v2/vfs/errorfs"
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/kumquathollow/kumquathollow/api/fleetpb"
@@ -184,30 +184,14 @@
 	c.awaitDocument(hosts[1], "three")
 }
 
-// fillableFS is a file system that takes no new file and no write while it is full.
-type fillableFS struct {
-	vfs.FS
-	full *atomic.Bool
-}
-
-func (f fillableFS) Create(name string, category vfs.DiskWriteCategory) (vfs.File, error) {
-	if f.full.Load() {
-		return nil, &os.PathError{Op: "create", Path: name, Err: syscall.ENOSPC}
-	}
-	file, err := f.FS.Create(name, category)
-	return fillableFile{file, f.full}, err
-}
-
-type fillableFile struct {
-	vfs.File
-	full *atomic.Bool
-}
-
-func (f fillableFile) Write(p []byte) (int, error) {
-	if f.full.Load() {
-		return 0, syscall.ENOSPC
-	}
-	return f.File.Write(p)
+// newFillableFS returns a file system that takes no new file and no write while it is full.
+func newFillableFS(full *atomic.Bool) vfs.FS {
+	return errorfs.Wrap(vfs.NewMem(), errorfs.InjectorFunc(func(op errorfs.Op) error {
+		if full.Load() && (op.Kind == errorfs.OpCreate || op.Kind == errorfs.OpFileWrite) {
+			return syscall.ENOSPC
+		}
+		return nil
+	}))
 }
 
 // Guards against directory processes that end, again and again, while their disks are full.
@@ -221,7 +205,7 @@
 	}
 	for _, h := range hosts[:3] {
 		full[h] = &atomic.Bool{}
-		c.start(h, fillableFS{vfs.NewMem(), full[h]})
+		c.start(h, newFillableFS(full[h]))
 	}
 	c.publish(hosts[0], 1, "one")
 	leader := ""
