--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -45,6 +45,8 @@
 	sharedTokens int
 	// quarantineParts identify the shared parts of the prompt, in order.
 	quarantineParts []quarantine.Part
+	// fingerprint is equal for requests that repeat each other.
+	fingerprint routing.Fingerprint
 
 	// sends counts the backend servers to which the request was sent, failedDials
 	// those to which it could not be sent.
@@ -202,11 +204,21 @@
 		return errkind.Wrap(err, errkind.BadRequest, "read the request body")
 	}
 	x.body, x.bodyRead = body, true
+	x.fingerprint = x.computeFingerprint()
 	x.f.requestBodies.release(x.reservedBytes - int64(len(body)))
 	x.reservedBytes = int64(len(body))
 	return nil
 }
 
+// computeFingerprint returns the fingerprint of the request's method, URL, caller and body.
+func (x *exchange) computeFingerprint() routing.Fingerprint {
+	caller := x.requestInfo.APIKey
+	if x.workspace != nil {
+		caller = x.workspace.Name // A workspace's keys are not sent to backend servers.
+	}
+	return routing.NewFingerprint([]byte(x.r.Method), []byte(x.r.Host), []byte(x.r.URL.RequestURI()), []byte(caller), x.body)
+}
+
 // unknownLengthReservation is the memory reserved for a body of unknown length
 // until it has been read.
 const unknownLengthReservation = 64 << 10
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -93,7 +93,7 @@
 	if !ok {
 		return
 	}
-	f.opts.Log.Warn("attempt failed", "request", x.requestInfo.ID, "server", p.ID, "address", p.Address, "route", x.route.Name, "prompt", x.sharedPartIDs(),
+	f.opts.Log.Warn("attempt failed", "request", x.requestInfo.ID, "server", p.ID, "address", p.Address, "route", x.route.Name, "prompt", x.sharedPartIDs(), "fingerprint", x.fingerprint.String(),
 		"sent", res.sent, "may-have-run", res.mayHaveRun, "may-repeat", res.retryable, "events", x.eventsSent, "after", time.Since(x.startedAt).Round(time.Microsecond),
 		"left", time.Until(x.deadline).Round(time.Millisecond), "error", res.err, "left-out", suppressed)
 }
