--- a/internal/directory/peers.go
+++ b/internal/directory/peers.go
@@ -33,10 +33,10 @@
 	// pending holds the ids of servers whose announcements the peer has not
 	// acknowledged, heard those that were announced unchanged since the last call.
 	pending, heard map[string]bool
-	// crashes and survived are what routers have reported of prompt parts and the peer has
+	// crashes and survived are what routers have reported of ended servers and the peer has
 	// not acknowledged.
 	crashes  []quarantine.Crash
-	survived map[quarantine.Part]bool
+	survived map[quarantine.Subject]bool
 	// acks are the counters of changes that are not yet sent to the peer.
 	acks []*ackCounter
 	// process is the run of the peer's process that acknowledged last.
@@ -56,7 +56,7 @@
 }
 
 func newPeer(address string) *peer {
-	return &peer{address: address, pending: map[string]bool{}, heard: map[string]bool{}, survived: map[quarantine.Part]bool{}, wake: make(chan struct{}, 1), stop: func() {}}
+	return &peer{address: address, pending: map[string]bool{}, heard: map[string]bool{}, survived: map[quarantine.Subject]bool{}, wake: make(chan struct{}, 1), stop: func() {}}
 }
 
 // reconcilePeers starts and stops peers after a change of the members.
@@ -115,7 +115,7 @@
 	ids      map[string]bool
 	acks     []*ackCounter
 	crashes  []quarantine.Crash
-	survived map[quarantine.Part]bool
+	survived map[quarantine.Subject]bool
 }
 
 // takeCall returns what the peer is to be sent now.
@@ -124,13 +124,13 @@
 	call.req = &fleetpb.SpreadRequest{
 		Announcements: h.announcements(p.pending), From: h.ownAddress, DataCentre: h.dataCentre,
 		Load: inventory.EncodeLoad(h.ownLoad()), Routers: uint32(h.reporting),
-		Crashes: quarantine.EncodeCrashes(p.crashes, h.now()), Survived: quarantine.EncodeParts(slices.Sorted(maps.Keys(p.survived))),
+		Crashes: quarantine.EncodeCrashes(p.crashes, h.now()), Survived: quarantine.EncodeSubjects(slices.SortedFunc(maps.Keys(p.survived), quarantine.Subject.Compare)),
 	}
 	for id := range p.heard {
 		call.req.Heard = append(call.req.Heard, uint32(routing.Hash(id)))
 	}
 	p.pending, p.heard, p.acks = map[string]bool{}, map[string]bool{}, nil
-	p.crashes, p.survived = nil, map[quarantine.Part]bool{}
+	p.crashes, p.survived = nil, map[quarantine.Subject]bool{}
 	return call
 }
 
--- a/internal/directory/quarantine_test.go
+++ b/internal/directory/quarantine_test.go
@@ -59,7 +59,7 @@
 	q.handleRequest(s, &fleetpb.FollowRequest{Load: &fleetpb.Load{}, Survived: parts})
 }
 
-func (q *quarantineHub) quarantined() []publication.QuarantinedPart {
+func (q *quarantineHub) quarantined() []publication.Quarantined {
 	return q.machine.State().Quarantined
 }
 
@@ -77,7 +77,7 @@
 	q := newQuarantineHub(t)
 	routers := []*session{newSession(q.hub, "r1"), newSession(q.hub, "r2"), newSession(q.hub, "r3")}
 	q.endServers(routers)
-	if got := q.quarantined(); !slices.Equal(got, []publication.QuarantinedPart{{Part: 7, Strikes: 1}}) {
+	if got := q.quarantined(); !slices.Equal(got, []publication.Quarantined{{Subject: quarantine.Subject{Hash: 7}, Strikes: 1}}) {
 		t.Fatalf("quarantined %v, want part 7", got)
 	}
 	call := q.takeCall(q.peer)
@@ -99,7 +99,7 @@
 		q.at = q.at.Add(200 * time.Millisecond)
 	}
 	q.pass(2 * time.Second)
-	if got := q.quarantined(); len(got) != 1 || got[0].Part != 7 {
+	if got := q.quarantined(); len(got) != 1 || got[0].Subject.Hash != 7 {
 		t.Errorf("quarantined %v, want part 7", got)
 	}
 	if call := q.takeCall(q.peer); len(call.req.Crashes) != 0 {
@@ -143,7 +143,7 @@
 	q.at = q.at.Add(time.Millisecond)
 	q.report(s, 7)
 	q.pass(time.Second)
-	if got := q.quarantined(); !slices.Equal(got, []publication.QuarantinedPart{{Part: 7, Strikes: 2}}) {
+	if got := q.quarantined(); !slices.Equal(got, []publication.Quarantined{{Subject: quarantine.Subject{Hash: 7}, Strikes: 2}}) {
 		t.Fatalf("after the end of a server in the test: %v", got)
 	}
 	q.pass(quarantine.TestAfter(1))
@@ -188,7 +188,7 @@
 	restarted.ends = 100
 	restarted.report(s, 7)
 	restarted.pass(2 * time.Second)
-	if got := restarted.quarantined(); len(got) != 1 || got[0].Part != 7 {
+	if got := restarted.quarantined(); len(got) != 1 || got[0].Subject.Hash != 7 {
 		t.Errorf("quarantined %v after the fifth end, want part 7", got)
 	}
 }
--- a/internal/fleetview/quarantine.go
+++ b/internal/fleetview/quarantine.go
@@ -8,37 +8,37 @@
 	"github.com/kumquathollow/kumquathollow/internal/quarantine"
 )
 
-// Quarantine is the quarantine of a prompt part as this router applies it.
+// Quarantine is the quarantine of a subject as this router applies it.
 type Quarantine struct {
-	publication.QuarantinedPart
+	publication.Quarantined
 	probed atomic.Bool
 }
 
 // nextQuarantines returns the quarantines of a newer state. Those that are unchanged are
 // taken over, so that a probe is sent once.
-func (s *Snapshot) nextQuarantines(parts []publication.QuarantinedPart) map[quarantine.Part]*Quarantine {
-	next := make(map[quarantine.Part]*Quarantine, len(parts))
-	for _, q := range parts {
-		if old := s.Quarantined[q.Part]; old != nil && old.QuarantinedPart == q {
-			next[q.Part] = old
+func (s *Snapshot) nextQuarantines(quarantined []publication.Quarantined) map[quarantine.Subject]*Quarantine {
+	next := make(map[quarantine.Subject]*Quarantine, len(quarantined))
+	for _, q := range quarantined {
+		if old := s.Quarantined[q.Subject]; old != nil && old.Quarantined == q {
+			next[q.Subject] = old
 			continue
 		}
-		next[q.Part] = &Quarantine{QuarantinedPart: q}
+		next[q.Subject] = &Quarantine{Quarantined: q}
 	}
 	return next
 }
 
-// Refuses returns a quarantine that forbids sending a request with the parts to a backend
+// Refuses returns a quarantine that forbids sending a request with the subjects to a backend
 // server, or nil. If this router may send one request to test a quarantine, the first call
-// for its part returns nil.
-func (v *View) Refuses(parts []quarantine.Part) *Quarantine {
+// for its subject returns nil.
+func (v *View) Refuses(subjects []quarantine.Subject) *Quarantine {
 	quarantined := v.Snapshot().Quarantined
 	if len(quarantined) == 0 {
 		return nil
 	}
 	var probe *Quarantine
-	for _, p := range parts {
-		switch q := quarantined[p]; {
+	for _, s := range subjects {
+		switch q := quarantined[s]; {
 		case q == nil:
 		case q.Probe != v.opts.RouterID || probe != nil || q.probed.Load():
 			return q
@@ -64,9 +64,13 @@
 	return true
 }
 
-// RecordSurvival records that a backend server has answered a request with the parts.
-func (v *View) RecordSurvival(parts []quarantine.Part) { v.monitor.RecordSurvival(parts, time.Now()) }
+// RecordSurvival records that a backend server has answered a request with the subjects.
+func (v *View) RecordSurvival(subjects []quarantine.Subject) {
+	v.monitor.RecordSurvival(subjects, time.Now())
+}
 
-// Suspected reports whether servers have ended under requests with one of the parts, and no
+// Suspected reports whether servers have ended under requests with one of the subjects, and no
 // request with it is known to have succeeded since.
-func (v *View) Suspected(parts []quarantine.Part) bool { return v.monitor.Suspected(parts, time.Now()) }
+func (v *View) Suspected(subjects []quarantine.Subject) bool {
+	return v.monitor.Suspected(subjects, time.Now())
+}
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -23,8 +23,8 @@
 	Configuration *catalog.Set
 	Revision      uint64
 	Evacuated     []string
-	// Quarantined are the prompt parts whose requests the router refuses.
-	Quarantined map[quarantine.Part]*Quarantine
+	// Quarantined are the subjects whose requests the router refuses.
+	Quarantined map[quarantine.Subject]*Quarantine
 }
 
 // Options configures a View.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -235,7 +235,7 @@
 	if resp.StatusCode >= 500 {
 		outcome = placement.Failure
 	} else {
-		x.f.opts.View.RecordSurvival(x.quarantineParts)
+		x.f.opts.View.RecordSurvival(x.subjects)
 	}
 	return attemptResult{err: x.writeResponse(buffered), sent: true, mayHaveRun: true, outcome: outcome}
 }
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -16,26 +16,26 @@
 const crashCheckTimeout = time.Second
 
 // crashDetector finds out whether a server whose response broke off has ended, and reports
-// it with the prompt parts of the requests that broke off with it.
+// it with the subjects of the requests that broke off with it.
 type crashDetector struct {
 	pool   *backend.Pool
 	report func(quarantine.Crash)
 
 	mu sync.Mutex
-	// pending holds the parts to report by server, while the server is being checked.
-	pending map[quarantine.Incarnation][]quarantine.Part
+	// pending holds the subjects to report by server, while the server is being checked.
+	pending map[quarantine.Incarnation][]quarantine.Subject
 }
 
 func newCrashDetector(pool *backend.Pool, report func(quarantine.Crash)) *crashDetector {
-	return &crashDetector{pool: pool, report: report, pending: map[quarantine.Incarnation][]quarantine.Part{}}
+	return &crashDetector{pool: pool, report: report, pending: map[quarantine.Incarnation][]quarantine.Subject{}}
 }
 
 // responseBroken starts a check of the server, unless one is already running.
-func (d *crashDetector) responseBroken(server quarantine.Incarnation, target backend.Target, suspects []quarantine.Part) {
+func (d *crashDetector) responseBroken(server quarantine.Incarnation, target backend.Target, suspects []quarantine.Subject) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	parts, running := d.pending[server]
-	d.pending[server] = append(parts, suspects...)
+	suspected, running := d.pending[server]
+	d.pending[server] = append(suspected, suspects...)
 	if !running {
 		go d.check(server, target)
 	}
@@ -68,19 +68,19 @@
 // checkCrash has the server of a failed attempt checked if its connection broke before the
 // request's prompt was known to be survived.
 func (x *exchange) checkCrash(picked *placement.PickResult, res attemptResult) {
-	if !res.sent || !res.mayHaveRun || res.survived || len(x.quarantineParts) == 0 || x.ctx.Err() != nil {
+	if !res.sent || !res.mayHaveRun || res.survived || len(x.subjects) == 0 || x.ctx.Err() != nil {
 		return
 	}
 	switch errkind.Of(res.err) {
 	case errkind.StreamBroken, errkind.BackendLost:
-		x.f.crashes.responseBroken(quarantine.Incarnation{Server: picked.ID, Born: picked.Born}, x.backendTarget(picked), x.quarantineParts)
+		x.f.crashes.responseBroken(quarantine.Incarnation{Server: picked.ID, Born: picked.Born}, x.backendTarget(picked), x.subjects)
 	}
 }
 
 // checkQuarantine returns an error if the request must not be sent to a server because of a
-// part of its prompt.
+// quarantine.
 func (x *exchange) checkQuarantine() error {
-	q := x.f.opts.View.Refuses(x.quarantineParts)
+	q := x.f.opts.View.Refuses(x.subjects)
 	if q == nil {
 		return nil
 	}
@@ -89,8 +89,8 @@
 
 func (x *exchange) quarantineError(q *fleetview.Quarantine) error {
 	id := ""
-	for i, part := range x.quarantineParts {
-		if part == q.Part {
+	for i, subject := range x.subjects {
+		if subject == q.Subject {
 			id = x.sharedParts()[i].ID
 		}
 	}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -43,8 +43,8 @@
 	requestHash                          uint64
 	// sharedTokens is the number of tokens in the shared parts of the prompt.
 	sharedTokens int
-	// quarantineParts identify the shared parts of the prompt, in order.
-	quarantineParts []quarantine.Part
+	// subjects are the shared parts of the prompt, in order.
+	subjects []quarantine.Subject
 	// fingerprint is equal for requests that repeat each other.
 	fingerprint routing.Fingerprint
 
@@ -133,7 +133,7 @@
 	x.requestHash = routing.Hash(x.requestInfo.ID)
 	x.service = config.Service(x.route.ChooseService(routing.Fraction(x.requestHash)))
 	for _, part := range x.sharedParts() {
-		x.quarantineParts = append(x.quarantineParts, quarantine.PartOf(x.service.Name, part.ID))
+		x.subjects = append(x.subjects, quarantine.PartOf(x.service.Name, part.ID))
 	}
 	if n := len(x.requestInfo.Prompt); x.route.Affinity && n > 0 {
 		// The last part belongs to this request only. The part before it identifies
@@ -279,7 +279,7 @@
 	if x.sends >= x.route.MaxAttempts || x.failedDials >= maxFailedDials {
 		return false
 	}
-	if res.mayHaveRun && x.f.opts.View.Suspected(x.quarantineParts) {
+	if res.mayHaveRun && x.f.opts.View.Suspected(x.subjects) {
 		return false // Another server could end as well.
 	}
 	if x.headerSent {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -47,7 +47,7 @@
 		case err == nil:
 		case errors.Is(err, io.EOF) && len(event) == 0:
 			resp.MarkBodyRead()
-			x.f.opts.View.RecordSurvival(x.quarantineParts)
+			x.f.opts.View.RecordSurvival(x.subjects)
 			return x.streamEnded(resp)
 		default:
 			res := x.streamBroken(picked, err)
@@ -59,7 +59,7 @@
 			firstEventAt = now
 		case !survived && now.Sub(firstEventAt) >= quarantine.SurvivalTime:
 			survived = true
-			x.f.opts.View.RecordSurvival(x.quarantineParts)
+			x.f.opts.View.RecordSurvival(x.subjects)
 		}
 		id, ok := eventID(event)
 		if ok && x.isDuplicate(id) {
--- a/internal/publication/quarantine.go
+++ b/internal/publication/quarantine.go
@@ -1,32 +1,31 @@
 package publication
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/kumquathollow/kumquathollow/api/fleetpb"
 	"github.com/kumquathollow/kumquathollow/internal/quarantine"
 )
 
-// QuarantinedPart is a prompt part whose requests the routers refuse.
-type QuarantinedPart struct {
-	Part quarantine.Part
-	// Strikes counts how often the part was quarantined without a success in between.
+// Quarantined is a subject whose requests the routers refuse.
+type Quarantined struct {
+	Subject quarantine.Subject
+	// Strikes counts how often the subject was quarantined without a success in between.
 	Strikes uint32
-	// Probe is the router that may send one request with the part; empty if none may.
+	// Probe is the router that may send one request with the subject; empty if none may.
 	Probe string
 }
 
-// QuarantineCommand returns the command that quarantines a part, or lifts its quarantine if
+// QuarantineCommand returns the command that quarantines a subject, or lifts its quarantine if
 // q has no strikes.
-func QuarantineCommand(q QuarantinedPart) *fleetpb.Command {
-	return &fleetpb.Command{Op: &fleetpb.Command_Quarantine{Quarantine: &fleetpb.Quarantine{Part: uint64(q.Part), Strikes: q.Strikes, Probe: q.Probe}}}
+func QuarantineCommand(q Quarantined) *fleetpb.Command {
+	return &fleetpb.Command{Op: &fleetpb.Command_Quarantine{Quarantine: &fleetpb.Quarantine{Part: q.Subject.Hash, Strikes: q.Strikes, Probe: q.Probe}}}
 }
 
 // quarantine reports whether anything changed.
 func (s *State) quarantine(in *fleetpb.Quarantine) bool {
 	q := decodeQuarantine(in)
-	at, found := slices.BinarySearchFunc(s.Quarantined, q.Part, func(o QuarantinedPart, p quarantine.Part) int { return cmp.Compare(o.Part, p) })
+	at, found := slices.BinarySearchFunc(s.Quarantined, q.Subject, func(o Quarantined, s quarantine.Subject) int { return o.Subject.Compare(s) })
 	switch {
 	case found && s.Quarantined[at] == q || !found && q.Strikes == 0:
 		return false
@@ -41,13 +40,13 @@
 	return true
 }
 
-func decodeQuarantine(in *fleetpb.Quarantine) QuarantinedPart {
-	return QuarantinedPart{Part: quarantine.Part(in.Part), Strikes: in.Strikes, Probe: in.Probe}
+func decodeQuarantine(in *fleetpb.Quarantine) Quarantined {
+	return Quarantined{Subject: quarantine.Subject{Hash: in.Part}, Strikes: in.Strikes, Probe: in.Probe}
 }
 
-func encodeQuarantined(parts []QuarantinedPart) []*fleetpb.Quarantine {
+func encodeQuarantined(quarantined []Quarantined) []*fleetpb.Quarantine {
 	var out []*fleetpb.Quarantine
-	for _, q := range parts {
+	for _, q := range quarantined {
 		out = append(out, QuarantineCommand(q).GetQuarantine())
 	}
 	return out
--- a/internal/publication/quarantine_test.go
+++ b/internal/publication/quarantine_test.go
@@ -3,21 +3,23 @@
 import (
 	"slices"
 	"testing"
+
+	"github.com/kumquathollow/kumquathollow/internal/quarantine"
 )
 
 func TestQuarantinesAreAppliedAndKeptInSnapshots(t *testing.T) {
 	s := &State{}
 	for _, step := range []struct {
-		q         QuarantinedPart
+		q         Quarantined
 		effective bool
-		want      []QuarantinedPart
+		want      []Quarantined
 	}{
-		{QuarantinedPart{Part: 5, Strikes: 1}, true, []QuarantinedPart{{Part: 5, Strikes: 1}}},
-		{QuarantinedPart{Part: 5, Strikes: 1}, false, []QuarantinedPart{{Part: 5, Strikes: 1}}},
-		{QuarantinedPart{Part: 3, Strikes: 1}, true, []QuarantinedPart{{Part: 3, Strikes: 1}, {Part: 5, Strikes: 1}}},
-		{QuarantinedPart{Part: 5, Strikes: 1, Probe: "r"}, true, []QuarantinedPart{{Part: 3, Strikes: 1}, {Part: 5, Strikes: 1, Probe: "r"}}},
-		{QuarantinedPart{Part: 3}, true, []QuarantinedPart{{Part: 5, Strikes: 1, Probe: "r"}}},
-		{QuarantinedPart{Part: 3}, false, []QuarantinedPart{{Part: 5, Strikes: 1, Probe: "r"}}},
+		{Quarantined{Subject: quarantine.Subject{Hash: 5}, Strikes: 1}, true, []Quarantined{{Subject: quarantine.Subject{Hash: 5}, Strikes: 1}}},
+		{Quarantined{Subject: quarantine.Subject{Hash: 5}, Strikes: 1}, false, []Quarantined{{Subject: quarantine.Subject{Hash: 5}, Strikes: 1}}},
+		{Quarantined{Subject: quarantine.Subject{Hash: 3}, Strikes: 1}, true, []Quarantined{{Subject: quarantine.Subject{Hash: 3}, Strikes: 1}, {Subject: quarantine.Subject{Hash: 5}, Strikes: 1}}},
+		{Quarantined{Subject: quarantine.Subject{Hash: 5}, Strikes: 1, Probe: "r"}, true, []Quarantined{{Subject: quarantine.Subject{Hash: 3}, Strikes: 1}, {Subject: quarantine.Subject{Hash: 5}, Strikes: 1, Probe: "r"}}},
+		{Quarantined{Subject: quarantine.Subject{Hash: 3}}, true, []Quarantined{{Subject: quarantine.Subject{Hash: 5}, Strikes: 1, Probe: "r"}}},
+		{Quarantined{Subject: quarantine.Subject{Hash: 3}}, false, []Quarantined{{Subject: quarantine.Subject{Hash: 5}, Strikes: 1, Probe: "r"}}},
 	} {
 		next, err := s.Apply(QuarantineCommand(step.q))
 		if err != nil {
--- a/internal/publication/state.go
+++ b/internal/publication/state.go
@@ -25,8 +25,8 @@
 	Evacuated []string
 	// Places are the shares of each service's key space by service, sorted by hash.
 	Places map[string][]assignment.Place
-	// Quarantined are the quarantined prompt parts, sorted by part.
-	Quarantined []QuarantinedPart
+	// Quarantined are the quarantined subjects, sorted.
+	Quarantined []Quarantined
 }
 
 // Version returns the configuration version in force, or 0 if there is none.
--- a/internal/quarantine/bench_test.go
+++ b/internal/quarantine/bench_test.go
@@ -10,9 +10,9 @@
 func BenchmarkFlush(b *testing.B) {
 	tracker, now := NewTracker(), epoch
 	for n := range maxCrashes {
-		var suspects []Part
+		var suspects []Subject
 		for i := range maxSuspects {
-			suspects = append(suspects, Part(n/3*maxSuspects+i))
+			suspects = append(suspects, part(n/3*maxSuspects+i))
 		}
 		now = now.Add(time.Second)
 		tracker.RecordCrash(crashAt(now, n, suspects...), now)
--- a/internal/quarantine/monitor_test.go
+++ b/internal/quarantine/monitor_test.go
@@ -10,18 +10,18 @@
 
 func TestMonitorReportsCrashesForAWhile(t *testing.T) {
 	m := NewMonitor()
-	if !m.RecordCrash(crashOf(1, 7), epoch) || m.RecordCrash(crashOf(1, 7), epoch) || !m.RecordCrash(crashOf(1, 8), epoch) {
+	if !m.RecordCrash(crashOf(1, part(7)), epoch) || m.RecordCrash(crashOf(1, part(7)), epoch) || !m.RecordCrash(crashOf(1, part(8)), epoch) {
 		t.Error("only new suspects are news")
 	}
 	crashes, _ := m.Reports(false, epoch.Add(reportRetention))
-	if len(crashes) != 1 || !slices.Equal(crashes[0].Suspects, []Part{7, 8}) {
+	if len(crashes) != 1 || !slices.Equal(crashes[0].Suspects, []Subject{part(7), part(8)}) {
 		t.Errorf("reported %v", crashes)
 	}
 	if crashes, _ = m.Reports(false, epoch.Add(reportRetention+1)); len(crashes) != 0 {
 		t.Errorf("reported %v after the retention", crashes)
 	}
 	for n := range 2 * maxReports {
-		m.RecordCrash(crashOf(100+n, 7), epoch.Add(time.Minute))
+		m.RecordCrash(crashOf(100+n, part(7)), epoch.Add(time.Minute))
 	}
 	if crashes, _ = m.Reports(false, epoch.Add(time.Minute)); len(crashes) != maxReports {
 		t.Errorf("%d crashes reported at once", len(crashes))
@@ -31,19 +31,19 @@
 // Only a success after the first crash speaks for a suspect.
 func TestMonitorReportsLaterSurvivalsOfSuspects(t *testing.T) {
 	m, now := NewMonitor(), epoch
-	m.RecordSurvival([]Part{1, 2}, now)
+	m.RecordSurvival([]Subject{part(1), part(2)}, now)
 	now = now.Add(2 * time.Second)
 	m.SetSuspects([]*fleetpb.SuspectPart{{Part: 1, AgeMs: 1000}, {Part: 2, AgeMs: 3000}}, now)
-	if _, survived := m.Reports(false, now); !slices.Equal(survived, []Part{2}) {
+	if _, survived := m.Reports(false, now); !slices.Equal(survived, []Subject{part(2)}) {
 		t.Errorf("survived %v, want part 2, whose first crash was earlier", survived)
 	}
-	m.RecordSurvival([]Part{1, 5}, now)
+	m.RecordSurvival([]Subject{part(1), part(5)}, now)
 	_, survived := m.Reports(false, now)
-	slices.Sort(survived)
-	if !slices.Equal(survived, []Part{1, 2}) {
+	slices.SortFunc(survived, Subject.Compare)
+	if !slices.Equal(survived, []Subject{part(1), part(2)}) {
 		t.Errorf("survived %v", survived)
 	}
-	if !m.Suspected([]Part{9, 1}, now) || m.Suspected([]Part{9}, now) || m.Suspected([]Part{1}, now.Add(suspectTTL+1)) {
+	if !m.Suspected([]Subject{part(9), part(1)}, now) || m.Suspected([]Subject{part(9)}, now) || m.Suspected([]Subject{part(1)}, now.Add(suspectTTL+1)) {
 		t.Error("suspects are not those that the directory told of lately")
 	}
 }
@@ -52,14 +52,14 @@
 // suspects with which requests have succeeded since.
 func TestMonitorRemembersCrashesForNewProcesses(t *testing.T) {
 	m, now := NewMonitor(), epoch
-	m.RecordCrash(crashOf(1, 7, 8), now)
-	m.RecordSurvival([]Part{8}, now.Add(time.Second))
+	m.RecordCrash(crashOf(1, part(7), part(8)), now)
+	m.RecordSurvival([]Subject{part(8)}, now.Add(time.Second))
 	now = now.Add(time.Minute)
 	if crashes, _ := m.Reports(false, now); len(crashes) != 0 {
 		t.Errorf("repeated %v after a minute", crashes)
 	}
 	crashes, _ := m.Reports(true, now)
-	if len(crashes) != 1 || !slices.Equal(crashes[0].Suspects, []Part{7}) {
+	if len(crashes) != 1 || !slices.Equal(crashes[0].Suspects, []Subject{part(7)}) {
 		t.Fatalf("remembered %v, want a crash with part 7", crashes)
 	}
 	if sent := EncodeCrashes(crashes, now); sent[0].AgeMs != 60_000 || !DecodeCrashes(sent, now)[0].At.Equal(epoch) {
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/subject.go
@@ -1,6 +1,8 @@
 package quarantine
 
 import (
+	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -8,13 +10,21 @@
 	"github.com/kumquathollow/kumquathollow/internal/routing"
 )
 
-// Part identifies a prompt part within the requests of one service, since another service
-// may run another model.
-type Part uint64
+// Subject is what may be to blame for the end of a backend server: a prompt part within the
+// requests of one service, since another service may run another model.
+type Subject struct {
+	Hash uint64
+}
+
+// Compare orders subjects.
+func (s Subject) Compare(o Subject) int { return cmp.Compare(s.Hash, o.Hash) }
+
+// String implements fmt.Stringer.
+func (s Subject) String() string { return fmt.Sprintf("%016x", s.Hash) }
 
-// PartOf returns the Part of a service's requests with the given id.
-func PartOf(service, id string) Part {
-	return Part(routing.Mix(routing.Hash(id), routing.Hash(service)))
+// PartOf returns the subject that a part of the prompts of a service is.
+func PartOf(service, id string) Subject {
+	return Subject{Hash: routing.Mix(routing.Hash(id), routing.Hash(service))}
 }
 
 // Incarnation is one start of a backend server.
@@ -23,11 +33,10 @@
 	Born   int64
 }
 
-// Crash is the end of a backend server, with the parts of the requests that may have
-// caused it.
+// Crash is the end of a backend server, with the subjects that may have caused it.
 type Crash struct {
 	Server   Incarnation
-	Suspects []Part
+	Suspects []Subject
 	// At is when it was first observed.
 	At time.Time
 }
@@ -37,7 +46,7 @@
 	var out []*fleetpb.Crash
 	for _, c := range crashes {
 		out = append(out, &fleetpb.Crash{
-			Server: c.Server.Server, Born: c.Server.Born, Suspects: EncodeParts(c.Suspects), AgeMs: uint32(max(0, now.Sub(c.At).Milliseconds())),
+			Server: c.Server.Server, Born: c.Server.Born, Suspects: EncodeSubjects(c.Suspects), AgeMs: uint32(max(0, now.Sub(c.At).Milliseconds())),
 		})
 	}
 	return out
@@ -48,36 +57,36 @@
 	var out []Crash
 	for _, c := range in {
 		at := now.Add(-time.Duration(c.AgeMs) * time.Millisecond)
-		out = append(out, Crash{Server: Incarnation{c.Server, c.Born}, Suspects: DecodeParts(c.Suspects), At: at})
+		out = append(out, Crash{Server: Incarnation{c.Server, c.Born}, Suspects: DecodeSubjects(c.Suspects), At: at})
 	}
 	return out
 }
 
-// EncodeParts returns parts in the encoding in which they are sent.
-func EncodeParts(parts []Part) []uint64 {
+// EncodeSubjects returns subjects in the encoding in which they are sent.
+func EncodeSubjects(subjects []Subject) []uint64 {
 	var out []uint64
-	for _, p := range parts {
-		out = append(out, uint64(p))
+	for _, s := range subjects {
+		out = append(out, s.Hash)
 	}
 	return out
 }
 
-// DecodeParts returns the parts encoded by EncodeParts.
-func DecodeParts(in []uint64) []Part {
-	var out []Part
-	for _, p := range in {
-		out = append(out, Part(p))
+// DecodeSubjects returns the subjects encoded by EncodeSubjects.
+func DecodeSubjects(in []uint64) []Subject {
+	var out []Subject
+	for _, h := range in {
+		out = append(out, Subject{Hash: h})
 	}
 	return out
 }
 
-// appendNew appends the parts that the list lacks, up to limit entries, and reports whether
+// appendNew appends the subjects that the list lacks, up to limit entries, and reports whether
 // there were any.
-func appendNew(list, parts []Part, limit int) ([]Part, bool) {
+func appendNew(list, subjects []Subject, limit int) ([]Subject, bool) {
 	before := len(list)
-	for _, p := range parts {
-		if len(list) < limit && !slices.Contains(list, p) {
-			list = append(list, p)
+	for _, s := range subjects {
+		if len(list) < limit && !slices.Contains(list, s) {
+			list = append(list, s)
 		}
 	}
 	return list, len(list) > before
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -24,9 +23,9 @@
 	quarantineCrashes = 5
 	ambiguousCrashes  = 7
 	// minExplainedFraction is the fraction of the crashes since a suspect's first one that it
-	// must account for. While many servers end for other reasons, a rare part can be present
+	// must account for. While many servers end for other reasons, a rare one can be present
 	// several times by chance, and no request with it may have succeeded. From manyCrashes
-	// crashes of the suspect minFractionOfMany is enough: two parts may end servers at the
+	// crashes of the suspect minFractionOfMany is enough: two subjects may end servers at the
 	// same time.
 	minExplainedFraction = 2.0 / 3
 	manyCrashes          = 8
@@ -34,18 +33,18 @@
 	// survivalDelay is how long a suspect must have been watched before it is quarantined:
 	// the time until routers have told of requests that succeeded with it.
 	survivalDelay = time.Second
-	// maxWatched limits the parts that routers are told of.
+	// maxWatched limits the subjects that routers are told of.
 	maxWatched = 64
 )
 
-// Tracker finds the parts that recur in crashes. It is not safe for concurrent use.
+// Tracker finds the subjects that recur in crashes. It is not safe for concurrent use.
 type Tracker struct {
 	// crashes are ordered by time, oldest first.
 	crashes []*trackedCrash
 	// watchedSince holds when each suspect reached watchedCrashes, and watched is the result
 	// of Watched, nil once it is out of date.
-	watchedSince map[Part]time.Time
-	watched      map[Part]time.Time
+	watchedSince map[Subject]time.Time
+	watched      map[Subject]time.Time
 	// mostCrashes is the number of separate crashes of the most frequent suspect. It may have
 	// fallen since it was counted.
 	mostCrashes int
@@ -58,13 +57,13 @@
 type trackedCrash struct {
 	server   Incarnation
 	at       time.Time
-	suspects []Part
-	// survived holds parts with which a request succeeded after the crash.
-	survived map[Part]bool
+	suspects []Subject
+	// survived holds subjects with which a request succeeded after the crash.
+	survived map[Subject]bool
 }
 
 // NewTracker returns an empty Tracker.
-func NewTracker() *Tracker { return &Tracker{watchedSince: map[Part]time.Time{}} }
+func NewTracker() *Tracker { return &Tracker{watchedSince: map[Subject]time.Time{}} }
 
 // RecordCrash records a report of a crash. Reports of several routers about one crash are
 // merged. It returns whether this is the first one, and whether it added any suspects.
@@ -76,7 +75,7 @@
 			return false, false
 		}
 		i, _ = slices.BinarySearchFunc(t.crashes, c.At, func(known *trackedCrash, at time.Time) int { return known.at.Compare(at) })
-		t.crashes = slices.Insert(t.crashes, i, &trackedCrash{server: c.Server, at: c.At, survived: map[Part]bool{}})
+		t.crashes = slices.Insert(t.crashes, i, &trackedCrash{server: c.Server, at: c.At, survived: map[Subject]bool{}})
 		if len(t.crashes) > maxCrashes {
 			t.crashes = t.crashes[1:]
 			if i--; i < 0 {
@@ -85,23 +84,23 @@
 		}
 	}
 	known := t.crashes[i]
-	suspects := slices.DeleteFunc(slices.Clone(c.Suspects), func(p Part) bool { return known.survived[p] })
+	suspects := slices.DeleteFunc(slices.Clone(c.Suspects), func(s Subject) bool { return known.survived[s] })
 	known.suspects, added = appendNew(known.suspects, suspects, maxSuspects)
 	t.changed = t.changed || added
 	return first, added
 }
 
-// RecordSurvival records that a request with the part succeeded after the crashes known so
+// RecordSurvival records that a request with the subject succeeded after the crashes known so
 // far.
-func (t *Tracker) RecordSurvival(p Part) {
+func (t *Tracker) RecordSurvival(s Subject) {
 	for _, c := range t.crashes {
 		before := len(c.suspects)
-		c.suspects = slices.DeleteFunc(c.suspects, func(s Part) bool { return s == p })
+		c.suspects = slices.DeleteFunc(c.suspects, func(o Subject) bool { return o == s })
 		if len(c.suspects) < before {
-			c.survived[p] = true
+			c.survived[s] = true
 		}
 	}
-	delete(t.watchedSince, p)
+	delete(t.watchedSince, s)
 	t.watched = nil
 }
 
@@ -123,12 +122,12 @@
 }
 
 // presences returns the presence of each suspect and the number of all crashes. Crashes that
-// a part in explained accounts for are left out.
-func (t *Tracker) presences(explained map[Part]bool) (suspects map[Part]*presence, total int) {
-	suspects = map[Part]*presence{}
+// a subject in explained accounts for are left out.
+func (t *Tracker) presences(explained map[Subject]bool) (suspects map[Subject]*presence, total int) {
+	suspects = map[Subject]*presence{}
 	var lastAt time.Time
 	for _, c := range t.crashes {
-		if len(c.suspects) == 0 || slices.ContainsFunc(c.suspects, func(p Part) bool { return explained[p] }) {
+		if len(c.suspects) == 0 || slices.ContainsFunc(c.suspects, func(s Subject) bool { return explained[s] }) {
 			continue
 		}
 		before := total
@@ -136,10 +135,10 @@
 			total++
 			lastAt = c.at
 		}
-		for _, part := range c.suspects {
-			switch p := suspects[part]; {
+		for _, s := range c.suspects {
+			switch p := suspects[s]; {
 			case p == nil:
-				suspects[part] = &presence{crashes: 1, lastAt: c.at, crashesBefore: min(before, total-1)}
+				suspects[s] = &presence{crashes: 1, lastAt: c.at, crashesBefore: min(before, total-1)}
 			case c.at.Sub(p.lastAt) >= crashSeparation:
 				p.crashes++
 				p.lastAt = c.at
@@ -163,31 +162,31 @@
 	}
 	suspects, _ := t.presences(nil)
 	t.mostCrashes, t.watched, t.changed = 0, nil, false
-	for part, p := range suspects {
+	for s, p := range suspects {
 		t.mostCrashes = max(t.mostCrashes, p.crashes)
-		if _, watched := t.watchedSince[part]; !watched && p.crashes >= watchedCrashes {
-			t.watchedSince[part] = now
+		if _, watched := t.watchedSince[s]; !watched && p.crashes >= watchedCrashes {
+			t.watchedSince[s] = now
 		}
 	}
-	maps.DeleteFunc(t.watchedSince, func(part Part, _ time.Time) bool {
-		return suspects[part] == nil || suspects[part].crashes < watchedCrashes
+	maps.DeleteFunc(t.watchedSince, func(s Subject, _ time.Time) bool {
+		return suspects[s] == nil || suspects[s].crashes < watchedCrashes
 	})
 }
 
 // Watched returns the suspects that routers are to be told of, and when the first crash of
 // each was.
 // The caller must not modify the result.
-func (t *Tracker) Watched(now time.Time) map[Part]time.Time {
+func (t *Tracker) Watched(now time.Time) map[Subject]time.Time {
 	t.updateWatched(now)
 	if t.watched != nil {
 		return t.watched
 	}
-	out := map[Part]time.Time{}
+	out := map[Subject]time.Time{}
 	for _, c := range t.crashes {
-		for _, p := range c.suspects {
-			_, watched := t.watchedSince[p]
-			if _, listed := out[p]; watched && !listed && len(out) < maxWatched {
-				out[p] = c.at
+		for _, s := range c.suspects {
+			_, watched := t.watchedSince[s]
+			if _, listed := out[s]; watched && !listed && len(out) < maxWatched {
+				out[s] = c.at
 			}
 		}
 	}
@@ -195,47 +194,47 @@
 	return out
 }
 
-// Verdict is a part to quarantine and the number of separate crashes that it accounts for.
+// Verdict is a subject to quarantine and the number of separate crashes that it accounts for.
 type Verdict struct {
-	Part    Part
+	Subject Subject
 	Crashes int
 }
 
-// Verdicts returns the parts to quarantine, in addition to those that already are.
-func (t *Tracker) Verdicts(quarantined map[Part]bool, now time.Time) []Verdict {
+// Verdicts returns the subjects to quarantine, in addition to those that already are.
+func (t *Tracker) Verdicts(quarantined map[Subject]bool, now time.Time) []Verdict {
 	t.updateWatched(now)
 	if t.mostCrashes < quarantineCrashes {
 		return nil
 	}
 	explained := maps.Clone(quarantined)
 	if explained == nil {
-		explained = map[Part]bool{}
+		explained = map[Subject]bool{}
 	}
 	var out []Verdict
 	for {
 		suspects, total := t.presences(explained)
-		maps.DeleteFunc(suspects, func(_ Part, p *presence) bool { return !p.explainsEnough(total) })
+		maps.DeleteFunc(suspects, func(_ Subject, p *presence) bool { return !p.explainsEnough(total) })
 		most := 0
 		for _, p := range suspects {
 			most = max(most, p.crashes)
 		}
 		var leaders []Verdict
-		for part, p := range suspects {
+		for s, p := range suspects {
 			if p.crashes == most {
-				leaders = append(leaders, Verdict{part, p.crashes})
+				leaders = append(leaders, Verdict{s, p.crashes})
 			}
 		}
 		if most < quarantineCrashes || len(leaders) > 1 && most < ambiguousCrashes {
 			return out
 		}
 		for _, v := range leaders {
-			if since, watched := t.watchedSince[v.Part]; !watched || now.Sub(since) < survivalDelay {
+			if since, watched := t.watchedSince[v.Subject]; !watched || now.Sub(since) < survivalDelay {
 				return out
 			}
 		}
-		slices.SortFunc(leaders, func(a, b Verdict) int { return cmp.Compare(a.Part, b.Part) })
+		slices.SortFunc(leaders, func(a, b Verdict) int { return a.Subject.Compare(b.Subject) })
 		for _, v := range leaders {
-			explained[v.Part] = true
+			explained[v.Subject] = true
 		}
 		out = append(out, leaders...)
 	}
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -10,27 +10,30 @@
 
 var epoch = time.Unix(1_700_000_000, 0)
 
-func crashOf(n int, suspects ...Part) Crash {
+func crashOf(n int, suspects ...Subject) Crash {
 	return Crash{Server: Incarnation{Server: fmt.Sprintf("s%d", n), Born: int64(n)}, Suspects: suspects}
 }
 
 // recordCrash records a crash now. Like the directory, it then looks at the suspects.
-func recordCrash(t *Tracker, now time.Time, n int, suspects ...Part) (first, added bool) {
+func recordCrash(t *Tracker, now time.Time, n int, suspects ...Subject) (first, added bool) {
 	first, added = t.RecordCrash(crashAt(now, n, suspects...), now)
 	t.Watched(now)
 	return first, added
 }
 
-func crashAt(at time.Time, n int, suspects ...Part) Crash {
+func crashAt(at time.Time, n int, suspects ...Subject) Crash {
 	c := crashOf(n, suspects...)
 	c.At = at
 	return c
 }
 
-func verdictParts(vs []Verdict) []Part {
-	var out []Part
+// part returns a prompt part.
+func part(n int) Subject { return Subject{Hash: uint64(n)} }
+
+func verdictParts(vs []Verdict) []Subject {
+	var out []Subject
 	for _, v := range vs {
-		out = append(out, v.Part)
+		out = append(out, v.Subject)
 	}
 	return out
 }
@@ -38,40 +41,37 @@
 // Guards against quarantining the parts that sound requests share with those that end
 // servers, and against leaving out the part that does.
 func TestTheRecurringPartIsQuarantined(t *testing.T) {
-	const (
-		culprit      = Part(1)
-		common       = Part(2)
-		crashesLimit = 5
-	)
+	const crashesLimit = 5
+	culprit, common := part(1), part(2)
 	for name, tc := range map[string]struct {
 		// suspects returns the suspects of the n-th crash, survivals what succeeds after it.
-		suspects  func(n int) []Part
-		survivals func(n int) []Part
+		suspects  func(n int) []Subject
+		survivals func(n int) []Subject
 		gap       time.Duration
-		want      []Part
+		want      []Subject
 	}{
 		"no part in common": {
-			suspects: func(n int) []Part { return []Part{Part(100 + n), Part(200 + n)} }, gap: time.Second,
+			suspects: func(n int) []Subject { return []Subject{part(100 + n), part(200 + n)} }, gap: time.Second,
 		},
 		"others change": {
-			suspects: func(n int) []Part { return []Part{culprit, Part(100 + n)} }, gap: 300 * time.Millisecond, want: []Part{culprit},
+			suspects: func(n int) []Subject { return []Subject{culprit, part(100 + n)} }, gap: 300 * time.Millisecond, want: []Subject{culprit},
 		},
 		"a common part survives elsewhere": {
-			suspects:  func(int) []Part { return []Part{culprit, common} },
-			survivals: func(int) []Part { return []Part{common} }, gap: 300 * time.Millisecond, want: []Part{culprit},
+			suspects:  func(int) []Subject { return []Subject{culprit, common} },
+			survivals: func(int) []Subject { return []Subject{common} }, gap: 300 * time.Millisecond, want: []Subject{culprit},
 		},
 		"all survive": {
-			suspects:  func(int) []Part { return []Part{culprit, common} },
-			survivals: func(int) []Part { return []Part{culprit, common} }, gap: 300 * time.Millisecond,
+			suspects:  func(int) []Subject { return []Subject{culprit, common} },
+			survivals: func(int) []Subject { return []Subject{culprit, common} }, gap: 300 * time.Millisecond,
 		},
 		"servers end at one moment": {
-			suspects: func(int) []Part { return []Part{common} }, gap: time.Millisecond,
+			suspects: func(int) []Subject { return []Subject{common} }, gap: time.Millisecond,
 		},
 		"far apart": {
-			suspects: func(int) []Part { return []Part{culprit} }, gap: 2 * crashRetention,
+			suspects: func(int) []Subject { return []Subject{culprit} }, gap: 2 * crashRetention,
 		},
 		"two of which nothing tells which": {
-			suspects: func(int) []Part { return []Part{culprit, common} }, gap: 300 * time.Millisecond,
+			suspects: func(int) []Subject { return []Subject{culprit, common} }, gap: 300 * time.Millisecond,
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -96,10 +96,10 @@
 func TestPartsThatAlwaysComeTogetherAreQuarantinedTogether(t *testing.T) {
 	tracker, now := NewTracker(), epoch
 	for n := range ambiguousCrashes {
-		recordCrash(tracker, now, n, 1, 2)
+		recordCrash(tracker, now, n, part(1), part(2))
 		now = now.Add(time.Second)
 	}
-	if got := verdictParts(tracker.Verdicts(nil, now)); !slices.Equal(got, []Part{1, 2}) {
+	if got := verdictParts(tracker.Verdicts(nil, now)); !slices.Equal(got, []Subject{part(1), part(2)}) {
 		t.Errorf("quarantined %v, want both", got)
 	}
 }
@@ -107,10 +107,10 @@
 func TestAQuarantinedPartExplainsItsCrashes(t *testing.T) {
 	tracker, now := NewTracker(), epoch
 	for n := range ambiguousCrashes {
-		recordCrash(tracker, now, n, 1, 2)
+		recordCrash(tracker, now, n, part(1), part(2))
 		now = now.Add(time.Second)
 	}
-	if got := tracker.Verdicts(map[Part]bool{1: true}, now); len(got) != 0 {
+	if got := tracker.Verdicts(map[Subject]bool{part(1): true}, now); len(got) != 0 {
 		t.Errorf("quarantined %v although part 1 already is", got)
 	}
 }
@@ -120,15 +120,15 @@
 	tracker, now := NewTracker(), epoch
 	for n := range quarantineCrashes {
 		now = epoch.Add(time.Duration(n) * crashSeparation)
-		recordCrash(tracker, now, n, 1)
+		recordCrash(tracker, now, n, part(1))
 	}
-	if _, watched := tracker.Watched(now)[1]; !watched {
+	if _, watched := tracker.Watched(now)[part(1)]; !watched {
 		t.Fatal("the suspect is not watched")
 	}
 	if got := tracker.Verdicts(nil, now); len(got) != 0 {
 		t.Errorf("quarantined %v before routers could tell of a success", got)
 	}
-	tracker.RecordSurvival(1)
+	tracker.RecordSurvival(part(1))
 	if got := tracker.Verdicts(nil, now.Add(time.Second)); len(got) != 0 || len(tracker.Watched(now)) != 0 {
 		t.Errorf("quarantined %v, watched %v after a success", got, tracker.Watched(now))
 	}
@@ -137,7 +137,7 @@
 func TestReportsOfOneCrashAreMerged(t *testing.T) {
 	tracker := NewTracker()
 	for i, want := range []bool{true, true, false} {
-		first, added := recordCrash(tracker, epoch, 1, Part(min(i, 1)))
+		first, added := recordCrash(tracker, epoch, 1, part(min(i, 1)))
 		if first != (i == 0) || added != want {
 			t.Errorf("report %d: first is %v, added suspects is %v", i, first, added)
 		}
@@ -152,12 +152,12 @@
 func TestARepeatedReportDoesNotUndoASurvival(t *testing.T) {
 	tracker, now := NewTracker(), epoch
 	for n := range quarantineCrashes {
-		recordCrash(tracker, now, n, 1)
+		recordCrash(tracker, now, n, part(1))
 		now = now.Add(time.Second)
 	}
-	tracker.RecordSurvival(1)
+	tracker.RecordSurvival(part(1))
 	for n := range quarantineCrashes {
-		if _, added := recordCrash(tracker, now, n, 1, Part(100+n)); !added {
+		if _, added := recordCrash(tracker, now, n, part(1), part(100+n)); !added {
 			t.Errorf("crash %d: a new suspect was not added", n)
 		}
 	}
@@ -169,9 +169,9 @@
 func TestRetentionIsBounded(t *testing.T) {
 	tracker := NewTracker()
 	for n := range 3 * maxCrashes {
-		var suspects []Part
+		var suspects []Subject
 		for i := range 2 * maxSuspects {
-			suspects = append(suspects, Part(i))
+			suspects = append(suspects, part(i))
 		}
 		recordCrash(tracker, epoch.Add(time.Duration(n)*time.Second/10), n, suspects...)
 	}
@@ -194,13 +194,13 @@
 		restart       = 3 * time.Second
 		firstParts    = 20
 		secondParts   = 130
-		culprit       = Part(1 << 40)
 		maxEndsBefore = 12
 		stormGap      = 250 * time.Millisecond
 	)
+	culprit := part(1 << 40)
 	type request struct {
 		server  int
-		parts   []Part
+		parts   []Subject
 		endsAt  time.Time
 		culprit bool
 	}
@@ -208,19 +208,19 @@
 		storm := epoch.Add(10 * time.Second) // All servers end one after the other.
 		for seed := range uint64(25) {
 			rng := rand.New(rand.NewPCG(seed, 1))
-			tracker, quarantined := NewTracker(), map[Part]bool{}
+			tracker, quarantined := NewTracker(), map[Subject]bool{}
 			var running []request
 			downUntil := make([]time.Time, servers)
 			type delayed struct {
-				at   time.Time
-				part Part
+				at      time.Time
+				subject Subject
 			}
 			var survivals []delayed
 			ends, endsBefore, incarnation := 0, 0, 0
 			end := func(server int, now time.Time) {
 				incarnation++
 				ends++
-				var suspects []Part
+				var suspects []Subject
 				running = slices.DeleteFunc(running, func(r request) bool {
 					if r.server == server {
 						suspects = append(suspects, r.parts...)
@@ -251,7 +251,7 @@
 					if now.Before(d.at) {
 						return false
 					}
-					tracker.RecordSurvival(d.part)
+					tracker.RecordSurvival(d.subject)
 					return true
 				})
 				if culpritShare == 0 && rng.Float64() < 0.01 {
@@ -261,23 +261,23 @@
 					end(int(since/stormGap), now)
 				}
 				for _, v := range tracker.Verdicts(quarantined, now) {
-					if !quarantined[v.Part] && v.Part == culprit {
+					if !quarantined[v.Subject] && v.Subject == culprit {
 						endsBefore = ends
 					}
-					quarantined[v.Part] = true
+					quarantined[v.Subject] = true
 				}
 				r := request{server: rng.IntN(servers), endsAt: now.Add(time.Duration(float64(requestTime) * (0.1 + rng.Float64())))}
-				r.parts = []Part{Part(rng.IntN(1 + rng.IntN(firstParts))), Part(1000 + rng.IntN(1+rng.IntN(secondParts)))}
+				r.parts = []Subject{part(rng.IntN(1 + rng.IntN(firstParts))), part(1000 + rng.IntN(1+rng.IntN(secondParts)))}
 				if rng.Float64() < culpritShare {
 					r.parts[1], r.culprit, r.endsAt = culprit, true, now.Add(100*time.Millisecond)
 				}
-				if now.After(downUntil[r.server]) && !slices.ContainsFunc(r.parts, func(p Part) bool { return quarantined[p] }) {
+				if now.After(downUntil[r.server]) && !slices.ContainsFunc(r.parts, func(p Subject) bool { return quarantined[p] }) {
 					running = append(running, r)
 				}
 			}
 			for p := range quarantined {
 				if p != culprit {
-					t.Errorf("share %v, seed %d: the sound part %d is quarantined after %d ends", culpritShare, seed, p, ends)
+					t.Errorf("share %v, seed %d: the sound part %s is quarantined after %d ends", culpritShare, seed, p, ends)
 				}
 			}
 			if culpritShare > 0 && (!quarantined[culprit] || endsBefore > maxEndsBefore) {
