Decode and log the software version of servers and the stream that a request resumes

The version travels with the announcement; nothing is decided by it yet, except that a server whose announced version changes counts as changed.

--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -361,7 +361,7 @@
 		switch v.table.Merge(s) {
 		case inventory.Changed:
 			changed = true
-			v.opts.Log.Info("server changed", "server", s.ID, "service", s.Service, "address", s.Address, "data-centre", s.DataCentre,
+			v.opts.Log.Info("server changed", "server", s.ID, "service", s.Service, "address", s.Address, "data-centre", s.DataCentre, "version", s.Version,
 				"state", s.State.String(), "born", s.Born, "sequence", s.Sequence, "age-ms", a.AgeMs, "cold-ms", a.ColdMs)
 		case inventory.Refreshed:
 			v.opts.Fleet.UpdateAnnouncement(&s)
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -62,8 +62,11 @@
 	if x.workspace != nil {
 		fields = append(fields, "workspace", x.workspace.Name)
 	}
+	if x.requestInfo.Resumes != "" {
+		fields = append(fields, "resumes", x.requestInfo.Resumes)
+	}
 	if x.lastPicked != nil {
-		fields = append(fields, "server", x.lastPicked.ID, "rank", x.lastPicked.Rank, "load", x.lastPicked.Load, "pool", x.lastPicked.PoolSize)
+		fields = append(fields, "server", x.lastPicked.ID, "server-version", x.lastPicked.Version, "rank", x.lastPicked.Rank, "load", x.lastPicked.Load, "pool", x.lastPicked.PoolSize)
 		if x.lastPicked.CacheSource != nil {
 			fields = append(fields, "cache-source", x.lastPicked.CacheSource.ID)
 		}
@@ -93,7 +96,7 @@
 	if !ok {
 		return
 	}
-	f.opts.Log.Warn("attempt failed", "request", x.requestInfo.ID, "server", p.ID, "address", p.Address, "route", x.route.Name, "prompt", x.sharedPartIDs(), "fingerprint", x.fingerprint.String(),
+	f.opts.Log.Warn("attempt failed", "request", x.requestInfo.ID, "server", p.ID, "address", p.Address, "server-version", p.Version, "route", x.route.Name, "prompt", x.sharedPartIDs(), "fingerprint", x.fingerprint.String(),
 		"sent", res.sent, "may-have-run", res.mayHaveRun, "may-repeat", res.retryable, "events", x.eventsSent, "after", time.Since(x.startedAt).Round(time.Microsecond),
 		"left", time.Until(x.deadline).Round(time.Millisecond), "error", res.err, "left-out", suppressed)
 }
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -22,6 +22,9 @@
 	// valid only if HasLastEventID is set.
 	LastEventID    string
 	HasLastEventID bool
+	// Resumes is the id of the request that brought the first event of the stream that this
+	// request resumes; empty if the client names none.
+	Resumes string
 }
 
 // PromptPart is one part of a prompt, with its length in tokens.
--- a/internal/inventory/codec.go
+++ b/internal/inventory/codec.go
@@ -10,7 +10,7 @@
 func Encode(s *Server, now time.Time) *fleetpb.Announcement {
 	return &fleetpb.Announcement{
 		Id: s.ID, Born: s.Born, Sequence: s.Sequence, Service: s.Service, Address: s.Address,
-		DataCentre: s.DataCentre, Slots: uint32(s.Slots), State: fleetpb.ServerState(s.State),
+		DataCentre: s.DataCentre, Version: s.Version, Slots: uint32(s.Slots), State: fleetpb.ServerState(s.State),
 		ColdMs: uint32(max(0, s.ColdUntil.Sub(now).Milliseconds())),
 		AgeMs:  uint32(max(0, now.Sub(s.LastSeen).Milliseconds())),
 	}
@@ -21,7 +21,7 @@
 func Decode(a *fleetpb.Announcement, now time.Time) Server {
 	out := Server{
 		ID: a.Id, Born: a.Born, Sequence: a.Sequence, Service: a.Service, Address: a.Address,
-		DataCentre: a.DataCentre, Slots: int(a.Slots), State: State(a.State),
+		DataCentre: a.DataCentre, Version: a.Version, Slots: int(a.Slots), State: State(a.State),
 		LastSeen: now.Add(-time.Duration(a.AgeMs) * time.Millisecond),
 	}
 	if a.ColdMs > 0 {
--- a/internal/inventory/table.go
+++ b/internal/inventory/table.go
@@ -40,8 +40,10 @@
 	// Address is host:port.
 	Address    string
 	DataCentre string
-	Slots      int
-	State      State
+	// Version is the version of the server's software; empty if it is unknown.
+	Version string
+	Slots   int
+	State   State
 	// ColdUntil is the end of the server's cold start, by this process's clock.
 	ColdUntil time.Time
 	// LastSeen is when the newest announcement reached any process of the fleet,
@@ -76,7 +78,7 @@
 	Stale Change = iota
 	// Refreshed: the server is alive and unchanged.
 	Refreshed
-	// Changed: the server is new, or its state, service or address changed.
+	// Changed: the server is new, or its state, service, address or version changed.
 	Changed
 )
 
@@ -103,7 +105,7 @@
 		merged.LastSeen = old.LastSeen
 	}
 	t.servers[s.ID] = &merged
-	if old == nil || old.Born != s.Born || old.State != s.State || old.Service != s.Service || old.Address != s.Address {
+	if old == nil || old.Born != s.Born || old.State != s.State || old.Service != s.Service || old.Address != s.Address || old.Version != s.Version {
 		return Changed
 	}
 	if s.ColdUntil.Sub(old.ColdUntil) > coldTolerance {
--- a/internal/inventory/table_test.go
+++ b/internal/inventory/table_test.go
@@ -41,6 +41,9 @@
 	if state(tab, "x") != Ready {
 		t.Errorf("x is %s", state(tab, "x"))
 	}
+	updated := ready("x", 20, 2, "h:1")
+	updated.Version = "v2"
+	step(updated, Changed)
 }
 
 func TestAnAddressBelongsToTheLastIncarnation(t *testing.T) {
@@ -151,10 +154,11 @@
 	s := ready("x", 10, 5, "h:1")
 	s.LastSeen = start.Add(-2 * time.Second)
 	s.ColdUntil = start.Add(3 * time.Second)
+	s.Version = "v2"
 	later := start.Add(time.Hour) // By another process's clock.
 	got := Decode(Encode(&s, start), later)
-	if got.LastSeen != later.Add(-2*time.Second) || got.ColdUntil != later.Add(3*time.Second) {
-		t.Errorf("heard %s, cold until %s", got.LastSeen, got.ColdUntil)
+	if got.Version != "v2" || got.LastSeen != later.Add(-2*time.Second) || got.ColdUntil != later.Add(3*time.Second) {
+		t.Errorf("version %q, heard %s, cold until %s", got.Version, got.LastSeen, got.ColdUntil)
 	}
 	s.ColdUntil = time.Time{}
 	if got := Decode(Encode(&s, start), later); !got.ColdUntil.IsZero() {
--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -15,10 +15,12 @@
 	Service    string
 	Address    string
 	DataCentre string
-	Slots      int
-	Born       int64
-	hash       uint64
-	notices    *notices
+	// Version is the version of the server's software; empty if it is unknown.
+	Version string
+	Slots   int
+	Born    int64
+	hash    uint64
+	notices *notices
 
 	mu sync.Mutex
 	// announced is the newest announcement.
@@ -63,7 +65,7 @@
 
 func newServer(s *inventory.Server, n *notices) *Server {
 	out := &Server{
-		ID: s.ID, Service: s.Service, Address: s.Address, DataCentre: s.DataCentre, Slots: s.Slots, Born: s.Born,
+		ID: s.ID, Service: s.Service, Address: s.Address, DataCentre: s.DataCentre, Version: s.Version, Slots: s.Slots, Born: s.Born,
 		hash: routing.Hash(s.ID), notices: n,
 	}
 	out.updateAnnouncement(s)
