Let a stream go on only at the software version that began it

Callers saw: after a router was lost, or a server, during a release, about half of the streams went on at servers of the other software version, in one answer or at the client's next try, so that they held events of two.

Cause: the choice of a server did not know versions, and what began a stream was known only to the router that began it, for as long as it lived.

Routers now report the service and version that begin each resumable stream with their loads, the way that ends of servers take; directory processes exchange the reports, hand them to processes that start again, and answer routers that take a stream up. The choice of a server is limited to that version, also for the router's own second attempt. If the origin is unknown while there are several versions, or none of its servers is left, the request is refused as not run. Services that have had one version only ask nothing.

--- a/internal/directory/catchup.go
+++ b/internal/directory/catchup.go
@@ -34,6 +34,8 @@
 	startsReporting := s.load == nil && req.Load != nil
 	h.setLoad(s, req.Load)
 	h.recordQuarantineReports(req.Crashes, quarantine.DecodeSubjects(req.Survived, req.SurvivedRequests), true)
+	h.recordOrigins(req.Origins, true)
+	h.lookUpOrigins(s, req.Lookups)
 	s.listDue = s.load != nil && (s.listDue || startsReporting) || req.List
 	if s.listDue {
 		h.sendLists()
--- a/internal/directory/hub.go
+++ b/internal/directory/hub.go
@@ -98,6 +98,7 @@
 	leader     string
 	places     placeUpdater
 	quarantine quarantineKeeper
+	origins    originKeeper
 	// loadReported is true if a router reported its load here as of the last flush.
 	loadReported bool
 }
@@ -107,7 +108,7 @@
 		log: log, inbox: make(chan func(), inboxSize), now: time.Now, machine: machine, ownAddress: ownAddress, dataCentre: dataCentre,
 		peers: map[string]*peer{}, startPeer: startPeer, peerReports: map[string]*peerReport{}, relayAcked: newAckCounter(0).done,
 		table: inventory.New(), refreshed: map[string]bool{}, directChanges: map[string]bool{}, relayedChanges: map[string]bool{},
-		idByHash: map[uint32]string{}, sessions: map[*session]bool{}, quarantine: newQuarantineKeeper(),
+		idByHash: map[uint32]string{}, sessions: map[*session]bool{}, quarantine: newQuarantineKeeper(), origins: newOriginKeeper(),
 	}
 }
 
@@ -189,6 +190,7 @@
 	h.catchUpRouters()
 	h.reconcilePlaces()
 	h.reconcileQuarantines()
+	h.expireLookups()
 	h.sendMembers()
 	h.sendLists()
 	var load *fleetpb.Load
--- /dev/null
+++ b/internal/directory/origins_test.go
@@ -0,0 +1,113 @@
+package directory
+
+import (
+	"errors"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/kumquathollow/kumquathollow/api/fleetpb"
+	"github.com/kumquathollow/kumquathollow/internal/streamorigin"
+)
+
+func origins(version string, streams ...uint64) []*fleetpb.StreamOrigins {
+	return []*fleetpb.StreamOrigins{{Service: "chat", Version: version, Streams: streams}}
+}
+
+// answers returns the version of each stream that a router was told, "" if it is unknown.
+func answers(s *session) map[streamorigin.Stream]string {
+	out := map[streamorigin.Stream]string{}
+	for _, u := range drain(s) {
+		streamorigin.Decode(u.Origins, func(s streamorigin.Stream, o streamorigin.Origin) { out[s] = o.Version })
+		for _, hash := range u.UnknownStreams {
+			out[streamorigin.Stream(hash)] = ""
+		}
+	}
+	return out
+}
+
+func spreadStreams(req *fleetpb.SpreadRequest) (out []uint64) {
+	for _, o := range req.Origins {
+		out = append(out, o.Streams...)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Guards against an origin that only the router which began the stream can tell: it may be
+// gone, and report to another process.
+func TestARouterLearnsTheOriginOfAnotherRoutersStream(t *testing.T) {
+	h, _ := newTestHub()
+	first, second := newSession(h, "r1"), newSession(h, "r2")
+	h.handleRequest(first, &fleetpb.FollowRequest{Load: &fleetpb.Load{}, Origins: origins("v1", 1)})
+	h.closeSession(first)
+	h.receiveSpread(&fleetpb.SpreadRequest{From: "d:2", Origins: origins("v2", 2)})
+	drain(second)
+	h.handleRequest(second, &fleetpb.FollowRequest{Load: &fleetpb.Load{}, Lookups: []uint64{1, 2}})
+	if got := answers(second); len(got) != 2 || got[1] != "v1" || got[2] != "v2" {
+		t.Errorf("the router was told %v", got)
+	}
+}
+
+// A report may still be on its way through another process when the client comes back.
+func TestALookupWaitsForReportsOnTheirWay(t *testing.T) {
+	h, _ := newTestHub()
+	at := h.now()
+	h.now = func() time.Time { return at }
+	s := newSession(h, "r1")
+	h.handleRequest(s, &fleetpb.FollowRequest{Load: &fleetpb.Load{}, Lookups: []uint64{1, 2}})
+	if got := answers(s); len(got) != 0 {
+		t.Fatalf("told at once: %v", got)
+	}
+	at = at.Add(lookupTimeout - 1)
+	h.flush()
+	h.receiveSpread(&fleetpb.SpreadRequest{From: "d:2", Origins: origins("v1", 1)})
+	if got := answers(s); len(got) != 1 || got[1] != "v1" {
+		t.Errorf("told %v once stream 1 was known", got)
+	}
+	at = at.Add(1)
+	h.flush()
+	if got := answers(s); len(got) != 1 || got[2] != "" {
+		t.Errorf("told %v after %s", got, lookupTimeout)
+	}
+	if len(h.origins.lookups) != 0 {
+		t.Errorf("%d lookups are left", len(h.origins.lookups))
+	}
+}
+
+func TestLookupsAreLimited(t *testing.T) {
+	h, _ := newTestHub()
+	s := newSession(h, "r1")
+	var streams []uint64
+	for i := range uint64(maxLookups + 1) {
+		streams = append(streams, i)
+	}
+	h.handleRequest(s, &fleetpb.FollowRequest{Load: &fleetpb.Load{}, Lookups: streams})
+	if got := answers(s); len(got) != 1 || len(h.origins.lookups) != maxLookups {
+		t.Errorf("%d lookups wait, told %v", len(h.origins.lookups), got)
+	}
+}
+
+// Origins reach the other processes once, again after a call that failed, and the recent ones
+// once more after a restart of the other process.
+func TestOriginsReachTheOtherProcesses(t *testing.T) {
+	h, p := newTestHub()
+	s := newSession(h, "r1")
+	h.handleRequest(s, &fleetpb.FollowRequest{Load: &fleetpb.Load{}, Origins: origins("v1", 1)})
+	h.receiveSpread(&fleetpb.SpreadRequest{From: "d:2", Origins: origins("v1", 9)})
+	call := h.takeCall(p)
+	h.handleRequest(s, &fleetpb.FollowRequest{Load: &fleetpb.Load{}, Origins: origins("v2", 1)})
+	h.finishCall(p, call, nil, errors.New("not reached"))
+	call = h.takeCall(p)
+	if got := call.req.Origins; len(got) != 1 || got[0].Version != "v2" || !slices.Equal(got[0].Streams, []uint64{1}) {
+		t.Errorf("sent after a failed call: %v, want the newest origin of stream 1", got)
+	}
+	h.finishCall(p, call, &fleetpb.SpreadResponse{Process: "run 1"}, nil)
+	if call = h.takeCall(p); len(call.req.Origins) != 0 {
+		t.Errorf("sent again: %v", call.req.Origins)
+	}
+	h.finishCall(p, call, &fleetpb.SpreadResponse{Process: "run 2"}, nil)
+	if got := spreadStreams(h.takeCall(p).req); !slices.Equal(got, []uint64{1, 9}) {
+		t.Errorf("sent to a process that has started again: %v", got)
+	}
+}
--- a/internal/directory/peers.go
+++ b/internal/directory/peers.go
@@ -10,6 +10,7 @@
 	"github.com/kumquathollow/kumquathollow/internal/inventory"
 	"github.com/kumquathollow/kumquathollow/internal/quarantine"
 	"github.com/kumquathollow/kumquathollow/internal/routing"
+	"github.com/kumquathollow/kumquathollow/internal/streamorigin"
 )
 
 const (
@@ -37,6 +38,9 @@
 	// not acknowledged.
 	crashes  []quarantine.Crash
 	survived map[quarantine.Subject]bool
+	// origins are those of streams that routers have reported and the peer has not
+	// acknowledged.
+	origins []streamorigin.Record
 	// acks are the counters of changes that are not yet sent to the peer.
 	acks []*ackCounter
 	// process is the run of the peer's process that acknowledged last.
@@ -68,6 +72,7 @@
 			p := newPeer(a)
 			h.peers[a] = p
 			h.addAllServers(p)
+			p.addOrigins(h.origins.table.Recent(h.now()))
 			h.startPeer(p)
 		}
 	}
@@ -116,22 +121,23 @@
 	acks     []*ackCounter
 	crashes  []quarantine.Crash
 	survived map[quarantine.Subject]bool
+	origins  []streamorigin.Record
 }
 
 // takeCall returns what the peer is to be sent now.
 func (h *hub) takeCall(p *peer) *spreadCall {
-	call := &spreadCall{ids: p.pending, acks: p.acks, crashes: p.crashes, survived: p.survived}
+	call := &spreadCall{ids: p.pending, acks: p.acks, crashes: p.crashes, survived: p.survived, origins: p.origins}
 	survived, survivedRequests := quarantine.EncodeSubjects(slices.SortedFunc(maps.Keys(p.survived), quarantine.Subject.Compare))
 	call.req = &fleetpb.SpreadRequest{
 		Announcements: h.announcements(p.pending), From: h.ownAddress, DataCentre: h.dataCentre,
 		Load: inventory.EncodeLoad(h.ownLoad()), Routers: uint32(h.reporting),
-		Crashes: quarantine.EncodeCrashes(p.crashes, h.now()), Survived: survived, SurvivedRequests: survivedRequests,
+		Crashes: quarantine.EncodeCrashes(p.crashes, h.now()), Survived: survived, SurvivedRequests: survivedRequests, Origins: streamorigin.Encode(p.origins),
 	}
 	for id := range p.heard {
 		call.req.Heard = append(call.req.Heard, uint32(routing.Hash(id)))
 	}
 	p.pending, p.heard, p.acks = map[string]bool{}, map[string]bool{}, nil
-	p.crashes, p.survived = nil, map[quarantine.Subject]bool{}
+	p.crashes, p.survived, p.origins = nil, map[quarantine.Subject]bool{}, nil
 	return call
 }
 
@@ -145,11 +151,19 @@
 		}
 		p.crashes = append(call.crashes, p.crashes...)
 		maps.Copy(p.survived, call.survived)
+		later := p.origins
+		p.origins = nil
+		p.addOrigins(call.origins)
+		p.addOrigins(later)
 		return
 	}
-	if resp.List || p.process != "" && resp.Process != p.process {
+	restarted := p.process != "" && resp.Process != p.process
+	if resp.List || restarted {
 		h.addAllServers(p)
 	}
+	if restarted {
+		p.addOrigins(h.origins.table.Recent(h.now()))
+	}
 	p.process = resp.Process
 }
 
@@ -170,6 +184,7 @@
 		h.refreshed[id] = true
 	}
 	h.recordQuarantineReports(req.Crashes, quarantine.DecodeSubjects(req.Survived, req.SurvivedRequests), false)
+	h.recordOrigins(req.Origins, false)
 	if req.From != "" {
 		h.peerReports[req.From] = &peerReport{dataCentre: req.DataCentre, load: req.Load, routers: int(req.Routers), receivedAt: now}
 	}
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -62,6 +62,7 @@
 	PromptQuarantined   Kind = "prompt-quarantined"
 	DiskFull            Kind = "disk-full"
 	RequestQuarantined  Kind = "request-quarantined"
+	StreamNotResumable  Kind = "stream-not-resumable"
 )
 
 // Outcome states whether a request ran.
@@ -178,4 +179,5 @@
 	{PromptQuarantined, 48, http.StatusServiceUnavailable, NotRun, RetryLater, hclog.Warn, ExitFailed, "Backend servers ended under requests with a part of this prompt, so none gets it for now."},
 	{DiskFull, 49, http.StatusServiceUnavailable, NotRun, RetryLater, hclog.Warn, ExitUnreachable, "The process's disk is full, so it accepts no changes for now."},
 	{RequestQuarantined, 50, http.StatusServiceUnavailable, NotRun, RetryLater, hclog.Warn, ExitFailed, "Backend servers ended whenever they ran this request, so none gets it for now."},
+	{StreamNotResumable, 51, http.StatusServiceUnavailable, NotRun, RetryLater, hclog.Warn, ExitFailed, "The software version that began the stream is unknown or has no server that can go on with it."},
 }
--- a/internal/fleetview/link.go
+++ b/internal/fleetview/link.go
@@ -148,6 +148,7 @@
 			crashes, survived := l.view.monitor.Reports(!wasReporting, at)
 			req.Crashes = quarantine.EncodeCrashes(crashes, at)
 			req.Survived, req.SurvivedRequests = quarantine.EncodeSubjects(survived)
+			req.Origins, req.Lookups = l.view.origins.Report(!wasReporting, at)
 			if report := time.Duration(l.reportInterval.Load()); report > 0 {
 				wait = min(wait, max(minReportInterval, report))
 			}
--- /dev/null
+++ b/internal/fleetview/origins.go
@@ -0,0 +1,29 @@
+package fleetview
+
+import (
+	"context"
+	"time"
+
+	"github.com/kumquathollow/kumquathollow/internal/streamorigin"
+)
+
+// originTimeout limits waiting for the origin of a stream. It exceeds the time after which
+// the directory answers, by the time in which a lost session is replaced.
+const originTimeout = time.Second
+
+// RecordOrigin records and reports which version of which service begins a stream.
+func (v *View) RecordOrigin(s streamorigin.Stream, o streamorigin.Origin) {
+	v.origins.Record(s, o, time.Now())
+}
+
+// StreamOrigin returns which version of which service began a stream, and false if neither
+// this router nor the directory knows it.
+func (v *View) StreamOrigin(ctx context.Context, s streamorigin.Stream) (streamorigin.Origin, bool) {
+	ctx, cancel := context.WithTimeout(ctx, originTimeout)
+	defer cancel()
+	return v.origins.Lookup(ctx, s, func() {
+		if l := v.reportTo.Load(); l != nil {
+			l.sendNow()
+		}
+	})
+}
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -15,6 +15,7 @@
 	"github.com/kumquathollow/kumquathollow/internal/publication"
 	"github.com/kumquathollow/kumquathollow/internal/quarantine"
 	"github.com/kumquathollow/kumquathollow/internal/rpc"
+	"github.com/kumquathollow/kumquathollow/internal/streamorigin"
 )
 
 // Snapshot is the replicated state that the router has. It is immutable.
@@ -62,6 +63,8 @@
 	reportTo atomic.Pointer[link]
 	// monitor collects what the router observes of servers that end under requests.
 	monitor *quarantine.Monitor
+	// origins holds the origins of streams that this router began or has asked for.
+	origins *streamorigin.Recorder
 
 	// The fields below are owned by the goroutine of Run.
 	state *publication.State
@@ -101,7 +104,7 @@
 func New(opts Options) *View {
 	v := &View{
 		opts: opts, inbox: make(chan func(), inboxSize), table: inventory.New(), links: map[string]*link{}, seeds: opts.Seeds, state: &publication.State{},
-		selector: newSelector(opts.RouterID, opts.DataCentre), monitor: quarantine.NewMonitor(),
+		selector: newSelector(opts.RouterID, opts.DataCentre), monitor: quarantine.NewMonitor(), origins: streamorigin.NewRecorder(),
 	}
 	v.snapshot.Store(&Snapshot{})
 	return v
@@ -313,6 +316,9 @@
 	if u.ReportMs > 0 && l == v.reportTo.Load() {
 		v.monitor.SetSuspects(u.Suspects, time.Now())
 	}
+	if len(u.Origins)+len(u.UnknownStreams) > 0 {
+		v.origins.Answer(u.Origins, u.UnknownStreams, time.Now())
+	}
 	v.mergeAnnouncements(u.Announcements)
 	v.refreshServers(l, u.Heard)
 	l.revision = max(l.revision, u.Revision)
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -16,6 +16,7 @@
 	"github.com/kumquathollow/kumquathollow/internal/placement"
 	"github.com/kumquathollow/kumquathollow/internal/quarantine"
 	"github.com/kumquathollow/kumquathollow/internal/routing"
+	"github.com/kumquathollow/kumquathollow/internal/streamorigin"
 )
 
 // exchange is one client request and its response.
@@ -48,6 +49,10 @@
 	// subjects are the shared parts of the prompt, in order, and the request itself.
 	subjects []quarantine.Subject
 
+	// origin is the version that began the stream, once that is known: the request is sent
+	// only to servers with it.
+	origin streamorigin.Origin
+
 	// sends counts the backend servers to which the request was sent, failedDials
 	// those to which it could not be sent.
 	sends, failedDials int
@@ -98,6 +103,10 @@
 	var cancel context.CancelFunc
 	x.ctx, cancel = context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
+	if err := x.resolveOrigin(); err != nil {
+		return x.fail(err)
+	}
+	x.setSubjects()
 	x.f.budgetFor(x.service.Name).recordRequest(x.startedAt)
 	return x.runAttempts()
 }
@@ -201,23 +210,27 @@
 		return errkind.Wrap(err, errkind.BadRequest, "read the request body")
 	}
 	x.body, x.bodyRead = body, true
-	x.fingerprint = x.computeFingerprint()
-	for _, part := range x.sharedParts() {
-		x.subjects = append(x.subjects, quarantine.PartOf(x.service.Name, part.ID))
-	}
-	x.subjects = append(x.subjects, quarantine.RequestOf(x.service.Name, x.fingerprint))
+	x.fingerprint = routing.NewFingerprint([]byte(x.r.Method), []byte(x.r.Host), []byte(x.r.URL.RequestURI()), []byte(x.caller()), x.body)
 	x.f.requestBodies.release(x.reservedBytes - int64(len(body)))
 	x.reservedBytes = int64(len(body))
 	return nil
 }
 
-// computeFingerprint returns the fingerprint of the request's method, URL, caller and body.
-func (x *exchange) computeFingerprint() routing.Fingerprint {
-	caller := x.requestInfo.APIKey
+// caller names the sender of the request: its workspace, whose keys are all alike to backend
+// servers, or else its key.
+func (x *exchange) caller() string {
 	if x.workspace != nil {
-		caller = x.workspace.Name // A workspace's keys are not sent to backend servers.
+		return x.workspace.Name
 	}
-	return routing.NewFingerprint([]byte(x.r.Method), []byte(x.r.Host), []byte(x.r.URL.RequestURI()), []byte(caller), x.body)
+	return x.requestInfo.APIKey
+}
+
+// setSubjects sets what the request may be refused for, which depends on its service.
+func (x *exchange) setSubjects() {
+	for _, part := range x.sharedParts() {
+		x.subjects = append(x.subjects, quarantine.PartOf(x.service.Name, part.ID))
+	}
+	x.subjects = append(x.subjects, quarantine.RequestOf(x.service.Name, x.fingerprint))
 }
 
 // unknownLengthReservation is the memory reserved for a body of unknown length
@@ -238,11 +251,12 @@
 		if err := x.checkQuarantine(); err != nil {
 			return x.fail(err)
 		}
-		picked, err := x.f.opts.Fleet.Pick(placement.PickRequest{Service: x.service, Key: x.affinityKey, Parts: x.prefixHashes, SharedTokens: x.sharedTokens, TieBreaker: x.requestHash, Exclude: x.excluded}, time.Now())
+		picked, err := x.f.opts.Fleet.Pick(placement.PickRequest{Service: x.service, Key: x.affinityKey, Parts: x.prefixHashes, SharedTokens: x.sharedTokens, TieBreaker: x.requestHash, Exclude: x.excluded, Version: x.origin.Version}, time.Now())
 		if err != nil {
 			return x.fail(err)
 		}
 		x.lastPicked = picked
+		x.recordOrigin(picked)
 		res := x.attempt(picked)
 		if res.err == nil {
 			return nil
--- /dev/null
+++ b/internal/forward/resumption.go
@@ -0,0 +1,71 @@
+package forward
+
+import (
+	"github.com/kumquathollow/kumquathollow/internal/catalog"
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/placement"
+	"github.com/kumquathollow/kumquathollow/internal/streamorigin"
+)
+
+// isResumption reports whether the client goes on with a stream of which it has events.
+func (x *exchange) isResumption() bool {
+	return x.route.Resumable && (x.requestInfo.Resumes != "" || x.requestInfo.LastEventID != "" && x.requestInfo.LastEventID != "0")
+}
+
+// stream returns the stream that the request begins or resumes.
+func (x *exchange) stream() streamorigin.Stream {
+	id := x.requestInfo.ID
+	if x.requestInfo.Resumes != "" {
+		id = x.requestInfo.Resumes
+	}
+	return streamorigin.StreamOf(x.caller(), id)
+}
+
+// resolveOrigin finds out which software version began the stream that the request resumes,
+// since only that one can go on with it. Nothing needs to be known if the route has had only
+// one version lately.
+func (x *exchange) resolveOrigin() error {
+	if !x.isResumption() {
+		return nil
+	}
+	versions, mixed := x.f.opts.Fleet.Versions(x.service.Name), false
+	for _, share := range x.route.Split {
+		mixed = mixed || len(x.f.opts.Fleet.Versions(share.Service)) > 1
+	}
+	if !mixed && len(x.route.Split) == 1 {
+		if len(versions) == 1 {
+			x.origin.Version = versions[0]
+		}
+		return nil
+	}
+	origin, known := x.f.opts.View.StreamOrigin(x.ctx, x.stream())
+	x.f.opts.Metrics.Counter("forward.resumed." + map[bool]string{true: "known", false: "unknown"}[known]).Inc(1)
+	switch {
+	case known:
+		x.origin = origin
+		x.useService(origin.Service)
+	case mixed:
+		return errkind.New(errkind.StreamNotResumable, "it is not known which software version began the stream of request %q, and service %q has servers of %d versions", x.requestInfo.Resumes, x.service.Name, len(versions)).
+			WithRetryAfter(refusedRetryAfter)
+	}
+	return nil
+}
+
+// useService has the request sent to another service of its route. A service that the route
+// no longer has is left out.
+func (x *exchange) useService(name string) {
+	for _, share := range x.route.Split {
+		if share.Service == name && share.Weight > 0 {
+			x.service = x.view.Configuration.Service(name)
+		}
+	}
+}
+
+// recordOrigin reports which version is about to begin the stream, before the request is
+// sent: the client can resume the stream as soon as it has the first event.
+func (x *exchange) recordOrigin(picked *placement.PickResult) {
+	if x.route.Repeat != catalog.Stream || !x.route.Resumable || x.isResumption() || x.headerSent || picked.Version == "" {
+		return
+	}
+	x.f.opts.View.RecordOrigin(x.stream(), streamorigin.Origin{Service: x.service.Name, Version: picked.Version})
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -65,6 +65,9 @@
 		if ok && x.isDuplicate(id) {
 			continue
 		}
+		if x.route.Resumable && x.origin.Version == "" {
+			x.origin.Version = picked.Version // From here on, the stream can go on only at this version.
+		}
 		if err := x.writeEvent(resp, event); err != nil {
 			return attemptResult{err: err, sent: true, mayHaveRun: true, outcome: placement.Neutral}
 		}
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -50,6 +50,9 @@
 	ranking *ranking
 	// draining are the servers that only complete their requests in flight, by id.
 	draining map[string]*Server
+	// versions are those of the software of all servers that are known, also of those that
+	// are gone.
+	versions []string
 }
 
 // forEachServer visits the servers that may have requests in flight.
@@ -144,6 +147,9 @@
 			p = &pool{draining: map[string]*Server{}}
 			pools[announced.Service] = p
 		}
+		if announced.Version != "" && !slices.Contains(p.versions, announced.Version) {
+			p.versions = append(p.versions, announced.Version)
+		}
 		switch announced.State {
 		case inventory.Ready:
 			p.servers = append(p.servers, s)
@@ -190,6 +196,10 @@
 
 var emptyRanking = &ranking{}
 
+// Versions returns the software versions of a service's servers, the ones that have left
+// lately included. The slice must not be modified.
+func (f *Fleet) Versions(service string) []string { return f.pool(service).versions }
+
 // Servers returns the ready servers of a service. The slice must not be modified.
 func (f *Fleet) Servers(service string) []*Server { return f.pool(service).servers }
 
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -75,6 +75,8 @@
 	TieBreaker uint64
 	// Exclude are the ids of servers that the request was already sent to.
 	Exclude []string
+	// Version is the software version that the server must have; empty if any will do.
+	Version string
 }
 
 // PickResult is the chosen server, on which the request counts as in flight until
@@ -97,12 +99,16 @@
 	parts []uint64
 }
 
-// Pick chooses a server. Its error has kind no-backend or data-centre-out and
-// carries the time after which to retry.
+// Pick chooses a server. Its error has kind no-backend, data-centre-out or
+// stream-not-resumable and carries the time after which to retry.
 func (f *Fleet) Pick(req PickRequest, now time.Time) (*PickResult, error) {
 	p := f.pool(req.Service.Name)
 	all, mean := f.candidates(p, req, now)
-	usable := filterOut(all, func(c *candidate) bool { return c.evacuated || c.excluded || c.declines })
+	usable := filterOut(all, func(c *candidate) bool { return c.evacuated || c.excluded || c.declines || c.otherVersion })
+	if len(usable) == 0 && slices.ContainsFunc(all, func(c candidate) bool { return c.otherVersion }) {
+		return nil, errkind.New(errkind.StreamNotResumable, "no server of service %q with version %q can take the request: %d of any version are ready", req.Service.Name, req.Version, len(p.servers)).
+			WithRetryAfter(f.RetryAfter(req.Service.Name, req.TieBreaker, noServerRetryAfter, now))
+	}
 	if len(usable) == 0 && slices.ContainsFunc(all, func(c candidate) bool { return !c.evacuated && c.declines }) {
 		return nil, errkind.New(errkind.NoBackend, "no server of service %q wants requests: %d are listed as ready, and those that the request was not sent to are leaving or have named a time", req.Service.Name, len(p.servers)).
 			WithRetryAfter(f.RetryAfter(req.Service.Name, req.TieBreaker, noServerRetryAfter, now))
@@ -172,6 +178,7 @@
 		c.ejected = c.ejected || f.reachability.isPartitioned(s.DataCentre, now)
 		c.evacuated = slices.Contains(evacuated, s.DataCentre)
 		c.excluded = slices.Contains(req.Exclude, s.ID)
+		c.otherVersion = req.Version != "" && s.Version != req.Version
 		c.load = c.inFlight + peers.forServer(s)
 		total += c.load
 		if req.Key != 0 {
@@ -195,6 +202,9 @@
 	// evacuated is set if the server's data centre is evacuated, excluded if the
 	// request was already sent to the server.
 	evacuated, excluded bool
+	// otherVersion is set if the server's software has another version than the request
+	// needs.
+	otherVersion bool
 	// declines is set if the server has said that it is leaving, or that it wants no
 	// requests from this router yet.
 	declines bool
--- /dev/null
+++ b/internal/streamorigin/recorder.go
@@ -0,0 +1,123 @@
+package streamorigin
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/kumquathollow/kumquathollow/api/fleetpb"
+)
+
+// maxPending limits the records that wait for the next report. A router that reports to no
+// directory process drops the oldest; once it reports again, it sends the recent ones.
+const maxPending = 4096
+
+// Recorder is a router's part in keeping the origins of streams. It is safe for concurrent
+// use.
+type Recorder struct {
+	mu    sync.Mutex
+	table *Table
+	// pending are the records to report.
+	pending []Record
+	// lookups are the streams that requests wait to learn the origin of.
+	lookups map[Stream]*lookup
+}
+
+// lookup is a stream whose origin was not known to the router.
+type lookup struct {
+	// done is closed once the directory has answered.
+	done    chan struct{}
+	origin  Origin
+	known   bool
+	waiting int
+	// sent is set once the directory was asked.
+	sent bool
+}
+
+// NewRecorder returns a Recorder without records.
+func NewRecorder() *Recorder {
+	return &Recorder{table: NewTable(), lookups: map[Stream]*lookup{}}
+}
+
+// Record records the origin of a stream of this router.
+func (r *Recorder) Record(s Stream, o Origin, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.table.Record(s, o, now) {
+		r.pending = append(r.pending, Record{s, o, now})
+		r.pending = r.pending[max(0, len(r.pending)-maxPending):]
+	}
+}
+
+// Lookup returns the origin of a stream. If this router does not know it, Lookup calls ask,
+// which has the directory asked by the next report, and waits for the answer until ctx is
+// done.
+func (r *Recorder) Lookup(ctx context.Context, s Stream, ask func()) (o Origin, known bool) {
+	r.mu.Lock()
+	if o, known = r.table.Lookup(s); known {
+		r.mu.Unlock()
+		return o, true
+	}
+	l := r.lookups[s]
+	if l == nil {
+		l = &lookup{done: make(chan struct{})}
+		r.lookups[s] = l
+	}
+	l.waiting++
+	r.mu.Unlock()
+	ask()
+	select {
+	case <-l.done:
+	case <-ctx.Done():
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if l.waiting--; l.waiting == 0 && r.lookups[s] == l {
+		delete(r.lookups, s)
+	}
+	return l.origin, l.known
+}
+
+// Report returns what to report, and the streams to ask for. If all is set, the process has
+// not been reported to before: the result contains the recent records and all streams that
+// requests wait for.
+func (r *Recorder) Report(all bool, now time.Time) (origins []*fleetpb.StreamOrigins, lookups []uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	records := r.pending
+	if all {
+		records = r.table.Recent(now)
+	}
+	r.pending = nil
+	for s, l := range r.lookups {
+		if all || !l.sent {
+			l.sent = true
+			lookups = append(lookups, uint64(s))
+		}
+	}
+	return Encode(records), lookups
+}
+
+// Answer takes over the directory's answers to lookups.
+func (r *Recorder) Answer(found []*fleetpb.StreamOrigins, unknown []uint64, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	Decode(found, func(s Stream, o Origin) {
+		r.table.Record(s, o, now)
+		if l := r.lookups[s]; l != nil {
+			l.origin, l.known = o, true
+			r.finish(s, l)
+		}
+	})
+	for _, s := range unknown {
+		if l := r.lookups[Stream(s)]; l != nil {
+			r.finish(Stream(s), l)
+		}
+	}
+}
+
+// finish wakes the requests that wait. The caller holds mu.
+func (r *Recorder) finish(s Stream, l *lookup) {
+	delete(r.lookups, s)
+	close(l.done)
+}
