--- a/internal/directory/catchup.go
+++ b/internal/directory/catchup.go
@@ -34,10 +34,6 @@
 	startsReporting := s.load == nil && req.Load != nil
 	h.setLoad(s, req.Load)
 	h.recordQuarantineReports(req.Crashes, quarantine.DecodeSubjects(req.Survived, req.SurvivedRequests), true)
-	if req.Ping != 0 {
-		s.heartbeats, s.routerDataCentre = req.Heartbeats, req.DataCentre
-	}
-	h.recordHeard(req.Heard)
 	h.recordOrigins(req.Origins, true)
 	h.lookUpOrigins(s, req.Lookups)
 	s.listDue = s.load != nil && (s.listDue || startsReporting) || req.List
@@ -73,24 +69,16 @@
 	if h.leader == "" {
 		return false
 	}
-	return h.bulkDelay() == 0
-}
-
-// bulkDelay returns how long it takes until the next bulk may be sent.
-func (h *hub) bulkDelay() time.Duration {
 	now := h.now()
 	h.bulkBytes = min(bulkBurstBytes, h.bulkBytes+now.Sub(h.bulkBytesAt).Seconds()*bulkBytesPerSecond)
 	h.bulkBytesAt = now
-	if h.bulkBytes > 0 {
-		return 0
-	}
-	return time.Duration((1 - h.bulkBytes) / bulkBytesPerSecond * float64(time.Second))
+	return h.bulkBytes > 0
 }
 
 // sendLists sends the list of all servers to the routers that are due to get it, as the
 // bandwidth allows.
 func (h *hub) sendLists() {
-	var update *fleetpb.FollowUpdate
+	var list []*fleetpb.Announcement
 	size := 0
 	for s := range h.sessions {
 		if !s.listDue {
@@ -99,12 +87,12 @@
 		if !h.maySendBulk() {
 			return
 		}
-		if update == nil {
-			update = h.listUpdate()
-			size = proto.Size(update)
+		if list == nil {
+			list = h.allAnnouncements()
+			size = proto.Size(&fleetpb.FollowUpdate{Announcements: list})
 		}
 		s.listDue = false
-		s.push(update)
+		s.push(h.withStatus(&fleetpb.FollowUpdate{Announcements: list}))
 		h.bulkBytes -= float64(size)
 	}
 }
--- a/internal/directory/changes.go
+++ b/internal/directory/changes.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/kumquathollow/kumquathollow/api/fleetpb"
 	"github.com/kumquathollow/kumquathollow/internal/inventory"
 	"github.com/kumquathollow/kumquathollow/internal/routing"
@@ -40,10 +38,8 @@
 	}
 	s := h.table.Get(id)
 	h.idByHash[uint32(routing.Hash(id))] = id
-	if suppressed, ok := h.sampler.Allow("server changed to "+s.State.String(), h.now()); ok {
-		h.log.Info("server changed", "server", s.ID, "service", s.Service, "address", s.Address, "data-centre", s.DataCentre, "version", s.Version,
-			"state", s.State.String(), "born", s.Born, "sequence", s.Sequence, "direct", direct, "cold", max(0, s.ColdUntil.Sub(h.now())).Round(time.Millisecond), "left-out", suppressed)
-	}
+	h.log.Info("server changed", "server", s.ID, "service", s.Service, "address", s.Address, "data-centre", s.DataCentre,
+		"state", s.State.String(), "born", s.Born, "sequence", s.Sequence, "direct", direct, "cold", max(0, s.ColdUntil.Sub(h.now())).Round(time.Millisecond))
 	delete(h.refreshed, id)
 	if direct {
 		h.directChanges[id] = true
@@ -80,16 +76,11 @@
 	}
 	joining, leaving := splitByState(h.announcements(h.directChanges))
 	relayedJoining, relayedLeaving := splitByState(h.announcements(h.relayedChanges))
-	// Many joins at once are sent as a list of all servers, as the bandwidth allows.
-	asLists := proto.Size(&fleetpb.ServerList{Announcements: joining})*len(h.sessions) > bulkBytesPerSecond/4
 	for s := range h.sessions {
 		changes := slices.Concat(leaving, relayedLeaving)
-		if !s.listDue && !asLists {
+		if !s.listDue {
 			changes = append(changes, joining...)
 		}
-		if s.load != nil && asLists {
-			s.listDue = true
-		}
 		if !s.listDue && s.load != nil {
 			changes = append(changes, relayedJoining...)
 		}
--- a/internal/directory/cluster_test.go
+++ b/internal/directory/cluster_test.go
@@ -231,7 +231,7 @@
 		t.Errorf("a change at the process without room: %v, want kind no-quorum", err)
 	}
 	// What needs no disk goes on.
-	if _, err := c.nodes[leader].p.Announce(context.Background(), serverAnnouncement("x", 1, inventory.Ready)); err != nil {
+	if err := c.nodes[leader].p.Announce(context.Background(), serverAnnouncement("x", 1, inventory.Ready)); err != nil {
 		t.Errorf("an announcement at the process without room: %v", err)
 	}
 	full[others[0]].Store(true)
@@ -288,7 +288,7 @@
 	c := newCluster(t, 3)
 	announce := func(host, id string, state inventory.State) {
 		c.t.Helper()
-		_, err := c.nodes[host].p.Announce(context.Background(), inventory.Server{
+		err := c.nodes[host].p.Announce(context.Background(), inventory.Server{
 			ID: id, Born: 1, Sequence: 1 + uint64(state), Service: "chat", Address: id + ":1", State: state, LastSeen: time.Now(),
 		})
 		if err != nil {
@@ -335,7 +335,7 @@
 	}
 	for i := range 20 {
 		id := fmt.Sprint("s", i)
-		_, err := p.Announce(context.Background(), inventory.Server{ID: id, Born: 1, Sequence: 1, Service: "chat", Address: id + ":1", State: inventory.Ready, LastSeen: time.Now()})
+		err := p.Announce(context.Background(), inventory.Server{ID: id, Born: 1, Sequence: 1, Service: "chat", Address: id + ":1", State: inventory.Ready, LastSeen: time.Now()})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -17,8 +17,6 @@
 
 	// The fields below are accessed only on the hub's goroutine.
 
-	// heartbeats is the address at which the router takes heartbeats; empty if it takes none.
-	heartbeats, routerDataCentre string
 	// load is the router's requests in flight; nil unless the router reports here.
 	load *fleetpb.Load
 	// listDue is true while the router is to be sent the list of all servers: it has
--- a/internal/directory/hub.go
+++ b/internal/directory/hub.go
@@ -1,9 +1,7 @@
 package directory
 
 import (
-	"cmp"
 	"context"
-	"maps"
 	"slices"
 	"time"
 
@@ -11,9 +9,9 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/kumquathollow/kumquathollow/api/fleetpb"
-	"github.com/kumquathollow/kumquathollow/internal/eventlog"
 	"github.com/kumquathollow/kumquathollow/internal/inventory"
 	"github.com/kumquathollow/kumquathollow/internal/publication"
+	"github.com/kumquathollow/kumquathollow/internal/routing"
 )
 
 const (
@@ -30,11 +28,6 @@
 	// flushTimePerRouter is the flush interval for each router that reports here. It
 	// limits the messages of a process on a small VM.
 	flushTimePerRouter = 8 * time.Millisecond
-	// changesLoggedPerSecond limits the log lines on servers that changed.
-	changesLoggedPerSecond = 40
-	// manySessions is the number of sessions from which the flush interval may grow to
-	// standbyInterval.
-	manySessions = 100
 	// expireInterval is how often servers that have been silent too long are expired.
 	expireInterval = 5 * time.Second
 	// loadBytesPerSecond limits the bandwidth of load updates to routers to a fifth of
@@ -51,11 +44,9 @@
 // hub owns the server table and the routers' sessions. All access runs on one
 // goroutine.
 type hub struct {
-	log hclog.Logger
-	// sampler limits the lines on servers that changed.
-	sampler *eventlog.Sampler
-	inbox   chan func()
-	now     func() time.Time
+	log   hclog.Logger
+	inbox chan func()
+	now   func() time.Time
 	// ownAddress and dataCentre are the address and data centre of this process.
 	ownAddress, dataCentre string
 	// peers are the other directory processes of the group, by address. startPeer
@@ -77,11 +68,6 @@
 	// and relayedChanges hold those that changed, as announced by the servers themselves
 	// and as relayed by other processes.
 	refreshed, directChanges, relayedChanges map[string]bool
-	// compressedList is the list of all servers as of compressedListAt.
-	compressedList   []byte
-	compressedListAt time.Time
-	// silenceSentAt is when the silent servers were last named.
-	silenceSentAt time.Time
 	// idByHash maps the low 32 bits of the hash of a server's id to the id.
 	idByHash map[uint32]string
 	sessions map[*session]bool
@@ -119,7 +105,7 @@
 
 func newHub(log hclog.Logger, machine *publication.Machine, ownAddress, dataCentre string, startPeer func(*peer)) *hub {
 	return &hub{
-		log: log, sampler: eventlog.NewSampler(changesLoggedPerSecond), inbox: make(chan func(), inboxSize), now: time.Now, machine: machine, ownAddress: ownAddress, dataCentre: dataCentre,
+		log: log, inbox: make(chan func(), inboxSize), now: time.Now, machine: machine, ownAddress: ownAddress, dataCentre: dataCentre,
 		peers: map[string]*peer{}, startPeer: startPeer, peerReports: map[string]*peerReport{}, relayAcked: newAckCounter(0).done,
 		table: inventory.New(), refreshed: map[string]bool{}, directChanges: map[string]bool{}, relayedChanges: map[string]bool{},
 		idByHash: map[uint32]string{}, sessions: map[*session]bool{}, quarantine: newQuarantineKeeper(), origins: newOriginKeeper(),
@@ -190,14 +176,10 @@
 // flushInterval is also how often the routers that report here are to report. Without a
 // leader it is the longest, which leaves the VM to the election.
 func (h *hub) flushInterval() time.Duration {
-	limit := maxFlushInterval
-	if len(h.sessions) > manySessions {
-		limit = standbyInterval
-	}
 	if h.leader == "" {
-		return limit
+		return maxFlushInterval
 	}
-	return min(limit, max(minFlushInterval, time.Duration(h.reporting)*flushTimePerRouter))
+	return min(maxFlushInterval, max(minFlushInterval, time.Duration(h.reporting)*flushTimePerRouter))
 }
 
 // flush sends every router the confirmation that it is owed and, if it reports here, the
@@ -216,7 +198,11 @@
 		load = h.totalLoad()
 		h.nextLoadAt = now.Add(min(maxLoadInterval, time.Duration(h.reporting*proto.Size(load))*time.Second/loadBytesPerSecond))
 	}
-	heard, silent, othersHeard := h.takeHeard()
+	var heard []uint32
+	for id := range h.refreshed {
+		heard = append(heard, uint32(routing.Hash(id)))
+	}
+	clear(h.refreshed)
 	suspects := h.suspects()
 	now, interval := h.now(), h.flushInterval()
 	for s := range h.sessions {
@@ -227,7 +213,6 @@
 		if s.load != nil {
 			u.Heard, u.Load, u.ReportMs = heard, load, uint32(interval.Milliseconds())
 			u.Suspects = suspects
-			u.Silent, u.OthersHeard = silent, othersHeard
 		}
 		s.flushedAt = now
 		s.push(h.withStatus(u))
@@ -273,24 +258,7 @@
 	if !hasReports && !hadReports {
 		return nil
 	}
-	return inventory.EncodeLoad(highestLoads(sum))
-}
-
-// maxLoads limits the servers whose load is sent to routers. The loads that are left out are
-// the lowest, which decide least.
-const maxLoads = 500
-
-func highestLoads(loads map[uint32]int) map[uint32]int {
-	if len(loads) <= maxLoads {
-		return loads
-	}
-	servers := slices.Collect(maps.Keys(loads))
-	slices.SortFunc(servers, func(a, b uint32) int { return cmp.Or(cmp.Compare(loads[b], loads[a]), cmp.Compare(a, b)) })
-	out := make(map[uint32]int, maxLoads)
-	for _, s := range servers[:maxLoads] {
-		out[s] = loads[s]
-	}
-	return out
+	return inventory.EncodeLoad(sum)
 }
 
 // withStatus sets the fields that every update carries, and returns u.
--- a/internal/directory/operations.go
+++ b/internal/directory/operations.go
@@ -89,42 +89,32 @@
 // Announce processes the announcement of a backend server. It returns once the change
 // has been sent to the routers that follow this process. If the server is leaving,
 // Announce also waits until a majority of the directory processes has sent the change
-// to its own routers, for at most relayTimeout. next is the address for the server's next
-// heartbeats.
-func (p *Process) Announce(ctx context.Context, s inventory.Server) (next string, err error) {
+// to its own routers, for at most relayTimeout.
+func (p *Process) Announce(ctx context.Context, s inventory.Server) error {
 	var acked, broadcastDone <-chan struct{}
-	err = p.hub.do(ctx, func() {
-		next = p.hub.heartbeatRouter(s)
+	err := p.hub.do(ctx, func() {
 		changed := p.hub.merge(s, true) == inventory.Changed
 		acked = p.hub.relayAcked
 		if changed && p.hub.broadcastTimer != nil {
 			broadcastDone = p.hub.broadcastDone
 		}
 	})
-	if next == "" {
-		next = p.OperationsAddress() // On the connection that is open, instead of a new one to any process.
-	}
 	switch {
 	case err != nil:
-		return "", err
+		return err
 	case s.State != inventory.Ready:
-		return next, awaitAcked(ctx, acked)
+		return awaitAcked(ctx, acked)
 	case broadcastDone == nil:
-		return next, nil
+		return nil
 	}
 	select {
 	case <-broadcastDone:
-	case <-time.After(joinTimeout):
+		return nil
 	case <-ctx.Done():
-		return "", ctx.Err()
+		return ctx.Err()
 	}
-	return next, nil
 }
 
-// joinTimeout limits how long the announcement of a new server waits until routers were told.
-// It leaves the server time to get the acknowledgement.
-const joinTimeout = 300 * time.Millisecond
-
 func awaitAcked(ctx context.Context, acked <-chan struct{}) error {
 	select {
 	case <-acked:
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -17,7 +17,6 @@
 	"github.com/kumquathollow/kumquathollow/internal/fleetview"
 	"github.com/kumquathollow/kumquathollow/internal/forward"
 	"github.com/kumquathollow/kumquathollow/internal/httpguard"
-	"github.com/kumquathollow/kumquathollow/internal/inventory"
 	"github.com/kumquathollow/kumquathollow/internal/placement"
 	"github.com/kumquathollow/kumquathollow/internal/rpc"
 	"github.com/kumquathollow/kumquathollow/internal/telemetry"
@@ -66,9 +65,6 @@
 	readyPath string
 
 	clients, readiness, admin net.Listener
-	// heartbeats is nil if the router takes none.
-	heartbeats        net.Listener
-	heartbeatsHandler http.Handler
 }
 
 // Adapter holds the deployment-specific parts of a router.
@@ -78,8 +74,6 @@
 	Decode func(document []byte) (*catalog.Set, error)
 	// ReadyPath is the path of the load balancer's readiness check.
 	ReadyPath string
-	// Heartbeats returns the handler for the heartbeats of servers at the address.
-	Heartbeats func(address string, take func(context.Context, inventory.Server) error) http.Handler
 }
 
 // New opens the listeners and assembles the router.
@@ -99,21 +93,11 @@
 		}
 	}
 	r.admin = telemetry.ListenAdmin(conf.Admin, log)
-	heartbeats := ""
-	if conf.Heartbeats != "" {
-		var err error
-		if r.heartbeats, err = rpc.Listen(conf.Heartbeats, nil); err != nil {
-			r.closeListeners()
-			return nil, err
-		}
-		heartbeats = r.heartbeats.Addr().String()
-	}
 	r.fleet = placement.NewFleet(conf.Name, conf.DataCentre, placement.Bounds{ColdFactor: conf.Bounds.ColdFactor, ColdSlack: conf.Bounds.ColdSlack})
 	r.view = fleetview.New(fleetview.Options{
 		RouterID: conf.Name + "/" + uuid.NewString(), DataCentre: conf.DataCentre, Dialer: r.dialer, Seeds: rpc.WithPort(conf.Seeds, conf.DirectoryPort),
-		Decode: adapter.Decode, Heartbeats: heartbeats, Fleet: r.fleet, Log: log.Named("fleet"),
+		Decode: adapter.Decode, Fleet: r.fleet, Log: log.Named("fleet"),
 	})
-	r.heartbeatsHandler = adapter.Heartbeats(heartbeats, r.view.TakeHeartbeat)
 	opened := r.metrics.Counter("backend.connections_opened")
 	r.pool = backend.NewPool(func() { opened.Inc(1) })
 	r.forwarder = forward.New(forward.Options{
@@ -130,7 +114,7 @@
 }
 
 func (r *Router) closeListeners() {
-	for _, l := range []net.Listener{r.clients, r.readiness, r.admin, r.heartbeats} {
+	for _, l := range []net.Listener{r.clients, r.readiness, r.admin} {
 		if l != nil {
 			_ = l.Close()
 		}
@@ -168,11 +152,10 @@
 	mux.Handle("GET "+r.readyPath, r.ready.Handler())
 	readiness := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, ErrorLog: errorLog}
 	admin := &http.Server{Handler: telemetry.AdminHandler(r.metrics, r.ready), ReadHeaderTimeout: headerTimeout, ErrorLog: errorLog}
-	heartbeats := &http.Server{Handler: r.heartbeatsHandler, ReadHeaderTimeout: headerTimeout, ErrorLog: errorLog}
 	for _, s := range []struct {
 		server   *http.Server
 		listener net.Listener
-	}{{heartbeats, r.heartbeats}, {clients, &httpguard.Listener{Listener: r.clients, IdleTimeout: r.clientIdleTimeout, HeaderTimeout: r.clientHeaderTimeout}}, {readiness, r.readiness}, {admin, r.admin}} {
+	}{{clients, &httpguard.Listener{Listener: r.clients, IdleTimeout: r.clientIdleTimeout, HeaderTimeout: r.clientHeaderTimeout}}, {readiness, r.readiness}, {admin, r.admin}} {
 		if s.listener == nil {
 			continue
 		}
@@ -193,7 +176,7 @@
 		r.drain(clients)
 	}
 	cancel()
-	err := errors.CombineErrors(errors.CombineErrors(readiness.Close(), admin.Close()), heartbeats.Close())
+	err := errors.CombineErrors(readiness.Close(), admin.Close())
 	err = errors.CombineErrors(err, clients.Close())
 	err = errors.CombineErrors(g.Wait(), err)
 	r.log.Info("stopped", "name", r.settings.Name, "in-flight", r.forwarder.InFlight(), "error", err)
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -20,9 +20,6 @@
 	Ready string `yaml:"ready"`
 	// Admin is the listen address for /metrics, /healthz and /readyz.
 	Admin string `yaml:"admin"`
-	// Heartbeats is the listen address for servers' heartbeats; empty if the router takes
-	// none.
-	Heartbeats string `yaml:"heartbeats,omitempty"`
 	// DirectoryPort is the port on which directory processes serve routers.
 	DirectoryPort string `yaml:"directoryPort"`
 	// Seeds are addresses of directory processes. Only their hosts are used, with
@@ -72,11 +69,7 @@
 		settings.Field{Name: "directoryPort", Value: s.DirectoryPort},
 	)
 	if err == nil {
-		addresses := append([]string{s.Clients, s.Ready, s.Admin}, s.Seeds...)
-		if s.Heartbeats != "" {
-			addresses = append(addresses, s.Heartbeats)
-		}
-		err = settings.CheckAddresses(addresses...)
+		err = settings.CheckAddresses(append([]string{s.Clients, s.Ready, s.Admin}, s.Seeds...)...)
 	}
 	if err != nil {
 		return err
--- a/internal/fleetview/link.go
+++ b/internal/fleetview/link.go
@@ -132,19 +132,17 @@
 		if woken || now >= pingDue {
 			l.lastPing++
 			req.Router, req.Ping = l.view.opts.RouterID, l.lastPing
-			req.Heartbeats, req.DataCentre = l.view.opts.Heartbeats, l.view.opts.DataCentre
 			select {
 			case pings <- ping{number: l.lastPing, sentAt: now}:
 			default: // The buffer is full: nothing was received meanwhile, and the watchdog closes the session.
 			}
 			pingDue = now + standbyPingInterval
 			if reporting {
-				pingDue = now + max(pingInterval, time.Duration(l.reportInterval.Load()))
+				pingDue = now + pingInterval
 			}
 		}
 		wait := pingDue - now
 		if reporting {
-			req.Heard = l.view.heard.take()
 			req.Load = inventory.EncodeLoad(l.view.opts.Fleet.InFlight())
 			at := time.Now()
 			crashes, survived := l.view.monitor.Reports(!wasReporting, at)
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -14,7 +14,6 @@
 	"github.com/kumquathollow/kumquathollow/internal/placement"
 	"github.com/kumquathollow/kumquathollow/internal/publication"
 	"github.com/kumquathollow/kumquathollow/internal/quarantine"
-	"github.com/kumquathollow/kumquathollow/internal/routing"
 	"github.com/kumquathollow/kumquathollow/internal/rpc"
 	"github.com/kumquathollow/kumquathollow/internal/streamorigin"
 )
@@ -41,10 +40,8 @@
 	Seeds []string
 	// Decode parses a configuration document.
 	Decode func(document []byte) (*catalog.Set, error)
-	// Heartbeats is the address at which the router takes heartbeats; empty if it takes none.
-	Heartbeats string
-	Fleet      *placement.Fleet
-	Log        hclog.Logger
+	Fleet  *placement.Fleet
+	Log    hclog.Logger
 }
 
 // View follows the directory. Run must be called; the other exported methods are safe
@@ -66,7 +63,6 @@
 	reportTo atomic.Pointer[link]
 	// monitor collects what the router observes of servers that end under requests.
 	monitor *quarantine.Monitor
-	heard   heardServers
 	// origins holds the origins of streams that this router began or has asked for.
 	origins *streamorigin.Recorder
 
@@ -324,16 +320,6 @@
 		v.origins.Answer(u.Origins, u.UnknownStreams, time.Now())
 	}
 	v.mergeAnnouncements(u.Announcements)
-	if len(u.Servers) > 0 {
-		list, err := inventory.Decompress(u.Servers)
-		if err != nil {
-			v.opts.Log.Error("list of servers not read", "address", l.address, "error", err)
-		}
-		v.mergeAnnouncements(list)
-	}
-	if u.OthersHeard {
-		v.refreshAllBut(u.Silent)
-	}
 	v.refreshServers(l, u.Heard)
 	l.revision = max(l.revision, u.Revision)
 	v.newestRevision = max(v.newestRevision, u.Revision, u.Newest)
@@ -411,26 +397,6 @@
 	}
 }
 
-// refreshAllBut records that all servers but the silent ones were heard lately.
-func (v *View) refreshAllBut(silent []uint32) {
-	isSilent := make(map[uint32]bool, len(silent))
-	for _, hash := range silent {
-		isSilent[hash] = true
-	}
-	at := time.Now().Add(-inventory.SilentAfter)
-	var heard []uint32
-	v.table.All(func(s *inventory.Server) {
-		if hash := uint32(routing.Hash(s.ID)); !isSilent[hash] && s.LastSeen.Before(at) {
-			heard = append(heard, hash)
-		}
-	})
-	for _, hash := range heard {
-		if id := v.opts.Fleet.RefreshHeartbeat(hash, at); id != "" {
-			v.table.RefreshHeartbeat(id, at)
-		}
-	}
-}
-
 // catchUp requests missing revisions, from one directory process at a time. The
 // process that receives the router's load reports sends new revisions without being
 // asked, so catchUp first gives it time to do so.
--- a/internal/inventory/codec.go
+++ b/internal/inventory/codec.go
@@ -1,14 +1,8 @@
 package inventory
 
 import (
-	"bytes"
-	"compress/flate"
-	"io"
 	"time"
 
-	"github.com/cockroachdb/errors"
-	"google.golang.org/protobuf/proto"
-
 	"github.com/kumquathollow/kumquathollow/api/fleetpb"
 )
 
@@ -36,42 +30,6 @@
 	return out
 }
 
-// maxListBytes limits a decompressed list of servers.
-const maxListBytes = 64 << 20
-
-// Compress returns a compressed list of servers.
-func Compress(list []*fleetpb.Announcement) ([]byte, error) {
-	data, err := proto.Marshal(&fleetpb.ServerList{Announcements: list})
-	if err != nil {
-		return nil, errors.Wrap(err, "encode the list of servers")
-	}
-	var out bytes.Buffer
-	w, err := flate.NewWriter(&out, flate.BestSpeed)
-	if err != nil {
-		return nil, errors.Wrap(err, "compress the list of servers")
-	}
-	if _, err := w.Write(data); err != nil {
-		return nil, errors.Wrap(err, "compress the list of servers")
-	}
-	if err := w.Close(); err != nil {
-		return nil, errors.Wrap(err, "compress the list of servers")
-	}
-	return out.Bytes(), nil
-}
-
-// Decompress returns the list that Compress has compressed.
-func Decompress(data []byte) ([]*fleetpb.Announcement, error) {
-	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxListBytes))
-	if err != nil {
-		return nil, errors.Wrap(err, "decompress the list of servers")
-	}
-	list := &fleetpb.ServerList{}
-	if err := proto.Unmarshal(plain, list); err != nil {
-		return nil, errors.Wrap(err, "decode the list of servers")
-	}
-	return list.Announcements, nil
-}
-
 // EncodeLoad returns the message for the requests in flight by server, which is named by
 // the low 32 bits of the hash of its id.
 func EncodeLoad(inFlight map[uint32]int) *fleetpb.Load {
--- a/internal/inventory/table.go
+++ b/internal/inventory/table.go
@@ -51,10 +51,6 @@
 	LastSeen time.Time
 }
 
-// SilentAfter is how long after its last heartbeat a server counts as silent between
-// processes of the fleet: two heartbeats and the time in which they are passed on.
-const SilentAfter = 2500 * time.Millisecond
-
 // expireAfter is how long a silent server is kept in the table. It exceeds the
 // delay of any announcement that must still be rejected as stale.
 const expireAfter = 90 * time.Second
@@ -109,23 +105,15 @@
 		merged.LastSeen = old.LastSeen
 	}
 	t.servers[s.ID] = &merged
-	if old == nil || old.Born != s.Born || s.differs(old) {
+	if old == nil || old.Born != s.Born || old.State != s.State || old.Service != s.Service || old.Address != s.Address || old.Version != s.Version {
+		return Changed
+	}
+	if s.ColdUntil.Sub(old.ColdUntil) > coldTolerance {
 		return Changed
 	}
 	return Refreshed
 }
 
-// Repeats reports whether a later announcement of a server that is ready tells nothing new.
-func (s *Server) Repeats(later *Server) bool {
-	return s.Born == later.Born && s.State == Ready && later.State == Ready && !later.differs(s)
-}
-
-// differs reports whether the announcement of an incarnation tells a change.
-func (s *Server) differs(old *Server) bool {
-	return old.State != s.State || old.Service != s.Service || old.Address != s.Address || old.Version != s.Version ||
-		s.ColdUntil.Sub(old.ColdUntil) > coldTolerance
-}
-
 // coldTolerance is how much later the announced end of a cold start may become
 // without counting as a change. Announcements carry the remaining time, which
 // clocks and queuing delays distort.
--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -84,9 +84,7 @@
 func (s *Server) refreshHeartbeat(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if now.After(s.announced.LastSeen) {
-		s.announced.LastSeen = now
-	}
+	s.announced.LastSeen = now
 }
 
 // returnToService is called when the evacuation of the server's data centre ends.
