Wait for room when a directory process starts on a full disk

It now tries again with a growing wait, and ends at once when it is stopped. TestAFirstStartOnAFullDiskWaitsForRoom failed before ('create identity.tmp: no space left on device').

--- a/internal/directory/damaged.go
+++ b/internal/directory/damaged.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/kumquathollow/kumquathollow/api/fleetpb"
+	"github.com/kumquathollow/kumquathollow/internal/durable"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/rpc"
 	"github.com/kumquathollow/kumquathollow/internal/storage"
@@ -22,14 +23,19 @@
 	quorumPollTimeout  = 2 * time.Second
 	// waitingLogInterval is how often it logs that they do not.
 	waitingLogInterval = time.Minute
+	// A process whose disk has no room for its data folder tries again after
+	// minRoomPollInterval, then after twice the time each, up to maxRoomPollInterval.
+	minRoomPollInterval = 100 * time.Millisecond
+	maxRoomPollInterval = 2 * time.Second
 )
 
 // OpenOrReplace is like Open, but replaces a damaged data folder: it waits until a quorum
 // of the other processes confirms that it holds the state, sets the folder's files aside and
 // opens an empty one, with which the process joins the group as a new voter. Without a
-// quorum it waits until ctx ends, since the damaged folder may be needed.
+// quorum it waits until ctx ends, since the damaged folder may be needed. It also waits for
+// room on a disk that has none for a new folder.
 func OpenOrReplace(ctx context.Context, fs vfs.FS, conf *Settings, log hclog.Logger) (*Process, error) {
-	p, err := Open(fs, conf, log)
+	p, err := openWithRoom(ctx, fs, conf, log)
 	if !errkind.Is(err, errkind.DamagedStorage) || errors.Is(err, storage.ErrFormat) {
 		return p, err
 	}
@@ -41,7 +47,23 @@
 		return nil, err
 	}
 	log.Warn("damaged data folder set aside; joining the group as a new voter", "folder", conf.Data, "files", prefix+"*")
-	return Open(fs, conf, log)
+	return openWithRoom(ctx, fs, conf, log)
+}
+
+// openWithRoom is like Open, but waits while the disk is full.
+func openWithRoom(ctx context.Context, fs vfs.FS, conf *Settings, log hclog.Logger) (*Process, error) {
+	for wait := minRoomPollInterval; ; wait = min(maxRoomPollInterval, 2*wait) {
+		p, err := Open(fs, conf, log)
+		if !durable.IsDiskFull(err) {
+			return p, err
+		}
+		log.Error("disk full: the data folder is opened once there is room", "folder", conf.Data, "retry-after", wait)
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(wait):
+		}
+	}
 }
 
 func awaitOtherQuorum(ctx context.Context, conf *Settings, log hclog.Logger) error {
--- a/internal/directory/damaged_test.go
+++ b/internal/directory/damaged_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -144,3 +145,48 @@
 		}
 	}
 }
+
+// Guards against a process that ends again and again since it starts for the first time on a
+// full disk: it opens its data folder once there is room, and leaves nothing half written.
+func TestAFirstStartOnAFullDiskWaitsForRoom(t *testing.T) {
+	c := newCluster(t, 3)
+	c.publish(hosts[0], 1, "one")
+	var full atomic.Bool
+	full.Store(true)
+	fs := newFillableFS(&full)
+	type result struct {
+		p   *Process
+		err error
+	}
+	open := func(ctx context.Context) chan result {
+		done := make(chan result, 1)
+		go func() {
+			p, err := OpenOrReplace(ctx, fs, c.settings(hosts[3]), hclog.NewNullLogger())
+			done <- result{p, err}
+		}()
+		return done
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	stopped := open(ctx)
+	select {
+	case r := <-stopped:
+		t.Fatalf("the process ended on a full disk: %v", r.err)
+	case <-time.After(300 * time.Millisecond):
+	}
+	cancel()
+	if r := <-stopped; r.p != nil || !errors.Is(r.err, context.Canceled) {
+		t.Errorf("stopped while it waited: %v, %v", r.p, r.err)
+	}
+	waiting := open(t.Context())
+	full.Store(false)
+	if r := <-waiting; r.err != nil {
+		t.Fatalf("with room again: %v", r.err)
+	} else if err := r.p.close(); err != nil {
+		t.Error(err)
+	}
+	p := c.start(hosts[3], fs)
+	c.eventually("admit the new disk", func() bool {
+		return isVoter(c.nodes[hosts[0]].p.group.Status().Voters, p.voterManager().id, p.store.DiskID())
+	})
+	c.awaitDocument(hosts[3], "one")
+}
