Store a router's configuration again once its disk has room

It now stores the one in force again with a growing wait, and logs both changes of state.

TestAConfigurationIsStoredOnceThereIsRoom fails without the second attempt: revision 1 is stored instead of 3.

--- a/internal/distribution/watcher.go
+++ b/internal/distribution/watcher.go
@@ -72,6 +72,10 @@
 
 	// core is owned by the goroutine of Run.
 	core *core
+	// persistAt is when storing the configuration is tried again, zero if it is stored, and
+	// persistWait the time since the attempt before.
+	persistAt   time.Time
+	persistWait time.Duration
 	// streams holds the open stream of each source; it is owned by the goroutine of
 	// Run. Messages of any other stream are dropped.
 	streams map[string]*streamHandle
@@ -203,6 +207,7 @@
 				w.handleEvent(e, now)
 			}
 		case <-tick.C:
+			w.persistOverdue(time.Now())
 		}
 		now := time.Now()
 		if pause := clock.Elapsed(lastIteration, now); pause > pauseThreshold {
@@ -255,7 +260,7 @@
 		w.opts.Log.Error("update rejected", "source", source, "error", eff.err)
 	}
 	if eff.publish {
-		w.persist()
+		w.persist(now)
 		w.publish()
 	}
 	if eff.confirmed {
@@ -283,14 +288,37 @@
 	return nil
 }
 
+const (
+	// A configuration that could not be stored is stored again after minPersistInterval, then
+	// after twice the time each, up to maxPersistInterval.
+	minPersistInterval = time.Second
+	maxPersistInterval = 30 * time.Second
+)
+
 // persist stores the configuration before it comes into force, so that a restart
-// does not begin with an older revision.
-func (w *Watcher) persist() {
+// does not begin with an older revision. If that fails, the configuration comes into force
+// all the same.
+func (w *Watcher) persist(now time.Time) {
 	if w.store == nil {
 		return
 	}
+	failedBefore := !w.persistAt.IsZero()
 	if err := w.store.save(w.core.declared); err != nil {
-		w.opts.Log.Error("configuration not stored", "error", err)
+		w.persistWait = min(maxPersistInterval, max(minPersistInterval, 2*w.persistWait))
+		w.persistAt = now.Add(w.persistWait)
+		w.opts.Log.Error("configuration not stored: a restart would begin with an older one", "revision", w.core.declared.Revision, "retry-after", w.persistWait, "error", err)
+		return
+	}
+	w.persistAt, w.persistWait = time.Time{}, 0
+	if failedBefore {
+		w.opts.Log.Info("configuration stored again", "revision", w.core.declared.Revision)
+	}
+}
+
+// persistOverdue stores the configuration again if that failed and is due.
+func (w *Watcher) persistOverdue(now time.Time) {
+	if !w.persistAt.IsZero() && !now.Before(w.persistAt) {
+		w.persist(now)
 	}
 }
 
