--- a/internal/directory/damaged_test.go
+++ b/internal/directory/damaged_test.go
@@ -63,6 +63,9 @@
 		if !slices.ContainsFunc(filesIn(t, fs), func(n string) bool { return strings.HasPrefix(n, "damaged-1-log-") }) {
 			t.Errorf("the damaged log is not kept: %v", filesIn(t, fs))
 		}
+		if p.setAside != 1 {
+			t.Errorf("%d contents are counted as set aside, want 1", p.setAside)
+		}
 		// The group tolerates the loss of another process now.
 		for h := range c.nodes {
 			if h != victim {
--- a/internal/directory/process.go
+++ b/internal/directory/process.go
@@ -42,6 +42,8 @@
 	readiness *telemetry.Readiness
 
 	operations, fleet, admin net.Listener
+	// setAside is the number of damaged contents that the data folder keeps.
+	setAside int
 	// ownAddress is the address at which other processes of the fleet reach this one.
 	ownAddress string
 }
@@ -80,6 +82,9 @@
 		return err
 	}
 	p.store = store
+	if p.setAside, err = storage.CountSetAside(fs, p.conf.Data); err != nil {
+		return err
+	}
 	var declared []*pb.Voter
 	for _, a := range seeds {
 		declared = append(declared, &pb.Voter{Id: a, Address: a})
@@ -138,6 +143,7 @@
 		}
 		return 0
 	})
+	p.metrics.Gauge("directory.folders_set_aside", func() int64 { return int64(p.setAside) })
 	p.metrics.Gauge("directory.quarantined", func() int64 { return int64(len(p.machine.State().Quarantined)) })
 	p.metrics.Gauge("directory.voters", func() int64 { return int64(len(p.group.Status().Voters.GetVoters())) })
 }
--- a/internal/storage/set_aside.go
+++ b/internal/storage/set_aside.go
@@ -26,19 +26,7 @@
 	if err != nil {
 		return "", errors.Wrap(err, "list the data folder")
 	}
-	var numbers []int
-	var current []string
-	for _, n := range names {
-		var number int
-		if _, err := fmt.Sscanf(n, asidePrefix+"%d-", &number); err == nil {
-			if !slices.Contains(numbers, number) {
-				numbers = append(numbers, number)
-			}
-		} else if n != lockName {
-			current = append(current, n)
-		}
-	}
-	slices.Sort(numbers)
+	numbers, current := splitAside(names)
 	prefix = asideName(1)
 	if len(numbers) > 0 {
 		prefix = asideName(numbers[len(numbers)-1] + 1)
@@ -69,4 +57,31 @@
 	return prefix, nil
 }
 
+// splitAside returns the numbers of the contents that were set aside, in order, and the files
+// that belong to none.
+func splitAside(names []string) (numbers []int, current []string) {
+	for _, n := range names {
+		var number int
+		if _, err := fmt.Sscanf(n, asidePrefix+"%d-", &number); err == nil {
+			if !slices.Contains(numbers, number) {
+				numbers = append(numbers, number)
+			}
+		} else if n != lockName {
+			current = append(current, n)
+		}
+	}
+	slices.Sort(numbers)
+	return numbers, current
+}
+
+// CountSetAside returns how many damaged contents the data folder keeps.
+func CountSetAside(fs vfs.FS, dir string) (int, error) {
+	names, err := fs.List(dir)
+	if err != nil {
+		return 0, errors.Wrap(err, "list the data folder")
+	}
+	numbers, _ := splitAside(names)
+	return len(numbers), nil
+}
+
 func asideName(number int) string { return fmt.Sprintf("%s%d-", asidePrefix, number) }
