--- a/internal/directory/quarantine.go
+++ b/internal/directory/quarantine.go
@@ -16,8 +16,15 @@
 	// maxQuarantined limits the quarantined subjects.
 	maxQuarantined = 256
 	// probeTimeout is how long a router has to test a quarantine before another one is
-	// chosen: no request with the subject may come to it.
-	probeTimeout = 20 * time.Second
+	// chosen: no request with the subject may come to it. It doubles each time, up to
+	// maxProbeTimeout. A quarantine that maxIdleProbes routers had no request for, which takes
+	// about a day, is lifted.
+	probeTimeout    = 20 * time.Second
+	maxProbeTimeout = time.Hour
+	maxIdleProbes   = 30
+	// lastSuccessTime is how long after the beginning of a quarantine a request that was sent
+	// before may still succeed.
+	lastSuccessTime = 30 * time.Second
 	// maxPendingCrashes limits the crashes kept for another process that does not answer.
 	maxPendingCrashes = 128
 )
@@ -29,6 +36,8 @@
 	// records hold what is known of each quarantine in force. A change of a quarantine begins
 	// a new record.
 	records map[publication.Quarantined]*quarantineRecord
+	// idleProbes counts the routers that were to test a quarantine and had no request to.
+	idleProbes map[quarantine.Subject]int
 	// proposing is true while a command is not yet committed.
 	proposing bool
 	// full is true while a subject is not quarantined because of maxQuarantined.
@@ -45,7 +54,7 @@
 }
 
 func newQuarantineKeeper() quarantineKeeper {
-	return quarantineKeeper{tracker: quarantine.NewTracker(), records: map[publication.Quarantined]*quarantineRecord{}}
+	return quarantineKeeper{tracker: quarantine.NewTracker(), records: map[publication.Quarantined]*quarantineRecord{}, idleProbes: map[quarantine.Subject]int{}}
 }
 
 // recordQuarantineReports records what routers observed. direct is true if a router that
@@ -87,11 +96,14 @@
 }
 
 // suspects returns the subjects of which routers are to tell whether a request with them
-// succeeds: those under which servers have ended, and those in quarantine.
+// succeeds: those under which servers have ended, and those in quarantine of which a request
+// may be under way, since it was sent before the quarantine or tests it.
 func (h *hub) suspects() []*fleetpb.SuspectPart {
 	watched := map[quarantine.Subject]time.Time{}
 	for q, r := range h.quarantine.records {
-		watched[q.Subject] = r.since
+		if q.Probe != "" || h.now().Sub(r.since) < lastSuccessTime {
+			watched[q.Subject] = r.since
+		}
 	}
 	maps.Copy(watched, h.quarantine.tracker.Watched(h.now()))
 	var out []*fleetpb.SuspectPart
@@ -114,6 +126,7 @@
 		return
 	}
 	k.proposing = true
+	k.countIdleProbe(state.Quarantined, next)
 	h.propose(publication.QuarantineCommand(next), func(err error) {
 		k.proposing = false
 		h.log.Warn("quarantine changed", "subject", next.Subject, "strikes", next.Strikes, "probe", next.Probe, "because", because,
@@ -121,6 +134,25 @@
 	})
 }
 
+// probeTimeout returns how long the router that is to test a quarantine has for it.
+func (k *quarantineKeeper) probeTimeout(s quarantine.Subject) time.Duration {
+	wait := probeTimeout
+	for range k.idleProbes[s] {
+		wait = min(maxProbeTimeout, 2*wait)
+	}
+	return wait
+}
+
+// countIdleProbe updates idleProbes before a change: only one that passes a test on counts.
+func (k *quarantineKeeper) countIdleProbe(quarantined []publication.Quarantined, next publication.Quarantined) {
+	passesOn := next.Probe != "" && slices.ContainsFunc(quarantined, func(q publication.Quarantined) bool { return q.Subject == next.Subject && q.Probe != "" })
+	if passesOn {
+		k.idleProbes[next.Subject]++
+	} else {
+		delete(k.idleProbes, next.Subject)
+	}
+}
+
 func (k *quarantineKeeper) updateRecords(quarantined []publication.Quarantined, now time.Time) {
 	for _, q := range quarantined {
 		if k.records[q] == nil {
@@ -142,7 +174,9 @@
 			return publication.Quarantined{Subject: q.Subject}, "a request succeeded"
 		case r.failed:
 			return publication.Quarantined{Subject: q.Subject, Strikes: q.Strikes + 1}, "a server ended in the test"
-		case q.Probe == "" && age >= q.Subject.TestAfter(q.Strikes), q.Probe != "" && age >= probeTimeout:
+		case q.Probe != "" && age >= k.probeTimeout(q.Subject) && k.idleProbes[q.Subject] >= maxIdleProbes:
+			return publication.Quarantined{Subject: q.Subject}, "no such request came"
+		case q.Probe == "" && age >= q.Subject.TestAfter(q.Strikes), q.Probe != "" && age >= k.probeTimeout(q.Subject):
 			if probe := h.probingRouter(q.Subject, q.Probe); probe != "" {
 				return publication.Quarantined{Subject: q.Subject, Strikes: q.Strikes, Probe: probe}, "test due"
 			}
--- a/internal/directory/quarantine_test.go
+++ b/internal/directory/quarantine_test.go
@@ -205,6 +205,34 @@
 	}
 }
 
+// Guards against a quarantine that costs replicated changes for ever although nobody sends
+// such a request any more: its tests are passed on ever more seldom, and it ends after a day.
+func TestAQuarantineThatNobodyAsksForEnds(t *testing.T) {
+	const (
+		maxChangesInAnHour = 10
+		maxAge             = 3 * 24 * time.Hour
+	)
+	q := newQuarantineHub(t)
+	routers := []*session{newSession(q.hub, "r1"), newSession(q.hub, "r2")}
+	for _, s := range routers {
+		q.handleRequest(s, &fleetpb.FollowRequest{Load: &fleetpb.Load{}})
+	}
+	q.endServers(routers)
+	began, before := q.at, q.machine.State().Revision
+	for ; len(q.quarantined()) > 0 && q.at.Sub(began) < maxAge; q.at = q.at.Add(5 * time.Second) {
+		q.flush()
+		for _, s := range routers {
+			drain(s)
+		}
+		if changes := q.machine.State().Revision - before; q.at.Sub(began) <= time.Hour && changes > maxChangesInAnHour {
+			t.Fatalf("%d changes within %s, want at most %d in an hour", changes, q.at.Sub(began), maxChangesInAnHour)
+		}
+	}
+	if age := q.at.Sub(began); age < 12*time.Hour || age >= maxAge {
+		t.Errorf("the quarantine ended after %s, want about a day", age)
+	}
+}
+
 // Guards against a leader that has just started and counts from zero again while servers
 // go on ending: routers report what they remember when they begin to report here.
 func TestANewLeaderLearnsOfEarlierEnds(t *testing.T) {
