Name the subject of a quarantine in its refusal; count resumptions by name

The directory's log names the subject, the router's the fingerprint; the refusal now has both. Counters forward.resumed.known and .unknown instead of one that a map chose.

--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -90,7 +90,7 @@
 func (x *exchange) quarantineError(q *fleetview.Quarantine) error {
 	retryAfter := q.Subject.TestAfter(q.Strikes)
 	if q.Subject.Request {
-		return errkind.New(errkind.RequestQuarantined, "the request with fingerprint %s to service %q is quarantined since servers ended under it (strikes: %d)", x.fingerprint, x.service.Name, q.Strikes).
+		return errkind.New(errkind.RequestQuarantined, "the request with fingerprint %s to service %q is quarantined since servers ended under it (%s, strikes: %d)", x.fingerprint, x.service.Name, q.Subject, q.Strikes).
 			WithRetryAfter(retryAfter)
 	}
 	id := ""
@@ -99,6 +99,6 @@
 			id = part.ID
 		}
 	}
-	return errkind.New(errkind.PromptQuarantined, "prompt part %q of service %q is quarantined since servers ended under it (strikes: %d)", id, x.service.Name, q.Strikes).
+	return errkind.New(errkind.PromptQuarantined, "prompt part %q of service %q is quarantined since servers ended under it (%s, strikes: %d)", id, x.service.Name, q.Subject, q.Strikes).
 		WithRetryAfter(retryAfter)
 }
--- a/internal/forward/resumption.go
+++ b/internal/forward/resumption.go
@@ -39,12 +39,13 @@
 		return nil
 	}
 	origin, known := x.f.opts.View.StreamOrigin(x.ctx, x.stream())
-	x.f.opts.Metrics.Counter("forward.resumed." + map[bool]string{true: "known", false: "unknown"}[known]).Inc(1)
 	switch {
 	case known:
+		x.f.opts.Metrics.Counter("forward.resumed.known").Inc(1)
 		x.origin = origin
 		x.useService(origin.Service)
 	case mixed:
+		x.f.opts.Metrics.Counter("forward.resumed.unknown").Inc(1)
 		return errkind.New(errkind.StreamNotResumable, "it is not known which software version began the stream of request %q, and service %q has servers of %d versions", x.requestInfo.Resumes, x.service.Name, len(versions)).
 			WithRetryAfter(refusedRetryAfter)
 	}
