Report the origin of a stream at once while several versions serve

A router that is killed lost the origins of its last report interval, 50 to 300 ms; the clients of these streams were refused. While servers of several versions are known, the report now leaves before the request is sent, in a message without a ping, so that it costs no confirmation. With one version nothing changes.

TestUrgentOriginsAreReportedAtOnce guards it.

--- a/internal/fleetview/link.go
+++ b/internal/fleetview/link.go
@@ -34,8 +34,9 @@
 	// reportInterval is how often the process wants the router's load; 0 if it did not
 	// say.
 	reportInterval atomic.Int64
-	wake           chan struct{}
-	cancel         context.CancelFunc
+	// wake makes send send a ping and a report at once, report only a report.
+	wake, report chan struct{}
+	cancel       context.CancelFunc
 
 	// The fields below are owned by the goroutine of View.Run.
 	connected bool
@@ -163,6 +164,8 @@
 			return ctx.Err()
 		case <-due.C:
 			woken = false
+		case <-l.report:
+			woken = false
 		case <-l.wake:
 			woken = true
 		}
@@ -177,9 +180,14 @@
 }
 
 // sendNow wakes send, so that the next request is sent immediately.
-func (l *link) sendNow() {
+func (l *link) sendNow() { signal(l.wake) }
+
+// reportNow wakes send for a report without a ping.
+func (l *link) reportNow() { signal(l.report) }
+
+func signal(c chan struct{}) {
 	select {
-	case l.wake <- struct{}{}:
-	default:
+	case c <- struct{}{}:
+	default: // A signal is pending already.
 	}
 }
--- a/internal/fleetview/origins.go
+++ b/internal/fleetview/origins.go
@@ -11,9 +11,15 @@
 // the directory answers, by the time in which a lost session is replaced.
 const originTimeout = time.Second
 
-// RecordOrigin records and reports which version of which service begins a stream.
-func (v *View) RecordOrigin(s streamorigin.Stream, o streamorigin.Origin) {
-	v.origins.Record(s, o, time.Now())
+// RecordOrigin records and reports which version of which service begins a stream, at once if
+// it is urgent and else with the next report of loads.
+func (v *View) RecordOrigin(s streamorigin.Stream, o streamorigin.Origin, urgent bool) {
+	if !v.origins.Record(s, o, time.Now()) || !urgent {
+		return
+	}
+	if l := v.reportTo.Load(); l != nil {
+		l.reportNow()
+	}
 }
 
 // StreamOrigin returns which version of which service began a stream, and false if neither
@@ -23,7 +29,7 @@
 	defer cancel()
 	return v.origins.Lookup(ctx, s, func() {
 		if l := v.reportTo.Load(); l != nil {
-			l.sendNow()
+			l.reportNow()
 		}
 	})
 }
--- /dev/null
+++ b/internal/fleetview/origins_test.go
@@ -0,0 +1,61 @@
+package fleetview
+
+import (
+	"context"
+	"testing"
+
+	"github.com/kumquathollow/kumquathollow/api/fleetpb"
+	"github.com/kumquathollow/kumquathollow/internal/streamorigin"
+)
+
+// sentRequests is the sending half of a session.
+type sentRequests struct {
+	fleetpb.DRPCDirectory_FollowClient
+	requests chan *fleetpb.FollowRequest
+}
+
+func (s sentRequests) Send(req *fleetpb.FollowRequest) error {
+	s.requests <- req
+	return nil
+}
+
+// Guards against a router that is lost before it has reported which version began a stream:
+// an urgent origin leaves at once, without the cost of a confirmation.
+func TestUrgentOriginsAreReportedAtOnce(t *testing.T) {
+	v, l := newView()
+	l.report = make(chan struct{}, 1)
+	v.reportTo.Store(l)
+	origin := streamorigin.Origin{Service: "chat", Version: "v1"}
+	v.RecordOrigin(1, origin, false)
+	if len(l.report) != 0 {
+		t.Error("an origin that can wait does not wait")
+	}
+	v.RecordOrigin(1, origin, true)
+	if len(l.report) != 0 {
+		t.Error("a known origin is reported again")
+	}
+	v.RecordOrigin(2, origin, true)
+	if len(l.report) != 1 {
+		t.Fatal("an urgent origin waits")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	stream, done := sentRequests{requests: make(chan *fleetpb.FollowRequest)}, make(chan error, 1)
+	go func() { done <- l.send(ctx, stream, make(chan ping, 16)) }()
+	if first := <-stream.requests; first.Ping == 0 || len(first.Origins) != 1 || len(first.Origins[0].Streams) != 2 {
+		t.Errorf("the first message is %v, want a ping with both origins", first)
+	}
+	// The messages that the signal causes, and no others, have no ping.
+	for s := streamorigin.Stream(3); ; s++ {
+		v.RecordOrigin(s, origin, true)
+		if req := <-stream.requests; req.Ping == 0 {
+			break
+		}
+	}
+	cancel()
+	go func() {
+		for range stream.requests {
+		}
+	}()
+	<-done
+	close(stream.requests)
+}
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -224,7 +224,7 @@
 	open, closed, next := v.selector.choose(v.selector.preference(v.members, v.seeds), states, want, now)
 	for _, a := range open {
 		lctx, cancel := context.WithCancel(ctx)
-		l := &link{view: v, address: a, wake: make(chan struct{}, 1), cancel: cancel, openedAt: now}
+		l := &link{view: v, address: a, wake: make(chan struct{}, 1), report: make(chan struct{}, 1), cancel: cancel, openedAt: now}
 		v.links[a] = l
 		go l.run(lctx)
 	}
--- a/internal/forward/resumption.go
+++ b/internal/forward/resumption.go
@@ -63,10 +63,12 @@
 }
 
 // recordOrigin reports which version is about to begin the stream, before the request is
-// sent: the client can resume the stream as soon as it has the first event.
+// sent: the client can resume the stream as soon as it has the first event. While several
+// versions serve, the report does not wait, since this router may be lost before the next one.
 func (x *exchange) recordOrigin(picked *placement.PickResult) {
 	if x.route.Repeat != catalog.Stream || !x.route.Resumable || x.isResumption() || x.headerSent || picked.Version == "" {
 		return
 	}
-	x.f.opts.View.RecordOrigin(x.stream(), streamorigin.Origin{Service: x.service.Name, Version: picked.Version})
+	mixed := len(x.f.opts.Fleet.Versions(x.service.Name)) > 1
+	x.f.opts.View.RecordOrigin(x.stream(), streamorigin.Origin{Service: x.service.Name, Version: picked.Version}, mixed)
 }
--- a/internal/streamorigin/doc.go
+++ b/internal/streamorigin/doc.go
@@ -7,7 +7,6 @@
 //
 // Table is a deterministic state machine: the current time is an argument.
 //
-// Limits: a router that is killed before its report has left loses the origins of the
-// streams that it began within its report interval. A stream whose origin is unknown is not
+// Limits: a router that is killed before its report has left loses the origins in it. A stream whose origin is unknown is not
 // resumed while servers of several versions are known.
 package streamorigin
--- a/internal/streamorigin/recorder.go
+++ b/internal/streamorigin/recorder.go
@@ -39,14 +39,16 @@
 	return &Recorder{table: NewTable(), lookups: map[Stream]*lookup{}}
 }
 
-// Record records the origin of a stream of this router.
-func (r *Recorder) Record(s Stream, o Origin, now time.Time) {
+// Record records the origin of a stream of this router, and reports whether it is news.
+func (r *Recorder) Record(s Stream, o Origin, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.table.Record(s, o, now) {
-		r.pending = append(r.pending, Record{s, o, now})
-		r.pending = r.pending[max(0, len(r.pending)-maxPending):]
+	if !r.table.Record(s, o, now) {
+		return false
 	}
+	r.pending = append(r.pending, Record{s, o, now})
+	r.pending = r.pending[max(0, len(r.pending)-maxPending):]
+	return true
 }
 
 // Lookup returns the origin of a stream. If this router does not know it, Lookup calls ask,
