--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -179,5 +179,5 @@
 	{PromptQuarantined, 48, http.StatusServiceUnavailable, NotRun, RetryLater, hclog.Warn, ExitFailed, "Backend servers ended under requests with a part of this prompt, so none gets it for now."},
 	{DiskFull, 49, http.StatusServiceUnavailable, NotRun, RetryLater, hclog.Warn, ExitUnreachable, "The process's disk is full, so it accepts no changes for now."},
 	{RequestQuarantined, 50, http.StatusServiceUnavailable, NotRun, RetryLater, hclog.Warn, ExitFailed, "Backend servers ended whenever they ran this request, so none gets it for now."},
-	{StreamNotResumable, 51, http.StatusServiceUnavailable, NotRun, RetryLater, hclog.Warn, ExitFailed, "The software version that began the stream is unknown or has no server that can go on with it."},
+	{StreamNotResumable, 51, http.StatusServiceUnavailable, NotRun, RetryLater, hclog.Warn, ExitFailed, "The software version that began the stream is unknown or has no server that can continue it."},
 }
--- a/internal/forward/resumption.go
+++ b/internal/forward/resumption.go
@@ -7,7 +7,7 @@
 	"github.com/kumquathollow/kumquathollow/internal/streamorigin"
 )
 
-// isResumption reports whether the client goes on with a stream of which it has events.
+// isResumption reports whether the request continues a stream of which the client has events.
 func (x *exchange) isResumption() bool {
 	return x.route.Resumable && (x.requestInfo.Resumes != "" || x.requestInfo.LastEventID != "" && x.requestInfo.LastEventID != "0")
 }
@@ -22,7 +22,7 @@
 }
 
 // resolveOrigin finds out which software version began the stream that the request resumes,
-// since only that one can go on with it. Nothing needs to be known if the route has had only
+// since only that one can continue it. Nothing needs to be known if the route has had only
 // one version lately.
 func (x *exchange) resolveOrigin() error {
 	if !x.isResumption() {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -66,7 +66,7 @@
 			continue
 		}
 		if x.route.Resumable && x.origin.Version == "" {
-			x.origin.Version = picked.Version // From here on, the stream can go on only at this version.
+			x.origin.Version = picked.Version // No other version can continue the stream.
 		}
 		if err := x.writeEvent(resp, event); err != nil {
 			return attemptResult{err: err, sent: true, mayHaveRun: true, outcome: placement.Neutral}
--- a/internal/quarantine/doc.go
+++ b/internal/quarantine/doc.go
@@ -12,8 +12,7 @@
 // told the suspects and answer with those with which a request has succeeded.
 //
 // A quarantine is tested after a time that grows with each failed test: one router may send
-// one request. If it succeeds, the quarantine is lifted; if the server ends, the quarantine
-// goes on.
+// one request. If it succeeds, the quarantine is lifted; if the server ends, it stays.
 //
 // Limits: a server counts as ended if it refuses connections after its responses broke
 // off. One that restarts within that moment, or that falls silent, is not counted. The
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -247,7 +247,7 @@
 }
 
 // requestVerdicts returns the requests to quarantine. The one that was present at the most
-// crashes explains these, so that others that were present by chance go on.
+// crashes explains these, so that others that were present by chance are not refused.
 func (t *Tracker) requestVerdicts(quarantined map[Subject]bool, now time.Time) []Verdict {
 	explained := map[Subject]bool{}
 	for s := range quarantined {
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -96,7 +96,7 @@
 }
 
 // Guards against blaming a request for ends at which it was present by chance, and against
-// going on with one that is repeated and present at all of them.
+// sparing one that is repeated and present at all of them.
 func TestTheRecurringRequestIsQuarantined(t *testing.T) {
 	bad, popular := request(1), request(2)
 	for name, tc := range map[string]struct {
