Record the origin of a stream with its first event, not when it is sent

Cause: the origin was reported when the request was sent, to a server of v2. The router was frozen, sent the request to v1 after that, and relayed one event; the clients resumed the streams at another router 6 ms later, before the correction had arrived. A known origin must never be a wrong one: unknown streams are refused.

Evidence: log of router-2, request c9-35 (server-6 v2 at :29.68, server-1 v1 with events=1 at :32.70), resumed at :32.703.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -256,7 +256,6 @@
 			return x.fail(err)
 		}
 		x.lastPicked = picked
-		x.recordOrigin(picked)
 		res := x.attempt(picked)
 		if res.err == nil {
 			return nil
--- a/internal/forward/resumption.go
+++ b/internal/forward/resumption.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"github.com/kumquathollow/kumquathollow/internal/catalog"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/placement"
 	"github.com/kumquathollow/kumquathollow/internal/streamorigin"
@@ -62,13 +61,17 @@
 	}
 }
 
-// recordOrigin reports which version is about to begin the stream, before the request is
-// sent: the client can resume the stream as soon as it has the first event. While several
-// versions serve, the report does not wait, since this router may be lost before the next one.
-func (x *exchange) recordOrigin(picked *placement.PickResult) {
-	if x.route.Repeat != catalog.Stream || !x.route.Resumable || x.isResumption() || x.headerSent || picked.Version == "" {
+// beginStream fixes the version that began the stream, before its first event is relayed: no
+// other version can continue it. The report of a new stream does not wait while several
+// versions serve, since this router may be lost before the next one. It is not sent any
+// earlier: until its first event, the stream may still begin at another version.
+func (x *exchange) beginStream(picked *placement.PickResult) {
+	if !x.route.Resumable || x.origin.Version != "" || picked.Version == "" {
 		return
 	}
-	mixed := len(x.f.opts.Fleet.Versions(x.service.Name)) > 1
-	x.f.opts.View.RecordOrigin(x.stream(), streamorigin.Origin{Service: x.service.Name, Version: picked.Version}, mixed)
+	x.origin = streamorigin.Origin{Service: x.service.Name, Version: picked.Version}
+	if !x.isResumption() {
+		mixed := len(x.f.opts.Fleet.Versions(x.service.Name)) > 1
+		x.f.opts.View.RecordOrigin(x.stream(), x.origin, mixed)
+	}
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -65,9 +65,7 @@
 		if ok && x.isDuplicate(id) {
 			continue
 		}
-		if x.route.Resumable && x.origin.Version == "" {
-			x.origin.Version = picked.Version // No other version can continue the stream.
-		}
+		x.beginStream(picked)
 		if err := x.writeEvent(resp, event); err != nil {
 			return attemptResult{err: err, sent: true, mayHaveRun: true, outcome: placement.Neutral}
 		}
