Count failed connections to servers and show whether a router is cut off

A router's connections to servers can be opened by a function of its adapter, for tests of cut paths. No decision changes.

--- a/internal/backend/endless_test.go
+++ b/internal/backend/endless_test.go
@@ -66,7 +66,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			address := newEndlessServer(t, tc.head, tc.rest)
-			pool := NewPool(func() {})
+			pool := NewPool(Options{})
 			ctx, cancel := context.WithTimeout(t.Context(), deadline)
 			defer cancel()
 			var before, after runtime.MemStats
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"syscall"
 	"time"
@@ -28,8 +29,16 @@
 type Pool struct {
 	mu      sync.Mutex
 	servers map[string]*serverPool
-	// onOpen is called for each connection that is opened.
-	onOpen func()
+	opts    Options
+}
+
+// Options configures a Pool.
+type Options struct {
+	// OnOpen is called for each connection that is opened, and OnFailure for each that could
+	// not be; nil if nothing is to be called.
+	OnOpen, OnFailure func()
+	// Dial opens connections; nil means TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // serverPool holds the idle connections to one incarnation of a backend server, and
@@ -41,9 +50,15 @@
 	openConns int
 }
 
-// NewPool returns an empty Pool that calls onOpen for each new connection.
-func NewPool(onOpen func()) *Pool {
-	return &Pool{servers: map[string]*serverPool{}, onOpen: onOpen}
+// NewPool returns an empty Pool.
+func NewPool(opts Options) *Pool {
+	if opts.Dial == nil {
+		dialer := rpc.NetDialer(dialTimeout)
+		opts.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		}
+	}
+	return &Pool{servers: map[string]*serverPool{}, opts: opts}
 }
 
 func (s *serverPool) connClosed() {
@@ -93,12 +108,17 @@
 	}
 	s.openConns++
 	s.mu.Unlock()
-	raw, err := rpc.NetDialer(dialTimeout).DialContext(ctx, "tcp", t.Address)
+	raw, err := p.opts.Dial(ctx, t.Address)
 	if err != nil {
 		s.connClosed()
+		if p.opts.OnFailure != nil {
+			p.opts.OnFailure()
+		}
 		return nil, errkind.Wrap(err, errkind.Unreachable, "connect to server %q", t.ID)
 	}
-	p.onOpen()
+	if p.opts.OnOpen != nil {
+		p.opts.OnOpen()
+	}
 	return newConn(raw, s), nil
 }
 
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -74,6 +74,8 @@
 	Decode func(document []byte) (*catalog.Set, error)
 	// ReadyPath is the path of the load balancer's readiness check.
 	ReadyPath string
+	// DialServer opens connections to backend servers; nil means TCP.
+	DialServer func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // New opens the listeners and assembles the router.
@@ -98,8 +100,14 @@
 		RouterID: conf.Name + "/" + uuid.NewString(), DataCentre: conf.DataCentre, Dialer: r.dialer, Seeds: rpc.WithPort(conf.Seeds, conf.DirectoryPort),
 		Decode: adapter.Decode, Fleet: r.fleet, Log: log.Named("fleet"),
 	})
-	opened := r.metrics.Counter("backend.connections_opened")
-	r.pool = backend.NewPool(func() { opened.Inc(1) })
+	opened, failed := r.metrics.Counter("backend.connections_opened"), r.metrics.Counter("backend.connections_failed")
+	r.pool = backend.NewPool(backend.Options{OnOpen: func() { opened.Inc(1) }, OnFailure: func() { failed.Inc(1) }, Dial: adapter.DialServer})
+	r.metrics.Gauge("backend.cut_off", func() int64 {
+		if r.fleet.CutOff(time.Now()) {
+			return 1
+		}
+		return 0
+	})
 	r.forwarder = forward.New(forward.Options{
 		Protocol: adapter.Protocol, View: r.view, Fleet: r.fleet, Pool: r.pool,
 		RetryLimits:        forward.RetryLimits{Ratio: conf.Bounds.RetryRatio, Slack: conf.Bounds.RetrySlack, Window: conf.Bounds.RetryWindow.AsDuration()},
