--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -43,27 +43,34 @@
 }
 
 func newConn(raw net.Conn, pool *serverPool) *conn {
-	head := &headLimiter{Reader: raw}
+	head := &headLimiter{Reader: raw, onRead: pool.pool.recordHeard}
 	return &conn{Conn: raw, br: bufio.NewReaderSize(head, readBufferBytes), head: head, pool: pool}
 }
 
-// headLimiter limits the bytes that are read while limited is set.
+// headLimiter limits the bytes that are read while limited is set. It calls onRead after
+// each successful read.
 type headLimiter struct {
 	io.Reader
+	onRead    func()
 	limited   bool
 	remaining int
 }
 
 // Read implements io.Reader.
 func (l *headLimiter) Read(p []byte) (int, error) {
-	if !l.limited {
-		return l.Reader.Read(p)
+	if l.limited {
+		if l.remaining <= 0 {
+			return 0, errHeadTooLong
+		}
+		p = p[:min(len(p), l.remaining)]
+	}
+	n, err := l.Reader.Read(p)
+	if l.limited {
+		l.remaining -= n
 	}
-	if l.remaining <= 0 {
-		return 0, errHeadTooLong
+	if n > 0 {
+		l.onRead()
 	}
-	n, err := l.Reader.Read(p[:min(len(p), l.remaining)])
-	l.remaining -= n
 	return n, err
 }
 
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -33,6 +33,8 @@
 // Response is a response whose header has been read. Close must be called.
 type Response struct {
 	*http.Response
+	// Opened is set if a connection was opened for the request.
+	Opened    bool
 	pool      *Pool
 	conn      *conn
 	stopAbort func() bool
@@ -65,11 +67,11 @@
 // server may have run the request. ctx applies to the whole exchange, including the
 // response body.
 func (p *Pool) Do(ctx context.Context, t Target, r *Request) (*Response, error) {
-	c, err := p.get(ctx, t, r.NonIdempotent)
+	c, opened, err := p.get(ctx, t, r.NonIdempotent)
 	if err != nil {
 		return nil, err
 	}
-	resp := &Response{pool: p, conn: c, stopAbort: c.abortOnDone(ctx)}
+	resp := &Response{Opened: opened, pool: p, conn: c, stopAbort: c.abortOnDone(ctx)}
 	resp.written = c.writeRequest(r)
 	resp.Response, err = c.readResponse(r)
 	if err != nil {
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -30,6 +31,10 @@
 	mu      sync.Mutex
 	servers map[string]*serverPool
 	opts    Options
+	// startedAt is when the pool was made, and heardAt when a byte was last received from any
+	// server, as the time since then.
+	startedAt time.Time
+	heardAt   atomic.Int64
 }
 
 // Options configures a Pool.
@@ -44,6 +49,7 @@
 // serverPool holds the idle connections to one incarnation of a backend server, and
 // the number of all open ones.
 type serverPool struct {
+	pool      *Pool
 	address   string
 	mu        sync.Mutex
 	idle      []*conn
@@ -58,7 +64,14 @@
 			return dialer.DialContext(ctx, "tcp", address)
 		}
 	}
-	return &Pool{servers: map[string]*serverPool{}, opts: opts}
+	return &Pool{servers: map[string]*serverPool{}, opts: opts, startedAt: time.Now()}
+}
+
+func (p *Pool) recordHeard() { p.heardAt.Store(int64(time.Since(p.startedAt))) }
+
+// SilentSince reports whether nothing was received from any server since at.
+func (p *Pool) SilentSince(at time.Time) bool {
+	return time.Duration(p.heardAt.Load()) <= at.Sub(p.startedAt)
 }
 
 func (s *serverPool) connClosed() {
@@ -82,20 +95,21 @@
 	defer p.mu.Unlock()
 	s := p.servers[t.ID]
 	if s == nil || s.address != t.Address {
-		s = &serverPool{address: t.Address}
+		s = &serverPool{pool: p, address: t.Address}
 		p.servers[t.ID] = s
 	}
 	return s
 }
 
-// get returns an idle connection or opens a new one. Its errors have kind
-// unreachable, or queue-full if MaxConnections are in use, and mean that nothing was
+// get returns an idle connection or opens a new one, and whether it did that. Its errors have
+// kind unreachable, or queue-full if MaxConnections are in use, and mean that nothing was
 // sent.
-func (p *Pool) get(ctx context.Context, t Target, nonIdempotent bool) (*conn, error) {
+func (p *Pool) get(ctx context.Context, t Target, nonIdempotent bool) (c *conn, opened bool, err error) {
 	if c := p.poolFor(t).takeIdle(nonIdempotent, time.Now()); c != nil {
-		return c, nil
+		return c, false, nil
 	}
-	return p.open(ctx, t)
+	c, err = p.open(ctx, t)
+	return c, err == nil, err
 }
 
 // open opens a connection. Its errors are those of get.
@@ -123,15 +137,21 @@
 }
 
 // Refused reports whether the backend server refuses connections, as one does whose process
-// has ended. A connection that it accepts is kept for the next request.
+// has ended.
 func (p *Pool) Refused(ctx context.Context, t Target) bool {
+	return errors.Is(p.Probe(ctx, t), syscall.ECONNREFUSED)
+}
+
+// Probe opens a connection to the backend server and keeps it for the next request. Its
+// errors are those of get.
+func (p *Pool) Probe(ctx context.Context, t Target) error {
 	c, err := p.open(ctx, t)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return err
 	}
 	c.idleTimeout = defaultIdleTimeout
 	p.put(c)
-	return false
+	return nil
 }
 
 // takeIdle returns the most recently used idle connection that is still reusable, or
--- a/internal/directory/peers.go
+++ b/internal/directory/peers.go
@@ -43,6 +43,8 @@
 	origins []streamorigin.Record
 	// acks are the counters of changes that are not yet sent to the peer.
 	acks []*ackCounter
+	// relaysAcked is the version of the relays that the peer has acknowledged.
+	relaysAcked uint64
 	// process is the run of the peer's process that acknowledged last.
 	process string
 	// wake makes the peer's goroutine call at once.
@@ -56,6 +58,8 @@
 	dataCentre string
 	load       *fleetpb.Load
 	routers    int
+	// relays are the routers that follow the process and take over requests of others.
+	relays     []string
 	receivedAt time.Time
 }
 
@@ -122,6 +126,8 @@
 	crashes  []quarantine.Crash
 	survived map[quarantine.Subject]bool
 	origins  []streamorigin.Record
+	// relaysVersion is that of the relays in the request.
+	relaysVersion uint64
 }
 
 // takeCall returns what the peer is to be sent now.
@@ -133,6 +139,10 @@
 		Load: inventory.EncodeLoad(h.ownLoad()), Routers: uint32(h.reporting),
 		Crashes: quarantine.EncodeCrashes(p.crashes, h.now()), Survived: survived, SurvivedRequests: survivedRequests, Origins: streamorigin.Encode(p.origins),
 	}
+	call.relaysVersion = h.relays.version
+	if p.relaysAcked != call.relaysVersion {
+		call.req.Relays = &fleetpb.Relays{Addresses: h.ownRelays(maxSpreadRelays)}
+	}
 	for id := range p.heard {
 		call.req.Heard = append(call.req.Heard, uint32(routing.Hash(id)))
 	}
@@ -158,6 +168,10 @@
 		return
 	}
 	restarted := p.process != "" && resp.Process != p.process
+	p.relaysAcked = call.relaysVersion
+	if restarted {
+		p.relaysAcked = 0
+	}
 	if resp.List || restarted {
 		h.addAllServers(p)
 	}
@@ -186,7 +200,14 @@
 	h.recordQuarantineReports(req.Crashes, quarantine.DecodeSubjects(req.Survived, req.SurvivedRequests), false)
 	h.recordOrigins(req.Origins, false)
 	if req.From != "" {
-		h.peerReports[req.From] = &peerReport{dataCentre: req.DataCentre, load: req.Load, routers: int(req.Routers), receivedAt: now}
+		report := &peerReport{dataCentre: req.DataCentre, load: req.Load, routers: int(req.Routers), receivedAt: now}
+		if previous := h.peerReports[req.From]; previous != nil {
+			report.relays = previous.relays
+		}
+		if req.Relays != nil {
+			report.relays = req.Relays.Addresses
+		}
+		h.peerReports[req.From] = report
 	}
 	return list
 }
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,6 +19,7 @@
 	"github.com/kumquathollow/kumquathollow/internal/forward"
 	"github.com/kumquathollow/kumquathollow/internal/httpguard"
 	"github.com/kumquathollow/kumquathollow/internal/placement"
+	"github.com/kumquathollow/kumquathollow/internal/relay"
 	"github.com/kumquathollow/kumquathollow/internal/rpc"
 	"github.com/kumquathollow/kumquathollow/internal/telemetry"
 )
@@ -65,6 +67,11 @@
 	readyPath string
 
 	clients, readiness, admin net.Listener
+	// relay is the listener for requests of other routers; nil if there is none.
+	relay       net.Listener
+	relayServer *relay.Server
+	// takesRelays is set while this router takes over requests of others.
+	takesRelays atomic.Bool
 }
 
 // Adapter holds the deployment-specific parts of a router.
@@ -76,6 +83,8 @@
 	ReadyPath string
 	// DialServer opens connections to backend servers; nil means TCP.
 	DialServer func(ctx context.Context, address string) (net.Conn, error)
+	// DialFleet opens connections to other processes of the fleet; nil means TCP.
+	DialFleet func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // New opens the listeners and assembles the router.
@@ -84,10 +93,14 @@
 		settings: conf, log: log, metrics: telemetry.NewRegistry(), dialer: rpc.NewFleetDialer(),
 		ready: telemetry.NewReadiness(reasonConfiguration), readyPath: adapter.ReadyPath,
 	}
+	r.dialer.Dial = adapter.DialFleet
 	for _, l := range []struct {
 		listener *net.Listener
 		address  string
-	}{{&r.clients, conf.Clients}, {&r.readiness, conf.Ready}} {
+	}{{&r.clients, conf.Clients}, {&r.readiness, conf.Ready}, {&r.relay, conf.Relay}} {
+		if l.address == "" {
+			continue
+		}
 		var err error
 		if *l.listener, err = rpc.Listen(l.address, nil); err != nil {
 			r.closeListeners()
@@ -98,21 +111,28 @@
 	r.fleet = placement.NewFleet(conf.Name, conf.DataCentre, placement.Bounds{ColdFactor: conf.Bounds.ColdFactor, ColdSlack: conf.Bounds.ColdSlack})
 	r.view = fleetview.New(fleetview.Options{
 		RouterID: conf.Name + "/" + uuid.NewString(), DataCentre: conf.DataCentre, Dialer: r.dialer, Seeds: rpc.WithPort(conf.Seeds, conf.DirectoryPort),
-		Decode: adapter.Decode, Fleet: r.fleet, Log: log.Named("fleet"),
+		Decode: adapter.Decode, Fleet: r.fleet, Log: log.Named("fleet"), RelayAddress: r.relayAddress,
 	})
 	opened, failed := r.metrics.Counter("backend.connections_opened"), r.metrics.Counter("backend.connections_failed")
 	r.pool = backend.NewPool(backend.Options{OnOpen: func() { opened.Inc(1) }, OnFailure: func() { failed.Inc(1) }, Dial: adapter.DialServer})
 	r.metrics.Gauge("backend.cut_off", func() int64 {
-		if r.fleet.CutOff(time.Now()) {
+		if r.fleet.CutOff() {
 			return 1
 		}
 		return 0
 	})
-	r.forwarder = forward.New(forward.Options{
+	options := forward.Options{
 		Protocol: adapter.Protocol, View: r.view, Fleet: r.fleet, Pool: r.pool,
 		RetryLimits:        forward.RetryLimits{Ratio: conf.Bounds.RetryRatio, Slack: conf.Bounds.RetrySlack, Window: conf.Bounds.RetryWindow.AsDuration()},
 		MaxConfirmationAge: conf.Bounds.KeyTime.AsDuration() - keyTimeMargin, Log: log.Named("forward"), Metrics: r.metrics,
-	})
+	}
+	if r.relay != nil {
+		options.Relays = relays{&relay.Client{Router: conf.Name, Dialer: r.dialer}, r.view}
+	}
+	r.forwarder = forward.New(options)
+	r.relayServer = &relay.Server{Handle: r.forwarder.ServeRelayed, Accepts: r.takesRelays.Load}
+	r.metrics.Gauge("relay.in_flight", r.relayServer.InFlight)
+	r.metrics.Gauge("relay.known", func() int64 { return int64(len(r.view.Relays())) })
 	r.metrics.Gauge("config.revision", func() int64 { return int64(r.view.Snapshot().Revision) })
 	r.metrics.Gauge("config.confirmed_ago_ms", func() int64 {
 		age, _ := r.view.ConfirmationAge()
@@ -122,7 +142,7 @@
 }
 
 func (r *Router) closeListeners() {
-	for _, l := range []net.Listener{r.clients, r.readiness, r.admin} {
+	for _, l := range []net.Listener{r.clients, r.readiness, r.admin, r.relay} {
 		if l != nil {
 			_ = l.Close()
 		}
@@ -176,6 +196,10 @@
 	}
 	g.Go(func() error { return r.view.Run(ctx) })
 	g.Go(func() error { return r.pool.Run(ctx) })
+	g.Go(func() error { return r.forwarder.Run(ctx) })
+	if r.relay != nil {
+		g.Go(func() error { return r.serveRelay(ctx) })
+	}
 	g.Go(func() error { return r.updateReadiness(ctx) })
 	r.log.Info("listening", "name", r.settings.Name, "data-centre", r.settings.DataCentre, "clients", r.settings.Clients, "ready", r.settings.Ready, "seeds", r.settings.Seeds)
 	select {
@@ -215,7 +239,11 @@
 	time.Sleep(placement.BalancerDetectionTime)
 	ctx, cancel := context.WithTimeout(context.Background(), r.settings.Grace.AsDuration()-placement.BalancerDetectionTime-closeMargin)
 	defer cancel()
-	if err := clients.Shutdown(ctx); err != nil {
+	err := clients.Shutdown(ctx)
+	if err == nil {
+		err = r.awaitRelayed(ctx)
+	}
+	if err != nil {
 		r.log.Warn("requests aborted: still in flight at the end of the grace period", "in-flight", r.forwarder.InFlight(), "error", err)
 	}
 	r.log.Info("clients served", "took", time.Since(start).Round(time.Millisecond))
@@ -231,10 +259,14 @@
 		_, confirmed := r.view.ConfirmationAge()
 		r.ready.SetReason(reasonConfiguration, !confirmed || r.view.Snapshot().Configuration == nil)
 		r.ready.SetReason(reasonNoQuorum, r.view.QuorumAge() > quorumTimeout || r.view.OutOfQuorumDuration() > outOfQuorumTimeout)
-		r.ready.SetReason(reasonNoBackend, r.fleet.CutOff(time.Now()))
+		cutOff := r.fleet.CutOff()
+		r.ready.SetReason(reasonNoBackend, cutOff && !r.forwarder.CanPassOn())
+		if takes := r.ready.Ready() && !cutOff; r.takesRelays.Swap(takes) != takes {
+			r.view.RelayAddressChanged(ctx)
+		}
 		if isReady := r.ready.Ready(); isReady != wasReady {
 			wasReady = isReady
-			r.log.Info("readiness", "ready", isReady, "reasons", r.ready.Reasons(), "quorum-heard-ago", r.view.QuorumAge().Round(time.Millisecond), "revision", r.view.Snapshot().Revision)
+			r.log.Info("readiness", "ready", isReady, "reasons", r.ready.Reasons(), "cut-off", cutOff, "relays", len(r.view.Relays()), "quorum-heard-ago", r.view.QuorumAge().Round(time.Millisecond), "revision", r.view.Snapshot().Revision)
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -20,6 +20,9 @@
 	Ready string `yaml:"ready"`
 	// Admin is the listen address for /metrics, /healthz and /readyz.
 	Admin string `yaml:"admin"`
+	// Relay is the listen address for requests that other routers pass on, and the one at
+	// which they reach it; empty if this router neither takes nor passes on requests.
+	Relay string `yaml:"relay,omitempty"`
 	// DirectoryPort is the port on which directory processes serve routers.
 	DirectoryPort string `yaml:"directoryPort"`
 	// Seeds are addresses of directory processes. Only their hosts are used, with
@@ -69,7 +72,11 @@
 		settings.Field{Name: "directoryPort", Value: s.DirectoryPort},
 	)
 	if err == nil {
-		err = settings.CheckAddresses(append([]string{s.Clients, s.Ready, s.Admin}, s.Seeds...)...)
+		addresses := append([]string{s.Clients, s.Ready, s.Admin}, s.Seeds...)
+		if s.Relay != "" {
+			addresses = append(addresses, s.Relay)
+		}
+		err = settings.CheckAddresses(addresses...)
 	}
 	if err != nil {
 		return err
--- a/internal/errkind/error.go
+++ b/internal/errkind/error.go
@@ -61,6 +61,14 @@
 	}
 }
 
+// ByCode returns the kind with the code, or Internal if there is none.
+func ByCode(code uint64) Kind {
+	if r, ok := byCode[code]; ok {
+		return r.Kind
+	}
+	return Internal
+}
+
 // Lookup returns the row of the kind, or the row of Internal if the kind is not in the
 // table.
 func Lookup(k Kind) Row {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -38,6 +38,8 @@
 // placement.
 func (x *exchange) attempt(picked *placement.PickResult) attemptResult {
 	sentAt := time.Now()
+	silence := time.AfterFunc(silenceTimeout, func() { x.f.prober.checkSilence(sentAt) })
+	defer silence.Stop()
 	res := x.send(picked, sentAt)
 	latency := time.Since(sentAt)
 	if x.firstEvent > 0 {
@@ -60,6 +62,9 @@
 	}
 	defer resp.Close()
 	x.sends++
+	if resp.Opened {
+		picked.RecordOpened()
+	}
 	info := x.f.opts.Protocol.ParseResponse(resp.Response)
 	if info.Load != nil {
 		picked.RecordLoad(*info.Load, time.Now())
@@ -110,7 +115,7 @@
 }
 
 func (x *exchange) backendTarget(picked *placement.PickResult) backend.Target {
-	target := backend.Target{ID: picked.ID + "/" + strconv.FormatInt(picked.Born, 10), Address: picked.Address}
+	target := serverTarget(picked.Server)
 	if n := x.service.MaxConnections; n > 0 {
 		target.MaxConnections = max(1, int(connectionFraction*float64(n))/x.f.opts.Fleet.Routers())
 	}
@@ -157,7 +162,10 @@
 		res := attemptResult{err: errkind.Wrap(err, errkind.NoBackend, "could not obtain a connection to the server").WithRetryAfter(refusedRetryAfter), retryable: true, outcome: placement.Unreachable}
 		if errkind.Is(err, errkind.QueueFull) {
 			res.outcome = placement.Neutral
+			return res
 		}
+		x.unreachable++
+		x.f.prober.start()
 		return res
 	}
 	x.sends++
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -15,6 +15,7 @@
 	"github.com/kumquathollow/kumquathollow/internal/httpheader"
 	"github.com/kumquathollow/kumquathollow/internal/placement"
 	"github.com/kumquathollow/kumquathollow/internal/quarantine"
+	"github.com/kumquathollow/kumquathollow/internal/relay"
 	"github.com/kumquathollow/kumquathollow/internal/routing"
 	"github.com/kumquathollow/kumquathollow/internal/streamorigin"
 )
@@ -54,9 +55,15 @@
 	origin streamorigin.Origin
 
 	// sends counts the backend servers to which the request was sent, failedDials
-	// those to which it could not be sent.
-	sends, failedDials int
-	excluded           []string
+	// those to which it could not be sent, and unreachable those of them to which no
+	// connection could be opened.
+	sends, failedDials, unreachable int
+	// passedOn are the addresses of the routers to which the request was passed on.
+	passedOn []string
+	// relayed is what another router told of the request that it passed on; nil for a
+	// client's own request.
+	relayed  *relay.Request
+	excluded []string
 	// anyMayHaveRun is set once an attempt may have run.
 	anyMayHaveRun bool
 	// errorResponse is a backend server's own 5xx response. It is relayed if no
@@ -95,6 +102,7 @@
 	if err := x.readBody(); err != nil {
 		return err
 	}
+	x.continueRelayed()
 	timeout := x.route.Timeout
 	if x.requestInfo.Timeout > 0 {
 		timeout = min(timeout, x.requestInfo.Timeout)
@@ -107,7 +115,9 @@
 		return x.fail(err)
 	}
 	x.setSubjects()
-	x.f.budgetFor(x.service.Name).recordRequest(x.startedAt)
+	if x.relayed == nil { // The other router has counted it.
+		x.f.budgetFor(x.service.Name).recordRequest(x.startedAt)
+	}
 	return x.runAttempts()
 }
 
@@ -251,28 +261,50 @@
 		if err := x.checkQuarantine(); err != nil {
 			return x.fail(err)
 		}
-		picked, err := x.f.opts.Fleet.Pick(placement.PickRequest{Service: x.service, Key: x.affinityKey, Parts: x.prefixHashes, SharedTokens: x.sharedTokens, TieBreaker: x.requestHash, Exclude: x.excluded, Version: x.origin.Version}, time.Now())
+		res, err := x.nextAttempt()
 		if err != nil {
 			return x.fail(err)
 		}
-		x.lastPicked = picked
-		res := x.attempt(picked)
 		if res.err == nil {
 			return nil
 		}
 		x.anyMayHaveRun = x.anyMayHaveRun || res.mayHaveRun
-		x.f.logFailedAttempt(x, picked, res)
-		x.checkCrash(picked, res)
 		if x.ctx.Err() != nil || !res.retryable || !x.canRetry(res) {
 			return x.fail(res.err)
 		}
-		x.excluded = append(x.excluded, picked.ID)
 		if res.sent && !x.f.budgetFor(x.service.Name).allowRetry(x.f.opts.Fleet.Routers(), time.Now()) {
 			return x.fail(errkind.Wrap(res.err, errkind.RetryBudget, "the retry budget of service %q is exhausted", x.service.Name))
 		}
 	}
 }
 
+// nextAttempt makes an attempt at a backend server or, if this router does not reach the
+// servers, through another router. Its error means that there is nothing to attempt.
+func (x *exchange) nextAttempt() (attemptResult, error) {
+	if x.unreachable >= minUnreachable {
+		if res, ok := x.passOn(); ok {
+			return res, nil
+		}
+	}
+	picked, err := x.f.opts.Fleet.Pick(placement.PickRequest{Service: x.service, Key: x.affinityKey, Parts: x.prefixHashes, SharedTokens: x.sharedTokens, TieBreaker: x.requestHash, Exclude: x.excluded, Version: x.origin.Version}, time.Now())
+	if err != nil {
+		if x.unreachable > 0 || errors.Is(err, placement.ErrUnreachable) {
+			if res, ok := x.passOn(); ok {
+				return res, nil
+			}
+		}
+		return attemptResult{}, err
+	}
+	x.lastPicked = picked
+	res := x.attempt(picked)
+	if res.err != nil {
+		x.f.logFailedAttempt(x, picked, res)
+		x.checkCrash(picked, res)
+		x.excluded = append(x.excluded, picked.ID)
+	}
+	return res, nil
+}
+
 // attemptResult is the result of one attempt. A nil err means that the client has
 // its response.
 type attemptResult struct {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -16,6 +17,7 @@
 	"github.com/kumquathollow/kumquathollow/internal/eventlog"
 	"github.com/kumquathollow/kumquathollow/internal/fleetview"
 	"github.com/kumquathollow/kumquathollow/internal/placement"
+	"github.com/kumquathollow/kumquathollow/internal/relay"
 	"github.com/kumquathollow/kumquathollow/internal/telemetry"
 )
 
@@ -31,8 +33,10 @@
 	// may have been revoked in the meantime. Beyond it, a missing route is not reported
 	// as such either.
 	MaxConfirmationAge time.Duration
-	Log                hclog.Logger
-	Metrics            *telemetry.Registry
+	// Relays passes requests on to other routers; nil if there is no way to.
+	Relays  Relays
+	Log     hclog.Logger
+	Metrics *telemetry.Registry
 }
 
 // Forwarder is the http.Handler for client requests. It is safe for concurrent use.
@@ -45,6 +49,8 @@
 	// requestBodies and responses are the memory of what is buffered.
 	requestBodies, responses memoryBudget
 	crashes                  *crashDetector
+	prober                   *prober
+	peers                    *relay.Peers
 
 	mu           sync.Mutex
 	retryBudgets map[string]*retryBudget
@@ -59,6 +65,8 @@
 	f := &Forwarder{opts: opts, startedAt: time.Now(), sampler: eventlog.NewSampler(logLinesPerSecond), retryBudgets: map[string]*retryBudget{}}
 	f.requestBodies.limit, f.responses.limit = maxBufferedBytes, maxBufferedResponseBytes
 	f.crashes = newCrashDetector(opts.Pool, f.reportCrash)
+	f.prober = newProber(opts.Fleet, opts.Pool)
+	f.peers = relay.NewPeers()
 	opts.Metrics.Gauge("forward.in_flight", f.inFlight.Load)
 	opts.Metrics.Gauge("forward.body_bytes", f.requestBodies.used.Load)
 	opts.Metrics.Gauge("forward.response_bytes", f.responses.used.Load)
@@ -106,7 +114,7 @@
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
-	x := &exchange{f: f, w: w, r: r, rc: http.NewResponseController(w), startedAt: time.Now(), view: f.opts.View.Snapshot()}
+	x := f.newExchange(w, r)
 	if f.keepAlivesDisabled.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -128,6 +136,13 @@
 	writeError(w, f.opts.Protocol.IDHeader(), x.requestInfo.ID, err)
 }
 
+func (f *Forwarder) newExchange(w http.ResponseWriter, r *http.Request) *exchange {
+	return &exchange{f: f, w: w, r: r, rc: http.NewResponseController(w), startedAt: time.Now(), view: f.opts.View.Snapshot()}
+}
+
+// Run checks which servers can be reached, until ctx is done.
+func (f *Forwarder) Run(ctx context.Context) error { return f.prober.run(ctx) }
+
 const (
 	// discardTimeout and maxDiscardedBytes limit how much of a refused request's body is
 	// read before the response.
--- /dev/null
+++ b/internal/forward/relay.go
@@ -0,0 +1,142 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/kumquathollow/kumquathollow/api/relaypb"
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/httpheader"
+	"github.com/kumquathollow/kumquathollow/internal/placement"
+	"github.com/kumquathollow/kumquathollow/internal/relay"
+	"github.com/kumquathollow/kumquathollow/internal/routing"
+)
+
+const (
+	// minUnreachable is from how many unreachable servers on a request is passed on to
+	// another router. One could have crashed.
+	minUnreachable = 2
+	// maxPassedOn limits the routers to which a request is passed on, one after the other.
+	maxPassedOn = 2
+)
+
+// Relays passes requests on to other routers.
+type Relays interface {
+	// Addresses returns the routers that take over requests.
+	Addresses() []string
+	// Do passes a request on to the router at address and calls receive for each part of
+	// the response.
+	Do(ctx context.Context, address string, req *relaypb.ExchangeRequest, receive func(relay.Part) error) relay.Result
+}
+
+// CanPassOn reports whether there are routers to which requests can be passed on.
+func (f *Forwarder) CanPassOn() bool {
+	return f.opts.Relays != nil && f.peers.Available(f.opts.Relays.Addresses(), time.Now())
+}
+
+// ServeRelayed handles a request that another router has passed on. It implements
+// relay.Handler.
+func (f *Forwarder) ServeRelayed(w http.ResponseWriter, r *relay.Request) (sends int, mayHaveRun bool, err error) {
+	f.inFlight.Add(1)
+	defer f.inFlight.Add(-1)
+	f.opts.Metrics.Counter("forward.relay.taken_over").Inc(1)
+	x := f.newExchange(w, r.Request)
+	x.relayed = r
+	x.sends, x.excluded = r.Sends, r.Excluded
+	err = x.serve()
+	x.recordOutcome(err)
+	return x.sends, x.anyMayHaveRun, err
+}
+
+// continueRelayed takes over what another router told of the request.
+func (x *exchange) continueRelayed() {
+	if x.relayed == nil {
+		return
+	}
+	x.requestInfo.Timeout = max(time.Millisecond, x.relayed.Timeout)
+	x.lastEventID = x.relayed.LastEventID
+	if x.relayed.Origin.Version != "" {
+		x.origin = x.relayed.Origin
+		x.useService(x.origin.Service)
+	}
+}
+
+// mayPassOn reports whether the request may be passed on to another router. One that was
+// passed on already may not.
+func (x *exchange) mayPassOn() bool {
+	return x.f.opts.Relays != nil && x.relayed == nil && len(x.passedOn) < maxPassedOn
+}
+
+// passOn passes the request on to another router and relays its response. It returns false
+// if there is no router left that may be tried.
+func (x *exchange) passOn() (attemptResult, bool) {
+	if !x.mayPassOn() {
+		return attemptResult{}, false
+	}
+	relays := x.f.opts.Relays
+	address := x.f.peers.Choose(relays.Addresses(), x.passedOn, routing.Hash(x.requestInfo.ID), time.Now())
+	if address == "" {
+		return attemptResult{}, false
+	}
+	x.passedOn = append(x.passedOn, address)
+	x.f.opts.Metrics.Counter("forward.relay.passed_on").Inc(1)
+	res := relays.Do(x.ctx, address, x.relayRequest(), x.receivePart)
+	x.f.peers.Done(address, res.PeerFailed, time.Now())
+	out := x.relayResult(res)
+	if out.err != nil {
+		x.f.logFailedRelay(x, address, out)
+	}
+	return out, true
+}
+
+func (x *exchange) relayRequest() *relaypb.ExchangeRequest {
+	header := make(http.Header, len(x.r.Header))
+	httpheader.CopyEndToEnd(header, x.r.Header, "")
+	req := relay.EncodeRequest(x.r, header, x.body)
+	req.TimeoutMs = uint32(max(1, time.Until(x.deadline).Milliseconds()))
+	req.Sends, req.Excluded = uint32(x.sends), x.excluded
+	req.LastEventId, req.OriginService, req.OriginVersion = x.lastEventID, x.origin.Service, x.origin.Version
+	return req
+}
+
+// receivePart relays one part of another router's response to the client.
+func (x *exchange) receivePart(p relay.Part) error {
+	whole := p.Header.Get("Content-Length") != ""
+	switch {
+	case whole && x.headerSent:
+		return errkind.New(errkind.StreamBroken, "the stream goes on as a response with status %d", p.Status)
+	case whole:
+		return x.writeResponse(&bufferedResponse{status: p.Status, header: p.Header, body: p.Data})
+	case len(p.Data) == 0:
+		x.writeHeader(&http.Response{StatusCode: p.Status, Header: p.Header})
+		return nil
+	}
+	id, ok := eventID(p.Data)
+	if ok && x.isDuplicate(id) {
+		return nil
+	}
+	if err := x.writeEvent(&http.Response{StatusCode: p.Status, Header: p.Header}, p.Data); err != nil {
+		return err
+	}
+	if ok {
+		x.lastEventID = id
+	}
+	return nil
+}
+
+// relayResult translates how an exchange with another router ended.
+func (x *exchange) relayResult(res relay.Result) attemptResult {
+	x.sends = max(x.sends, res.Sends)
+	out := attemptResult{err: res.Err, sent: res.MayHaveRun, mayHaveRun: res.MayHaveRun, outcome: placement.Neutral}
+	switch {
+	case x.r.Context().Err() != nil:
+		out.err = errkind.New(errkind.ClientGone, "the client closed its connection while another router handled its request")
+	case res.Err == nil && !x.headerSent:
+		out.err = errkind.New(errkind.BackendLost, "the other router completed the response without sending one")
+	case res.Err != nil && !res.MayHaveRun:
+		out.retryable = res.PeerFailed || slices.Contains([]errkind.Kind{errkind.NoBackend, errkind.Unreachable}, errkind.Of(res.Err))
+	}
+	return out
+}
--- a/internal/forward/resumption.go
+++ b/internal/forward/resumption.go
@@ -24,7 +24,7 @@
 // since only that one can continue it. Nothing needs to be known if the route has had only
 // one version lately.
 func (x *exchange) resolveOrigin() error {
-	if !x.isResumption() {
+	if !x.isResumption() || x.origin.Version != "" {
 		return nil
 	}
 	versions, mixed := x.f.opts.Fleet.Versions(x.service.Name), false
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -66,7 +67,7 @@
 			continue
 		}
 		x.beginStream(picked)
-		if err := x.writeEvent(resp, event); err != nil {
+		if err := x.writeEvent(resp.Response, event); err != nil {
 			return attemptResult{err: err, sent: true, mayHaveRun: true, outcome: placement.Neutral}
 		}
 		if ok {
@@ -139,7 +140,7 @@
 	return err == nil && current <= lastSent
 }
 
-func (x *exchange) writeEvent(resp *backend.Response, event []byte) error {
+func (x *exchange) writeEvent(resp *http.Response, event []byte) error {
 	x.writeHeader(resp)
 	if x.eventsSent == 0 {
 		x.firstEvent = time.Since(x.startedAt)
@@ -160,7 +161,7 @@
 
 // writeHeader sends the header of the first backend server's response to the client,
 // once.
-func (x *exchange) writeHeader(resp *backend.Response) {
+func (x *exchange) writeHeader(resp *http.Response) {
 	if x.headerSent {
 		return
 	}
@@ -171,7 +172,7 @@
 }
 
 func (x *exchange) streamEnded(resp *backend.Response) attemptResult {
-	x.writeHeader(resp)
+	x.writeHeader(resp.Response)
 	return attemptResult{sent: true, mayHaveRun: true, outcome: placement.Success}
 }
 
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -212,21 +212,6 @@
 
 var emptyPool = &pool{ranking: emptyRanking}
 
-// CutOff reports whether this router fails to reach any server that may take requests,
-// in at least two data centres.
-func (f *Fleet) CutOff(now time.Time) bool {
-	dataCentres, evacuated := map[string]bool{}, *f.evacuated.Load()
-	for _, p := range *f.pools.Load() {
-		for _, s := range p.servers {
-			if !slices.Contains(evacuated, s.DataCentre) {
-				dataCentres[s.DataCentre] = true
-			}
-		}
-	}
-	state := f.reachability.cutOff(dataCentres, now)
-	return state != nil && now.Sub(state.failedAt) < cutOffTTL
-}
-
 // InFlight returns this router's requests in flight, by the low 32 bits of the
 // server's hash, and records them as reported.
 func (f *Fleet) InFlight() map[uint32]int {
@@ -263,8 +248,10 @@
 		poolRate = p.fleet.medianFailureRate(p.Service) // Only needed for Failure; it scans all servers.
 	}
 	p.Server.recordOutcome(o, latency, poolRate, now)
-	p.fleet.reachability.recordOutcome(p.DataCentre, p.ID, o, now)
-	if o == Success {
+	switch o {
+	case Unreachable:
+		p.fleet.reachability.recordUnreachable(p.DataCentre, p.ID, now)
+	case Success:
 		p.fleet.partIndex.record(p.parts, p.Server)
 	}
 }
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -100,7 +100,8 @@
 }
 
 // Pick chooses a server. Its error has kind no-backend, data-centre-out or
-// stream-not-resumable and carries the time after which to retry.
+// stream-not-resumable and carries the time after which to retry. It is caused by
+// ErrUnreachable if only this router's connections stand in the way.
 func (f *Fleet) Pick(req PickRequest, now time.Time) (*PickResult, error) {
 	p := f.pool(req.Service.Name)
 	all, mean := f.candidates(p, req, now)
@@ -116,8 +117,7 @@
 	if len(usable) == 0 && slices.ContainsFunc(all, func(c candidate) bool { return c.evacuated }) {
 		return nil, errkind.New(errkind.DataCentreOut, "every data centre with servers of service %q is evacuated", req.Service.Name).WithRetryAfter(noServerRetryAfter)
 	}
-	usable, err := f.limitProbesWhenCutOff(usable, now)
-	if err != nil {
+	if err := f.checkReachable(usable, now); err != nil {
 		return nil, err
 	}
 	usable = f.preferHealthy(usable)
@@ -137,27 +137,22 @@
 		WithRetryAfter(f.RetryAfter(req.Service.Name, req.TieBreaker, noServerRetryAfter, now))
 }
 
-// limitProbesWhenCutOff drops the candidates in data centres that this router cannot
-// reach, if there are no others, except for one request that probes from time to time.
-// The others would wait for one connection after the other that cannot be opened; they
-// are refused at once until the load balancer sends their clients to another router.
-func (f *Fleet) limitProbesWhenCutOff(cs []candidate, now time.Time) ([]candidate, error) {
-	if len(cs) == 0 || !f.reachability.isPartitionKnown(cs[0].DataCentre) {
-		return cs, nil
+// checkReachable returns an error if all candidates are in data centres that this router
+// cannot reach. Requests would wait for one connection after the other that cannot be opened.
+func (f *Fleet) checkReachable(cs []candidate, now time.Time) error {
+	if len(cs) == 0 || !f.reachability.isPartitioned(cs[0].DataCentre) {
+		return nil
 	}
 	dataCentres := map[string]bool{}
 	for i := range cs {
 		dataCentres[cs[i].DataCentre] = true
 	}
-	state := f.reachability.cutOff(dataCentres, now)
-	if state == nil {
-		return cs, nil
+	since, cutOff := f.reachability.cutOffSince(dataCentres)
+	if !cutOff {
+		return nil
 	}
-	if len(state.probeDue) == 0 {
-		retryAfter := max(minCutOffRetryAfter, BalancerDetectionTime-now.Sub(state.since))
-		return nil, errkind.New(errkind.NoBackend, "no server can be reached: connections to all %d data centres with usable servers fail", len(dataCentres)).WithRetryAfter(retryAfter)
-	}
-	return filterOut(cs, func(c *candidate) bool { return !state.probeDue[c.DataCentre] }), nil
+	retryAfter := max(minCutOffRetryAfter, BalancerDetectionTime-now.Sub(since))
+	return errkind.Wrap(ErrUnreachable, errkind.NoBackend, "no server can be reached").WithRetryAfter(retryAfter)
 }
 
 // candidates returns all ready servers of a pool, ranked if the request has a key,
@@ -175,7 +170,7 @@
 	all = make([]candidate, 0, len(p.servers))
 	for _, s := range p.servers {
 		c := s.candidate(now, req)
-		c.ejected = c.ejected || f.reachability.isPartitioned(s.DataCentre, now)
+		c.ejected = c.ejected || f.reachability.isPartitioned(s.DataCentre)
 		c.evacuated = slices.Contains(evacuated, s.DataCentre)
 		c.excluded = slices.Contains(req.Exclude, s.ID)
 		c.otherVersion = req.Version != "" && s.Version != req.Version
@@ -214,7 +209,7 @@
 	// silent is set if the last heartbeat is older than heartbeatTimeout.
 	silent bool
 	// ejected is set if the server is ejected or being probed, or if its data centre
-	// is partitioned and no probe is due.
+	// is partitioned.
 	ejected bool
 	// probe is set if the request would be the probe after an ejection.
 	probe           bool
@@ -387,7 +382,6 @@
 	if !s.notices.limit.admit(f.Routers(), now) {
 		return false
 	}
-	f.reachability.deferProbe(s.DataCentre, now)
 	s.probing = s.probing || c.probe
 	s.inFlight++
 	return true
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -485,32 +485,48 @@
 	}
 }
 
+// probe tries the connections that are due and records for each whether its data centre
+// can be reached.
+func (w *fleetSim) probe(reachable func(dataCentre string) bool) (tried int) {
+	for _, s := range w.fleet.Probes(w.now) {
+		tried++
+		w.fleet.RecordProbe(s, reachable(s.DataCentre), w.now)
+	}
+	return tried
+}
+
 // A data centre is partitioned from this router. Two unreachable servers must be
-// enough to stop requests to all of them, and one that responds again must be
-// enough to resume.
+// enough to stop requests to all of them, and one connection that opens again must be
+// enough to resume. Connections without a request find that out.
 func TestAPartitionedDataCentreIsAvoidedAsAWhole(t *testing.T) {
 	w := newFleetSim(t)
 	w.join(18, "s")
 	w.advance(time.Minute)
 	partitioned := true
-	failed, sent := 0, 0
+	reachable := func(dataCentre string) bool { return !partitioned || dataCentre != "b" }
+	failed, sent, probes := 0, 0, 0
 	for i := range 400 {
 		w.advance(10 * time.Millisecond)
+		probes += w.probe(reachable)
 		p := w.pick(PickRequest{Key: key(i), SharedTokens: 500})
 		sent++
-		if partitioned && p.DataCentre == "b" {
+		if !reachable(p.DataCentre) {
 			failed++
 			p.Done(Unreachable, 0, w.now)
 			continue
 		}
 		p.Done(Success, time.Millisecond, w.now)
 	}
-	// In 4 s of partition: the first two requests, and one for each probe.
-	if failed > 9 {
-		t.Errorf("%d of %d requests went to the partitioned data centre, want at most 9", failed, sent)
+	if failed > 2 {
+		t.Errorf("%d of %d requests went to the partitioned data centre, want at most 2", failed, sent)
+	}
+	// In 4 s of partition two for each interval, and some to the other data centres at first.
+	if limit := 2*int(4*time.Second/probeInterval) + 10; probes > limit {
+		t.Errorf("%d connections were tried in 4 s, want at most %d", probes, limit)
 	}
 	partitioned = false
 	w.advance(maxEjectionTime + time.Second)
+	w.probe(reachable)
 	afterwards := 0
 	for i := range 300 {
 		w.advance(10 * time.Millisecond)
@@ -527,9 +543,9 @@
 
 // The pattern: a data centre is taken out and then cut off. Its routers may not use the
 // servers near them and cannot reach any other. After the first failed connections they
-// refuse requests at once, with the time until the load balancer sends elsewhere, instead
-// of letting each wait for several connections in turn, and are unready; one request
-// probes from time to time, and once the cut is over the next probe brings all back.
+// refuse all requests at once, with the time until the load balancer sends elsewhere, instead
+// of letting each wait for several connections in turn, and count as cut off; connections
+// without a request are tried from time to time, and the first that opens brings all back.
 func TestACutOffRouterRefusesAtOnceAndProbes(t *testing.T) {
 	w := newFleetSim(t)
 	w.join(12, "s")
@@ -539,28 +555,36 @@
 	cutOffAt := w.now.Add(dialTimeout + 100*time.Millisecond) // at the latest
 	type dial struct {
 		ends   time.Time
-		picked *PickResult
+		failed func()
 	}
-	cut, dials := true, []dial{}
+	cut, dials, probes := true, []dial{}, 0
 	// run sends a request every 10 ms and returns how many were refused and sent.
 	run := func(d time.Duration) (refused, sent int) {
 		for end := w.now.Add(d); w.now.Before(end); w.advance(10 * time.Millisecond) {
 			for len(dials) > 0 && !dials[0].ends.After(w.now) {
-				dials[0].picked.Done(Unreachable, dialTimeout, w.now)
+				dials[0].failed()
 				dials = dials[1:]
 			}
+			for _, s := range w.fleet.Probes(w.now) {
+				probes++
+				if !cut {
+					w.fleet.RecordProbe(s, true, w.now)
+					continue
+				}
+				dials = append(dials, dial{w.now.Add(dialTimeout), func() { w.fleet.RecordProbe(s, false, w.now) }})
+			}
 			p, err := w.fleet.Pick(PickRequest{Service: chat, Key: key(sent + refused), TieBreaker: uint64(sent + refused)}, w.now)
 			switch {
 			case err != nil:
 				refused++
 				var e *errkind.Error
-				if !errors.As(err, &e) || e.Kind != errkind.NoBackend || e.RetryAfter < minCutOffRetryAfter ||
+				if !errors.Is(err, ErrUnreachable) || !errors.As(err, &e) || e.Kind != errkind.NoBackend || e.RetryAfter < minCutOffRetryAfter ||
 					e.RetryAfter > max(minCutOffRetryAfter, cutOffAt.Add(BalancerDetectionTime).Sub(w.now)) {
 					t.Fatalf("refused with %v %s after the cut was noticed", err, w.now.Sub(cutOffAt))
 				}
 			case cut:
 				sent++
-				dials = append(dials, dial{w.now.Add(dialTimeout), p})
+				dials = append(dials, dial{w.now.Add(dialTimeout), func() { p.Done(Unreachable, dialTimeout, w.now) }})
 			default:
 				sent++
 				p.Done(Success, 10*time.Millisecond, w.now)
@@ -569,23 +593,25 @@
 		return refused, sent
 	}
 	run(dialTimeout + 100*time.Millisecond)
+	probes = 0
 	refused, sent := run(4 * time.Second)
-	if probes := int(4*time.Second/cutOffProbeInterval) + 1; sent > 2*probes || sent < probes/2 || refused+sent != 400 {
+	if refused != 400 || sent != 0 {
 		t.Errorf("of 400 requests %d were refused and %d sent to two data centres that cannot be reached", refused, sent)
 	}
-	if !w.fleet.CutOff(w.now) || w.fleet.CutOff(w.now.Add(cutOffTTL)) {
-		t.Error("the router does not count as cut off, or does without requests that probe")
+	// Two servers of each of three data centres, of which one can be taken back at any time.
+	if most := 6 * (int(4*time.Second/probeInterval) + 1); probes > most || probes < most/4 {
+		t.Errorf("%d connections were tried in 4 s, want %d to %d", probes, most/4, most)
 	}
-	cut = false
-	for _, d := range dials {
-		d.picked.Done(Unreachable, dialTimeout, w.now)
+	if !w.fleet.CutOff() {
+		t.Error("the router does not count as cut off")
 	}
+	cut = false
 	dials = nil
-	run(cutOffProbeInterval)
+	run(probeInterval)
 	if refused, _ := run(time.Second); refused > 0 {
 		t.Errorf("%d requests were refused after the cut", refused)
 	}
-	if w.fleet.CutOff(w.now) {
+	if w.fleet.CutOff() {
 		t.Error("the router counts as cut off after the cut")
 	}
 }
--- a/internal/placement/reachability.go
+++ b/internal/placement/reachability.go
@@ -1,56 +1,61 @@
 package placement
 
 import (
+	"slices"
 	"sync"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
 	// minUnreachableServers is how many servers of a data centre must be
-	// unreachable, with no response from any of its servers in between, for the
+	// unreachable, with no connection opened to any of its servers in between, for the
 	// whole data centre to count as partitioned.
 	minUnreachableServers = 2
 	// unreachableTTL is how long an unreachable server counts towards that number.
 	unreachableTTL = 3 * time.Second
-	// partitionProbeInterval is how long a partitioned data centre gets no
-	// requests before a single one probes it.
-	partitionProbeInterval = 700 * time.Millisecond
-	// cutOffProbeInterval replaces partitionProbeInterval while no other data centre can
-	// take the request.
-	cutOffProbeInterval = 200 * time.Millisecond
+	// probeInterval is how often connections to a partitioned data centre are tried.
+	probeInterval = 200 * time.Millisecond
+	// suspicionInterval is how often at most all data centres are probed because one
+	// connection failed or no server responds.
+	suspicionInterval = time.Second
 	// minCutOffDataCentres is how many data centres must be partitioned, and no other be
 	// left, for this router to count as cut off. The servers of one could have crashed.
 	minCutOffDataCentres = 2
 	// minCutOffRetryAfter is the shortest Retry-After of a router that is cut off.
 	minCutOffRetryAfter = 500 * time.Millisecond
-	// cutOffTTL is how long after the last failed connection a router without requests
-	// still counts as cut off. Then it takes requests again, which probe.
-	cutOffTTL = 2 * time.Second
 )
 
+// ErrUnreachable is the cause of a Pick error if no connection can be opened to any data
+// centre with servers that may take the request. Other routers may reach them.
+var ErrUnreachable = errors.New("connections to all data centres with usable servers fail")
+
 // BalancerDetectionTime is how long the load balancer may take to send new connections to
 // other routers after a router has become unready: two health checks a second apart, and
 // one more.
 const BalancerDetectionTime = 2500 * time.Millisecond
 
-// reachability tracks which data centres this router can reach. Without it a
-// partition would be detected server by server, and each detection would cost one
-// request its time-out.
+// reachability tracks to which data centres this router can open connections. Without it a
+// partition would be detected server by server, and each detection would cost one request
+// its time-out. Responses do not count, since open connections may outlive the ability to
+// open new ones.
 type reachability struct {
 	mu          sync.Mutex
 	dataCentres map[string]*dcReachability
+	// suspectedAt is when all data centres were last suspected.
+	suspectedAt time.Time
 }
 
 type dcReachability struct {
 	// unreachable holds when each server was last found unreachable, by id.
 	unreachable map[string]time.Time
 	partitioned bool
-	// probeAt is when a request may next probe the partitioned data centre, and probedAt
-	// when one last did.
-	probeAt, probedAt time.Time
-	// failedAt is when a server was last found unreachable, partitionedAt when the data
-	// centre was found partitioned.
-	failedAt, partitionedAt time.Time
+	// partitionedAt is when the data centre was found partitioned.
+	partitionedAt time.Time
+	// suspected is set until the next probe.
+	suspected bool
+	probedAt  time.Time
 }
 
 func (r *reachability) dataCentre(name string) *dcReachability {
@@ -65,92 +70,134 @@
 	return d
 }
 
-// recordOutcome records whether a server of the data centre was reached.
-func (r *reachability) recordOutcome(dc, server string, o Outcome, now time.Time) {
+// recordOpened records that a connection to a server of the data centre was opened.
+func (r *reachability) recordOpened(dc string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	d := r.dataCentre(dc)
-	switch o {
-	case Success:
-		d.partitioned = false
-		clear(d.unreachable)
-	case Unreachable:
-		for id, at := range d.unreachable {
-			if now.Sub(at) > unreachableTTL {
-				delete(d.unreachable, id)
-			}
-		}
-		d.unreachable[server], d.failedAt = now, now
-		if d.partitioned || len(d.unreachable) >= minUnreachableServers {
-			if !d.partitioned {
-				d.partitioned, d.partitionedAt = true, now
-			}
-			d.probeAt = now.Add(partitionProbeInterval)
-		}
-	}
+	d.partitioned, d.suspected = false, false
+	clear(d.unreachable)
 }
 
-// isPartitioned reports whether the data centre is partitioned and no probe is
-// due.
-func (r *reachability) isPartitioned(dc string, now time.Time) bool {
+// recordUnreachable records that no connection to a server of the data centre could be opened.
+func (r *reachability) recordUnreachable(dc, server string, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	d := r.dataCentres[dc]
-	return d != nil && d.partitioned && now.Before(d.probeAt)
+	d := r.dataCentre(dc)
+	for id, at := range d.unreachable {
+		if now.Sub(at) > unreachableTTL {
+			delete(d.unreachable, id)
+		}
+	}
+	d.unreachable[server] = now
+	if d.partitioned {
+		return
+	}
+	if len(d.unreachable) >= minUnreachableServers {
+		d.partitioned, d.partitionedAt = true, now
+	}
+	d.suspected = true
+	r.suspect(now)
 }
 
-// deferProbe is called when a request is sent to a server of the data centre. If
-// the data centre is partitioned, that request is the probe, and others wait for
-// its outcome.
-func (r *reachability) deferProbe(dc string, now time.Time) {
+// suspect marks all data centres to be probed, unless that happened a short while ago.
+func (r *reachability) suspect(now time.Time) {
+	if now.Sub(r.suspectedAt) < suspicionInterval {
+		return
+	}
+	r.suspectedAt = now
+	for _, d := range r.dataCentres {
+		d.suspected = true
+	}
+}
+
+// probes returns which servers of a data centre are to be probed now: as many as it takes to
+// find it partitioned, those first that were not found unreachable.
+func (r *reachability) probes(dc string, servers []*Server, now time.Time) []*Server {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if d := r.dataCentres[dc]; d != nil && d.partitioned {
-		d.probeAt, d.probedAt = now.Add(partitionProbeInterval), now
+	d := r.dataCentre(dc)
+	if !d.suspected && !d.partitioned || now.Sub(d.probedAt) < probeInterval {
+		return nil
 	}
+	d.suspected, d.probedAt = false, now
+	ordered := slices.Clone(servers)
+	slices.SortStableFunc(ordered, func(a, b *Server) int { return d.unreachable[a.ID].Compare(d.unreachable[b.ID]) })
+	return ordered[:min(len(ordered), minUnreachableServers)]
 }
 
-// isPartitionKnown reports whether the data centre is partitioned, also while a probe is
-// due.
-func (r *reachability) isPartitionKnown(dc string) bool {
+// isPartitioned reports whether the data centre is partitioned.
+func (r *reachability) isPartitioned(dc string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	d := r.dataCentres[dc]
 	return d != nil && d.partitioned
 }
 
-// cutOffState describes a router that reaches none of the data centres that it needs.
-type cutOffState struct {
-	// since is when it was cut off, and failedAt when a connection last failed.
-	since, failedAt time.Time
-	// probeDue are the data centres that a request may probe now.
-	probeDue map[string]bool
-}
-
-// cutOff returns the state of a router all of whose data centres are partitioned, or nil.
-func (r *reachability) cutOff(dataCentres map[string]bool, now time.Time) *cutOffState {
-	if len(dataCentres) < minCutOffDataCentres {
-		return nil
-	}
+// cutOffSince returns since when all of the data centres are partitioned, or false if one is
+// not.
+func (r *reachability) cutOffSince(dataCentres map[string]bool) (time.Time, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	state := &cutOffState{probeDue: map[string]bool{}}
+	var since time.Time
 	for dc := range dataCentres {
 		d := r.dataCentres[dc]
 		if d == nil || !d.partitioned {
-			return nil
+			return time.Time{}, false
+		}
+		if d.partitionedAt.After(since) {
+			since = d.partitionedAt
+		}
+	}
+	return since, len(dataCentres) > 0
+}
+
+// CutOff reports whether this router fails to reach any server that may take requests,
+// in at least two data centres.
+func (f *Fleet) CutOff() bool {
+	dataCentres, evacuated := map[string]bool{}, *f.evacuated.Load()
+	for _, p := range *f.pools.Load() {
+		for _, s := range p.servers {
+			if !slices.Contains(evacuated, s.DataCentre) {
+				dataCentres[s.DataCentre] = true
+			}
 		}
-		state.since, state.failedAt = latest(state.since, d.partitionedAt), latest(state.failedAt, d.failedAt)
-		if now.Sub(d.probedAt) >= cutOffProbeInterval {
-			state.probeDue[dc] = true
+	}
+	_, cutOff := f.reachability.cutOffSince(dataCentres)
+	return cutOff && len(dataCentres) >= minCutOffDataCentres
+}
+
+// SuspectPartition has all data centres probed, since servers that should respond do not.
+func (f *Fleet) SuspectPartition(now time.Time) {
+	f.reachability.mu.Lock()
+	defer f.reachability.mu.Unlock()
+	f.reachability.suspect(now)
+}
+
+// Probes returns the servers to which a connection is to be tried now, because their data
+// centre is partitioned or may be. RecordProbe must be called with each result.
+func (f *Fleet) Probes(now time.Time) []*Server {
+	byDataCentre := map[string][]*Server{}
+	for _, p := range *f.pools.Load() {
+		for _, s := range p.servers {
+			byDataCentre[s.DataCentre] = append(byDataCentre[s.DataCentre], s)
 		}
 	}
-	return state
+	var out []*Server
+	for dc, servers := range byDataCentre {
+		out = append(out, f.reachability.probes(dc, servers, now)...)
+	}
+	return out
 }
 
-func latest(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
+// RecordProbe records whether a connection to the server could be opened.
+func (f *Fleet) RecordProbe(s *Server, opened bool, now time.Time) {
+	if opened {
+		f.reachability.recordOpened(s.DataCentre)
+		return
 	}
-	return a
+	f.reachability.recordUnreachable(s.DataCentre, s.ID, now)
 }
+
+// RecordOpened records that a connection to the server was opened for the attempt.
+func (p *PickResult) RecordOpened() { p.fleet.reachability.recordOpened(p.DataCentre) }
--- /dev/null
+++ b/internal/relay/client.go
@@ -0,0 +1,132 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/kumquathollow/kumquathollow/api/relaypb"
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/rpc"
+)
+
+// Client passes requests on to other routers. It is safe for concurrent use.
+type Client struct {
+	// Router is the name of this router.
+	Router string
+	Dialer *rpc.Dialer
+}
+
+// Part is a whole response body or one whole stream event.
+type Part struct {
+	// Status and Header are those of the response; Header is nil after the first part.
+	Status int
+	Header http.Header
+	Data   []byte
+}
+
+// Result is how an exchange with another router ended.
+type Result struct {
+	// Err is nil if the response is complete. Its kind is that of the other router's error,
+	// unreachable if the other router could not be reached and nothing was sent, or
+	// backend-lost if the connection to it broke.
+	Err error
+	// Sends is how many backend servers the request was sent to, those before included.
+	// After a lost connection it is not known, and is that of the request.
+	Sends int
+	// MayHaveRun is set unless it is known that no backend server ran the request.
+	MayHaveRun bool
+	// PeerFailed is set if the router itself, and not a backend server, is the cause.
+	PeerFailed bool
+}
+
+// endTimeout limits waiting for the end of a call whose response is complete.
+const endTimeout = 50 * time.Millisecond
+
+// Do passes a request on to the router at address and calls receive for each part of the
+// response. An error of receive ends the exchange and is returned.
+func (c *Client) Do(ctx context.Context, address string, req *relaypb.ExchangeRequest, receive func(Part) error) Result {
+	req.Router = c.Router
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // Tells the other router that the response is no longer needed.
+	conn := c.Dialer.Conn(ctx, address)
+	defer func() { _ = conn.Close() }()
+	stream, err := relaypb.NewDRPCRelayClient(conn).Exchange(ctx, req)
+	if errkind.Is(err, errkind.Unreachable) {
+		return Result{Err: err, Sends: int(req.Sends), PeerFailed: true}
+	}
+	if err != nil {
+		return lost(ctx, err, address, req)
+	}
+	defer func() { _ = stream.Close() }()
+	for {
+		resp, err := stream.Recv()
+		switch {
+		case err != nil:
+			return lost(ctx, err, address, req)
+		case resp.Failure != nil:
+			return failureResult(resp.Failure, address)
+		case resp.Complete:
+			// The end of the call lets the connection be used again.
+			timer := time.AfterFunc(endTimeout, cancel)
+			defer timer.Stop()
+			_, _ = stream.Recv() // It has no more messages; an error only costs the connection.
+			return Result{Sends: int(req.Sends) + 1, MayHaveRun: true}
+		}
+		part := Part{Status: int(resp.Status), Data: resp.Data}
+		if resp.Status != 0 {
+			part.Header = decodeHeaders(resp.Headers)
+		}
+		if err := receive(part); err != nil {
+			return Result{Err: err, Sends: int(req.Sends) + 1, MayHaveRun: true}
+		}
+	}
+}
+
+func lost(ctx context.Context, err error, address string, req *relaypb.ExchangeRequest) Result {
+	return Result{
+		Err:   errkind.Wrap(err, errkind.BackendLost, "the connection to router %s broke before the response was complete", address),
+		Sends: int(req.Sends), MayHaveRun: true, PeerFailed: ctx.Err() == nil,
+	}
+}
+
+func failureResult(f *relaypb.Failure, address string) Result {
+	kind := errkind.ByCode(f.Code)
+	err := errkind.New(kind, "router %s: %s", address, f.Message).WithRetryAfter(time.Duration(f.RetryAfterMs) * time.Millisecond)
+	return Result{Err: err, Sends: int(f.Sends), MayHaveRun: f.MayHaveRun, PeerFailed: isOwnFailure(kind)}
+}
+
+// isOwnFailure reports whether a router fails with this kind because of its own state.
+func isOwnFailure(k errkind.Kind) bool {
+	switch k {
+	case errkind.NotReady, errkind.ShuttingDown, errkind.QueueFull, errkind.Internal:
+		return true
+	}
+	return false
+}
+
+func encodeHeaders(h http.Header) []*relaypb.Header {
+	out := make([]*relaypb.Header, 0, len(h))
+	for name, values := range h {
+		for _, v := range values {
+			out = append(out, &relaypb.Header{Name: name, Value: v})
+		}
+	}
+	return out
+}
+
+func decodeHeaders(headers []*relaypb.Header) http.Header {
+	out := make(http.Header, len(headers))
+	for _, h := range headers {
+		out[h.Name] = append(out[h.Name], h.Value)
+	}
+	return out
+}
+
+// EncodeRequest returns the message for a client's request. headers are its end-to-end headers.
+func EncodeRequest(r *http.Request, headers http.Header, body []byte) *relaypb.ExchangeRequest {
+	return &relaypb.ExchangeRequest{
+		Method: r.Method, Target: r.RequestURI, Host: r.Host, Headers: encodeHeaders(headers), Body: body,
+		HasBody: r.ContentLength != 0 || r.Header.Get("Content-Length") != "",
+	}
+}
--- /dev/null
+++ b/internal/relay/server.go
@@ -0,0 +1,157 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/kumquathollow/kumquathollow/api/relaypb"
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/streamorigin"
+)
+
+// maxInFlight limits the requests of other routers that this one handles at a time, so that
+// they leave room for its own clients.
+const maxInFlight = 256
+
+// Request is a request that another router has passed on.
+type Request struct {
+	*http.Request
+	// Router is the name of the other router.
+	Router string
+	// Timeout is the time left until the request's deadline.
+	Timeout time.Duration
+	// Sends and Excluded are the number and the ids of the backend servers that were tried
+	// before.
+	Sends    int
+	Excluded []string
+	// LastEventID is the id of the last stream event that the client has; empty if there is
+	// none. Origin is what began the stream.
+	LastEventID string
+	Origin      streamorigin.Origin
+}
+
+// Handler handles a request and writes the response. If it returns an error, the response is
+// not complete. sends is how many backend servers the request was sent to, and mayHaveRun is
+// set unless none of them ran it.
+type Handler func(w http.ResponseWriter, r *Request) (sends int, mayHaveRun bool, err error)
+
+// Server implements the Relay service.
+type Server struct {
+	Handle Handler
+	// Accepts reports whether the router takes requests of others.
+	Accepts func() bool
+
+	inFlight atomic.Int64
+}
+
+var _ relaypb.DRPCRelayServer = (*Server)(nil)
+
+// InFlight returns the number of requests of other routers that are in flight.
+func (s *Server) InFlight() int64 { return s.inFlight.Load() }
+
+// Exchange implements the Relay service.
+func (s *Server) Exchange(req *relaypb.ExchangeRequest, stream relaypb.DRPCRelay_ExchangeStream) error {
+	defer s.inFlight.Add(-1)
+	if s.inFlight.Add(1) > maxInFlight {
+		return refuse(stream, req, errkind.New(errkind.QueueFull, "the router already handles %d requests of other routers", maxInFlight))
+	}
+	if !s.Accepts() {
+		return refuse(stream, req, errkind.New(errkind.NotReady, "the router takes no requests of other routers: it is not ready, or reaches no server"))
+	}
+	r, err := decodeRequest(stream.Context(), req)
+	if err != nil {
+		return refuse(stream, req, err)
+	}
+	w := &responseWriter{stream: stream, header: http.Header{}}
+	sends, mayHaveRun, err := s.Handle(w, r)
+	if err != nil {
+		return sendFailure(stream, err, sends, mayHaveRun)
+	}
+	if err := w.sendHeader(nil); err != nil {
+		return err
+	}
+	return stream.Send(&relaypb.ExchangeResponse{Complete: true})
+}
+
+// refuse fails a request before it was sent to any backend server here.
+func refuse(stream relaypb.DRPCRelay_ExchangeStream, req *relaypb.ExchangeRequest, err error) error {
+	return sendFailure(stream, err, int(req.Sends), false)
+}
+
+func sendFailure(stream relaypb.DRPCRelay_ExchangeStream, err error, sends int, mayHaveRun bool) error {
+	f := &relaypb.Failure{Code: errkind.Lookup(errkind.Of(err)).Code, Message: err.Error(), Sends: uint32(sends), MayHaveRun: mayHaveRun}
+	var e *errkind.Error
+	if errors.As(err, &e) {
+		f.RetryAfterMs = uint64(e.RetryAfter.Milliseconds())
+	}
+	return stream.Send(&relaypb.ExchangeResponse{Failure: f})
+}
+
+func decodeRequest(ctx context.Context, req *relaypb.ExchangeRequest) (*Request, error) {
+	u, err := url.ParseRequestURI(req.Target)
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.BadRequest, "the request target %q", req.Target)
+	}
+	header := decodeHeaders(req.Headers)
+	delete(header, "Content-Length")
+	if req.HasBody {
+		header.Set("Content-Length", strconv.Itoa(len(req.Body)))
+	}
+	r := &http.Request{
+		Method: req.Method, URL: u, RequestURI: req.Target, Host: req.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: header, Body: io.NopCloser(bytes.NewReader(req.Body)), ContentLength: int64(len(req.Body)),
+	}
+	return &Request{
+		Request: r.WithContext(ctx), Router: req.Router, Timeout: time.Duration(req.TimeoutMs) * time.Millisecond,
+		Sends: int(req.Sends), Excluded: req.Excluded,
+		LastEventID: req.LastEventId, Origin: streamorigin.Origin{Service: req.OriginService, Version: req.OriginVersion},
+	}, nil
+}
+
+// responseWriter sends each write as a part of the response.
+type responseWriter struct {
+	stream     relaypb.DRPCRelay_ExchangeStream
+	header     http.Header
+	status     int
+	headerSent bool
+}
+
+// Header implements http.ResponseWriter.
+func (w *responseWriter) Header() http.Header { return w.header }
+
+// WriteHeader implements http.ResponseWriter. The header is sent with the first write.
+func (w *responseWriter) WriteHeader(status int) { w.status = status }
+
+// Write implements http.ResponseWriter.
+func (w *responseWriter) Write(p []byte) (int, error) {
+	var err error
+	if w.headerSent {
+		err = w.stream.Send(&relaypb.ExchangeResponse{Data: p})
+	} else {
+		err = w.sendHeader(p)
+	}
+	if err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
+
+// sendHeader sends the status and the header with data, unless they were sent before.
+func (w *responseWriter) sendHeader(data []byte) error {
+	if w.headerSent {
+		return nil
+	}
+	w.headerSent = true
+	return w.stream.Send(&relaypb.ExchangeResponse{Status: uint32(w.status), Headers: encodeHeaders(w.header), Data: data})
+}
+
+// FlushError lets http.ResponseController flush: each write is sent at once.
+func (w *responseWriter) FlushError() error { return nil }
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -66,6 +66,8 @@
 	Traffic *Traffic
 	// Timeout bounds opening a TCP connection; 0 means two seconds.
 	Timeout time.Duration
+	// Dial opens connections instead of TCP; nil means TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 
 	conf *tls.Config
 	pool *drpcpool.Pool[string, drpcpool.Conn]
@@ -130,7 +132,13 @@
 	if timeout == 0 {
 		timeout = dialTimeout
 	}
-	raw, err := NetDialer(timeout).DialContext(ctx, "tcp", addr)
+	dial := d.Dial
+	if dial == nil {
+		dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return NetDialer(timeout).DialContext(ctx, "tcp", address)
+		}
+	}
+	raw, err := dial(ctx, addr)
 	if err != nil {
 		return nil, errkind.Wrap(err, errkind.Unreachable, "dial %s", addr)
 	}
