Pass requests on while the configuration cannot be confirmed

Callers saw: a router that had lost the directory refused every request with a key once its configuration was older than a revoked key may be honoured, although other routers had a confirmed configuration and could be reached. Cause: the same as of the refusals of routers that reach no server: what a router could not decide by itself was refused instead of passed on. Change: such a request is passed on to a router that has confirmed its configuration, which checks the key. Measured: TestCallersOfARouterWithAStaleConfigurationAreServed failed before (503, not-ready) and passes.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -92,8 +92,9 @@
 		x.w.Header().Set("Connection", "close")
 		return err
 	}
-	if err := x.admit(); err != nil {
-		return err
+	notReady := x.admit()
+	if notReady != nil && !(errkind.Is(notReady, errkind.NotReady) && x.mayPassOn() && x.f.CanPassOn()) {
+		return notReady
 	}
 	defer func() {
 		x.f.requestBodies.release(x.reservedBytes)
@@ -103,14 +104,13 @@
 		return err
 	}
 	x.continueRelayed()
-	timeout := x.route.Timeout
-	if x.requestInfo.Timeout > 0 {
-		timeout = min(timeout, x.requestInfo.Timeout)
-	}
-	x.deadline = x.startedAt.Add(timeout)
+	x.deadline = x.startedAt.Add(x.timeout())
 	var cancel context.CancelFunc
 	x.ctx, cancel = context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
+	if notReady != nil {
+		return x.fail(x.passOnAll(notReady))
+	}
 	if err := x.resolveOrigin(); err != nil {
 		return x.fail(err)
 	}
@@ -121,6 +121,21 @@
 	return x.runAttempts()
 }
 
+// timeout returns how long the request may take.
+func (x *exchange) timeout() time.Duration {
+	timeout := maxTimeout
+	if x.route != nil {
+		timeout = x.route.Timeout
+	}
+	if x.requestInfo.Timeout > 0 {
+		timeout = min(timeout, x.requestInfo.Timeout)
+	}
+	return timeout
+}
+
+// maxTimeout limits a request whose route is not known here. Another router knows it.
+const maxTimeout = time.Minute
+
 // admit checks the headers and the API key, and resolves the route, the workspace
 // and the service.
 func (x *exchange) admit() error {
@@ -194,7 +209,10 @@
 }
 
 func (x *exchange) readBody() error {
-	limit := x.view.Configuration.Limits.BodyBytes
+	limit := int64(0)
+	if x.view.Configuration != nil {
+		limit = x.view.Configuration.Limits.BodyBytes
+	}
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -69,6 +69,24 @@
 	return x.f.opts.Relays != nil && x.relayed == nil && len(x.passedOn) < maxPassedOn
 }
 
+// passOnAll passes on a request that this router cannot handle because of err. It returns nil
+// if the client has its response.
+func (x *exchange) passOnAll(err error) error {
+	for {
+		res, ok := x.passOn()
+		if !ok {
+			return err
+		}
+		if res.err == nil {
+			return nil
+		}
+		x.anyMayHaveRun = x.anyMayHaveRun || res.mayHaveRun
+		if !res.retryable {
+			return res.err
+		}
+	}
+}
+
 // passOn passes the request on to another router and relays its response. It returns false
 // if there is no router left that may be tried.
 func (x *exchange) passOn() (attemptResult, bool) {
