--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -177,7 +177,7 @@
 	if resp.StatusCode == http.StatusBadRequest {
 		return attemptResult{err: errkind.New(errkind.BadRequest, "server %q rejected the request as malformed", picked.ID), sent: true, outcome: placement.Neutral}
 	}
-	outcome := placement.Failure
+	outcome := placement.Refused
 	if info.Notice.StayAway > 0 {
 		outcome = placement.Neutral // It gets no requests for as long as it asked, and needs no probe then.
 	}
@@ -199,12 +199,20 @@
 			log.Warn("limit ignored", "server", picked.ID, "request", x.requestInfo.ID, "value", info.InvalidLimit, "because", "it names no usable rate", "left-out", suppressed)
 		}
 	}
+	if info.InvalidRefusals != "" {
+		if suppressed, ok := x.f.sampler.Allow("invalid refusals", time.Now()); ok {
+			log.Warn("limit of refusals ignored", "server", picked.ID, "request", x.requestInfo.ID, "value", info.InvalidRefusals, "because", "it names no usable rate", "left-out", suppressed)
+		}
+	}
 	if !picked.RecordNotice(info.Notice, sentAt, time.Now()) {
 		return
 	}
 	if info.Notice.HasLimit {
 		x.f.opts.Metrics.Counter("forward.notice.limit").Inc(1)
 	}
+	if info.Notice.HasRefusals {
+		x.f.opts.Metrics.Counter("forward.notice.refusals").Inc(1)
+	}
 	if info.Notice.Leaving {
 		x.f.opts.Metrics.Counter("forward.notice.leaving").Inc(1)
 	}
@@ -214,7 +222,7 @@
 	if suppressed, ok := x.f.sampler.Allow("server notice", time.Now()); ok {
 		log.Info("server notice", "server", picked.ID, "born", picked.Born, "service", picked.Service, "request", x.requestInfo.ID,
 			"leaving", info.Notice.Leaving, "for", info.Notice.StayAway,
-			"limited", info.Notice.HasLimit, "per-second", info.Notice.Limit, "left-out", suppressed)
+			"limited", info.Notice.HasLimit, "per-second", info.Notice.Limit, "fails-by-refusing", info.Notice.HasRefusals, "refusals-per-second", info.Notice.Refusals, "left-out", suppressed)
 	}
 }
 
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -73,6 +73,8 @@
 	Notice placement.Notice
 	// InvalidRetryAfter is the text of a Retry-After that names no usable time, or empty.
 	InvalidRetryAfter string
+	// InvalidRefusals is the text of a limit of refusals that names no usable rate, or empty.
+	InvalidRefusals string
 	// InvalidLimit is the text of a limit that names no usable rate, or empty.
 	InvalidLimit string
 }
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -31,7 +31,9 @@
 	byID       map[string]*Server
 	byHash     map[uint32]*Server
 	// departed holds the notices of servers that are no longer in the list.
-	departed     map[incarnation]*notices
+	departed map[incarnation]*notices
+	// refusals are the limits of refusals by service.
+	refusals     map[string]*serviceRefusals
 	rankings     map[string]*ranking
 	pools        atomic.Pointer[map[string]*pool]
 	peerLoads    atomic.Pointer[peerLoads]
@@ -76,7 +78,7 @@
 
 // NewFleet returns an empty Fleet for the named router in the data centre.
 func NewFleet(router, dataCentre string, bounds Bounds) *Fleet {
-	f := &Fleet{routerHash: routing.Hash(router), dataCentre: dataCentre, bounds: bounds, byID: map[string]*Server{}, departed: map[incarnation]*notices{}, rankings: map[string]*ranking{}}
+	f := &Fleet{routerHash: routing.Hash(router), dataCentre: dataCentre, bounds: bounds, byID: map[string]*Server{}, departed: map[incarnation]*notices{}, refusals: map[string]*serviceRefusals{}, rankings: map[string]*ranking{}}
 	f.pools.Store(&map[string]*pool{})
 	f.peerLoads.Store(&peerLoads{})
 	f.evacuated.Store(&[]string{})
@@ -244,8 +246,8 @@
 // count.
 func (p *PickResult) Done(o Outcome, latency time.Duration, now time.Time) {
 	var poolRate float64
-	if o == Failure {
-		poolRate = p.fleet.medianFailureRate(p.Service) // Only needed for Failure; it scans all servers.
+	if o == Failure || o == Refused {
+		poolRate = p.fleet.medianFailureRate(p.Service) // It scans all servers.
 	}
 	p.Server.recordOutcome(o, latency, poolRate, now)
 	switch o {
--- a/internal/placement/notice.go
+++ b/internal/placement/notice.go
@@ -31,6 +31,10 @@
 	// HasLimit is set.
 	Limit    float64
 	HasLimit bool
+	// Refusals is how many requests a second the server can refuse for want of room before
+	// it fails, if HasRefusals is set.
+	Refusals    float64
+	HasRefusals bool
 }
 
 // notices holds what one incarnation of a server has said of itself. A newer list of the
@@ -41,6 +45,7 @@
 	// monotonic clock, since the time of day may be set at any moment.
 	awayUntil, heardAt atomic.Pointer[time.Time]
 	limit              serverLimit
+	refusals           refusalGuard
 }
 
 // record records the notice in the response to a request that was sent at sentAt, and
@@ -48,6 +53,7 @@
 func (n *notices) record(notice Notice, routers int, sentAt, now time.Time) bool {
 	n.heardAt.Store(&now)
 	news := n.limit.record(notice, routers, sentAt, now)
+	news = n.refusals.record(notice, sentAt, now) || news
 	news = notice.Leaving && !n.leaving.Swap(true) || news
 	if notice.StayAway <= 0 {
 		return news
@@ -95,7 +101,17 @@
 		return n
 	}
 	phase := routing.Fraction(routing.Mix(f.routerHash, routing.Hash(announced.ID)))
-	return &notices{limit: serverLimit{phase: phase}}
+	return &notices{limit: serverLimit{phase: phase}, refusals: refusalGuard{service: f.refusalsOf(announced.Service)}}
+}
+
+// refusalsOf returns the limit of refusals of a service.
+func (f *Fleet) refusalsOf(service string) *serviceRefusals {
+	r := f.refusals[service]
+	if r == nil {
+		r = &serviceRefusals{}
+		f.refusals[service] = r
+	}
+	return r
 }
 
 // keepDepartedNotices keeps the notices of servers that the new list lacks.
@@ -115,7 +131,7 @@
 // RecordNotice records what the server said of itself in its response to a request that was
 // sent at sentAt, and reports whether that was news.
 func (p *PickResult) RecordNotice(n Notice, sentAt, now time.Time) bool {
-	said := n.Leaving || n.StayAway > 0 || n.HasLimit || p.notices.limit.inForce(p.fleet.Routers(), now)
+	said := n.Leaving || n.StayAway > 0 || n.HasLimit || n.HasRefusals || p.notices.limit.inForce(p.fleet.Routers(), now) || p.notices.refusals.inForce(now)
 	return said && p.notices.record(n, p.fleet.Routers(), sentAt, now)
 }
 
--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -145,6 +145,8 @@
 	Failure
 	// Unreachable: the connection could not be opened, or it was lost.
 	Unreachable
+	// Refused: the server did not run the request.
+	Refused
 )
 
 // recordOutcome records the outcome of an attempt that has ended. poolRate is the
