Let the expected latency of a server decay without responses

Cause: the moving average of a server's latency changes with its own responses only. One slow response (as of a busy machine) made the other server the faster one for good, since at a low load the slow one got no request that would have shown its recovery. The same keeps a server idle in production until the others are loaded. Change: the expected latency halves for each second without a response.

--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -242,7 +242,7 @@
 		c.ejected = now.Before(s.ejectedUntil) || s.probing
 		c.probe = !c.ejected
 	}
-	latency := max(s.latency, defaultLatency)
+	latency := s.idleLatency(now)
 	waiting := s.inFlight
 	if now.Sub(s.loadReportedAt) < reportedLoadMaxAge {
 		waiting = max(waiting, s.reportedLoad.Waiting+max(0, s.reportedLoad.Running-s.reportedLoad.Slots/2))
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -468,6 +468,24 @@
 	}
 }
 
+// Guards against a server that gets no request ever again because one response took long: the
+// others stay faster than that while the load is low, and nothing shows that it has recovered.
+func TestAServerThatWasSlowOnceIsUsedAgain(t *testing.T) {
+	w := newFleetSim(t)
+	w.join(2, "s")
+	slow := w.pick(PickRequest{TieBreaker: key(0)})
+	slow.Done(Success, 2*time.Second, w.now)
+	for i := range 100 {
+		w.advance(100 * time.Millisecond)
+		p := w.pick(PickRequest{TieBreaker: key(i)})
+		p.Done(Success, 10*time.Millisecond, w.now)
+		if p.ID == slow.ID {
+			return
+		}
+	}
+	t.Errorf("server %s got none of 100 requests in 10 s after one slow response", slow.ID)
+}
+
 // If every server of a pool fails, all of them must still be used: ejection must
 // not empty the pool.
 func TestAPoolIsNeverEmptiedByFailures(t *testing.T) {
--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -51,8 +52,9 @@
 	// at the server.
 	probing bool
 	// latency is an exponentially weighted moving average of the time to the
-	// response or the first event.
-	latency time.Duration
+	// response or the first event, as of latencyAt.
+	latency   time.Duration
+	latencyAt time.Time
 	// reportedLoad is the load that the server last reported, at loadReportedAt.
 	reportedLoad   Load
 	loadReportedAt time.Time
@@ -149,6 +151,17 @@
 	Refused
 )
 
+// latencyHalfLife is the time without a response in which the latency that is expected of a
+// server halves. Without that, one that was slow once would get no request to show that it has
+// recovered, as long as the others are not loaded.
+const latencyHalfLife = time.Second
+
+// idleLatency returns the latency that is expected of an idle server.
+func (s *Server) idleLatency(now time.Time) time.Duration {
+	idle := now.Sub(s.latencyAt).Seconds() / latencyHalfLife.Seconds()
+	return max(defaultLatency, time.Duration(float64(s.latency)*math.Exp2(-max(0, idle))))
+}
+
 // recordOutcome records the outcome of an attempt that has ended. poolRate is the
 // failure rate of the pool; it is used for the outcome Failure only.
 func (s *Server) recordOutcome(o Outcome, latency time.Duration, poolRate float64, now time.Time) {
@@ -174,6 +187,7 @@
 			s.latency = latency
 		}
 		s.latency += time.Duration(ewmaWeight * float64(latency-s.latency))
+		s.latencyAt = now
 	case o == Unreachable, s.probing, s.outcomeCount >= minOutcomes && s.failureRate > poolRate+ejectionThreshold:
 		s.ejectionTime = min(maxEjectionTime, max(minEjectionTime, 2*s.ejectionTime))
 		s.ejectedUntil = now.Add(s.ejectionTime)
