Spread the attempts of lease candidates that were refused

Cause: two candidates that find out together that the lease is free each get their own vote and are refused the other's. Both then wait until the other's vote expires, which is at the same time, and ask in step again; the random delay between rounds is shorter than that wait and has no effect. With the third voter gone this can last for good. Callers saw: requests of the data centre refused (no-grantor). Change: a refused candidate waits up to half of a lease longer than until the vote expires.

--- a/internal/lease/candidate.go
+++ b/internal/lease/candidate.go
@@ -147,6 +147,8 @@
 	if !r.Granted && r.Holder != "" && r.Holder != c.name {
 		c.holder, c.holderAddress = r.Holder, r.HolderAddress
 		c.holderUntil = now + r.Remaining
+		// Candidates that were refused each other's votes would otherwise ask again together.
+		c.nextRound = max(c.nextRound, c.holderUntil+c.refusalBackoff())
 	}
 }
 
@@ -229,3 +231,9 @@
 func (c *Candidate) backoff() time.Duration {
 	return time.Duration(c.rand.Int64N(int64(c.options.RenewInterval)))
 }
+
+// refusalBackoff spreads the attempts of several candidates after a vote has expired. It is
+// long against the time in which a vote reaches the others.
+func (c *Candidate) refusalBackoff() time.Duration {
+	return time.Duration(c.rand.Int64N(int64(c.options.Duration) / 2))
+}
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -264,3 +264,68 @@
 		t.Error("the lease was not granted again under a new term")
 	}
 }
+
+// Guards against candidates that keep the lease from each other. The pattern: the holder of
+// three voters has just released the lease and is gone, and the two processes left find that
+// out at the same time. Each has its own vote first and is refused the other's, so both wait
+// until these votes expire. They must not ask in step again and again.
+func TestTwoCandidatesThatAskTogetherAgreeSoon(t *testing.T) {
+	const tick = 10 * time.Millisecond
+	options := Options{Duration: time.Second, DriftMargin: 50 * time.Millisecond, RenewInterval: 200 * time.Millisecond}
+	for _, latency := range []time.Duration{5 * time.Millisecond, 25 * time.Millisecond, 60 * time.Millisecond} {
+		slow := 0
+		const seeds = 200
+		for seed := range uint64(seeds) {
+			rng := rand.New(rand.NewPCG(seed, 11))
+			candidates := make([]*Candidate, 2)
+			voters := make([]*Voter, 2)
+			for i := range candidates {
+				candidates[i] = NewCandidate(options, fmt.Sprint(i), "1", "", rng)
+				candidates[i].SetVoters(0, voterNames(3))
+				voters[i] = NewVoter(-options.Duration, options.Duration)
+			}
+			type delivery struct {
+				at Instant
+				do func(now Instant)
+			}
+			var inFlight []delivery
+			const limit = 10 * time.Second
+			held := func(now Instant) bool { return candidates[0].Holds(now) || candidates[1].Holds(now) }
+			now := Instant(0)
+			for ; now < limit && !held(now); now += time.Millisecond {
+				due := inFlight
+				inFlight = nil
+				for _, d := range due {
+					if d.at > now {
+						inFlight = append(inFlight, d)
+						continue
+					}
+					d.do(now)
+				}
+				if now%tick != 0 {
+					continue
+				}
+				for i, c := range candidates {
+					for _, out := range c.Tick(now, 0) {
+						v := voterIndex(out.Voter)
+						if v == i {
+							c.HandleResponse(now, out.Voter, out.Round, voters[v].Vote(now, out.Request))
+						} else if v < len(voters) {
+							jitter := time.Duration(rng.IntN(5)) * time.Millisecond
+							inFlight = append(inFlight, delivery{now + latency + jitter, func(now Instant) {
+								r := voters[v].Vote(now, out.Request)
+								inFlight = append(inFlight, delivery{now + latency, func(now Instant) { c.HandleResponse(now, out.Voter, out.Round, r) }})
+							}})
+						}
+					}
+				}
+			}
+			if now >= 5*options.Duration {
+				slow++
+			}
+		}
+		if slow > seeds/100 {
+			t.Errorf("latency %s: in %d of %d runs no candidate held the lease after five times its duration", latency, slow, seeds)
+		}
+	}
+}
