Call the passing on of requests between routers a handoff

The glossary has relay for routers that pass configuration on. A router leaves its own address out, which another directory process may still name for a moment. No other behaviour changes.

--- a/internal/directory/catchup.go
+++ b/internal/directory/catchup.go
@@ -34,7 +34,7 @@
 	startsReporting := s.load == nil && req.Load != nil
 	h.setLoad(s, req.Load)
 	if req.Ping != 0 {
-		h.relays.set(s, req.Relay)
+		h.handoffs.set(s, req.Handoff)
 	}
 	h.recordQuarantineReports(req.Crashes, quarantine.DecodeSubjects(req.Survived, req.SurvivedRequests), true)
 	h.recordOrigins(req.Origins, true)
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -38,13 +38,13 @@
 	pong *fleetpb.FollowUpdate
 	// flushedAt is when the last flush sent the router something.
 	flushedAt time.Time
-	// relay is the address at which the router takes over requests of others; empty if it
+	// handoff is the address at which the router takes over requests of others; empty if it
 	// takes none.
-	relay string
-	// relaysSent are the other routers that it was sent as taking some, chosen from the
-	// list with relaysVersion.
-	relaysSent    []string
-	relaysVersion uint64
+	handoff string
+	// handoffsSent are the other routers that it was sent as taking some, chosen from the
+	// list with handoffsVersion.
+	handoffsSent    []string
+	handoffsVersion uint64
 	// confirmed is true once the router was sent a confirmation. The first one is sent
 	// at once, since a router serves nothing without it.
 	confirmed bool
--- a/internal/directory/hub.go
+++ b/internal/directory/hub.go
@@ -99,7 +99,7 @@
 	places     placeUpdater
 	quarantine quarantineKeeper
 	origins    originKeeper
-	relays     relayKeeper
+	handoffs   handoffKeeper
 	// loadReported is true if a router reported its load here as of the last flush.
 	loadReported bool
 }
@@ -194,7 +194,7 @@
 	h.expireLookups()
 	h.sendMembers()
 	h.sendLists()
-	h.updateRelays()
+	h.updateHandoffs()
 	var load *fleetpb.Load
 	if now := h.now(); !now.Before(h.nextLoadAt) {
 		load = h.totalLoad()
@@ -212,7 +212,7 @@
 			continue
 		}
 		u := s.takePong()
-		u.Relays = h.relaysFor(s)
+		u.Handoffs = h.handoffsFor(s)
 		if s.load != nil {
 			u.Heard, u.Load, u.ReportMs = heard, load, uint32(interval.Milliseconds())
 			u.Suspects = suspects
@@ -290,7 +290,7 @@
 func (h *hub) closeSession(s *session) {
 	if h.sessions[s] {
 		h.setLoad(s, nil)
-		h.relays.set(s, "")
+		h.handoffs.set(s, "")
 		delete(h.sessions, s)
 		h.closed++
 	}
--- a/internal/directory/peers.go
+++ b/internal/directory/peers.go
@@ -43,8 +43,8 @@
 	origins []streamorigin.Record
 	// acks are the counters of changes that are not yet sent to the peer.
 	acks []*ackCounter
-	// relaysAcked is the version of the relays that the peer has acknowledged.
-	relaysAcked uint64
+	// handoffsAcked is the version of the handoffs that the peer has acknowledged.
+	handoffsAcked uint64
 	// process is the run of the peer's process that acknowledged last.
 	process string
 	// wake makes the peer's goroutine call at once.
@@ -58,8 +58,8 @@
 	dataCentre string
 	load       *fleetpb.Load
 	routers    int
-	// relays are the routers that follow the process and take over requests of others.
-	relays     []string
+	// handoffs are the routers that follow the process and take over requests of others.
+	handoffs   []string
 	receivedAt time.Time
 }
 
@@ -126,8 +126,8 @@
 	crashes  []quarantine.Crash
 	survived map[quarantine.Subject]bool
 	origins  []streamorigin.Record
-	// relaysVersion is that of the relays in the request.
-	relaysVersion uint64
+	// handoffsVersion is that of the handoffs in the request.
+	handoffsVersion uint64
 }
 
 // takeCall returns what the peer is to be sent now.
@@ -139,9 +139,9 @@
 		Load: inventory.EncodeLoad(h.ownLoad()), Routers: uint32(h.reporting),
 		Crashes: quarantine.EncodeCrashes(p.crashes, h.now()), Survived: survived, SurvivedRequests: survivedRequests, Origins: streamorigin.Encode(p.origins),
 	}
-	call.relaysVersion = h.relays.version
-	if p.relaysAcked != call.relaysVersion {
-		call.req.Relays = &fleetpb.Relays{Addresses: h.ownRelays(maxSpreadRelays)}
+	call.handoffsVersion = h.handoffs.version
+	if p.handoffsAcked != call.handoffsVersion {
+		call.req.Handoffs = &fleetpb.Handoffs{Addresses: h.ownHandoffs(maxSpreadHandoffs)}
 	}
 	for id := range p.heard {
 		call.req.Heard = append(call.req.Heard, uint32(routing.Hash(id)))
@@ -168,9 +168,9 @@
 		return
 	}
 	restarted := p.process != "" && resp.Process != p.process
-	p.relaysAcked = call.relaysVersion
+	p.handoffsAcked = call.handoffsVersion
 	if restarted {
-		p.relaysAcked = 0
+		p.handoffsAcked = 0
 	}
 	if resp.List || restarted {
 		h.addAllServers(p)
@@ -202,10 +202,10 @@
 	if req.From != "" {
 		report := &peerReport{dataCentre: req.DataCentre, load: req.Load, routers: int(req.Routers), receivedAt: now}
 		if previous := h.peerReports[req.From]; previous != nil {
-			report.relays = previous.relays
+			report.handoffs = previous.handoffs
 		}
-		if req.Relays != nil {
-			report.relays = req.Relays.Addresses
+		if req.Handoffs != nil {
+			report.handoffs = req.Handoffs.Addresses
 		}
 		h.peerReports[req.From] = report
 	}
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -17,9 +17,9 @@
 	"github.com/kumquathollow/kumquathollow/internal/catalog"
 	"github.com/kumquathollow/kumquathollow/internal/fleetview"
 	"github.com/kumquathollow/kumquathollow/internal/forward"
+	"github.com/kumquathollow/kumquathollow/internal/handoff"
 	"github.com/kumquathollow/kumquathollow/internal/httpguard"
 	"github.com/kumquathollow/kumquathollow/internal/placement"
-	"github.com/kumquathollow/kumquathollow/internal/relay"
 	"github.com/kumquathollow/kumquathollow/internal/rpc"
 	"github.com/kumquathollow/kumquathollow/internal/telemetry"
 )
@@ -67,11 +67,11 @@
 	readyPath string
 
 	clients, readiness, admin net.Listener
-	// relay is the listener for requests of other routers; nil if there is none.
-	relay       net.Listener
-	relayServer *relay.Server
-	// takesRelays is set while this router takes over requests of others.
-	takesRelays atomic.Bool
+	// handoff is the listener for requests of other routers; nil if there is none.
+	handoff       net.Listener
+	handoffServer *handoff.Server
+	// takesHandoffs is set while this router takes over requests of others.
+	takesHandoffs atomic.Bool
 }
 
 // Adapter holds the deployment-specific parts of a router.
@@ -97,7 +97,7 @@
 	for _, l := range []struct {
 		listener *net.Listener
 		address  string
-	}{{&r.clients, conf.Clients}, {&r.readiness, conf.Ready}, {&r.relay, conf.Relay}} {
+	}{{&r.clients, conf.Clients}, {&r.readiness, conf.Ready}, {&r.handoff, conf.Handoff}} {
 		if l.address == "" {
 			continue
 		}
@@ -111,7 +111,7 @@
 	r.fleet = placement.NewFleet(conf.Name, conf.DataCentre, placement.Bounds{ColdFactor: conf.Bounds.ColdFactor, ColdSlack: conf.Bounds.ColdSlack})
 	r.view = fleetview.New(fleetview.Options{
 		RouterID: conf.Name + "/" + uuid.NewString(), DataCentre: conf.DataCentre, Dialer: r.dialer, Seeds: rpc.WithPort(conf.Seeds, conf.DirectoryPort),
-		Decode: adapter.Decode, Fleet: r.fleet, Log: log.Named("fleet"), RelayAddress: r.relayAddress,
+		Decode: adapter.Decode, Fleet: r.fleet, Log: log.Named("fleet"), HandoffAddress: r.handoffAddress,
 	})
 	opened, failed := r.metrics.Counter("backend.connections_opened"), r.metrics.Counter("backend.connections_failed")
 	r.pool = backend.NewPool(backend.Options{OnOpen: func() { opened.Inc(1) }, OnFailure: func() { failed.Inc(1) }, Dial: adapter.DialServer})
@@ -126,13 +126,13 @@
 		RetryLimits:        forward.RetryLimits{Ratio: conf.Bounds.RetryRatio, Slack: conf.Bounds.RetrySlack, Window: conf.Bounds.RetryWindow.AsDuration()},
 		MaxConfirmationAge: conf.Bounds.KeyTime.AsDuration() - keyTimeMargin, Log: log.Named("forward"), Metrics: r.metrics,
 	}
-	if r.relay != nil {
-		options.Relays = relays{&relay.Client{Router: conf.Name, Dialer: r.dialer}, r.view}
+	if r.handoff != nil {
+		options.Handoff = handoffs{&handoff.Client{Router: conf.Name, Dialer: r.dialer}, r.view, r.handoff.Addr().String()}
 	}
 	r.forwarder = forward.New(options)
-	r.relayServer = &relay.Server{Handle: r.forwarder.ServeRelayed, Accepts: r.takesRelays.Load}
-	r.metrics.Gauge("relay.in_flight", r.relayServer.InFlight)
-	r.metrics.Gauge("relay.known", func() int64 { return int64(len(r.view.Relays())) })
+	r.handoffServer = &handoff.Server{Handle: r.forwarder.ServeHandoff, Accepts: r.takesHandoffs.Load}
+	r.metrics.Gauge("handoff.in_flight", r.handoffServer.InFlight)
+	r.metrics.Gauge("handoff.known", func() int64 { return int64(len(r.view.Handoffs())) })
 	r.metrics.Gauge("config.revision", func() int64 { return int64(r.view.Snapshot().Revision) })
 	r.metrics.Gauge("config.confirmed_ago_ms", func() int64 {
 		age, _ := r.view.ConfirmationAge()
@@ -142,7 +142,7 @@
 }
 
 func (r *Router) closeListeners() {
-	for _, l := range []net.Listener{r.clients, r.readiness, r.admin, r.relay} {
+	for _, l := range []net.Listener{r.clients, r.readiness, r.admin, r.handoff} {
 		if l != nil {
 			_ = l.Close()
 		}
@@ -197,8 +197,8 @@
 	g.Go(func() error { return r.view.Run(ctx) })
 	g.Go(func() error { return r.pool.Run(ctx) })
 	g.Go(func() error { return r.forwarder.Run(ctx) })
-	if r.relay != nil {
-		g.Go(func() error { return r.serveRelay(ctx) })
+	if r.handoff != nil {
+		g.Go(func() error { return r.serveHandoff(ctx) })
 	}
 	g.Go(func() error { return r.updateReadiness(ctx) })
 	r.log.Info("listening", "name", r.settings.Name, "data-centre", r.settings.DataCentre, "clients", r.settings.Clients, "ready", r.settings.Ready, "seeds", r.settings.Seeds)
@@ -241,7 +241,7 @@
 	defer cancel()
 	err := clients.Shutdown(ctx)
 	if err == nil {
-		err = r.awaitRelayed(ctx)
+		err = r.awaitHandedOff(ctx)
 	}
 	if err != nil {
 		r.log.Warn("requests aborted: still in flight at the end of the grace period", "in-flight", r.forwarder.InFlight(), "error", err)
@@ -261,12 +261,12 @@
 		r.ready.SetReason(reasonNoQuorum, r.view.QuorumAge() > quorumTimeout || r.view.OutOfQuorumDuration() > outOfQuorumTimeout)
 		cutOff := r.fleet.CutOff()
 		r.ready.SetReason(reasonNoBackend, cutOff && !r.forwarder.CanPassOn())
-		if takes := r.ready.Ready() && !cutOff; r.takesRelays.Swap(takes) != takes {
-			r.view.RelayAddressChanged(ctx)
+		if takes := r.ready.Ready() && !cutOff; r.takesHandoffs.Swap(takes) != takes {
+			r.view.HandoffAddressChanged(ctx)
 		}
 		if isReady := r.ready.Ready(); isReady != wasReady {
 			wasReady = isReady
-			r.log.Info("readiness", "ready", isReady, "reasons", r.ready.Reasons(), "cut-off", cutOff, "relays", len(r.view.Relays()), "quorum-heard-ago", r.view.QuorumAge().Round(time.Millisecond), "revision", r.view.Snapshot().Revision)
+			r.log.Info("readiness", "ready", isReady, "reasons", r.ready.Reasons(), "cut-off", cutOff, "handoffs", len(r.view.Handoffs()), "quorum-heard-ago", r.view.QuorumAge().Round(time.Millisecond), "revision", r.view.Snapshot().Revision)
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -20,9 +20,9 @@
 	Ready string `yaml:"ready"`
 	// Admin is the listen address for /metrics, /healthz and /readyz.
 	Admin string `yaml:"admin"`
-	// Relay is the listen address for requests that other routers pass on, and the one at
+	// Handoff is the listen address for requests that other routers pass on, and the one at
 	// which they reach it; empty if this router neither takes nor passes on requests.
-	Relay string `yaml:"relay,omitempty"`
+	Handoff string `yaml:"handoff,omitempty"`
 	// DirectoryPort is the port on which directory processes serve routers.
 	DirectoryPort string `yaml:"directoryPort"`
 	// Seeds are addresses of directory processes. Only their hosts are used, with
@@ -73,8 +73,8 @@
 	)
 	if err == nil {
 		addresses := append([]string{s.Clients, s.Ready, s.Admin}, s.Seeds...)
-		if s.Relay != "" {
-			addresses = append(addresses, s.Relay)
+		if s.Handoff != "" {
+			addresses = append(addresses, s.Handoff)
 		}
 		err = settings.CheckAddresses(addresses...)
 	}
--- a/internal/fleetview/link.go
+++ b/internal/fleetview/link.go
@@ -132,7 +132,7 @@
 		req := &fleetpb.FollowRequest{Have: l.view.Snapshot().Revision, Fetch: l.fetchRequested.Swap(false), List: l.listRequested.Swap(false)}
 		if woken || now >= pingDue {
 			l.lastPing++
-			req.Router, req.Ping, req.Relay = l.view.opts.RouterID, l.lastPing, l.view.relayAddress()
+			req.Router, req.Ping, req.Handoff = l.view.opts.RouterID, l.lastPing, l.view.handoffAddress()
 			select {
 			case pings <- ping{number: l.lastPing, sentAt: now}:
 			default: // The buffer is full: nothing was received meanwhile, and the watchdog closes the session.
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -40,11 +40,11 @@
 	Seeds []string
 	// Decode parses a configuration document.
 	Decode func(document []byte) (*catalog.Set, error)
-	// RelayAddress returns the address at which this router takes over requests of other
+	// HandoffAddress returns the address at which this router takes over requests of other
 	// routers, or "" while it takes none; nil if it never does.
-	RelayAddress func() string
-	Fleet        *placement.Fleet
-	Log          hclog.Logger
+	HandoffAddress func() string
+	Fleet          *placement.Fleet
+	Log            hclog.Logger
 }
 
 // View follows the directory. Run must be called; the other exported methods are safe
@@ -64,10 +64,10 @@
 	outOfQuorumSince atomic.Int64
 	// reportTo is the link on which the router reports its requests in flight.
 	reportTo atomic.Pointer[link]
-	// relays are the routers that take over requests, as last received from each directory
-	// process, by its address; relayList holds all of them.
-	relays    map[string][]string
-	relayList atomic.Pointer[[]string]
+	// handoffs are the routers that take over requests, as last received from each directory
+	// process, by its address; handoffList holds all of them.
+	handoffs    map[string][]string
+	handoffList atomic.Pointer[[]string]
 	// monitor collects what the router observes of servers that end under requests.
 	monitor *quarantine.Monitor
 	// origins holds the origins of streams that this router began or has asked for.
@@ -111,10 +111,10 @@
 func New(opts Options) *View {
 	v := &View{
 		opts: opts, inbox: make(chan func(), inboxSize), table: inventory.New(), links: map[string]*link{}, seeds: opts.Seeds, state: &publication.State{},
-		relays: map[string][]string{}, selector: newSelector(opts.RouterID, opts.DataCentre), monitor: quarantine.NewMonitor(), origins: streamorigin.NewRecorder(),
+		handoffs: map[string][]string{}, selector: newSelector(opts.RouterID, opts.DataCentre), monitor: quarantine.NewMonitor(), origins: streamorigin.NewRecorder(),
 	}
 	v.snapshot.Store(&Snapshot{})
-	v.relayList.Store(&[]string{})
+	v.handoffList.Store(&[]string{})
 	return v
 }
 
@@ -327,8 +327,8 @@
 	if len(u.Origins)+len(u.UnknownStreams) > 0 {
 		v.origins.Answer(u.Origins, u.UnknownStreams, time.Now())
 	}
-	if u.Relays != nil {
-		v.setRelays(l.address, u.Relays.Addresses)
+	if u.Handoffs != nil {
+		v.setHandoffs(l.address, u.Handoffs.Addresses)
 	}
 	v.mergeAnnouncements(u.Announcements)
 	v.refreshServers(l, u.Heard)
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -11,11 +11,11 @@
 	"github.com/kumquathollow/kumquathollow/internal/catalog"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/fleetview"
+	"github.com/kumquathollow/kumquathollow/internal/handoff"
 	"github.com/kumquathollow/kumquathollow/internal/httpguard"
 	"github.com/kumquathollow/kumquathollow/internal/httpheader"
 	"github.com/kumquathollow/kumquathollow/internal/placement"
 	"github.com/kumquathollow/kumquathollow/internal/quarantine"
-	"github.com/kumquathollow/kumquathollow/internal/relay"
 	"github.com/kumquathollow/kumquathollow/internal/routing"
 	"github.com/kumquathollow/kumquathollow/internal/streamorigin"
 )
@@ -60,9 +60,9 @@
 	sends, failedDials, unreachable int
 	// passedOn are the addresses of the routers to which the request was passed on.
 	passedOn []string
-	// relayed is what another router told of the request that it passed on; nil for a
+	// received is what another router told of the request that it passed on; nil for a
 	// client's own request.
-	relayed  *relay.Request
+	received *handoff.Request
 	excluded []string
 	// anyMayHaveRun is set once an attempt may have run.
 	anyMayHaveRun bool
@@ -103,7 +103,7 @@
 	if err := x.readBody(); err != nil {
 		return err
 	}
-	x.continueRelayed()
+	x.continueHandoff()
 	x.deadline = x.startedAt.Add(x.timeout())
 	var cancel context.CancelFunc
 	x.ctx, cancel = context.WithDeadline(x.r.Context(), x.deadline)
@@ -115,7 +115,7 @@
 		return x.fail(err)
 	}
 	x.setSubjects()
-	if x.relayed == nil { // The other router has counted it.
+	if x.received == nil { // The other router has counted it.
 		x.f.budgetFor(x.service.Name).recordRequest(x.startedAt)
 	}
 	return x.runAttempts()
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -16,8 +16,8 @@
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/eventlog"
 	"github.com/kumquathollow/kumquathollow/internal/fleetview"
+	"github.com/kumquathollow/kumquathollow/internal/handoff"
 	"github.com/kumquathollow/kumquathollow/internal/placement"
-	"github.com/kumquathollow/kumquathollow/internal/relay"
 	"github.com/kumquathollow/kumquathollow/internal/telemetry"
 )
 
@@ -33,8 +33,8 @@
 	// may have been revoked in the meantime. Beyond it, a missing route is not reported
 	// as such either.
 	MaxConfirmationAge time.Duration
-	// Relays passes requests on to other routers; nil if there is no way to.
-	Relays  Relays
+	// Handoff passes requests on to other routers; nil if there is no way to.
+	Handoff Handoff
 	Log     hclog.Logger
 	Metrics *telemetry.Registry
 }
@@ -50,7 +50,7 @@
 	requestBodies, responses memoryBudget
 	crashes                  *crashDetector
 	prober                   *prober
-	peers                    *relay.Peers
+	peers                    *handoff.Peers
 
 	mu           sync.Mutex
 	retryBudgets map[string]*retryBudget
@@ -67,7 +67,7 @@
 	f.requestBodies.limit, f.responses.limit = maxBufferedBytes, maxBufferedResponseBytes
 	f.crashes = newCrashDetector(opts.Pool, f.reportCrash)
 	f.prober = newProber(opts.Fleet, opts.Pool)
-	f.peers = relay.NewPeers()
+	f.peers = handoff.NewPeers()
 	opts.Metrics.Gauge("forward.in_flight", f.inFlight.Load)
 	opts.Metrics.Gauge("forward.body_bytes", f.requestBodies.used.Load)
 	opts.Metrics.Gauge("forward.response_bytes", f.responses.used.Load)
--- a/internal/forward/relay.go
+++ b/internal/forward/handoff.go
@@ -6,11 +6,11 @@
 	"slices"
 	"time"
 
-	"github.com/kumquathollow/kumquathollow/api/relaypb"
+	"github.com/kumquathollow/kumquathollow/api/handoffpb"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/handoff"
 	"github.com/kumquathollow/kumquathollow/internal/httpheader"
 	"github.com/kumquathollow/kumquathollow/internal/placement"
-	"github.com/kumquathollow/kumquathollow/internal/relay"
 	"github.com/kumquathollow/kumquathollow/internal/routing"
 )
 
@@ -22,43 +22,43 @@
 	maxPassedOn = 2
 )
 
-// Relays passes requests on to other routers.
-type Relays interface {
+// Handoff passes requests on to other routers.
+type Handoff interface {
 	// Addresses returns the routers that take over requests.
 	Addresses() []string
 	// Do passes a request on to the router at address and calls receive for each part of
 	// the response.
-	Do(ctx context.Context, address string, req *relaypb.ExchangeRequest, receive func(relay.Part) error) relay.Result
+	Do(ctx context.Context, address string, req *handoffpb.ExchangeRequest, receive func(handoff.Part) error) handoff.Result
 }
 
 // CanPassOn reports whether there are routers to which requests can be passed on.
 func (f *Forwarder) CanPassOn() bool {
-	return f.opts.Relays != nil && f.peers.Available(f.opts.Relays.Addresses(), time.Now())
+	return f.opts.Handoff != nil && f.peers.Available(f.opts.Handoff.Addresses(), time.Now())
 }
 
-// ServeRelayed handles a request that another router has passed on. It implements
-// relay.Handler.
-func (f *Forwarder) ServeRelayed(w http.ResponseWriter, r *relay.Request) (sends int, mayHaveRun bool, err error) {
+// ServeHandoff handles a request that another router has passed on. It implements
+// handoff.Handler.
+func (f *Forwarder) ServeHandoff(w http.ResponseWriter, r *handoff.Request) (sends int, mayHaveRun bool, err error) {
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
-	f.opts.Metrics.Counter("forward.relay.taken_over").Inc(1)
+	f.opts.Metrics.Counter("forward.handoff.taken_over").Inc(1)
 	x := f.newExchange(w, r.Request)
-	x.relayed = r
+	x.received = r
 	x.sends, x.excluded = r.Sends, r.Excluded
 	err = x.serve()
 	x.recordOutcome(err)
 	return x.sends, x.anyMayHaveRun, err
 }
 
-// continueRelayed takes over what another router told of the request.
-func (x *exchange) continueRelayed() {
-	if x.relayed == nil {
+// continueHandoff takes over what another router told of the request.
+func (x *exchange) continueHandoff() {
+	if x.received == nil {
 		return
 	}
-	x.requestInfo.Timeout = max(time.Millisecond, x.relayed.Timeout)
-	x.lastEventID = x.relayed.LastEventID
-	if x.relayed.Origin.Version != "" {
-		x.origin = x.relayed.Origin
+	x.requestInfo.Timeout = max(time.Millisecond, x.received.Timeout)
+	x.lastEventID = x.received.LastEventID
+	if x.received.Origin.Version != "" {
+		x.origin = x.received.Origin
 		x.useService(x.origin.Service)
 	}
 }
@@ -66,7 +66,7 @@
 // mayPassOn reports whether the request may be passed on to another router. One that was
 // passed on already may not.
 func (x *exchange) mayPassOn() bool {
-	return x.f.opts.Relays != nil && x.relayed == nil && len(x.passedOn) < maxPassedOn
+	return x.f.opts.Handoff != nil && x.received == nil && len(x.passedOn) < maxPassedOn
 }
 
 // passOnAll passes on a request that this router cannot handle because of err. It returns nil
@@ -93,26 +93,26 @@
 	if !x.mayPassOn() {
 		return attemptResult{}, false
 	}
-	relays := x.f.opts.Relays
-	address := x.f.peers.Choose(relays.Addresses(), x.passedOn, routing.Hash(x.requestInfo.ID), time.Now())
+	peers := x.f.opts.Handoff
+	address := x.f.peers.Choose(peers.Addresses(), x.passedOn, routing.Hash(x.requestInfo.ID), time.Now())
 	if address == "" {
 		return attemptResult{}, false
 	}
 	x.passedOn = append(x.passedOn, address)
-	x.f.opts.Metrics.Counter("forward.relay.passed_on").Inc(1)
-	res := relays.Do(x.ctx, address, x.relayRequest(), x.receivePart)
+	x.f.opts.Metrics.Counter("forward.handoff.passed_on").Inc(1)
+	res := peers.Do(x.ctx, address, x.handoffRequest(), x.receivePart)
 	x.f.peers.Done(address, res.PeerFailed, time.Now())
-	out := x.relayResult(res)
+	out := x.handoffResult(res)
 	if out.err != nil {
-		x.f.logFailedRelay(x, address, out)
+		x.f.logFailedHandoff(x, address, out)
 	}
 	return out, true
 }
 
-func (x *exchange) relayRequest() *relaypb.ExchangeRequest {
+func (x *exchange) handoffRequest() *handoffpb.ExchangeRequest {
 	header := make(http.Header, len(x.r.Header))
 	httpheader.CopyEndToEnd(header, x.r.Header, "")
-	req := relay.EncodeRequest(x.r, header, x.body)
+	req := handoff.EncodeRequest(x.r, header, x.body)
 	req.TimeoutMs = uint32(max(1, time.Until(x.deadline).Milliseconds()))
 	req.Sends, req.Excluded = uint32(x.sends), x.excluded
 	req.LastEventId, req.OriginService, req.OriginVersion = x.lastEventID, x.origin.Service, x.origin.Version
@@ -120,7 +120,7 @@
 }
 
 // receivePart relays one part of another router's response to the client.
-func (x *exchange) receivePart(p relay.Part) error {
+func (x *exchange) receivePart(p handoff.Part) error {
 	whole := p.Header.Get("Content-Length") != ""
 	switch {
 	case whole && x.headerSent:
@@ -144,8 +144,8 @@
 	return nil
 }
 
-// relayResult translates how an exchange with another router ended.
-func (x *exchange) relayResult(res relay.Result) attemptResult {
+// handoffResult translates how an exchange with another router ended.
+func (x *exchange) handoffResult(res handoff.Result) attemptResult {
 	x.sends = max(x.sends, res.Sends)
 	out := attemptResult{err: res.Err, sent: res.MayHaveRun, mayHaveRun: res.MayHaveRun, outcome: placement.Neutral}
 	switch {
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -65,11 +65,11 @@
 	if x.requestInfo.Resumes != "" {
 		fields = append(fields, "resumes", x.requestInfo.Resumes)
 	}
-	if x.relayed != nil {
-		fields = append(fields, "passed-on-by", x.relayed.Router)
+	if x.received != nil {
+		fields = append(fields, "handed-off-by", x.received.Router)
 	}
 	if len(x.passedOn) > 0 {
-		fields = append(fields, "passed-on-to", x.passedOn)
+		fields = append(fields, "handed-off-to", x.passedOn)
 	}
 	if x.lastPicked != nil {
 		fields = append(fields, "server", x.lastPicked.ID, "server-version", x.lastPicked.Version, "rank", x.lastPicked.Rank, "load", x.lastPicked.Load, "pool", x.lastPicked.PoolSize)
@@ -107,14 +107,14 @@
 		"left", time.Until(x.deadline).Round(time.Millisecond), "error", res.err, "left-out", suppressed)
 }
 
-// logFailedRelay counts and logs that another router did not produce the client's response.
-func (f *Forwarder) logFailedRelay(x *exchange, address string, res attemptResult) {
+// logFailedHandoff counts and logs that another router did not produce the client's response.
+func (f *Forwarder) logFailedHandoff(x *exchange, address string, res attemptResult) {
 	kind := errkind.Of(res.err)
-	f.opts.Metrics.Counter("forward.relay." + string(kind)).Inc(1)
-	suppressed, ok := f.sampler.Allow("relay "+string(kind), time.Now())
+	f.opts.Metrics.Counter("forward.handoff." + string(kind)).Inc(1)
+	suppressed, ok := f.sampler.Allow("handoff "+string(kind), time.Now())
 	if !ok {
 		return
 	}
-	f.opts.Log.Warn("passing on failed", "request", x.requestInfo.ID, "router", address, "may-have-run", res.mayHaveRun, "may-repeat", res.retryable, "events", x.eventsSent,
+	f.opts.Log.Warn("handoff failed", "request", x.requestInfo.ID, "router", address, "may-have-run", res.mayHaveRun, "may-repeat", res.retryable, "events", x.eventsSent,
 		"after", time.Since(x.startedAt).Round(time.Microsecond), "left", time.Until(x.deadline).Round(time.Millisecond), "error", res.err, "left-out", suppressed)
 }
--- a/internal/relay/client.go
+++ b/internal/handoff/client.go
@@ -1,11 +1,11 @@
-package relay
+package handoff
 
 import (
 	"context"
 	"net/http"
 	"time"
 
-	"github.com/kumquathollow/kumquathollow/api/relaypb"
+	"github.com/kumquathollow/kumquathollow/api/handoffpb"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/rpc"
 )
@@ -45,13 +45,13 @@
 
 // Do passes a request on to the router at address and calls receive for each part of the
 // response. An error of receive ends the exchange and is returned.
-func (c *Client) Do(ctx context.Context, address string, req *relaypb.ExchangeRequest, receive func(Part) error) Result {
+func (c *Client) Do(ctx context.Context, address string, req *handoffpb.ExchangeRequest, receive func(Part) error) Result {
 	req.Router = c.Router
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // Tells the other router that the response is no longer needed.
 	conn := c.Dialer.Conn(ctx, address)
 	defer func() { _ = conn.Close() }()
-	stream, err := relaypb.NewDRPCRelayClient(conn).Exchange(ctx, req)
+	stream, err := handoffpb.NewDRPCHandoffClient(conn).Exchange(ctx, req)
 	if errkind.Is(err, errkind.Unreachable) {
 		return Result{Err: err, Sends: int(req.Sends), PeerFailed: true}
 	}
@@ -83,14 +83,14 @@
 	}
 }
 
-func lost(ctx context.Context, err error, address string, req *relaypb.ExchangeRequest) Result {
+func lost(ctx context.Context, err error, address string, req *handoffpb.ExchangeRequest) Result {
 	return Result{
 		Err:   errkind.Wrap(err, errkind.BackendLost, "the connection to router %s broke before the response was complete", address),
 		Sends: int(req.Sends), MayHaveRun: true, PeerFailed: ctx.Err() == nil,
 	}
 }
 
-func failureResult(f *relaypb.Failure, address string) Result {
+func failureResult(f *handoffpb.Failure, address string) Result {
 	kind := errkind.ByCode(f.Code)
 	err := errkind.New(kind, "router %s: %s", address, f.Message).WithRetryAfter(time.Duration(f.RetryAfterMs) * time.Millisecond)
 	return Result{Err: err, Sends: int(f.Sends), MayHaveRun: f.MayHaveRun, PeerFailed: isOwnFailure(kind)}
@@ -105,17 +105,17 @@
 	return false
 }
 
-func encodeHeaders(h http.Header) []*relaypb.Header {
-	out := make([]*relaypb.Header, 0, len(h))
+func encodeHeaders(h http.Header) []*handoffpb.Header {
+	out := make([]*handoffpb.Header, 0, len(h))
 	for name, values := range h {
 		for _, v := range values {
-			out = append(out, &relaypb.Header{Name: name, Value: v})
+			out = append(out, &handoffpb.Header{Name: name, Value: v})
 		}
 	}
 	return out
 }
 
-func decodeHeaders(headers []*relaypb.Header) http.Header {
+func decodeHeaders(headers []*handoffpb.Header) http.Header {
 	out := make(http.Header, len(headers))
 	for _, h := range headers {
 		out[h.Name] = append(out[h.Name], h.Value)
@@ -124,8 +124,8 @@
 }
 
 // EncodeRequest returns the message for a client's request. headers are its end-to-end headers.
-func EncodeRequest(r *http.Request, headers http.Header, body []byte) *relaypb.ExchangeRequest {
-	return &relaypb.ExchangeRequest{
+func EncodeRequest(r *http.Request, headers http.Header, body []byte) *handoffpb.ExchangeRequest {
+	return &handoffpb.ExchangeRequest{
 		Method: r.Method, Target: r.RequestURI, Host: r.Host, Headers: encodeHeaders(headers), Body: body,
 		HasBody: r.ContentLength != 0 || r.Header.Get("Content-Length") != "",
 	}
--- a/internal/relay/doc.go
+++ b/internal/handoff/doc.go
@@ -1,4 +1,4 @@
-// Package relay passes a request of a client from a router that reaches no backend server on
+// Package handoff passes a request of a client from a router that reaches no backend server on
 // to another router that does.
 //
 // The router that received the request chooses among the routers that the directory names
@@ -9,4 +9,4 @@
 //
 // A failure says whether a backend server may have run the request. If the connection
 // between the routers breaks, it may have.
-package relay
+package handoff
--- a/internal/relay/peers_test.go
+++ b/internal/handoff/peers_test.go
@@ -1,4 +1,4 @@
-package relay
+package handoff
 
 import (
 	"fmt"
--- a/internal/relay/server.go
+++ b/internal/handoff/server.go
@@ -1,4 +1,4 @@
-package relay
+package handoff
 
 import (
 	"bytes"
@@ -12,7 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/kumquathollow/kumquathollow/api/relaypb"
+	"github.com/kumquathollow/kumquathollow/api/handoffpb"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/streamorigin"
 )
@@ -43,7 +43,7 @@
 // set unless none of them ran it.
 type Handler func(w http.ResponseWriter, r *Request) (sends int, mayHaveRun bool, err error)
 
-// Server implements the Relay service.
+// Server implements the Handoff service.
 type Server struct {
 	Handle Handler
 	// Accepts reports whether the router takes requests of others.
@@ -52,13 +52,13 @@
 	inFlight atomic.Int64
 }
 
-var _ relaypb.DRPCRelayServer = (*Server)(nil)
+var _ handoffpb.DRPCHandoffServer = (*Server)(nil)
 
 // InFlight returns the number of requests of other routers that are in flight.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
-// Exchange implements the Relay service.
-func (s *Server) Exchange(req *relaypb.ExchangeRequest, stream relaypb.DRPCRelay_ExchangeStream) error {
+// Exchange implements the Handoff service.
+func (s *Server) Exchange(req *handoffpb.ExchangeRequest, stream handoffpb.DRPCHandoff_ExchangeStream) error {
 	defer s.inFlight.Add(-1)
 	if s.inFlight.Add(1) > maxInFlight {
 		return refuse(stream, req, errkind.New(errkind.QueueFull, "the router already handles %d requests of other routers", maxInFlight))
@@ -78,24 +78,24 @@
 	if err := w.sendHeader(nil); err != nil {
 		return err
 	}
-	return stream.Send(&relaypb.ExchangeResponse{Complete: true})
+	return stream.Send(&handoffpb.ExchangeResponse{Complete: true})
 }
 
 // refuse fails a request before it was sent to any backend server here.
-func refuse(stream relaypb.DRPCRelay_ExchangeStream, req *relaypb.ExchangeRequest, err error) error {
+func refuse(stream handoffpb.DRPCHandoff_ExchangeStream, req *handoffpb.ExchangeRequest, err error) error {
 	return sendFailure(stream, err, int(req.Sends), false)
 }
 
-func sendFailure(stream relaypb.DRPCRelay_ExchangeStream, err error, sends int, mayHaveRun bool) error {
-	f := &relaypb.Failure{Code: errkind.Lookup(errkind.Of(err)).Code, Message: err.Error(), Sends: uint32(sends), MayHaveRun: mayHaveRun}
+func sendFailure(stream handoffpb.DRPCHandoff_ExchangeStream, err error, sends int, mayHaveRun bool) error {
+	f := &handoffpb.Failure{Code: errkind.Lookup(errkind.Of(err)).Code, Message: err.Error(), Sends: uint32(sends), MayHaveRun: mayHaveRun}
 	var e *errkind.Error
 	if errors.As(err, &e) {
 		f.RetryAfterMs = uint64(e.RetryAfter.Milliseconds())
 	}
-	return stream.Send(&relaypb.ExchangeResponse{Failure: f})
+	return stream.Send(&handoffpb.ExchangeResponse{Failure: f})
 }
 
-func decodeRequest(ctx context.Context, req *relaypb.ExchangeRequest) (*Request, error) {
+func decodeRequest(ctx context.Context, req *handoffpb.ExchangeRequest) (*Request, error) {
 	u, err := url.ParseRequestURI(req.Target)
 	if err != nil {
 		return nil, errkind.Wrap(err, errkind.BadRequest, "the request target %q", req.Target)
@@ -118,7 +118,7 @@
 
 // responseWriter sends each write as a part of the response.
 type responseWriter struct {
-	stream     relaypb.DRPCRelay_ExchangeStream
+	stream     handoffpb.DRPCHandoff_ExchangeStream
 	header     http.Header
 	status     int
 	headerSent bool
@@ -134,7 +134,7 @@
 func (w *responseWriter) Write(p []byte) (int, error) {
 	var err error
 	if w.headerSent {
-		err = w.stream.Send(&relaypb.ExchangeResponse{Data: p})
+		err = w.stream.Send(&handoffpb.ExchangeResponse{Data: p})
 	} else {
 		err = w.sendHeader(p)
 	}
@@ -150,7 +150,7 @@
 		return nil
 	}
 	w.headerSent = true
-	return w.stream.Send(&relaypb.ExchangeResponse{Status: uint32(w.status), Headers: encodeHeaders(w.header), Data: data})
+	return w.stream.Send(&handoffpb.ExchangeResponse{Status: uint32(w.status), Headers: encodeHeaders(w.header), Data: data})
 }
 
 // FlushError lets http.ResponseController flush: each write is sent at once.
