--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -260,7 +260,7 @@
 		r.ready.SetReason(reasonConfiguration, !confirmed || r.view.Snapshot().Configuration == nil)
 		r.ready.SetReason(reasonNoQuorum, r.view.QuorumAge() > quorumTimeout || r.view.OutOfQuorumDuration() > outOfQuorumTimeout)
 		cutOff := r.fleet.CutOff()
-		r.ready.SetReason(reasonNoBackend, cutOff && !r.forwarder.CanPassOn())
+		r.ready.SetReason(reasonNoBackend, cutOff && !r.forwarder.CanHandOff())
 		if takes := r.ready.Ready() && !cutOff; r.takesHandoffs.Swap(takes) != takes {
 			r.view.HandoffAddressChanged(ctx)
 		}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -58,8 +58,8 @@
 	// those to which it could not be sent, and unreachable those of them to which no
 	// connection could be opened.
 	sends, failedDials, unreachable int
-	// passedOn are the addresses of the routers to which the request was passed on.
-	passedOn []string
+	// handedOffTo are the addresses of the routers to which the request was passed on.
+	handedOffTo []string
 	// received is what another router told of the request that it passed on; nil for a
 	// client's own request.
 	received *handoff.Request
@@ -93,7 +93,7 @@
 		return err
 	}
 	notReady := x.admit()
-	if notReady != nil && !(errkind.Is(notReady, errkind.NotReady) && x.mayPassOn() && x.f.CanPassOn()) {
+	if notReady != nil && !(errkind.Is(notReady, errkind.NotReady) && x.mayHandOff() && x.f.CanHandOff()) {
 		return notReady
 	}
 	defer func() {
@@ -109,7 +109,7 @@
 	x.ctx, cancel = context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
 	if notReady != nil {
-		return x.fail(x.passOnAll(notReady))
+		return x.fail(x.handOffAll(notReady))
 	}
 	if err := x.resolveOrigin(); err != nil {
 		return x.fail(err)
@@ -300,14 +300,14 @@
 // servers, through another router. Its error means that there is nothing to attempt.
 func (x *exchange) nextAttempt() (attemptResult, error) {
 	if x.unreachable >= minUnreachable {
-		if res, ok := x.passOn(); ok {
+		if res, ok := x.handOff(); ok {
 			return res, nil
 		}
 	}
 	picked, err := x.pick()
 	if err != nil {
 		if x.unreachable > 0 || errors.Is(err, placement.ErrUnreachable) {
-			if res, ok := x.passOn(); ok {
+			if res, ok := x.handOff(); ok {
 				return res, nil
 			}
 		}
--- a/internal/forward/handoff.go
+++ b/internal/forward/handoff.go
@@ -18,8 +18,8 @@
 	// minUnreachable is from how many unreachable servers on a request is passed on to
 	// another router. One could have crashed.
 	minUnreachable = 2
-	// maxPassedOn limits the routers to which a request is passed on, one after the other.
-	maxPassedOn = 2
+	// maxHandoffs limits the routers to which a request is passed on, one after the other.
+	maxHandoffs = 2
 )
 
 // Handoff passes requests on to other routers.
@@ -31,8 +31,8 @@
 	Do(ctx context.Context, address string, req *handoffpb.ExchangeRequest, receive func(handoff.Part) error) handoff.Result
 }
 
-// CanPassOn reports whether there are routers to which requests can be passed on.
-func (f *Forwarder) CanPassOn() bool {
+// CanHandOff reports whether there are routers to which requests can be passed on.
+func (f *Forwarder) CanHandOff() bool {
 	return f.opts.Handoff != nil && f.peers.Available(f.opts.Handoff.Addresses(), time.Now())
 }
 
@@ -63,17 +63,17 @@
 	}
 }
 
-// mayPassOn reports whether the request may be passed on to another router. One that was
+// mayHandOff reports whether the request may be passed on to another router. One that was
 // passed on already may not.
-func (x *exchange) mayPassOn() bool {
-	return x.f.opts.Handoff != nil && x.received == nil && len(x.passedOn) < maxPassedOn
+func (x *exchange) mayHandOff() bool {
+	return x.f.opts.Handoff != nil && x.received == nil && len(x.handedOffTo) < maxHandoffs
 }
 
-// passOnAll passes on a request that this router cannot handle because of err. It returns nil
+// handOffAll passes on a request that this router cannot handle because of err. It returns nil
 // if the client has its response.
-func (x *exchange) passOnAll(err error) error {
+func (x *exchange) handOffAll(err error) error {
 	for {
-		res, ok := x.passOn()
+		res, ok := x.handOff()
 		if !ok {
 			return err
 		}
@@ -87,19 +87,19 @@
 	}
 }
 
-// passOn passes the request on to another router and relays its response. It returns false
+// handOff passes the request on to another router and relays its response. It returns false
 // if there is no router left that may be tried.
-func (x *exchange) passOn() (attemptResult, bool) {
-	if !x.mayPassOn() {
+func (x *exchange) handOff() (attemptResult, bool) {
+	if !x.mayHandOff() {
 		return attemptResult{}, false
 	}
 	peers := x.f.opts.Handoff
-	address := x.f.peers.Choose(peers.Addresses(), x.passedOn, routing.Hash(x.requestInfo.ID), time.Now())
+	address := x.f.peers.Choose(peers.Addresses(), x.handedOffTo, routing.Hash(x.requestInfo.ID), time.Now())
 	if address == "" {
 		return attemptResult{}, false
 	}
-	x.passedOn = append(x.passedOn, address)
-	x.f.opts.Metrics.Counter("forward.handoff.passed_on").Inc(1)
+	x.handedOffTo = append(x.handedOffTo, address)
+	x.f.opts.Metrics.Counter("forward.handoff.handed_off").Inc(1)
 	res := peers.Do(x.ctx, address, x.handoffRequest(), x.receivePart)
 	x.f.peers.Done(address, res.PeerFailed, time.Now())
 	out := x.handoffResult(res)
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -68,8 +68,8 @@
 	if x.received != nil {
 		fields = append(fields, "handed-off-by", x.received.Router)
 	}
-	if len(x.passedOn) > 0 {
-		fields = append(fields, "handed-off-to", x.passedOn)
+	if len(x.handedOffTo) > 0 {
+		fields = append(fields, "handed-off-to", x.handedOffTo)
 	}
 	if x.lastPicked != nil {
 		fields = append(fields, "server", x.lastPicked.ID, "server-version", x.lastPicked.Version, "rank", x.lastPicked.Rank, "load", x.lastPicked.Load, "pool", x.lastPicked.PoolSize)
--- a/internal/handoff/peers_test.go
+++ b/internal/handoff/peers_test.go
@@ -9,7 +9,7 @@
 // The pattern: half of the routers of a fleet reach no server, and each passes all its
 // requests on. The routers that take them over must get equal parts, and one that fails must
 // not get more than a request at a time until it has recovered.
-func TestRequestsArePassedOnEvenly(t *testing.T) {
+func TestRequestsAreHandedOffEvenly(t *testing.T) {
 	const routers, requests, concurrent = 8, 4000, 64
 	var addresses []string
 	for i := range routers {
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -157,7 +157,10 @@
 	if !cutOff {
 		return nil
 	}
-	retryAfter := max(minCutOffRetryAfter, BalancerDetectionTime-now.Sub(since))
+	retryAfter := minCutOffRetryAfter
+	if len(dataCentres) >= minCutOffDataCentres {
+		retryAfter = max(retryAfter, BalancerDetectionTime-now.Sub(since))
+	}
 	return errkind.Wrap(ErrUnreachable, errkind.NoBackend, "no server can be reached").WithRetryAfter(retryAfter)
 }
 
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -634,6 +634,25 @@
 	}
 }
 
+// All servers of the only data centre have crashed, and may be back soon: requests are refused
+// at once, with a short time, and the router does not count as cut off.
+func TestRefusalsNameAShortTimeIfTheOnlyDataCentreIsUnreachable(t *testing.T) {
+	w := newFleetSim(t)
+	for i := range 3 {
+		w.announce(w.server(fmt.Sprint("s", i), "a"))
+	}
+	w.advance(time.Minute)
+	for i := range minUnreachableServers {
+		w.pick(PickRequest{TieBreaker: key(i), Exclude: []string{"s0", "s1"}[:i]}).Done(Unreachable, time.Millisecond, w.now)
+	}
+	w.probe(func(string) bool { return false })
+	_, err := w.fleet.Pick(PickRequest{Service: chat}, w.now)
+	var e *errkind.Error
+	if !errors.Is(err, ErrUnreachable) || !errors.As(err, &e) || e.RetryAfter != minCutOffRetryAfter || w.fleet.CutOff() {
+		t.Errorf("error %v with Retry-After %v, cut off %v", err, e.RetryAfter, w.fleet.CutOff())
+	}
+}
+
 // A single unreachable server must not stop requests to the rest of its data
 // centre.
 func TestOneUnreachableServerIsNoPartition(t *testing.T) {
