Take over what servers say of themselves in handed-off responses

Cause: a router that hands a request off relays the response, but only the other router recorded what the server said in it. Once the first one reached the servers again, it could send requests to a server of whose leaving it had told a client. Change: the other router names the server's incarnation with the response, and the first one records that it leaves, and its limits. For how long the server wants no requests concerns the other router only. Measured: TestALeavingServerGetsNothingFromARouterThatHandedOff failed before (one request) and passes.

--- a/internal/forward/handoff.go
+++ b/internal/forward/handoff.go
@@ -45,6 +45,7 @@
 	x := f.newExchange(w, r.Request)
 	x.received = r
 	x.sends, x.excluded = r.Sends, r.Excluded
+	r.Server = func() (string, int64) { return x.lastPicked.ID, x.lastPicked.Born }
 	err = x.serve()
 	x.recordOutcome(err)
 	return x.sends, x.anyMayHaveRun, err
@@ -100,7 +101,13 @@
 	}
 	x.handedOffTo = append(x.handedOffTo, address)
 	x.f.opts.Metrics.Counter("forward.handoff.handed_off").Inc(1)
-	res := peers.Do(x.ctx, address, x.handoffRequest(), x.receivePart)
+	sentAt := time.Now()
+	res := peers.Do(x.ctx, address, x.handoffRequest(), func(p handoff.Part) error {
+		if p.Header != nil {
+			x.recordRemoteNotice(p, sentAt)
+		}
+		return x.receivePart(p)
+	})
 	x.f.peers.Done(address, res.PeerFailed, time.Now())
 	out := x.handoffResult(res)
 	if out.err != nil {
@@ -144,6 +151,15 @@
 	return nil
 }
 
+// recordRemoteNotice records what a server says of itself in a response that another router
+// received: this one relays it, and may reach the server again. For how long it wants no
+// requests is said to the other router only.
+func (x *exchange) recordRemoteNotice(p handoff.Part, sentAt time.Time) {
+	notice := x.f.opts.Protocol.ParseResponse(&http.Response{StatusCode: p.Status, Header: p.Header}).Notice
+	notice.StayAway = 0
+	x.f.opts.Fleet.RecordNotice(p.Server, p.Born, notice, sentAt, time.Now())
+}
+
 // handoffResult translates how an exchange with another router ended.
 func (x *exchange) handoffResult(res handoff.Result) attemptResult {
 	x.sends = max(x.sends, res.Sends)
--- a/internal/handoff/client.go
+++ b/internal/handoff/client.go
@@ -23,6 +23,10 @@
 	Status int
 	Header http.Header
 	Data   []byte
+	// Server and Born identify the incarnation of the backend server that responded. They are
+	// set together with Header.
+	Server string
+	Born   int64
 }
 
 // Result is how an exchange with another router ended.
@@ -75,7 +79,7 @@
 		}
 		part := Part{Status: int(resp.Status), Data: resp.Data}
 		if resp.Status != 0 {
-			part.Header = decodeHeaders(resp.Headers)
+			part.Header, part.Server, part.Born = decodeHeaders(resp.Headers), resp.Server, resp.Born
 		}
 		if err := receive(part); err != nil {
 			return Result{Err: err, Sends: int(req.Sends) + 1, MayHaveRun: true}
--- a/internal/handoff/server.go
+++ b/internal/handoff/server.go
@@ -36,6 +36,9 @@
 	// none. Origin is what began the stream.
 	LastEventID string
 	Origin      streamorigin.Origin
+	// Server returns the id and the incarnation of the backend server whose response is being
+	// written. The Handler sets it.
+	Server func() (id string, born int64)
 }
 
 // Handler handles a request and writes the response. If it returns an error, the response is
@@ -70,7 +73,7 @@
 	if err != nil {
 		return refuse(stream, req, err)
 	}
-	w := &responseWriter{stream: stream, header: http.Header{}}
+	w := &responseWriter{stream: stream, request: r, header: http.Header{}}
 	sends, mayHaveRun, err := s.Handle(w, r)
 	if err != nil {
 		return sendFailure(stream, err, sends, mayHaveRun)
@@ -119,6 +122,7 @@
 // responseWriter sends each write as a part of the response.
 type responseWriter struct {
 	stream     handoffpb.DRPCHandoff_ExchangeStream
+	request    *Request
 	header     http.Header
 	status     int
 	headerSent bool
@@ -150,7 +154,9 @@
 		return nil
 	}
 	w.headerSent = true
-	return w.stream.Send(&handoffpb.ExchangeResponse{Status: uint32(w.status), Headers: encodeHeaders(w.header), Data: data})
+	part := &handoffpb.ExchangeResponse{Status: uint32(w.status), Headers: encodeHeaders(w.header), Data: data}
+	part.Server, part.Born = w.request.Server()
+	return w.stream.Send(part)
 }
 
 // FlushError lets http.ResponseController flush: each write is sent at once.
--- a/internal/placement/notice.go
+++ b/internal/placement/notice.go
@@ -131,8 +131,24 @@
 // RecordNotice records what the server said of itself in its response to a request that was
 // sent at sentAt, and reports whether that was news.
 func (p *PickResult) RecordNotice(n Notice, sentAt, now time.Time) bool {
-	said := n.Leaving || n.StayAway > 0 || n.HasLimit || n.HasRefusals || p.notices.limit.inForce(p.fleet.Routers(), now) || p.notices.refusals.inForce(now)
-	return said && p.notices.record(n, p.fleet.Routers(), sentAt, now)
+	return p.fleet.recordNotice(p.Server, n, sentAt, now)
+}
+
+// RecordNotice records what a server said of itself in a response that another router
+// received. An incarnation that is not listed is ignored.
+func (f *Fleet) RecordNotice(server string, born int64, n Notice, sentAt, now time.Time) {
+	for _, p := range *f.pools.Load() {
+		p.forEachServer(func(s *Server) {
+			if s.ID == server && s.Born == born {
+				f.recordNotice(s, n, sentAt, now)
+			}
+		})
+	}
+}
+
+func (f *Fleet) recordNotice(s *Server, n Notice, sentAt, now time.Time) bool {
+	said := n.Leaving || n.StayAway > 0 || n.HasLimit || n.HasRefusals || s.notices.limit.inForce(f.Routers(), now) || s.notices.refusals.inForce(now)
+	return said && s.notices.record(n, f.Routers(), sentAt, now)
 }
 
 // RetryAfter returns the time after which to retry a refused request: least if a server of
