Soak: routers that reach no server

kqsoak runs routers as well, with a dialer that cuts their path to the servers as a control file says: silently, with resets, or for new connections only. The option for the binary kqplatform is gone, since kqsoak runs all processes.

--- a/cmd/kqplatform/main.go
+++ b/cmd/kqplatform/main.go
@@ -35,7 +35,9 @@
 	signal.Ignore(syscall.SIGPIPE)
 
 	out := eventlog.NewWriter(os.Stdout)
-	run := platform.RunRouter
+	run := func(path string, stop, reload <-chan os.Signal, out *eventlog.Writer) error {
+		return platform.RunRouter(path, nil, stop, reload, out)
+	}
 	switch {
 	case directory.Used:
 		run = func(path string, stop, reload <-chan os.Signal, out *eventlog.Writer) error {
--- a/cmd/kqsoak/main.go
+++ b/cmd/kqsoak/main.go
@@ -1,6 +1,7 @@
 // Command kqsoak injects faults into a fleet of kqplatform processes on loopback and
 // checks the guarantees of the system. Its exit code is not 0 if one was violated. Its
-// subcommand directory runs a directory process on a disk that injects faults on demand.
+// subcommands directory and router run such a process on a disk, or with a path to the backend
+// servers, that injects faults on demand.
 package main
 
 import (
@@ -23,13 +24,12 @@
 )
 
 func main() {
-	binary, dir := "bin/kqplatform", ""
+	dir := ""
 	seed, seeds, seconds := uint64(1), 1, 15
 	directories, routers, servers, clients := 3, 4, 6, 16
 	flaggy.SetName("kqsoak")
 	flaggy.SetDescription("Disturbs a fleet on loopback and checks its promises.")
 	flaggy.SetVersion(version.Version)
-	flaggy.String(&binary, "b", "binary", "path of kqplatform")
 	flaggy.String(&dir, "d", "dir", "folder for settings, data and logs; default a temporary one, kept if a promise broke")
 	flaggy.UInt64(&seed, "s", "seed", "first seed")
 	flaggy.Int(&seeds, "n", "seeds", "number of seeds")
@@ -40,10 +40,24 @@
 	flaggy.Int(&clients, "", "clients", "clients")
 	directory := flaggy.NewSubcommand("directory")
 	directory.Description = "runs a directory process on a disk that misbehaves while $" + soak.DiskControlEnv + " says so"
+	router := flaggy.NewSubcommand("router")
+	router.Description = "runs a router whose path to the servers is cut as $" + soak.PathControlEnv + " says"
 	flaggy.AttachSubcommand(directory, 1)
+	flaggy.AttachSubcommand(router, 1)
 	flaggy.Parse()
-	if directory.Used {
-		runDirectory()
+	switch {
+	case directory.Used:
+		runProcess(func(path string, stop <-chan os.Signal, out *eventlog.Writer) error {
+			disk := soak.FaultyFS{FS: vfs.Default, ControlFile: os.Getenv(soak.DiskControlEnv)}
+			return platform.RunDirectory(path, disk, stop, nil, out)
+		})
+		return
+	case router.Used:
+		runProcess(func(path string, stop <-chan os.Signal, out *eventlog.Writer) error {
+			toServers := &soak.ServerPath{}
+			go toServers.Follow(context.Background(), os.Getenv(soak.PathControlEnv))
+			return platform.RunRouter(path, toServers.Dial, stop, nil, out)
+		})
 		return
 	}
 	if directories < 3 || routers < 1 || servers < 1 || clients < 1 || seeds < 1 || seconds < 1 {
@@ -60,7 +74,7 @@
 	conf := soak.Config{
 		SoakBinary:    self,
 		FaultDuration: time.Duration(seconds) * time.Second, Directories: directories, Routers: routers, Servers: servers, Clients: clients,
-		PlatformBinary: binary, Out: os.Stdout,
+		Out: os.Stdout,
 	}
 	failedSeeds := 0
 	for n := range uint64(seeds) {
@@ -78,18 +92,18 @@
 	}
 }
 
-func runDirectory() {
+func runProcess(run func(path string, stop <-chan os.Signal, out *eventlog.Writer) error) {
 	stop := make(chan os.Signal, 2)
 	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	signal.Ignore(syscall.SIGPIPE)
 	out := eventlog.NewWriter(os.Stdout)
 	path, err := platform.SettingsPath()
 	if err == nil {
-		disk := soak.FaultyFS{FS: vfs.Default, ControlFile: os.Getenv(soak.DiskControlEnv)}
-		err = platform.RunDirectory(path, disk, stop, nil, out)
+		err = run(path, stop, out)
 	}
 	out.Close()
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "kqsoak directory:", err)
+		fmt.Fprintln(os.Stderr, "kqsoak:", err)
 		os.Exit(errkind.Lookup(errkind.Of(err)).Exit)
 	}
 }
