Confine a panic to the handed-off request; test failures of handoffs

Unlike net/http, the drpc server lets a panic end the process. The tests cover what each way of failing says of the request, the whole request and response, and the limit of requests that a router takes.

--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -130,7 +130,7 @@
 		options.Handoff = handoffs{&handoff.Client{Router: conf.Name, Dialer: r.dialer}, r.view, r.handoff.Addr().String()}
 	}
 	r.forwarder = forward.New(options)
-	r.handoffServer = &handoff.Server{Handle: r.forwarder.ServeHandoff, Accepts: r.takesHandoffs.Load}
+	r.handoffServer = &handoff.Server{Handle: r.forwarder.ServeHandoff, Accepts: r.takesHandoffs.Load, Log: log.Named("handoff")}
 	r.metrics.Gauge("handoff.in_flight", r.handoffServer.InFlight)
 	r.metrics.Gauge("handoff.known", func() int64 { return int64(len(r.view.Handoffs())) })
 	r.metrics.Gauge("config.revision", func() int64 { return int64(r.view.Snapshot().Revision) })
--- a/internal/forward/handoff.go
+++ b/internal/forward/handoff.go
@@ -45,7 +45,12 @@
 	x := f.newExchange(w, r.Request)
 	x.received = r
 	x.sends, x.excluded = r.Sends, r.Excluded
-	r.Server = func() (string, int64) { return x.lastPicked.ID, x.lastPicked.Born }
+	r.Server = func() (string, int64) {
+		if x.lastPicked == nil {
+			return "", 0
+		}
+		return x.lastPicked.ID, x.lastPicked.Born
+	}
 	err = x.serve()
 	x.recordOutcome(err)
 	return x.sends, x.anyMayHaveRun, err
--- /dev/null
+++ b/internal/handoff/handoff_test.go
@@ -0,0 +1,146 @@
+package handoff
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"storj.io/drpc/drpcmux"
+
+	"github.com/kumquathollow/kumquathollow/api/handoffpb"
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/rpc"
+)
+
+// startServer serves handoffs on loopback until the test or stop ends them.
+func startServer(t *testing.T, handle Handler) (client *Client, address string, stop func()) {
+	t.Helper()
+	l, err := rpc.Listen("127.0.0.1:0", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &Server{Handle: handle, Accepts: func() bool { return true }, Log: hclog.NewNullLogger()}
+	mux := drpcmux.New()
+	if err := handoffpb.DRPCRegisterHandoff(mux, s); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var served sync.WaitGroup
+	served.Go(func() { _ = rpc.Serve(ctx, l, mux) })
+	stop = sync.OnceFunc(func() {
+		cancel()
+		_ = l.Close()
+		served.Wait()
+	})
+	dialer := rpc.NewFleetDialer()
+	t.Cleanup(func() {
+		stop()
+		_ = dialer.Close()
+	})
+	return &Client{Router: "r", Dialer: dialer}, l.Addr().String(), stop
+}
+
+func newRequest() *handoffpb.ExchangeRequest {
+	return &handoffpb.ExchangeRequest{Method: http.MethodPost, Target: "/x?y=1", Host: "h", Body: []byte("q"), HasBody: true, TimeoutMs: 5000, Sends: 1}
+}
+
+func ignoreParts(Part) error { return nil }
+
+func ok(w http.ResponseWriter, r *Request) (int, bool, error) {
+	r.Server = func() (string, int64) { return "s", 7 }
+	w.WriteHeader(http.StatusOK)
+	_, err := w.Write([]byte("body"))
+	return r.Sends + 1, true, err
+}
+
+// What a handoff that fails says of the request decides whether it is sent again: only if the
+// other router could not be reached, or says so, has it certainly not run.
+func TestAFailedHandoffTellsWhetherTheRequestMayHaveRun(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = closed.Close()
+	var stop func()
+	for name, tc := range map[string]struct {
+		handle                 Handler
+		kind                   errkind.Kind
+		mayHaveRun, peerFailed bool
+		sends                  int
+	}{
+		"no such router": {nil, errkind.Unreachable, false, true, 1},
+		"refused": {func(_ http.ResponseWriter, r *Request) (int, bool, error) {
+			return r.Sends, false, errkind.New(errkind.NoBackend, "no server")
+		}, errkind.NoBackend, false, false, 1},
+		"not ready": {func(_ http.ResponseWriter, r *Request) (int, bool, error) {
+			return r.Sends, false, errkind.New(errkind.NotReady, "no configuration")
+		}, errkind.NotReady, false, true, 1},
+		"lost at the server": {func(_ http.ResponseWriter, r *Request) (int, bool, error) {
+			return r.Sends + 1, true, errkind.New(errkind.BackendLost, "broke")
+		}, errkind.BackendLost, true, false, 2},
+		"panic": {func(http.ResponseWriter, *Request) (int, bool, error) { panic("fault") }, errkind.Internal, true, true, 1},
+		"router ends": {func(_ http.ResponseWriter, r *Request) (int, bool, error) {
+			go stop()
+			<-r.Context().Done()
+			return r.Sends + 1, true, r.Context().Err()
+		}, errkind.BackendLost, true, true, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client, address, end := startServer(t, tc.handle)
+			stop = end
+			if tc.handle == nil {
+				address = closed.Addr().String()
+			}
+			res := client.Do(t.Context(), address, newRequest(), ignoreParts)
+			if errkind.Of(res.Err) != tc.kind || res.MayHaveRun != tc.mayHaveRun || res.PeerFailed != tc.peerFailed || res.Sends != tc.sends {
+				t.Errorf("result %+v, want kind %s, may have run %v, router failed %v, %d sends", res, tc.kind, tc.mayHaveRun, tc.peerFailed, tc.sends)
+			}
+		})
+	}
+}
+
+func TestARequestAndItsResponseArriveWhole(t *testing.T) {
+	client, address, _ := startServer(t, func(w http.ResponseWriter, r *Request) (int, bool, error) {
+		if r.Method != http.MethodPost || r.URL.Path != "/x" || r.URL.RawQuery != "y=1" || r.RequestURI != "/x?y=1" || r.Host != "h" || r.ContentLength != 1 || r.Header.Get("Content-Length") != "1" || r.Timeout != 5*time.Second {
+			t.Errorf("the request arrived as %+v", r.Request)
+		}
+		return ok(w, r)
+	})
+	var parts []Part
+	res := client.Do(t.Context(), address, newRequest(), func(p Part) error { parts = append(parts, p); return nil })
+	if res.Err != nil || len(parts) != 1 || parts[0].Status != http.StatusOK || string(parts[0].Data) != "body" || parts[0].Server != "s" || parts[0].Born != 7 {
+		t.Errorf("result %+v, parts %+v", res, parts)
+	}
+}
+
+// The pattern: many routers reach no server and hand all their requests off to the same one.
+func TestARouterTakesABoundedNumberOfRequests(t *testing.T) {
+	release := make(chan struct{})
+	var inFlight atomic.Int32
+	client, address, _ := startServer(t, func(w http.ResponseWriter, r *Request) (int, bool, error) {
+		inFlight.Add(1)
+		<-release
+		return ok(w, r)
+	})
+	var held sync.WaitGroup
+	for range maxInFlight {
+		held.Go(func() {
+			if res := client.Do(t.Context(), address, newRequest(), ignoreParts); res.Err != nil {
+				t.Errorf("a request within the limit: %v", res.Err)
+			}
+		})
+	}
+	for end := time.Now().Add(20 * time.Second); int(inFlight.Load()) < maxInFlight && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	}
+	res := client.Do(t.Context(), address, newRequest(), ignoreParts)
+	if !errkind.Is(res.Err, errkind.QueueFull) || res.MayHaveRun || !res.PeerFailed {
+		t.Errorf("a request over the limit: %+v, want queue-full, not run", res)
+	}
+	close(release)
+	held.Wait()
+}
--- a/internal/handoff/server.go
+++ b/internal/handoff/server.go
@@ -6,11 +6,13 @@
 	"io"
 	"net/http"
 	"net/url"
+	"runtime/debug"
 	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
 
 	"github.com/kumquathollow/kumquathollow/api/handoffpb"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
@@ -51,6 +53,7 @@
 	Handle Handler
 	// Accepts reports whether the router takes requests of others.
 	Accepts func() bool
+	Log     hclog.Logger
 
 	inFlight atomic.Int64
 }
@@ -74,7 +77,7 @@
 		return refuse(stream, req, err)
 	}
 	w := &responseWriter{stream: stream, request: r, header: http.Header{}}
-	sends, mayHaveRun, err := s.Handle(w, r)
+	sends, mayHaveRun, err := s.handle(w, r)
 	if err != nil {
 		return sendFailure(stream, err, sends, mayHaveRun)
 	}
@@ -84,6 +87,17 @@
 	return stream.Send(&handoffpb.ExchangeResponse{Complete: true})
 }
 
+// handle calls Handle. Like net/http, it confines a panic to its request.
+func (s *Server) handle(w http.ResponseWriter, r *Request) (sends int, mayHaveRun bool, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			sends, mayHaveRun, err = r.Sends, true, errkind.New(errkind.Internal, "panic while handling the request: %v\n%s", p, debug.Stack())
+			s.Log.Error("request of another router failed", "router", r.Router, "error", err)
+		}
+	}()
+	return s.Handle(w, r)
+}
+
 // refuse fails a request before it was sent to any backend server here.
 func refuse(stream handoffpb.DRPCHandoff_ExchangeStream, req *handoffpb.ExchangeRequest, err error) error {
 	return sendFailure(stream, err, int(req.Sends), false)
