--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -265,7 +265,7 @@
 // RecordLoad records the load that the server reported in its response.
 func (p *PickResult) RecordLoad(l Load, now time.Time) {
 	p.Server.recordLoad(l, now)
-	p.notices.refusals.recordLoad(l, p.fleet.Routers(), now)
+	p.notices.refusals.recordLoad(l, p.fleet.Routers())
 }
 
 // medianFailureRate returns the median failure rate of a pool. Servers are
--- a/internal/placement/notice.go
+++ b/internal/placement/notice.go
@@ -100,8 +100,8 @@
 	if n := f.departed[incarnation{announced.ID, announced.Born}]; n != nil {
 		return n
 	}
-	seed := routing.Mix(f.routerHash, routing.Hash(announced.ID))
-	return &notices{limit: serverLimit{phase: routing.Fraction(seed)}, refusals: refusalGuard{service: f.refusalsOf(announced.Service), seed: seed}}
+	phase := routing.Fraction(routing.Mix(f.routerHash, routing.Hash(announced.ID)))
+	return &notices{limit: serverLimit{phase: phase}, refusals: refusalGuard{service: f.refusalsOf(announced.Service)}}
 }
 
 // refusalsOf returns the limit of refusals of a service.
--- a/internal/placement/refusal.go
+++ b/internal/placement/refusal.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-
-	"github.com/kumquathollow/kumquathollow/internal/routing"
 )
 
 const (
@@ -25,13 +23,6 @@
 	// minGrowingShare is from how many refusals a second on that this router may cause its room
 	// grows beyond its part of the slots.
 	minGrowingShare = 0.3
-	// turnLength is how long a router uses a crowded server, or not, if not all routers can.
-	// Requests wait for longer than that. turnFraction leaves some slots to those whose turn
-	// has ended.
-	turnLength   = 100 * time.Millisecond
-	turnFraction = 0.8
-	// crowdedTime is how long a server counts as crowded after it was.
-	crowdedTime = 3 * time.Second
 	// refusedRoomFactor is the fraction of its requests in flight that a router may have on
 	// a server after that has refused one.
 	refusedRoomFactor = 0.7
@@ -81,10 +72,6 @@
 	tokens      float64
 	refilledAt  time.Time
 	pausedUntil time.Time
-	// crowdedUntil is until when the server is taken to have no spare slots.
-	crowdedUntil time.Time
-	// seed differs for each router and server.
-	seed uint64
 }
 
 // record takes over the limit of a response to a request that was sent at sentAt, and
@@ -142,26 +129,16 @@
 	if now.Before(g.pausedUntil) {
 		return false
 	}
-	if inFlight >= int(g.room) || now.Before(g.crowdedUntil) && !g.hasTurn(slots, routers, now) {
+	if inFlight >= int(g.room) {
 		g.limited = true
 		return false
 	}
 	return true
 }
 
-// hasTurn reports whether this router may use a server that is crowded. If routers are more
-// than its slots, as many of them as it has slots may on average, drawn anew for each turn.
-func (g *refusalGuard) hasTurn(slots, routers int, now time.Time) bool {
-	if routers <= slots {
-		return true
-	}
-	turn := uint64(now.UnixMilli() / turnLength.Milliseconds())
-	return routing.Fraction(routing.Mix(g.seed, turn)) < turnFraction*float64(slots)/float64(routers)
-}
-
 // recordLoad changes the room by what the server reported in a response: all routers together
 // approach the load at which no request waits.
-func (g *refusalGuard) recordLoad(l Load, routers int, now time.Time) {
+func (g *refusalGuard) recordLoad(l Load, routers int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.room == 0 || l.Slots <= 0 {
@@ -172,7 +149,6 @@
 	switch {
 	case spare < 0:
 		gain = roomLoss
-		g.crowdedUntil = now.Add(crowdedTime)
 	case !g.limited || refusalFraction*g.perSecond/float64(routers) < minGrowingShare:
 		return
 	}
@@ -189,7 +165,6 @@
 	if !inForce {
 		return
 	}
-	g.crowdedUntil = now.Add(crowdedTime)
 	g.room = max(1, refusedRoomFactor*min(max(1, g.room), float64(inFlight)))
 	share := refusalFraction * perSecond / float64(routers)
 	most := max(1, share)
--- a/internal/placement/refusal_test.go
+++ b/internal/placement/refusal_test.go
@@ -11,7 +11,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/kumquathollow/kumquathollow/internal/catalog"
-	"github.com/kumquathollow/kumquathollow/internal/routing"
 )
 
 // brittleServer is a server that fails if it has to refuse more than a number of requests in
@@ -73,7 +72,6 @@
 	for range routers {
 		w := newFleetSim(t)
 		w.fleet.SetRouters(routers)
-		w.fleet.routerHash = routing.Hash(fmt.Sprint("router", len(f.routers)))
 		f.routers, f.queues = append(f.routers, w), append(f.queues, nil)
 		for _, s := range f.servers {
 			f.announce(w, s)
