Do not take handoffs with an older configuration than the sender's

Cause: a router that hands requests off can have a newer configuration than the one that takes them over. Its clients would be told that a route is missing which it had served before. Change: the request names the sender's revision, and a router with an older one refuses it as not run, so that the next one is tried. Measured: TestAHandoffIsNotTakenWithAnOlderConfiguration; the check is new, without it the request is admitted.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -147,6 +147,9 @@
 	if config == nil {
 		return x.f.notReadyError("no configuration in force yet")
 	}
+	if x.received != nil && x.view.Revision < x.received.Revision {
+		return errkind.New(errkind.NotReady, "the configuration has revision %d, and that of router %q is %d", x.view.Revision, x.received.Router, x.received.Revision)
+	}
 	if limit := config.Limits.HeaderBytes; limit > 0 && httpheader.RequestHeaderSize(x.r) > limit {
 		return errkind.New(errkind.HeadersTooLarge, "the request line and headers exceed the limit of %d bytes", limit)
 	}
--- /dev/null
+++ b/internal/forward/handoff_test.go
@@ -0,0 +1,38 @@
+package forward
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/kumquathollow/kumquathollow/internal/catalog"
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/fleetview"
+	"github.com/kumquathollow/kumquathollow/internal/handoff"
+	"github.com/kumquathollow/kumquathollow/internal/telemetry"
+)
+
+type plainProtocol struct{ Protocol }
+
+func (plainProtocol) ParseRequest(*http.Request) (RequestInfo, error) {
+	return RequestInfo{ID: "1"}, nil
+}
+
+// A router that lags behind must not handle a request of one that has a newer configuration:
+// its client may have seen effects of that one, and would be told that a new route is missing.
+func TestAHandoffIsNotTakenWithAnOlderConfiguration(t *testing.T) {
+	f := New(Options{Protocol: plainProtocol{}, View: fleetview.New(fleetview.Options{}), Metrics: telemetry.NewRegistry()})
+	for revision, newer := range map[uint64]bool{4: true, 3: false, 2: false} {
+		x := &exchange{f: f, view: &fleetview.Snapshot{Configuration: &catalog.Set{}, Revision: 3}, received: &handoff.Request{Router: "r", Revision: revision}}
+		r, err := http.NewRequest(http.MethodGet, "http://h/new/x", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		x.r = r
+		err = x.admit()
+		// The view has confirmed nothing, which is what a request is refused for otherwise.
+		refused := errkind.Is(err, errkind.NotReady) && err.Error() == `not-ready: the configuration has revision 3, and that of router "r" is 4`
+		if refused != newer {
+			t.Errorf("sender's revision %d, own revision 3: %v", revision, err)
+		}
+	}
+}
--- a/internal/handoff/server.go
+++ b/internal/handoff/server.go
@@ -30,6 +30,8 @@
 	Router string
 	// Timeout is the time left until the request's deadline.
 	Timeout time.Duration
+	// Revision is the other router's revision of the configuration.
+	Revision uint64
 	// Sends and Excluded are the number and the ids of the backend servers that were tried
 	// before.
 	Sends    int
@@ -128,7 +130,7 @@
 	}
 	return &Request{
 		Request: r.WithContext(ctx), Router: req.Router, Timeout: time.Duration(req.TimeoutMs) * time.Millisecond,
-		Sends: int(req.Sends), Excluded: req.Excluded,
+		Revision: req.Revision, Sends: int(req.Sends), Excluded: req.Excluded,
 		LastEventID: req.LastEventId, Origin: streamorigin.Origin{Service: req.OriginService, Version: req.OriginVersion},
 	}, nil
 }
