Pause handoffs of a service whose servers no router reaches

Cause: while the servers of a service are down, each of its requests failed at two servers and was then handed off to two more routers, which tried up to four servers each. Change: after a router that took such a request over had no server for it either, requests of the service are handed off because of single servers again only after 0.5 s. A router that reaches no data centre goes on handing off. Measured: TestRequestsOfAServiceThatIsDownAreNotAllHandedOff (20 of 1,000 requests in 10 s).

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -303,16 +303,22 @@
 // servers, through another router. Its error means that there is nothing to attempt.
 func (x *exchange) nextAttempt() (attemptResult, error) {
 	if x.unreachable >= minUnreachable {
-		if res, ok := x.handOff(); ok {
+		if res, ok := x.handOffForServers(); ok {
 			return res, nil
 		}
 	}
 	picked, err := x.pick()
 	if err != nil {
-		if x.unreachable > 0 || errors.Is(err, placement.ErrUnreachable) {
-			if res, ok := x.handOff(); ok {
-				return res, nil
-			}
+		handOff := x.handOff
+		switch {
+		case errors.Is(err, placement.ErrUnreachable):
+		case x.unreachable > 0:
+			handOff = x.handOffForServers
+		default:
+			return attemptResult{}, err
+		}
+		if res, ok := handOff(); ok {
+			return res, nil
 		}
 		return attemptResult{}, err
 	}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -51,6 +51,7 @@
 	crashes                  *crashDetector
 	prober                   *prober
 	peers                    *handoff.Peers
+	handoffPauses            handoffPauses
 
 	mu           sync.Mutex
 	retryBudgets map[string]*retryBudget
--- a/internal/forward/handoff.go
+++ b/internal/forward/handoff.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/kumquathollow/kumquathollow/api/handoffpb"
@@ -22,6 +23,46 @@
 	maxHandoffs = 2
 )
 
+// handoffPause is how long requests of a service are not handed off because of single servers
+// after another router could not reach any either: then the servers are down.
+const handoffPause = 500 * time.Millisecond
+
+// handoffPauses holds until when each service's requests are not handed off because of single
+// servers. It is safe for concurrent use.
+type handoffPauses struct {
+	mu    sync.Mutex
+	until map[string]time.Time
+}
+
+// refused records that another router had no server of the service for a request.
+func (p *handoffPauses) refused(service string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.until == nil {
+		p.until = map[string]time.Time{}
+	}
+	p.until[service] = now.Add(handoffPause)
+}
+
+func (p *handoffPauses) paused(service string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Before(p.until[service])
+}
+
+// handOffForServers hands a request off because servers of its service are unreachable, while
+// this router may reach others.
+func (x *exchange) handOffForServers() (attemptResult, bool) {
+	if x.f.handoffPauses.paused(x.service.Name, time.Now()) {
+		return attemptResult{}, false
+	}
+	res, ok := x.handOff()
+	if ok && !res.mayHaveRun && errkind.Is(res.err, errkind.NoBackend) {
+		x.f.handoffPauses.refused(x.service.Name, time.Now())
+	}
+	return res, ok
+}
+
 // Handoff passes requests on to other routers.
 type Handoff interface {
 	// Addresses returns the routers that take over requests.
--- a/internal/forward/handoff_test.go
+++ b/internal/forward/handoff_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/kumquathollow/kumquathollow/internal/catalog"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
@@ -36,3 +37,23 @@
 		}
 	}
 }
+
+// Servers of a service are down, for all routers. Not every request must go to two more routers
+// that find the same.
+func TestRequestsOfAServiceThatIsDownAreNotAllHandedOff(t *testing.T) {
+	p, now := &handoffPauses{}, time.Unix(1_700_000_000, 0)
+	handedOff := 0
+	const requests, interval = 1000, 10 * time.Millisecond
+	for range requests {
+		if now = now.Add(interval); !p.paused("down", now) {
+			handedOff++
+			p.refused("down", now)
+		}
+		if p.paused("other", now) {
+			t.Fatal("requests of another service are not handed off")
+		}
+	}
+	if most := int(requests*interval/handoffPause) + 1; handedOff > most || handedOff < most/2 {
+		t.Errorf("%d of %d requests were handed off in %s, want at most %d", handedOff, requests, requests*interval, most)
+	}
+}
