--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -258,6 +258,7 @@
 	case Unreachable:
 		p.fleet.reachability.recordUnreachable(p.DataCentre, p.ID, now)
 	case Success:
+		p.notices.refusals.recordSuccess(p.Slots, p.fleet.Routers(), now)
 		p.fleet.partIndex.record(p.parts, p.Server)
 	}
 }
--- a/internal/placement/refusal.go
+++ b/internal/placement/refusal.go
@@ -68,6 +68,10 @@
 	// first needed. limited is set if it has kept a request away since it last grew.
 	room    float64
 	limited bool
+	// loadReported is set if the server reports its load. If it does not, the room grows with
+	// the time since grownAt.
+	loadReported bool
+	grownAt      time.Time
 	// tokens are the refusals that this router may still cause, as of refilledAt.
 	tokens      float64
 	refilledAt  time.Time
@@ -144,6 +148,7 @@
 	if g.room == 0 || l.Slots <= 0 {
 		return
 	}
+	g.loadReported = true
 	// The slot of the request that has just ended is not spare: this router fills it again.
 	spare, gain := float64(l.Slots-l.Running-l.Waiting-1), roomGain
 	switch {
@@ -156,6 +161,21 @@
 	g.room = min(float64(l.Slots), max(1, g.room+gain*spare/float64(routers)))
 }
 
+// recordSuccess lets the room on a server that does not report its load grow: about as often as
+// this router may cause a refusal by it.
+func (g *refusalGuard) recordSuccess(slots, routers int, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	share := refusalFraction * g.perSecond / float64(routers)
+	if g.room == 0 || g.loadReported || !g.limited || share < minGrowingShare {
+		g.grownAt = now
+		return
+	}
+	g.limited = false
+	g.room = min(float64(slots), g.room+share*min(1, now.Sub(g.grownAt).Seconds()))
+	g.grownAt = now
+}
+
 // recordRefusal records that the server had no room for a request of this router, which has
 // inFlight other ones there.
 func (g *refusalGuard) recordRefusal(inFlight, routers int, now time.Time) {
