Wait for the sender's configuration before a handoff is refused

Routers get a new configuration one after the other. In the meantime the ones without it refused handoffs of the ones with it, and were passed over for half a second: with a change every few seconds, a cut-off router had none left. Found by reading; the refusal has not landed before. Change: such a request waits up to 0.3 s for the revision. Measured: TestAHandoffWaitsForTheConfiguration.

--- a/internal/forward/handoff.go
+++ b/internal/forward/handoff.go
@@ -83,6 +83,7 @@
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
 	f.opts.Metrics.Counter("forward.handoff.taken_over").Inc(1)
+	awaitRevision(r.Context(), r.Revision, func() uint64 { return f.opts.View.Snapshot().Revision })
 	x := f.newExchange(w, r.Request)
 	x.received = r
 	x.sends, x.excluded = r.Sends, r.Excluded
@@ -97,6 +98,33 @@
 	return x.sends, x.anyMayHaveRun, err
 }
 
+const (
+	// maxRevisionWait is how long a handed-off request waits for the sender's revision of the
+	// configuration. Routers get a new one within a few exchanges of the directory's processes.
+	maxRevisionWait = 300 * time.Millisecond
+	// revisionCheckInterval is how often it is looked for.
+	revisionCheckInterval = 10 * time.Millisecond
+)
+
+// awaitRevision returns once current has reached the revision, after maxRevisionWait, or when
+// ctx is done.
+func awaitRevision(ctx context.Context, revision uint64, current func() uint64) {
+	if current() >= revision {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, maxRevisionWait)
+	defer cancel()
+	tick := time.NewTicker(revisionCheckInterval)
+	defer tick.Stop()
+	for current() < revision {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
 // continueHandoff takes over what another router told of the request.
 func (x *exchange) continueHandoff() {
 	if x.received == nil {
--- a/internal/forward/handoff_test.go
+++ b/internal/forward/handoff_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/kumquathollow/kumquathollow/internal/catalog"
@@ -57,3 +58,25 @@
 		t.Errorf("%d of %d requests were handed off in %s, want at most %d", handedOff, requests, requests*interval, most)
 	}
 }
+
+// After a change of the configuration, routers have it one after the other. A request that
+// arrives from one that has it must wait for it, instead of going round among those that do not.
+func TestAHandoffWaitsForTheConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		awaitRevision(t.Context(), 5, func() uint64 {
+			if time.Since(began) < 120*time.Millisecond {
+				return 4
+			}
+			return 5
+		})
+		if took := time.Since(began); took != 120*time.Millisecond {
+			t.Errorf("the request waited %s for a revision that came after 120 ms", took)
+		}
+		began = time.Now()
+		awaitRevision(t.Context(), 5, func() uint64 { return 4 })
+		if took := time.Since(began); took != maxRevisionWait {
+			t.Errorf("the request waited %s for a revision that does not come, want %s", took, maxRevisionWait)
+		}
+	})
+}
