--- a/internal/edge/handoff.go
+++ b/internal/edge/handoff.go
@@ -13,7 +13,7 @@
 	"github.com/kumquathollow/kumquathollow/internal/rpc"
 )
 
-// handoffs passes requests on to the routers that the directory names.
+// handoffs hands requests off to the routers that the directory names.
 type handoffs struct {
 	*handoff.Client
 	view *fleetview.View
@@ -35,7 +35,7 @@
 	return r.handoff.Addr().String()
 }
 
-// serveHandoff serves the requests that other routers pass on, until ctx is done.
+// serveHandoff serves the requests that other routers hand off, until ctx is done.
 func (r *Router) serveHandoff(ctx context.Context) error {
 	mux := drpcmux.New()
 	if err := handoffpb.DRPCRegisterHandoff(mux, r.handoffServer); err != nil {
@@ -48,7 +48,7 @@
 }
 
 // handoffCheckInterval is how often a router that stops looks for the end of the requests
-// that other routers have passed on.
+// that other routers have handed off.
 const handoffCheckInterval = 20 * time.Millisecond
 
 // awaitHandedOff waits until no requests of other routers are in flight, or ctx is done.
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -20,8 +20,8 @@
 	Ready string `yaml:"ready"`
 	// Admin is the listen address for /metrics, /healthz and /readyz.
 	Admin string `yaml:"admin"`
-	// Handoff is the listen address for requests that other routers pass on, and the one at
-	// which they reach it; empty if this router neither takes nor passes on requests.
+	// Handoff is the listen address for requests that other routers hand off, and the one at
+	// which they reach it; empty if this router neither takes nor hands off requests.
 	Handoff string `yaml:"handoff,omitempty"`
 	// DirectoryPort is the port on which directory processes serve routers.
 	DirectoryPort string `yaml:"directoryPort"`
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -60,7 +60,7 @@
 	sends, failedDials, unreachable int
 	// handedOffTo are the addresses of the routers to which the request was passed on.
 	handedOffTo []string
-	// received is what another router told of the request that it passed on; nil for a
+	// received is what another router told of the request that it handed off; nil for a
 	// client's own request.
 	received *handoff.Request
 	excluded []string
--- a/internal/forward/handoff.go
+++ b/internal/forward/handoff.go
@@ -16,68 +16,28 @@
 )
 
 const (
-	// minUnreachable is from how many unreachable servers on a request is passed on to
+	// minUnreachable is from how many unreachable servers on a request is handed off to
 	// another router. One could have crashed.
 	minUnreachable = 2
-	// maxHandoffs limits the routers to which a request is passed on, one after the other.
+	// maxHandoffs limits the routers to which a request is handed off, one after the other.
 	maxHandoffs = 2
 )
 
-// handoffPause is how long requests of a service are not handed off because of single servers
-// after another router could not reach any either: then the servers are down.
-const handoffPause = 500 * time.Millisecond
-
-// handoffPauses holds until when each service's requests are not handed off because of single
-// servers. It is safe for concurrent use.
-type handoffPauses struct {
-	mu    sync.Mutex
-	until map[string]time.Time
-}
-
-// refused records that another router had no server of the service for a request.
-func (p *handoffPauses) refused(service string, now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.until == nil {
-		p.until = map[string]time.Time{}
-	}
-	p.until[service] = now.Add(handoffPause)
-}
-
-func (p *handoffPauses) paused(service string, now time.Time) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return now.Before(p.until[service])
-}
-
-// handOffForServers hands a request off because servers of its service are unreachable, while
-// this router may reach others.
-func (x *exchange) handOffForServers() (attemptResult, bool) {
-	if x.f.handoffPauses.paused(x.service.Name, time.Now()) {
-		return attemptResult{}, false
-	}
-	res, ok := x.handOff()
-	if ok && !res.mayHaveRun && errkind.Is(res.err, errkind.NoBackend) {
-		x.f.handoffPauses.refused(x.service.Name, time.Now())
-	}
-	return res, ok
-}
-
-// Handoff passes requests on to other routers.
+// Handoff hands requests off to other routers.
 type Handoff interface {
 	// Addresses returns the routers that take over requests.
 	Addresses() []string
-	// Do passes a request on to the router at address and calls receive for each part of
+	// Do hands a request off to the router at address and calls receive for each part of
 	// the response.
 	Do(ctx context.Context, address string, req *handoffpb.ExchangeRequest, receive func(handoff.Part) error) handoff.Result
 }
 
-// CanHandOff reports whether there are routers to which requests can be passed on.
+// CanHandOff reports whether there are routers to which requests can be handed off.
 func (f *Forwarder) CanHandOff() bool {
 	return f.opts.Handoff != nil && f.peers.Available(f.opts.Handoff.Addresses(), time.Now())
 }
 
-// ServeHandoff handles a request that another router has passed on. It implements
+// ServeHandoff handles a request that another router has handed off. It implements
 // handoff.Handler.
 func (f *Forwarder) ServeHandoff(w http.ResponseWriter, r *handoff.Request) (sends int, mayHaveRun bool, err error) {
 	f.inFlight.Add(1)
@@ -138,13 +98,13 @@
 	}
 }
 
-// mayHandOff reports whether the request may be passed on to another router. One that was
-// passed on already may not.
+// mayHandOff reports whether the request may be handed off to another router. One that was
+// handed off already may not.
 func (x *exchange) mayHandOff() bool {
 	return x.f.opts.Handoff != nil && x.received == nil && len(x.handedOffTo) < maxHandoffs
 }
 
-// handOffAll passes on a request that this router cannot handle because of err. It returns nil
+// handOffAll hands off a request that this router cannot handle because of err. It returns nil
 // if the client has its response.
 func (x *exchange) handOffAll(err error) error {
 	for {
@@ -162,7 +122,7 @@
 	}
 }
 
-// handOff passes the request on to another router and relays its response. It returns false
+// handOff hands the request off to another router and relays its response. It returns false
 // if there is no router left that may be tried.
 func (x *exchange) handOff() (attemptResult, bool) {
 	if !x.mayHandOff() {
@@ -190,6 +150,46 @@
 	return out, true
 }
 
+// handoffPause is how long requests of a service are not handed off because of single servers
+// after another router could not reach any either: then the servers are down.
+const handoffPause = 500 * time.Millisecond
+
+// handoffPauses holds until when each service's requests are not handed off because of single
+// servers. It is safe for concurrent use.
+type handoffPauses struct {
+	mu    sync.Mutex
+	until map[string]time.Time
+}
+
+// refused records that another router had no server of the service for a request.
+func (p *handoffPauses) refused(service string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.until == nil {
+		p.until = map[string]time.Time{}
+	}
+	p.until[service] = now.Add(handoffPause)
+}
+
+func (p *handoffPauses) paused(service string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Before(p.until[service])
+}
+
+// handOffForServers hands a request off because servers of its service are unreachable, while
+// this router may reach others.
+func (x *exchange) handOffForServers() (attemptResult, bool) {
+	if x.f.handoffPauses.paused(x.service.Name, time.Now()) {
+		return attemptResult{}, false
+	}
+	res, ok := x.handOff()
+	if ok && !res.mayHaveRun && errkind.Is(res.err, errkind.NoBackend) {
+		x.f.handoffPauses.refused(x.service.Name, time.Now())
+	}
+	return res, ok
+}
+
 func (x *exchange) handoffRequest() *handoffpb.ExchangeRequest {
 	header := make(http.Header, len(x.r.Header))
 	httpheader.CopyEndToEnd(header, x.r.Header, "")
--- a/internal/handoff/client.go
+++ b/internal/handoff/client.go
@@ -10,7 +10,7 @@
 	"github.com/kumquathollow/kumquathollow/internal/rpc"
 )
 
-// Client passes requests on to other routers. It is safe for concurrent use.
+// Client hands requests off to other routers. It is safe for concurrent use.
 type Client struct {
 	// Router is the name of this router.
 	Router string
@@ -47,7 +47,7 @@
 // endTimeout limits waiting for the end of a call whose response is complete.
 const endTimeout = 50 * time.Millisecond
 
-// Do passes a request on to the router at address and calls receive for each part of the
+// Do hands a request off to the router at address and calls receive for each part of the
 // response. An error of receive ends the exchange and is returned.
 func (c *Client) Do(ctx context.Context, address string, req *handoffpb.ExchangeRequest, receive func(Part) error) Result {
 	req.Router = c.Router
--- a/internal/handoff/peers.go
+++ b/internal/handoff/peers.go
@@ -17,7 +17,7 @@
 	maxEjection = 4 * time.Second
 )
 
-// Peers chooses the router to pass a request on to. It is safe for concurrent use.
+// Peers chooses the router to hand a request off to. It is safe for concurrent use.
 type Peers struct {
 	mu     sync.Mutex
 	states map[string]*peerState
--- a/internal/handoff/server.go
+++ b/internal/handoff/server.go
@@ -23,7 +23,7 @@
 // they leave room for its own clients.
 const maxInFlight = 256
 
-// Request is a request that another router has passed on.
+// Request is a request that another router has handed off.
 type Request struct {
 	*http.Request
 	// Router is the name of the other router.
--- a/internal/placement/refusal.go
+++ b/internal/placement/refusal.go
@@ -172,7 +172,7 @@
 		return
 	}
 	g.limited = false
-	g.room = min(float64(slots), g.room+share*min(1, now.Sub(g.grownAt).Seconds()))
+	g.room = max(1, min(float64(slots), g.room+share*min(1, now.Sub(g.grownAt).Seconds())))
 	g.grownAt = now
 }
 
