Look for probes only while a data centre is partitioned or suspected

The list of servers by data centre was built 20 times a second. TestTheFirstFailureHasAllDataCentresProbed: a data centre to which nothing was sent yet is probed with the others at the first failure.

--- a/internal/errkind/error.go
+++ b/internal/errkind/error.go
@@ -88,10 +88,7 @@
 	if errors.As(err, &e) {
 		return e.Kind
 	}
-	if r, ok := byCode[drpcerr.Code(err)]; ok {
-		return r.Kind
-	}
-	return Internal
+	return ByCode(drpcerr.Code(err))
 }
 
 // Is reports whether err is of the kind.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -653,6 +653,25 @@
 	}
 }
 
+// The first connection that fails has all data centres probed, also those to which this router
+// has not sent anything, and nothing is probed before.
+func TestTheFirstFailureHasAllDataCentresProbed(t *testing.T) {
+	w := newFleetSim(t)
+	w.join(9, "s")
+	w.advance(time.Minute)
+	if tried := w.fleet.Probes(w.now); len(tried) > 0 {
+		t.Errorf("%d servers are probed without a reason", len(tried))
+	}
+	w.pick(PickRequest{TieBreaker: 1}).Done(Unreachable, time.Millisecond, w.now)
+	tried := map[string]int{}
+	for _, s := range w.fleet.Probes(w.now) {
+		tried[s.DataCentre]++
+	}
+	if len(tried) != 3 || tried["a"] != 2 || tried["b"] != 2 || tried["c"] != 2 {
+		t.Errorf("servers probed by data centre: %v, want two of each", tried)
+	}
+}
+
 // A single unreachable server must not stop requests to the rest of its data
 // centre.
 func TestOneUnreachableServerIsNoPartition(t *testing.T) {
--- a/internal/placement/reachability.go
+++ b/internal/placement/reachability.go
@@ -64,7 +64,8 @@
 	}
 	d := r.dataCentres[name]
 	if d == nil {
-		d = &dcReachability{unreachable: map[string]time.Time{}}
+		// One that is not known yet missed earlier suspicions.
+		d = &dcReachability{unreachable: map[string]time.Time{}, suspected: !r.suspectedAt.IsZero()}
 		r.dataCentres[name] = d
 	}
 	return d
@@ -126,6 +127,18 @@
 	return ordered[:min(len(ordered), minUnreachableServers)]
 }
 
+// wantsProbes reports whether any data centre is partitioned or may be.
+func (r *reachability) wantsProbes() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, d := range r.dataCentres {
+		if d.suspected || d.partitioned {
+			return true
+		}
+	}
+	return false
+}
+
 // isPartitioned reports whether the data centre is partitioned.
 func (r *reachability) isPartitioned(dc string) bool {
 	r.mu.Lock()
@@ -177,6 +190,9 @@
 // Probes returns the servers to which a connection is to be tried now, because their data
 // centre is partitioned or may be. RecordProbe must be called with each result.
 func (f *Fleet) Probes(now time.Time) []*Server {
+	if !f.reachability.wantsProbes() {
+		return nil
+	}
 	byDataCentre := map[string][]*Server{}
 	for _, p := range *f.pools.Load() {
 		for _, s := range p.servers {
