Do not take over requests while no server is reached, in one data centre either

Cause: a router counts as cut off from two data centres on, since the servers of one could have crashed, and in a fleet with one data centre it went on taking over requests. Cut-off routers handed requests off to each other, and a refusal of the second one was no reason to pass it over. Change: whether a router takes over requests goes by whether it reaches any server, readiness as before; a router that reaches none says that it is not ready for the request, so that it is passed over and the next one is tried.

--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -261,7 +261,7 @@
 		r.ready.SetReason(reasonNoQuorum, r.view.QuorumAge() > quorumTimeout || r.view.OutOfQuorumDuration() > outOfQuorumTimeout)
 		cutOff := r.fleet.CutOff()
 		r.ready.SetReason(reasonNoBackend, cutOff && !r.forwarder.CanHandOff())
-		if takes := r.ready.Ready() && !cutOff; r.takesHandoffs.Swap(takes) != takes {
+		if takes := r.ready.Ready() && !r.fleet.ReachesNoServer(); r.takesHandoffs.Swap(takes) != takes {
 			r.view.HandoffAddressChanged(ctx)
 		}
 		if isReady := r.ready.Ready(); isReady != wasReady {
--- a/internal/forward/handoff.go
+++ b/internal/forward/handoff.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/kumquathollow/kumquathollow/api/handoffpb"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/handoff"
@@ -55,6 +57,9 @@
 	}
 	err = x.serve()
 	x.recordOutcome(err)
+	if errors.Is(err, placement.ErrUnreachable) && !x.anyMayHaveRun {
+		err = errkind.Wrap(err, errkind.NotReady, "this router reaches no server either") // Others may.
+	}
 	return x.sends, x.anyMayHaveRun, err
 }
 
--- a/internal/placement/reachability.go
+++ b/internal/placement/reachability.go
@@ -167,7 +167,15 @@
 
 // CutOff reports whether this router fails to reach any server that may take requests,
 // in at least two data centres.
-func (f *Fleet) CutOff() bool {
+func (f *Fleet) CutOff() bool { return f.reachesNone(minCutOffDataCentres) }
+
+// ReachesNoServer reports whether this router fails to reach any server that may take
+// requests. If they are all in one data centre, they could have crashed.
+func (f *Fleet) ReachesNoServer() bool { return f.reachesNone(1) }
+
+// reachesNone reports whether all data centres with servers that may take requests, at least
+// so many, are partitioned.
+func (f *Fleet) reachesNone(leastDataCentres int) bool {
 	dataCentres, evacuated := map[string]bool{}, *f.evacuated.Load()
 	for _, p := range *f.pools.Load() {
 		for _, s := range p.servers {
@@ -177,7 +185,7 @@
 		}
 	}
 	_, cutOff := f.reachability.cutOffSince(dataCentres)
-	return cutOff && len(dataCentres) >= minCutOffDataCentres
+	return cutOff && len(dataCentres) >= leastDataCentres
 }
 
 // SuspectPartition has all data centres probed, since servers that should respond do not.
