--- a/cmd/kqsoak/main.go
+++ b/cmd/kqsoak/main.go
@@ -18,6 +18,7 @@
 
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/eventlog"
+	"github.com/kumquathollow/kumquathollow/internal/faultypath"
 	"github.com/kumquathollow/kumquathollow/internal/version"
 	"github.com/kumquathollow/kumquathollow/platform"
 	"github.com/kumquathollow/kumquathollow/platform/soak"
@@ -54,7 +55,7 @@
 		return
 	case router.Used:
 		runProcess(func(path string, stop <-chan os.Signal, out *eventlog.Writer) error {
-			toServers := &soak.ServerPath{}
+			toServers := &faultypath.Path{}
 			go toServers.Follow(context.Background(), os.Getenv(soak.PathControlEnv))
 			return platform.RunRouter(path, toServers.Dial, stop, nil, out)
 		})
--- a/platform/soak/serverpath.go
+++ b/internal/faultypath/path.go
@@ -1,4 +1,6 @@
-package soak
+// Package faultypath is a network path from a router to backend servers that can be cut: for
+// the soak, which cuts it by a control file, and for tests.
+package faultypath
 
 import (
 	"context"
@@ -12,45 +14,45 @@
 	"github.com/kumquathollow/kumquathollow/internal/rpc"
 )
 
-// PathFault is how a router's path to the backend servers is cut.
-type PathFault string
+// Fault is how a router's path to the backend servers is cut.
+type Fault string
 
 // The faults of a path, as a control file contains them.
 const (
-	// PathWorks: all connections work.
-	PathWorks PathFault = ""
-	// PathSilent: nothing arrives, on new and on open connections.
-	PathSilent PathFault = "silent"
-	// PathReset: open connections are reset and new ones refused.
-	PathReset PathFault = "reset"
-	// PathRefuses: open connections work, new ones are refused.
-	PathRefuses PathFault = "refuses"
+	// Works: all connections work.
+	Works Fault = ""
+	// Silent: nothing arrives, on new and on open connections.
+	Silent Fault = "silent"
+	// Reset: open connections are reset and new ones refused.
+	Reset Fault = "reset"
+	// Refuses: open connections work, new ones are refused.
+	Refuses Fault = "refuses"
 )
 
 const (
 	// unacknowledgedTimeout is after how long the kernel closes a connection on which nothing
 	// sent is acknowledged, as rpc.NetDialer configures it.
 	unacknowledgedTimeout = 1500 * time.Millisecond
-	// pathDialTimeout is how long routers wait for a connection to a server.
-	pathDialTimeout = 400 * time.Millisecond
-	// pathPollInterval is how often the control file, and the end of a silence, are looked for.
-	pathPollInterval = 10 * time.Millisecond
+	// dialTimeout is how long routers wait for a connection to a server.
+	dialTimeout = 400 * time.Millisecond
+	// pollInterval is how often the control file, and the end of a silence, are looked for.
+	pollInterval = 10 * time.Millisecond
 )
 
-// ServerPath is a router's network path to the backend servers. The zero value works.
-type ServerPath struct {
+// Path is a router's network path to the backend servers. The zero value works.
+type Path struct {
 	mu    sync.Mutex
-	fault PathFault
-	conns map[*pathConn]bool
+	fault Fault
+	conns map[*conn]bool
 }
 
 // Set sets the fault of the path.
-func (p *ServerPath) Set(fault PathFault) {
+func (p *Path) Set(fault Fault) {
 	p.mu.Lock()
 	changed := p.fault != fault
 	p.fault = fault
-	var lost []*pathConn
-	if changed && fault == PathReset {
+	var lost []*conn
+	if changed && fault == Reset {
 		for c := range p.conns {
 			lost = append(lost, c)
 		}
@@ -63,8 +65,8 @@
 
 // Follow sets the fault that the control file contains, until ctx is done. A missing file
 // means that the path works.
-func (p *ServerPath) Follow(ctx context.Context, controlFile string) {
-	tick := time.NewTicker(pathPollInterval)
+func (p *Path) Follow(ctx context.Context, controlFile string) {
+	tick := time.NewTicker(pollInterval)
 	defer tick.Stop()
 	for {
 		select {
@@ -74,47 +76,47 @@
 		}
 		// Any other error leaves the path as it is; the run checks its own writes.
 		if data, err := os.ReadFile(controlFile); err == nil || os.IsNotExist(err) {
-			p.Set(PathFault(strings.TrimSpace(string(data))))
+			p.Set(Fault(strings.TrimSpace(string(data))))
 		}
 	}
 }
 
-func (p *ServerPath) current() PathFault {
+func (p *Path) current() Fault {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.fault
 }
 
 // Dial opens a connection over the path.
-func (p *ServerPath) Dial(ctx context.Context, address string) (net.Conn, error) {
+func (p *Path) Dial(ctx context.Context, address string) (net.Conn, error) {
 	switch p.current() {
-	case PathSilent:
-		ctx, cancel := context.WithTimeout(ctx, pathDialTimeout)
+	case Silent:
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 		defer cancel()
 		<-ctx.Done()
 		return nil, ctx.Err()
-	case PathReset, PathRefuses:
+	case Reset, Refuses:
 		return nil, syscall.ECONNREFUSED
 	}
-	raw, err := rpc.NetDialer(pathDialTimeout).DialContext(ctx, "tcp", address)
+	raw, err := rpc.NetDialer(dialTimeout).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	c := &pathConn{Conn: raw, path: p}
+	c := &conn{Conn: raw, path: p}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.conns == nil {
-		p.conns = map[*pathConn]bool{}
+		p.conns = map[*conn]bool{}
 	}
 	p.conns[c] = true
 	return c, nil
 }
 
-// pathConn is one connection on a path. What is sent while the path is silent is lost, and
+// conn is one connection on a path. What is sent while the path is silent is lost, and
 // what is received is held back.
-type pathConn struct {
+type conn struct {
 	net.Conn
-	path *ServerPath
+	path *Path
 
 	mu           sync.Mutex
 	failed       error
@@ -122,12 +124,12 @@
 }
 
 // SyscallConn lets the pool check an idle connection.
-func (c *pathConn) SyscallConn() (syscall.RawConn, error) {
+func (c *conn) SyscallConn() (syscall.RawConn, error) {
 	return c.Conn.(syscall.Conn).SyscallConn()
 }
 
 // fail makes the connection return err from now on.
-func (c *pathConn) fail(err error) {
+func (c *conn) fail(err error) {
 	c.mu.Lock()
 	c.failed = err
 	c.mu.Unlock()
@@ -135,7 +137,7 @@
 }
 
 // Close implements net.Conn.
-func (c *pathConn) Close() error {
+func (c *conn) Close() error {
 	c.path.mu.Lock()
 	delete(c.path.conns, c)
 	c.path.mu.Unlock()
@@ -143,25 +145,25 @@
 }
 
 // SetDeadline implements net.Conn.
-func (c *pathConn) SetDeadline(t time.Time) error {
+func (c *conn) SetDeadline(t time.Time) error {
 	c.setReadDeadline(t)
 	return c.Conn.SetDeadline(t)
 }
 
 // SetReadDeadline implements net.Conn.
-func (c *pathConn) SetReadDeadline(t time.Time) error {
+func (c *conn) SetReadDeadline(t time.Time) error {
 	c.setReadDeadline(t)
 	return c.Conn.SetReadDeadline(t)
 }
 
-func (c *pathConn) setReadDeadline(t time.Time) {
+func (c *conn) setReadDeadline(t time.Time) {
 	c.mu.Lock()
 	c.readDeadline = t
 	c.mu.Unlock()
 }
 
 // cause returns the error that the connection was made to fail with in place of err.
-func (c *pathConn) cause(err error) error {
+func (c *conn) cause(err error) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err != nil && c.failed != nil {
@@ -171,9 +173,9 @@
 }
 
 // Read implements net.Conn.
-func (c *pathConn) Read(b []byte) (int, error) {
+func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	for err == nil && c.path.current() == PathSilent {
+	for err == nil && c.path.current() == Silent {
 		c.mu.Lock()
 		failed, deadline := c.failed, c.readDeadline
 		c.mu.Unlock()
@@ -184,14 +186,14 @@
 			c.fail(os.ErrDeadlineExceeded) // The bytes that were held back are lost.
 			return 0, os.ErrDeadlineExceeded
 		}
-		time.Sleep(pathPollInterval)
+		time.Sleep(pollInterval)
 	}
 	return n, c.cause(err)
 }
 
 // Write implements net.Conn.
-func (c *pathConn) Write(b []byte) (int, error) {
-	if c.path.current() == PathSilent {
+func (c *conn) Write(b []byte) (int, error) {
+	if c.path.current() == Silent {
 		time.AfterFunc(unacknowledgedTimeout, func() { c.fail(syscall.ETIMEDOUT) })
 		return len(b), nil
 	}
