--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -58,7 +58,7 @@
 	// those to which it could not be sent, and unreachable those of them to which no
 	// connection could be opened.
 	sends, failedDials, unreachable int
-	// handedOffTo are the addresses of the routers to which the request was passed on.
+	// handedOffTo are the addresses of the routers to which the request was handed off.
 	handedOffTo []string
 	// received is what another router told of the request that it handed off; nil for a
 	// client's own request.
--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -34,9 +34,12 @@
 }
 
 // start has the probes that are due made at once.
-func (p *prober) start() {
+func (p *prober) start() { signal(p.wake) }
+
+// signal wakes the receiver of a channel with capacity 1.
+func signal(c chan struct{}) {
 	select {
-	case p.wake <- struct{}{}:
+	case c <- struct{}{}:
 	default: // It is about to look anyway.
 	}
 }
--- a/internal/forward/room.go
+++ b/internal/forward/room.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -41,12 +42,7 @@
 func (q *roomQueue) leave(c chan struct{}) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for i := range q.waiting {
-		if q.waiting[i] == c {
-			q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
-			return
-		}
-	}
+	q.waiting = slices.DeleteFunc(q.waiting, func(waiting chan struct{}) bool { return waiting == c })
 }
 
 // requestEnded wakes the request that has waited longest.
@@ -54,10 +50,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if len(q.waiting) > 0 {
-		select {
-		case q.waiting[0] <- struct{}{}:
-		default: // It is about to look anyway.
-		}
+		signal(q.waiting[0])
 	}
 }
 
