--- a/cmd/kqsoak/main.go
+++ b/cmd/kqsoak/main.go
@@ -130,8 +130,8 @@
 	if err != nil {
 		return fmt.Errorf("%w; logs in %s", err, conf.Dir)
 	}
-	fmt.Printf("seed %d: %d faults, %d served, %d refused, %d failed, %d streams resumed, version %d acknowledged, recovered after %s, %d violations\n",
-		conf.Seed, r.Faults, r.Served, r.Refused, r.Failed, r.Resumed, r.AcknowledgedVersion, r.RecoveryTime.Round(time.Millisecond), len(r.Violations))
+	fmt.Printf("seed %d: %d faults, %d served, %d refused, %d failed, %d streams resumed, %d rollouts ordered, version %d acknowledged, recovered after %s, %d violations\n",
+		conf.Seed, r.Faults, r.Served, r.Refused, r.Failed, r.Resumed, r.Rollouts, r.AcknowledgedVersion, r.RecoveryTime.Round(time.Millisecond), len(r.Violations))
 	for _, v := range r.Violations[:min(maxPrintedViolations, len(r.Violations))] {
 		fmt.Println("  broken:", v)
 	}
--- a/internal/directory/rollouts_test.go
+++ b/internal/directory/rollouts_test.go
@@ -1,13 +1,16 @@
 package directory
 
 import (
+	"context"
 	"errors"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/pebble/v2/vfs"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/kumquathollow/kumquathollow/api/fleetpb"
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/inventory"
 	"github.com/kumquathollow/kumquathollow/internal/publication"
 	"github.com/kumquathollow/kumquathollow/internal/rollout"
@@ -192,3 +195,53 @@
 		t.Error("a version without servers is barred for ever")
 	}
 }
+
+// Guards against an order that is acknowledged and then lost or started anew: with the leader
+// killed right after it, with all processes stopped and started on their disks, and with another
+// order at the same time through another process.
+func TestAnOrderedRolloutSurvivesTheLeaderAndRestartsOfAll(t *testing.T) {
+	c := newCluster(t, 3)
+	c.publish(hosts[0], 1, "one")
+	ctx := context.Background()
+	c.eventually("accept the order", func() bool {
+		return c.nodes[hosts[0]].p.StartRollout(ctx, "chat", "v2", time.Minute) == nil
+	})
+	c.eventually("refuse another order", func() bool {
+		return errkind.Is(c.nodes[hosts[1]].p.StartRollout(ctx, "chat", "v3", time.Minute), errkind.ChangeConflict)
+	})
+	ordered := func(h string) bool {
+		r, err := c.nodes[h].p.Rollout(ctx, "chat")
+		return err == nil && r.Target == "v2" && r.Number == 1 && r.Running()
+	}
+	leader := ""
+	for h, n := range c.nodes {
+		if n.p.group.Status().Leading {
+			leader = h
+		}
+	}
+	if leader == "" {
+		t.Fatal("no process leads after an order was accepted")
+	}
+	disk := c.nodes[leader].fs
+	c.stop(leader)
+	for h := range c.nodes {
+		c.eventually("read the order without its leader", func() bool { return ordered(h) })
+	}
+	c.start(leader, disk)
+	disks := map[string]vfs.FS{}
+	for h, n := range c.nodes {
+		disks[h] = n.fs
+	}
+	for h := range disks {
+		c.stop(h)
+	}
+	for h, fs := range disks {
+		c.start(h, fs)
+	}
+	for h := range disks {
+		c.eventually("read the order after a restart of all", func() bool { return ordered(h) })
+		c.eventually("acknowledge the same order again", func() bool {
+			return c.nodes[h].p.StartRollout(ctx, "chat", "v2", time.Minute) == nil
+		})
+	}
+}
