--- a/internal/directory/hub.go
+++ b/internal/directory/hub.go
@@ -254,16 +254,23 @@
 	return sum
 }
 
-// totalLoad sums the loads of all routers. It is nil if no router is known to report
-// and none was at the last flush.
-func (h *hub) totalLoad() *fleetpb.Load {
-	sum, hasReports := h.ownLoad(), h.reporting > 0
+// sumLoads sums the loads of all routers, by server, and reports whether any router is known to
+// report.
+func (h *hub) sumLoads() (sum map[uint32]int, hasReports bool) {
+	sum, hasReports = h.ownLoad(), h.reporting > 0
 	for _, r := range h.peerReports {
 		if h.now().Sub(r.receivedAt) < peerLoadTTL {
 			inventory.AddLoad(sum, r.load)
 			hasReports = hasReports || r.routers > 0
 		}
 	}
+	return sum, hasReports
+}
+
+// totalLoad returns the loads of all routers as they are sent to them. It is nil if no router is
+// known to report and none was at the last flush.
+func (h *hub) totalLoad() *fleetpb.Load {
+	sum, hasReports := h.sumLoads()
 	hadReports := h.loadReported
 	h.loadReported = hasReports
 	if !hasReports && !hadReports {
--- a/internal/directory/rollouts.go
+++ b/internal/directory/rollouts.go
@@ -43,7 +43,7 @@
 	// startedAt is when the order was given, by this process's clock, as far as it knows.
 	startedAt time.Time
 	// endedAt is when this process first saw that the rollout has ended, and servedAt when a
-	// server with a version that gets no requests was last listed.
+	// server that had started before, with a version that gets no requests, was last listed.
 	endedAt, servedAt time.Time
 }
 
@@ -125,11 +125,10 @@
 	if r.Settled {
 		return nil
 	}
-	target, others := h.rolloutPools(r, now)
 	if r.Running() {
-		elapsed := now.Sub(w.startedAt)
+		target, others := h.rolloutPools(r, now)
 		return w.controller.Next(r, rollout.Input{
-			Elapsed: elapsed, Target: target, Others: others,
+			Elapsed: now.Sub(w.startedAt), Target: target, Others: others,
 			Totals: h.rollouts.collector.Totals(r.Service, r.Number, target.Ready),
 		})
 	}
@@ -137,9 +136,12 @@
 	if r.Phase == rollout.Succeeded {
 		barred = r.Replaced
 	}
-	if slices.ContainsFunc(slices.Concat(target.Versions, others.Versions), func(v string) bool { return slices.Contains(barred, v) }) {
-		w.servedAt = now
-	}
+	h.table.All(func(s *inventory.Server) {
+		// Servers that started later are a release of their own.
+		if s.Service == r.Service && s.State != inventory.Gone && s.Born <= w.endedAt.UnixMilli() && slices.Contains(barred, s.Version) {
+			w.servedAt = now
+		}
+	})
 	if now.Sub(w.servedAt) < settleTime {
 		return nil
 	}
@@ -150,10 +152,7 @@
 
 // rolloutPools returns what is known of the servers of the target and of other versions.
 func (h *hub) rolloutPools(r *rollout.Rollout, now time.Time) (target, others rollout.Pool) {
-	load := map[uint32]int{}
-	if total := h.totalLoad(); total != nil {
-		inventory.AddLoad(load, total)
-	}
+	load, _ := h.sumLoads()
 	h.table.All(func(s *inventory.Server) {
 		if s.Service != r.Service || s.State == inventory.Gone {
 			return
