--- a/cmd/kqsoak/main.go
+++ b/cmd/kqsoak/main.go
@@ -25,13 +25,14 @@
 )
 
 func main() {
-	dir := ""
+	dir, previous := "", ""
 	seed, seeds, seconds := uint64(1), 1, 15
 	directories, routers, servers, clients := 3, 4, 6, 16
 	flaggy.SetName("kqsoak")
 	flaggy.SetDescription("Disturbs a fleet on loopback and checks its promises.")
 	flaggy.SetVersion(version.Version)
 	flaggy.String(&dir, "d", "dir", "folder for settings, data and logs; default a temporary one, kept if a promise broke")
+	flaggy.String(&previous, "", "previous", "path of the kqsoak of an earlier release, of which every other process starts")
 	flaggy.UInt64(&seed, "s", "seed", "first seed")
 	flaggy.Int(&seeds, "n", "seeds", "number of seeds")
 	flaggy.Int(&seconds, "t", "seconds", "seconds of faults for each seed")
@@ -73,7 +74,7 @@
 		os.Exit(errkind.ExitFailed)
 	}
 	conf := soak.Config{
-		SoakBinary:    self,
+		SoakBinary: self, Previous: previous,
 		FaultDuration: time.Duration(seconds) * time.Second, Directories: directories, Routers: routers, Servers: servers, Clients: clients,
 		Out: os.Stdout,
 	}
