Refuse rollouts while a process of an earlier release may be paused

Cause: an order was accepted while a directory process of the earlier release was paused, since only what processes had said in the last 3 s counted. That process does not apply the order, so it counts one revision less; as leader it confirmed reads by that count, and a process with more revisions answered with the configuration before the newest one. Change: what a process said last counts, also if it is silent; one that was never heard is waited for 10 s.

--- a/internal/directory/changes.go
+++ b/internal/directory/changes.go
@@ -134,15 +134,12 @@
 // once that list and its later changes hold all.
 func (h *hub) updateKnowsAllServers() {
 	switch {
-	case h.knowsAllServers:
-		return
 	case h.leader == "":
 		h.quorumSince = time.Time{}
-		return
 	case h.quorumSince.IsZero():
 		h.quorumSince = h.now()
 	}
-	if h.now().Sub(h.quorumSince) < learnTime {
+	if h.knowsAllServers || h.quorumSince.IsZero() || h.now().Sub(h.quorumSince) < learnTime {
 		return
 	}
 	h.knowsAllServers = true
--- a/internal/directory/rollouts.go
+++ b/internal/directory/rollouts.go
@@ -21,6 +21,8 @@
 	// resendTime is how long the order of a rollout that has ended counts as the same order,
 	// sent again.
 	resendTime = 15 * time.Second
+	// unheardTime is how long a directory process that was never heard is waited for.
+	unheardTime = 10 * time.Second
 	// minRolloutTime and maxRolloutTime limit the duration of a rollout.
 	minRolloutTime = 3 * time.Second
 	maxRolloutTime = 24 * time.Hour
@@ -199,16 +201,26 @@
 	return true
 }
 
-// rolloutObstacle names a process of the fleet that does not keep to rollouts, or "".
+// rolloutObstacle names a process of the fleet that does not keep to rollouts, or "". What a silent
+// process said last counts: one that is paused goes on as it was. A process of an earlier release
+// would not apply the order, and count other revisions than the rest from then on.
 func (h *hub) rolloutObstacle() string {
 	for s := range h.sessions {
 		if !s.followsRollouts {
 			return "router " + s.router
 		}
 	}
+	if h.leader == "" {
+		return "this directory process is out of quorum, so that the others are not known, one of which"
+	}
 	for _, a := range h.members {
-		if r := h.peerReports[a]; a != h.ownAddress && r != nil && h.now().Sub(r.receivedAt) < routerCountTTL && !r.followsRollouts {
+		r := h.peerReports[a]
+		switch {
+		case a == h.ownAddress || r != nil && r.followsRollouts:
+		case r != nil:
 			return "directory process " + a + " or a router that follows it"
+		case h.now().Sub(h.quorumSince) < unheardTime:
+			return "directory process " + a + " has not been heard yet, and may be one that"
 		}
 	}
 	return ""
@@ -248,7 +260,7 @@
 		return 0, err
 	}
 	if obstacle != "" {
-		return 0, errkind.New(errkind.NotReady, "%s runs a release that knows no rollouts", obstacle)
+		return 0, errkind.New(errkind.NotReady, "%s runs a release that knows no rollouts", obstacle).WithRetryAfter(time.Second)
 	}
 	if _, err := p.server.propose(ctx, next.Command()); err != nil {
 		return 0, err
--- a/internal/directory/rollouts_test.go
+++ b/internal/directory/rollouts_test.go
@@ -103,10 +103,15 @@
 	}
 }
 
-// Guards against an order that routers of an earlier release do not keep to: they would send
-// the new version its full part.
+// Guards against an order that processes of an earlier release do not keep to: routers would send
+// the new version its full part, and a paused directory process would count other revisions than
+// the rest and answer reads with an older configuration (soak with both releases, seed 605).
 func TestAnOrderWaitsForRoutersThatKeepToIt(t *testing.T) {
-	h, _, _ := leadingHub(t)
+	h, _, now := leadingHub(t)
+	h.updateKnowsAllServers()
+	if h.rolloutObstacle() == "" {
+		t.Error("a directory process that was not heard yet is no obstacle")
+	}
 	s := newSession(h, "r1")
 	if h.rolloutObstacle() == "" {
 		t.Error("a router that does not say that it keeps to rollouts is no obstacle")
@@ -116,6 +121,10 @@
 	if h.rolloutObstacle() == "" {
 		t.Error("a directory process that does not say that it keeps to rollouts is no obstacle")
 	}
+	*now = now.Add(time.Minute)
+	if h.rolloutObstacle() == "" {
+		t.Error("a directory process of an earlier release that is silent is no obstacle, although it may be paused")
+	}
 	h.receiveSpread(&fleetpb.SpreadRequest{From: "d:2", FollowsRollouts: true})
 	if o := h.rolloutObstacle(); o != "" {
 		t.Errorf("%s is an obstacle, although all keep to rollouts", o)
