Do not roll back sound versions for milliseconds or for counts that come late

Two faults of that class were found: servers that answer within milliseconds were condemned as slow for a difference that no caller notices, and the attempts that were expected at the target counted from the order, not from when they can have been counted.

Change: no attempt counts as slow up to 10 ms; expected attempts are those since the share was set less the time to count them; a shift that cannot end in time is not begun.

--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -121,7 +121,7 @@
 			return step(Observing, c.observingShare(r.Duration), "%d servers of the target are ready, %d of them warm", in.Target.Ready, in.Target.Warm)
 		}
 	case r.Phase == Observing:
-		if problem := c.shiftProblem(in, all); problem == "" && left <= c.shiftTime(in, allowed-float64(target)) {
+		if problem := c.shiftProblem(r, in, all); problem == "" && left <= c.shiftTime(in, allowed-float64(target)) && in.Elapsed+minShiftTime <= r.Duration {
 			return step(Shifting, WholeShare, "%d attempts at the target were judged, %d requests are in flight at other versions", in.Totals.endedAtTarget(), in.Others.InFlight)
 		} else if problem != "" && left <= 0 {
 			return step(RolledBack, 0, "%s", problem)
@@ -179,9 +179,11 @@
 }
 
 // shiftProblem returns why the target cannot get all requests, or "".
-func (c *Controller) shiftProblem(in Input, all int) string {
+func (c *Controller) shiftProblem(r *Rollout, in Input, all int) string {
 	inFlight := in.Target.InFlight + in.Others.InFlight
-	expected := float64(all) * c.Bounds.Share * observingPart / 2
+	// Attempts are counted only after a while, and requests may have become fewer.
+	counted := max(0, in.Elapsed-r.Elapsed-2*countLag)
+	expected := c.rate * float64(r.Share) / WholeShare * counted.Seconds() / 2
 	switch ended := in.Totals.endedAtTarget(); {
 	case in.Target.Ready == 0:
 		return "no server of the target is ready"
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"time"
 )
 
 const (
@@ -27,6 +28,9 @@
 	// other versions to count as slow: a factor of 2.8, and of 4 while the target gets all
 	// requests, which loads its servers more.
 	slowBuckets, slowBucketsShifting = 3, 4
+	// minSlowPace is the time up to which no attempt counts as slow: callers do not notice it, and
+	// servers that answer within milliseconds differ by more from moment to moment.
+	minSlowPace = 10 * time.Millisecond
 	// serverBadBase and serverBadFactor, a multiple of the median server's, limit the bad attempts
 	// that count of one server, if the target has at least minCappedServers.
 	serverBadBase    = 2
@@ -204,10 +208,11 @@
 			break
 		}
 	}
+	slower := slowBuckets
 	if phase == Shifting {
-		return median + slowBucketsShifting
+		slower = slowBucketsShifting
 	}
-	return median + slowBuckets
+	return max(median+slower, paceBucket(minSlowPace)+1)
 }
 
 func sum(groups map[uint64]*Counts) *Counts {
--- a/internal/rollout/pattern_test.go
+++ b/internal/rollout/pattern_test.go
@@ -90,6 +90,8 @@
 	lastAtTarget time.Duration
 	cutOff       int
 	lostCounts   bool
+	// onlySound is set if the bound allows no time to notice a version that turns bad late.
+	onlySound bool
 	// countDelay is when an attempt that has ended is counted, and stepDelay when a step is in
 	// force at the routers.
 	countDelay, stepDelay time.Duration
@@ -286,9 +288,16 @@
 		{"30 s, counts lost and doubled", func(tr *trial) { tr.duration, tr.lostCounts = 30*time.Second, true }, false},
 		{"20 s, leader replaced", func(tr *trial) { tr.duration, tr.leaderChanges = 20*time.Second, true }, false},
 		{"15 s, 290 routers", func(tr *trial) { tr.duration, tr.routers = 15*time.Second, 290 }, false},
+		{"12 s, counted a second late", func(tr *trial) {
+			tr.countDelay, tr.onlySound = time.Second, true
+		}, false},
 		{"15 s, 60 requests a second", func(tr *trial) { tr.duration, tr.perSecond = 15*time.Second, 60 }, true},
 	} {
 		for _, p := range patterns {
+			sample := &trial{}
+			if tc.change(sample); sample.onlySound && !p.sound {
+				continue
+			}
 			if tc.slow && p.name == routePattern {
 				continue // Too few attempts to tell within the bound: KNOWN-RED.txt.
 			}
