--- a/review/lab/fleet.go
+++ b/review/lab/fleet.go
@@ -53,6 +53,9 @@
 	}
 	for n := 130; n < 250; n++ {
 		network := fmt.Sprint("127.", n)
+		if !free(network) {
+			continue
+		}
 		if lock, err := net.Listen("tcp", fmt.Sprintf("%s.0.1:%d", network, lockPort)); err == nil {
 			f := &Fleet{Network: network, Dir: dir, Record: record, lock: lock}
 			fleets = append(fleets, f)
@@ -62,6 +65,18 @@
 	return nil, errors.New("no loopback network is free")
 }
 
+// free reports whether no process listens at the first machines of a network.
+func free(network string) bool {
+	for _, address := range []string{fmt.Sprintf("%s.1.1:%d", network, controlPort), fmt.Sprintf("%s.2.1:%d", network, clientsPort)} {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			return false
+		}
+		_ = l.Close()
+	}
+	return true
+}
+
 var fleets []*Fleet
 
 // CloseAll ends the processes of all fleets.
@@ -232,11 +247,7 @@
 		}
 	}
 	_ = f.lock.Close()
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(f.Dir)
-	} else {
-		fmt.Println("kept", f.Dir)
-	}
+	_ = os.RemoveAll(f.Dir)
 }
 
 // Record writes what happened, with the time since the start.
