--- a/review/lab/players.go
+++ b/review/lab/players.go
@@ -178,13 +178,46 @@
 	}
 }
 
-// ping announces the runner to a node and returns the address for the next call, or "".
-func (r *Runner) ping(client *http.Client, node string) string {
+// StopPinging ends the pings. It returns a function that delivers one more ping, made now, to a
+// node and returns the status of the answer.
+func (r *Runner) StopPinging() (deliver func(node string) int) {
+	r.stop()
+	body := r.announcement()
+	return func(node string) int {
+		client := &http.Client{Timeout: time.Second}
+		resp, err := client.Post("http://"+node+"/-/instances/"+r.ID+"/heartbeat", "application/json", bytes.NewReader(body))
+		if err != nil {
+			return 0
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode
+	}
+}
+
+// Leave says that the runner leaves, and reports whether that was acknowledged.
+func (r *Runner) Leave(node string) bool {
+	body, _ := json.Marshal(map[string]any{"born": r.Born})
+	client := &http.Client{Timeout: time.Second}
+	resp, err := client.Post("http://"+node+"/-/instances/"+r.ID+"/leave", "application/json", bytes.NewReader(body))
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	r.Record.Printf("runner %s leaves, told to %s: %d", r.ID, node, resp.StatusCode)
+	return resp.StatusCode == http.StatusOK
+}
+
+func (r *Runner) announcement() []byte {
 	body, _ := json.Marshal(map[string]any{
 		"service": r.Service, "address": r.Address, "zone": r.Zone, "version": "v1", "slots": r.Slots, "state": *r.state.Load(),
 		"cold_remaining_ms": 0, "sequence": r.sequence.Add(1), "born": r.Born,
 	})
-	resp, err := client.Post("http://"+node+"/-/instances/"+r.ID+"/heartbeat", "application/json", bytes.NewReader(body))
+	return body
+}
+
+// ping announces the runner to a node and returns the address for the next call, or "".
+func (r *Runner) ping(client *http.Client, node string) string {
+	resp, err := client.Post("http://"+node+"/-/instances/"+r.ID+"/heartbeat", "application/json", bytes.NewReader(r.announcement()))
 	if err != nil {
 		return ""
 	}
