--- a/cmd/kqsoak/main.go
+++ b/cmd/kqsoak/main.go
@@ -18,6 +18,7 @@
 
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/eventlog"
+	"github.com/kumquathollow/kumquathollow/internal/faultyfs"
 	"github.com/kumquathollow/kumquathollow/internal/faultypath"
 	"github.com/kumquathollow/kumquathollow/internal/version"
 	"github.com/kumquathollow/kumquathollow/platform"
@@ -50,7 +51,7 @@
 	switch {
 	case directory.Used:
 		runProcess(func(path string, stop <-chan os.Signal, out *eventlog.Writer) error {
-			disk := soak.FaultyFS{FS: vfs.Default, ControlFile: os.Getenv(soak.DiskControlEnv)}
+			disk := faultyfs.FS{FS: vfs.Default, ControlFile: os.Getenv(soak.DiskControlEnv)}
 			return platform.RunDirectory(path, disk, stop, nil, out)
 		})
 		return
--- a/internal/directory/cluster_test.go
+++ b/internal/directory/cluster_test.go
@@ -147,6 +147,18 @@
 	return out
 }
 
+// leader returns the host of the process that leads after a change was accepted.
+func (c *cluster) leader() string {
+	c.t.Helper()
+	for h, n := range c.nodes {
+		if n.p.group.Status().Leading {
+			return h
+		}
+	}
+	c.t.Fatal("no process leads after a change was accepted")
+	return ""
+}
+
 func TestAChangeIsReadAtEveryProcess(t *testing.T) {
 	c := newCluster(t, 3)
 	c.publish(hosts[0], 5, "five")
@@ -208,15 +220,7 @@
 		c.start(h, newFillableFS(full[h]))
 	}
 	c.publish(hosts[0], 1, "one")
-	leader := ""
-	for h, n := range c.nodes {
-		if n.p.group.Status().Leading {
-			leader = h
-		}
-	}
-	if leader == "" {
-		t.Fatal("no process leads after a change was accepted")
-	}
+	leader := c.leader()
 	var others []string
 	for _, h := range hosts[:3] {
 		if h != leader {
--- a/internal/directory/peers.go
+++ b/internal/directory/peers.go
@@ -149,7 +149,7 @@
 	if p.handoffsAcked != call.handoffsVersion {
 		call.req.Handoffs = &fleetpb.Handoffs{Addresses: h.ownHandoffs(maxSpreadHandoffs)}
 	}
-	call.req.FollowsRollouts = h.followRollouts()
+	call.req.FollowsRollouts = h.routerOfEarlierRelease() == ""
 	for _, t := range p.tallies {
 		call.req.Rollouts = append(call.req.Rollouts, t)
 	}
--- a/internal/directory/rollouts.go
+++ b/internal/directory/rollouts.go
@@ -70,9 +70,10 @@
 // tallyKey identifies a tally that a later one replaces.
 type tallyKey struct{ service, router string }
 
-// addTally marks a tally to be sent with the next call, unless a newer one already is.
+// addTally marks a tally to be sent with the next call.
 func (p *peer) addTally(t *fleetpb.RolloutTally) { p.tallies[tallyKey{t.Service, t.Router}] = t }
 
+// addTalliesBack is addTally for tallies that may have been replaced meanwhile.
 func (p *peer) addTalliesBack(tallies []*fleetpb.RolloutTally) {
 	for _, t := range tallies {
 		if key := (tallyKey{t.Service, t.Router}); p.tallies[key] == nil {
@@ -191,24 +192,23 @@
 	})
 }
 
-// followRollouts reports whether all routers that follow this process keep to rollouts.
-func (h *hub) followRollouts() bool {
+// routerOfEarlierRelease names a router that follows this process and does not keep to rollouts,
+// or "".
+func (h *hub) routerOfEarlierRelease() string {
 	for s := range h.sessions {
 		if !s.followsRollouts {
-			return false
+			return "router " + s.router
 		}
 	}
-	return true
+	return ""
 }
 
 // rolloutObstacle names a process of the fleet that does not keep to rollouts, or "". What a silent
 // process said last counts: one that is paused goes on as it was. A process of an earlier release
 // would not apply the order, and count other revisions than the rest from then on.
 func (h *hub) rolloutObstacle() string {
-	for s := range h.sessions {
-		if !s.followsRollouts {
-			return "router " + s.router
-		}
+	if r := h.routerOfEarlierRelease(); r != "" {
+		return r
 	}
 	if h.leader == "" {
 		return "this directory process is out of quorum, so that the others are not known, one of which"
--- a/internal/directory/rollouts_test.go
+++ b/internal/directory/rollouts_test.go
@@ -222,15 +222,7 @@
 		r, err := c.nodes[h].p.Rollout(ctx, "chat")
 		return err == nil && r.Target == "v2" && r.Number == 1 && r.Running()
 	}
-	leader := ""
-	for h, n := range c.nodes {
-		if n.p.group.Status().Leading {
-			leader = h
-		}
-	}
-	if leader == "" {
-		t.Fatal("no process leads after an order was accepted")
-	}
+	leader := c.leader()
 	disk := c.nodes[leader].fs
 	c.stop(leader)
 	for h := range c.nodes {
--- a/platform/soak/faultyfs.go
+++ b/internal/faultyfs/faultyfs.go
@@ -1,4 +1,6 @@
-package soak
+// Package faultyfs is a file system whose disk stalls, fails, is full or loses power, for the soak,
+// which sets the fault by a control file.
+package faultyfs
 
 import (
 	"fmt"
@@ -15,18 +17,18 @@
 // Faults that a control file can contain: syncs block, syncs return EIO, or new files and
 // writes find no room.
 const (
-	diskStalls = "stalls"
-	diskFails  = "refuses"
-	diskFull   = "is full"
+	Stalls = "stalls"
+	Fails  = "refuses"
+	Full   = "is full"
 )
 
 // stallPollInterval is how often a stalled sync reads the control file.
 const stallPollInterval = 20 * time.Millisecond
 
-// FaultyFS is a file system whose operations stall or fail while its control file says so,
-// and that records how much of each file is synced, so that losePower can drop the rest. A
+// FS is a file system whose operations stall or fail while its control file says so,
+// and that records how much of each file is synced, so that LosePower can drop the rest. A
 // directory process uses it like any other file system.
-type FaultyFS struct {
+type FS struct {
 	vfs.FS
 	ControlFile string
 }
@@ -36,10 +38,10 @@
 const syncedSuffix = "-synced"
 
 // Create implements vfs.FS.
-func (d FaultyFS) Create(name string, category vfs.DiskWriteCategory) (vfs.File, error) {
+func (d FS) Create(name string, category vfs.DiskWriteCategory) (vfs.File, error) {
 	if fault, err := d.fault(); err != nil {
 		return nil, err
-	} else if fault == diskFull {
+	} else if fault == Full {
 		return nil, &os.PathError{Op: "create", Path: name, Err: syscall.ENOSPC}
 	}
 	f, err := d.FS.Create(name, category)
@@ -50,7 +52,7 @@
 }
 
 // fault returns the fault that the control file contains, or "".
-func (d FaultyFS) fault() (string, error) {
+func (d FS) fault() (string, error) {
 	control, err := os.ReadFile(d.ControlFile)
 	if err != nil && !os.IsNotExist(err) {
 		return "", err
@@ -59,7 +61,7 @@
 }
 
 // Open implements vfs.FS.
-func (d FaultyFS) Open(name string, opts ...vfs.OpenOption) (vfs.File, error) {
+func (d FS) Open(name string, opts ...vfs.OpenOption) (vfs.File, error) {
 	f, err := d.FS.Open(name, opts...)
 	if err != nil {
 		return nil, err
@@ -68,12 +70,12 @@
 }
 
 // OpenDir implements vfs.FS.
-func (d FaultyFS) OpenDir(name string) (vfs.File, error) {
+func (d FS) OpenDir(name string) (vfs.File, error) {
 	f, err := d.FS.OpenDir(name)
 	return faultyFile{f, d, ""}, err
 }
 
-func (d FaultyFS) recordSynced(name string, size int64) error {
+func (d FS) recordSynced(name string, size int64) error {
 	if !strings.HasPrefix(filepath.Base(name), logFilePrefix) {
 		return nil
 	}
@@ -88,9 +90,9 @@
 // logFilePrefix begins the names of the log files in a data folder.
 const logFilePrefix = "log-"
 
-// losePower truncates the log files in the data folder to what was synced. The process
+// LosePower truncates the log files in the data folder to what was synced. The process
 // must not run. It returns the number of bytes that were dropped.
-func losePower(dataDir, controlFile string) (dropped int64, err error) {
+func LosePower(dataDir, controlFile string) (dropped int64, err error) {
 	lines, err := os.ReadFile(controlFile + syncedSuffix)
 	if err != nil && !os.IsNotExist(err) {
 		return 0, err
@@ -128,7 +130,7 @@
 
 type faultyFile struct {
 	vfs.File
-	fs   FaultyFS
+	fs   FS
 	name string
 }
 
@@ -138,7 +140,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if fault != diskFull {
+	if fault != Full {
 		return f.File.Write(p)
 	}
 	n, err := f.File.Write(p[:len(p)/2])
@@ -155,9 +157,9 @@
 		switch {
 		case err != nil:
 			return err
-		case fault == diskFails:
+		case fault == Fails:
 			return syscall.EIO
-		case fault != diskStalls:
+		case fault != Stalls:
 			return f.syncAndRecord()
 		}
 		time.Sleep(stallPollInterval)
--- /dev/null
+++ b/internal/faultyfs/faultyfs_test.go
@@ -0,0 +1,47 @@
+package faultyfs
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/cockroachdb/pebble/v2/vfs"
+)
+
+// Guards against a power loss that drops synced data, or keeps unsynced data.
+func TestLosePowerDropsWhatWasNotSynced(t *testing.T) {
+	dir, data := t.TempDir(), t.TempDir()
+	fs := FS{FS: vfs.Default, ControlFile: filepath.Join(dir, "disk")}
+	write := func(f vfs.File, text string) {
+		if _, err := f.Write([]byte(text)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	name := filepath.Join(data, "log-1")
+	f, err := fs.Create(name, vfs.WriteCategoryUnspecified)
+	if err != nil {
+		t.Fatal(err)
+	}
+	write(f, "synced ")
+	if err := f.Sync(); err != nil {
+		t.Fatal(err)
+	}
+	write(f, "lost")
+	if dropped, err := LosePower(data, fs.ControlFile); dropped != 4 || err != nil {
+		t.Errorf("dropped %d bytes (%v), want the 4 that were not synced", dropped, err)
+	}
+	if got, err := os.ReadFile(name); string(got) != "synced " || err != nil {
+		t.Errorf("kept %q (%v)", got, err)
+	}
+	write(f, "lost")
+	again, err := fs.Open(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := again.Sync(); err != nil {
+		t.Fatal(err)
+	}
+	if dropped, err := LosePower(data, fs.ControlFile); dropped != 0 || err != nil {
+		t.Errorf("dropped %d bytes (%v) after a sync by the next process, want none", dropped, err)
+	}
+}
--- a/internal/fleetview/link.go
+++ b/internal/fleetview/link.go
@@ -151,7 +151,7 @@
 			req.Crashes = quarantine.EncodeCrashes(crashes, at)
 			req.Survived, req.SurvivedRequests = quarantine.EncodeSubjects(survived)
 			req.Origins, req.Lookups = l.view.origins.Report(!wasReporting, at)
-			req.Rollouts = l.view.attempts.Report(!wasReporting, l.view.runningRollout)
+			req.Rollouts = l.view.attempts.Report(!wasReporting, l.view.lastRollout)
 			if report := time.Duration(l.reportInterval.Load()); report > 0 {
 				wait = min(wait, max(minReportInterval, report))
 			}
--- a/internal/fleetview/rollouts.go
+++ b/internal/fleetview/rollouts.go
@@ -10,7 +10,7 @@
 // Rollout returns the last rollout of a service, nil if there was none, and whether the router's
 // state is recent enough to send requests to the target of a running one.
 func (v *View) Rollout(service string) (r *rollout.Rollout, current bool) {
-	r = v.Snapshot().Rollouts[service]
+	r = v.lastRollout(service)
 	if r == nil {
 		return nil, true
 	}
@@ -21,10 +21,10 @@
 // BeginAttempt counts an attempt at a server with the given version of a service's software. It
 // returns nil if the service has no running rollout.
 func (v *View) BeginAttempt(service, route, version, server string, now time.Time) *rollout.Attempt {
-	return v.attempts.Begin(v.Snapshot().Rollouts[service], routing.Hash(route), version, uint32(routing.Hash(server)), now)
+	return v.attempts.Begin(v.lastRollout(service), routing.Hash(route), version, uint32(routing.Hash(server)), now)
 }
 
-func (v *View) runningRollout(service string) *rollout.Rollout { return v.Snapshot().Rollouts[service] }
+func (v *View) lastRollout(service string) *rollout.Rollout { return v.Snapshot().Rollouts[service] }
 
 func (v *View) logRollouts(before, after map[string]*rollout.Rollout) {
 	for service, r := range after {
--- a/internal/placement/refusal_test.go
+++ b/internal/placement/refusal_test.go
@@ -281,12 +281,7 @@
 		{7, 3, 6, 3, 5, 2, 60 * time.Millisecond, 0.8, true},
 		{7, 3, 6, 3, 5, 0.5, 60 * time.Millisecond, 0.95, true},
 	} {
-		for seed := range uint64(2) {
-			t.Run(fmt.Sprint(tc, seed), func(t *testing.T) {
-				t.Parallel()
-				tc.run(t, seed)
-			})
-		}
+		tc.runSeeds(t)
 	}
 }
 
@@ -298,12 +293,7 @@
 		{67, 5, 6, 3, 10, 2, 30 * time.Millisecond, 0.5, true},
 		{67, 5, 6, 3, 10, 0.6, 30 * time.Millisecond, 0.8, false},
 	} {
-		for seed := range uint64(2) {
-			t.Run(fmt.Sprint(tc, seed), func(t *testing.T) {
-				t.Parallel()
-				tc.run(t, seed)
-			})
-		}
+		tc.runSeeds(t)
 	}
 }
 
@@ -319,6 +309,16 @@
 	silentLoad bool
 }
 
+// runSeeds runs the case with two seeds, beside others.
+func (tc brittleCase) runSeeds(t *testing.T) {
+	for seed := range uint64(2) {
+		t.Run(fmt.Sprint(tc, seed), func(t *testing.T) {
+			t.Parallel()
+			tc.run(t, seed)
+		})
+	}
+}
+
 func (tc brittleCase) run(t *testing.T, seed uint64) {
 	t.Helper()
 	const before, measured = 2 * time.Second, 10 * time.Second
--- a/internal/rollout/recorder.go
+++ b/internal/rollout/recorder.go
@@ -157,14 +157,14 @@
 	}
 }
 
-// Report returns the tallies that changed since the last call, or all of them. A tally of a
-// rollout that is not running any more is forgotten.
-func (rec *Recorder) Report(all bool, running func(service string) *Rollout) []*fleetpb.RolloutTally {
+// Report returns the tallies that changed since the previous call, or all of them. A tally of a
+// rollout that is not running any more, by the last one of its service, is forgotten.
+func (rec *Recorder) Report(all bool, last func(service string) *Rollout) []*fleetpb.RolloutTally {
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
 	var out []*fleetpb.RolloutTally
 	for service, t := range rec.tallies {
-		if r := running(service); r == nil || !r.Running() || r.Number > t.number {
+		if r := last(service); r == nil || !r.Running() || r.Number > t.number {
 			delete(rec.tallies, service)
 			continue
 		}
