Log answers to servers that leave, evacuations where they take effect, revisions that fall

The record of the incident shows requests to a server whose leaving was acknowledged, but no line tells what the process that acknowledged knew: whether the server was in its table, and how many processes had the change by then. An evacuation was logged where it was received and not where it took effect, and a state or a confirmation that goes back was accepted without a word. No decision depends on them.

--- a/internal/directory/acks.go
+++ b/internal/directory/acks.go
@@ -33,6 +33,14 @@
 	c.closeIfDone()
 }
 
+// counts returns how many processes have acknowledged so far, this one included, and how many
+// there are.
+func (c *ackCounter) counts() (acked, processes int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.acked, c.peers + 1
+}
+
 func (c *ackCounter) closeIfDone() {
 	if !c.closed && (2*c.acked > c.peers+1 || c.answered >= c.peers) {
 		c.closed = true
--- a/internal/directory/catchup.go
+++ b/internal/directory/catchup.go
@@ -1,11 +1,13 @@
 package directory
 
 import (
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"github.com/kumquathollow/kumquathollow/api/fleetpb"
+	"github.com/kumquathollow/kumquathollow/internal/publication"
 	"github.com/kumquathollow/kumquathollow/internal/quarantine"
 )
 
@@ -14,10 +16,15 @@
 func (h *hub) stateChanged() {
 	// A test may end a server as soon as a router knows of it.
 	h.quarantine.updateRecords(h.machine.State().Quarantined, h.now())
-	latest := h.machine.State().Revision
+	state := h.machine.State()
+	latest := state.Revision
 	if latest == h.broadcastRevision {
 		return
 	}
+	if latest < h.broadcastRevision {
+		h.log.Error("the replicated state went back", "revision", latest, "was-revision", h.broadcastRevision, "version", state.Version())
+	}
+	h.logEvacuations(state)
 	h.broadcastRevision = latest
 	for s := range h.sessions {
 		s.behind = s.behind || s.load != nil
@@ -26,6 +33,14 @@
 	h.broadcast(&fleetpb.FollowUpdate{})
 }
 
+// logEvacuations logs the evacuated data centres where they changed.
+func (h *hub) logEvacuations(state *publication.State) {
+	if !slices.Equal(state.Evacuated, h.evacuated) {
+		h.log.Info("evacuations changed", "evacuated", state.Evacuated, "were", h.evacuated, "revision", state.Revision, "was-revision", h.broadcastRevision)
+		h.evacuated = state.Evacuated
+	}
+}
+
 // handleRequest processes one message of a router's session.
 func (h *hub) handleRequest(s *session, req *fleetpb.FollowRequest) {
 	if !h.sessions[s] {
--- a/internal/directory/changes.go
+++ b/internal/directory/changes.go
@@ -17,9 +17,10 @@
 	return change
 }
 
-func (h *hub) leave(id string, born int64) {
+func (h *hub) leave(id string, born int64) inventory.Change {
 	_, change := h.table.Leave(id, born, h.now())
 	h.recordChange(id, change, true)
+	return change
 }
 
 func (h *hub) recordChange(id string, change inventory.Change, direct bool) {
@@ -72,7 +73,7 @@
 // gets the joins with it.
 func (h *hub) broadcastChanges() {
 	if len(h.directChanges) > 0 {
-		h.relayAcked = h.relay(h.directChanges)
+		h.relayed = h.relay(h.directChanges)
 	}
 	joining, leaving := splitByState(h.announcements(h.directChanges))
 	relayedJoining, relayedLeaving := splitByState(h.announcements(h.relayedChanges))
--- a/internal/directory/hub.go
+++ b/internal/directory/hub.go
@@ -57,9 +57,8 @@
 	// peerReports is what each directory process last reported of its routers, by its
 	// address.
 	peerReports map[string]*peerReport
-	// relayAcked is closed once a majority of the processes, including this one, has the
-	// last change that a server announced here, or all of them were tried.
-	relayAcked <-chan struct{}
+	// relayed counts the processes that have the last change that a server announced here.
+	relayed *ackCounter
 
 	machine *publication.Machine
 	// propose replicates a command and calls done on the hub's goroutine.
@@ -92,6 +91,8 @@
 	broadcastDone  chan struct{}
 	// broadcastRevision is the latest revision announced to the routers.
 	broadcastRevision uint64
+	// evacuated are the data centres that were evacuated at that revision, for the log.
+	evacuated []string
 	// members are the addresses of the directory processes, and memberDataCentres their
 	// data centres as last sent to the routers.
 	members, memberDataCentres []string
@@ -113,7 +114,7 @@
 func newHub(log hclog.Logger, machine *publication.Machine, ownAddress, dataCentre string, startPeer func(*peer)) *hub {
 	return &hub{
 		log: log, inbox: make(chan func(), inboxSize), now: time.Now, machine: machine, ownAddress: ownAddress, dataCentre: dataCentre,
-		peers: map[string]*peer{}, startPeer: startPeer, peerReports: map[string]*peerReport{}, relayAcked: newAckCounter(0).done,
+		peers: map[string]*peer{}, startPeer: startPeer, peerReports: map[string]*peerReport{}, relayed: newAckCounter(0),
 		table: inventory.New(), refreshed: map[string]bool{}, directChanges: map[string]bool{}, relayedChanges: map[string]bool{},
 		idByHash: map[uint32]string{}, sessions: map[*session]bool{}, quarantine: newQuarantineKeeper(), origins: newOriginKeeper(), rollouts: newRolloutKeeper(rollout.DefaultBounds),
 	}
--- a/internal/directory/operations.go
+++ b/internal/directory/operations.go
@@ -79,11 +79,14 @@
 // Announce also waits until a majority of the directory processes has sent the change
 // to its own routers, for at most relayTimeout.
 func (p *Process) Announce(ctx context.Context, s inventory.Server) error {
-	var acked, broadcastDone <-chan struct{}
+	began := time.Now()
+	var relayed *ackCounter
+	var broadcastDone <-chan struct{}
+	var change inventory.Change
 	err := p.hub.do(ctx, func() {
-		changed := p.hub.merge(s, true) == inventory.Changed
-		acked = p.hub.relayAcked
-		if changed && p.hub.broadcastTimer != nil {
+		change = p.hub.merge(s, true)
+		relayed = p.hub.relayed
+		if change == inventory.Changed && p.hub.broadcastTimer != nil {
 			broadcastDone = p.hub.broadcastDone
 		}
 	})
@@ -91,7 +94,11 @@
 	case err != nil:
 		return err
 	case s.State != inventory.Ready:
-		return awaitAcked(ctx, acked)
+		err := awaitRelayed(ctx, relayed)
+		if change == inventory.Changed || err != nil {
+			p.logDeparture("server announced that it leaves", s.ID, s.Born, change, began, relayed, err)
+		}
+		return err
 	case broadcastDone == nil:
 		return nil
 	}
@@ -103,9 +110,9 @@
 	}
 }
 
-func awaitAcked(ctx context.Context, acked <-chan struct{}) error {
+func awaitRelayed(ctx context.Context, relayed *ackCounter) error {
 	select {
-	case <-acked:
+	case <-relayed.done:
 	case <-time.After(relayTimeout):
 	case <-ctx.Done():
 		return ctx.Err()
@@ -116,15 +123,31 @@
 // Leave processes the departure of a backend server. It waits like Announce does for a
 // server that is leaving.
 func (p *Process) Leave(ctx context.Context, id string, born int64) error {
-	var acked <-chan struct{}
+	began := time.Now()
+	var relayed *ackCounter
+	var change inventory.Change
 	err := p.hub.do(ctx, func() {
-		p.hub.leave(id, born)
-		acked = p.hub.relayAcked
+		change = p.hub.leave(id, born)
+		relayed = p.hub.relayed
 	})
 	if err != nil {
 		return err
 	}
-	return awaitAcked(ctx, acked)
+	err = awaitRelayed(ctx, relayed)
+	p.logDeparture("server left", id, born, change, began, relayed, err)
+	return err
+}
+
+// logDeparture logs the answer to a server that leaves: whether the table knew the server, and how
+// many processes have the change.
+func (p *Process) logDeparture(message, id string, born int64, change inventory.Change, began time.Time, relayed *ackCounter, err error) {
+	acked, processes := relayed.counts()
+	outcome := "acknowledged"
+	if err != nil {
+		outcome = string(errkind.Of(err))
+	}
+	p.log.Info(message, "server", id, "born", born, "change", change.String(), "relayed-to", acked, "processes", processes,
+		"took", time.Since(began).Round(time.Microsecond), "outcome", outcome, "error", err)
 }
 
 // propose replicates a command, forwarding it if another process leads.
--- a/internal/directory/peers.go
+++ b/internal/directory/peers.go
@@ -108,10 +108,9 @@
 	h.table.All(func(s *inventory.Server) { p.pending[s.ID] = true })
 }
 
-// relay marks servers to be sent to all peers at once. The returned channel is closed
-// once a majority of the processes, including this one, has them, or all peers were
-// tried.
-func (h *hub) relay(ids map[string]bool) <-chan struct{} {
+// relay marks servers to be sent to all peers at once, and returns the counter of the
+// processes that have them.
+func (h *hub) relay(ids map[string]bool) *ackCounter {
 	acks := newAckCounter(len(h.peers))
 	for _, p := range h.peers {
 		for id := range ids {
@@ -121,7 +120,7 @@
 		p.acks = append(p.acks, acks)
 		signal(p.wake)
 	}
-	return acks.done
+	return acks
 }
 
 // spreadCall is one call to a peer.
--- a/internal/directory/peers_test.go
+++ b/internal/directory/peers_test.go
@@ -80,7 +80,7 @@
 	h, _ := newTestHub()
 	h.groupChanged([]string{"d:1", "d:2", "d:3", "d:4", "d:5"}, "d:1")
 	h.merge(serverAnnouncement("x", 1, inventory.Draining), true)
-	acked := h.relayAcked
+	acked := h.relayed.done
 	closed := func() bool {
 		select {
 		case <-acked:
@@ -102,7 +102,7 @@
 	}
 	// A process that leaves the group does not hold up acknowledgements.
 	h.merge(serverAnnouncement("y", 1, inventory.Draining), true)
-	acked = h.relayAcked
+	acked = h.relayed.done
 	h.groupChanged([]string{"d:1"}, "d:1")
 	if !closed() {
 		t.Error("an acknowledgement waits for processes that left the group")
--- a/internal/fleetview/link.go
+++ b/internal/fleetview/link.go
@@ -59,6 +59,8 @@
 type update struct {
 	*fleetpb.FollowUpdate
 	pingSentAt time.Duration
+	// pingRevision is the revision that the router held then.
+	pingRevision uint64
 }
 
 func (l *link) follow(ctx context.Context) error {
@@ -78,7 +80,7 @@
 	pings := make(chan ping, 16)
 	sent := make(chan error, 1)
 	go func() { sent <- l.send(ctx, stream, pings) }()
-	pingTimes := map[uint64]time.Duration{}
+	sentPings := map[uint64]ping{}
 	for {
 		u, err := stream.Recv()
 		if err != nil {
@@ -93,17 +95,17 @@
 		for pending := true; pending; {
 			select {
 			case p := <-pings:
-				pingTimes[p.number] = p.sentAt
+				sentPings[p.number] = p
 			default:
 				pending = false
 			}
 		}
 		message := update{FollowUpdate: u}
 		if u.Pong != 0 {
-			message.pingSentAt = pingTimes[u.Pong]
-			for n := range pingTimes {
+			message.pingSentAt, message.pingRevision = sentPings[u.Pong].sentAt, sentPings[u.Pong].revision
+			for n := range sentPings {
 				if n <= u.Pong {
-					delete(pingTimes, n)
+					delete(sentPings, n)
 				}
 			}
 			if message.pingSentAt == 0 {
@@ -115,8 +117,9 @@
 }
 
 type ping struct {
-	number uint64
-	sentAt time.Duration
+	number   uint64
+	sentAt   time.Duration
+	revision uint64
 }
 
 // send sends a ping, together with any pending requests and the load report, at the
@@ -135,7 +138,7 @@
 			req.Router, req.Ping, req.Handoff = l.view.opts.RouterID, l.lastPing, l.view.handoffAddress()
 			req.FollowsRollouts = true
 			select {
-			case pings <- ping{number: l.lastPing, sentAt: now}:
+			case pings <- ping{number: l.lastPing, sentAt: now, revision: req.Have}:
 			default: // The buffer is full: nothing was received meanwhile, and the watchdog closes the session.
 			}
 			pingDue = now + standbyPingInterval
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -347,6 +347,9 @@
 	v.newestRevision = max(v.newestRevision, u.Revision, u.Newest)
 	v.applyUpdate(l, u.FollowUpdate)
 	if u.Confirmed {
+		if u.Newest < u.pingRevision {
+			v.opts.Log.Error("the directory confirmed a revision below the one held", "address", l.address, "confirmed", u.Newest, "revision", u.pingRevision)
+		}
 		v.quorumConfirmedAt.Store(int64(clock.SinceBoot()))
 		v.recordConfirmation(u.Newest, u.pingSentAt)
 	}
--- a/internal/inventory/table.go
+++ b/internal/inventory/table.go
@@ -82,6 +82,19 @@
 	Changed
 )
 
+// String returns the change's name in logs.
+func (c Change) String() string {
+	switch c {
+	case Stale:
+		return "stale"
+	case Refreshed:
+		return "refreshed"
+	case Changed:
+		return "changed"
+	}
+	return "unknown"
+}
+
 // Merge applies an announcement to the table.
 func (t *Table) Merge(s Server) Change {
 	old := t.servers[s.ID]
