A leave ends an incarnation whatever heartbeats were heard elsewhere

Cause: announcements of one incarnation are ordered by their sequence. A heartbeat that changes nothing is relayed by its server's hash alone, so only the process that receives the heartbeats, and routers that fetched their list there, hold the latest sequence. A leave counted on from the sequence of the process that received it. Where a later heartbeat was known the departure was taken for an old announcement and ignored: by the other directory process, which acknowledged it all the same, and by routers. Class of fault: an order of events by a number that the processes hold unevenly.

Change: the end of an incarnation comes after all of its announcements. A departure has the highest sequence, so that processes of earlier releases take it too.

TestALeaveEndsAnIncarnationAtAnySequence failed before: 'the leave that another process received: stale, x is ready'.

--- a/internal/inventory/table.go
+++ b/internal/inventory/table.go
@@ -1,6 +1,7 @@
 package inventory
 
 import (
+	"math"
 	"time"
 )
 
@@ -101,9 +102,6 @@
 	if old != nil && !newer(&s, old) {
 		return Stale
 	}
-	if old != nil && old.State == Gone && s.Born == old.Born {
-		return Stale
-	}
 	if owner := t.servers[t.owners[s.Address]]; owner != nil && owner.ID != s.ID && owner.Address == s.Address {
 		if owner.Born > s.Born {
 			return Stale
@@ -132,9 +130,14 @@
 // clocks and queuing delays distort.
 const coldTolerance = 250 * time.Millisecond
 
+// newer reports whether s is later than old. The end of an incarnation is later than all of its
+// announcements: processes know different sequences, since not all announcements are relayed.
 func newer(s, old *Server) bool {
-	if s.Born != old.Born {
+	switch {
+	case s.Born != old.Born:
 		return s.Born > old.Born
+	case s.State == Gone || old.State == Gone:
+		return old.State != Gone
 	}
 	return s.Sequence > old.Sequence || s.Sequence == old.Sequence && s.State > old.State
 }
@@ -148,6 +151,10 @@
 	}
 }
 
+// lastSequence is the sequence of a server that has left, by which processes of earlier releases
+// order a departure.
+const lastSequence = math.MaxUint64
+
 // Leave marks the known incarnation of a server as gone. A leave for an older
 // incarnation is stale; born 0 stands for the known one.
 func (t *Table) Leave(id string, born int64, now time.Time) (*Server, Change) {
@@ -156,9 +163,8 @@
 		return old, Stale
 	}
 	gone := *old
-	gone.State, gone.LastSeen = Gone, now
+	gone.State, gone.LastSeen, gone.Sequence = Gone, now, lastSequence
 	gone.Born = max(gone.Born, born)
-	gone.Sequence++
 	t.servers[id] = &gone
 	return &gone, Changed
 }
--- a/internal/inventory/table_test.go
+++ b/internal/inventory/table_test.go
@@ -182,3 +182,22 @@
 		t.Error("a server that Get returned was modified")
 	}
 }
+
+// Guards against a leave that is ignored where the server's later heartbeats arrived: processes know
+// different sequences of one incarnation, since heartbeats that change nothing are not relayed.
+func TestALeaveEndsAnIncarnationAtAnySequence(t *testing.T) {
+	heard, other := New(), New()
+	heard.Merge(ready("x", 10, 1, "h:1"))
+	other.Merge(ready("x", 10, 1, "h:1"))
+	heard.Merge(ready("x", 10, 25, "h:1"))
+	gone, _ := other.Leave("x", 10, start)
+	if got := heard.Merge(*gone); got != Changed || state(heard, "x") != Gone {
+		t.Errorf("the leave that another process received: %v, x is %s", got, state(heard, "x"))
+	}
+	if got := heard.Merge(ready("x", 10, 26, "h:1")); got != Stale {
+		t.Errorf("an announcement after the leave: %v", got)
+	}
+	if got := heard.Merge(*gone); got != Stale {
+		t.Errorf("the leave again: %v", got)
+	}
+}
