Record the leave of a server that the process does not know

Cause: Table.Leave ignored an unknown server as if it were a leave of an old incarnation. Other processes and routers may know it.

Change: such a leave makes a tombstone, which is relayed like any other. A leave without the time of birth ends all incarnations that started before it arrived; one that starts later is used.

TestAServerThatLeavesUnknownIsGone replaces the last lines of TestAServerThatLeftStaysGone, which asked for the fault ('a leave of an unknown server' is stale).

--- a/internal/inventory/table.go
+++ b/internal/inventory/table.go
@@ -102,15 +102,17 @@
 	if old != nil && !newer(&s, old) {
 		return Stale
 	}
-	if owner := t.servers[t.owners[s.Address]]; owner != nil && owner.ID != s.ID && owner.Address == s.Address {
-		if owner.Born > s.Born {
-			return Stale
+	if s.Address != "" {
+		if owner := t.servers[t.owners[s.Address]]; owner != nil && owner.ID != s.ID && owner.Address == s.Address {
+			if owner.Born > s.Born {
+				return Stale
+			}
+			gone := *owner
+			gone.State = Gone
+			t.servers[owner.ID] = &gone
 		}
-		gone := *owner
-		gone.State = Gone
-		t.servers[owner.ID] = &gone
+		t.owners[s.Address] = s.ID
 	}
-	t.owners[s.Address] = s.ID
 	merged := s
 	if old != nil && old.Born == s.Born && old.LastSeen.After(s.LastSeen) {
 		merged.LastSeen = old.LastSeen
@@ -156,15 +158,20 @@
 const lastSequence = math.MaxUint64
 
 // Leave marks the known incarnation of a server as gone. A leave for an older
-// incarnation is stale; born 0 stands for the known one.
+// incarnation is stale; born 0 stands for the known one. A server that is not known may be
+// known to other processes: all incarnations that started before now are gone.
 func (t *Table) Leave(id string, born int64, now time.Time) (*Server, Change) {
-	old := t.servers[id]
-	if old == nil || born != 0 && born < old.Born || old.State == Gone && born <= old.Born {
-		return old, Stale
+	gone := Server{ID: id, Born: now.UnixMilli()}
+	if old := t.servers[id]; old != nil {
+		if born != 0 && born < old.Born || old.State == Gone && born <= old.Born {
+			return old, Stale
+		}
+		gone = *old
+	}
+	if born != 0 {
+		gone.Born = born
 	}
-	gone := *old
 	gone.State, gone.LastSeen, gone.Sequence = Gone, now, lastSequence
-	gone.Born = max(gone.Born, born)
 	t.servers[id] = &gone
 	return &gone, Changed
 }
--- a/internal/inventory/table_test.go
+++ b/internal/inventory/table_test.go
@@ -85,8 +85,23 @@
 	if got := tab.Merge(ready("x", 11, 1, "h:1")); got != Changed {
 		t.Errorf("the next incarnation: %v", got)
 	}
-	if _, got := tab.Leave("unknown", 0, start); got != Stale {
-		t.Errorf("a leave of an unknown server: %v", got)
+}
+
+// Guards against a departure that is acknowledged and forgotten by a process that has just started.
+func TestAServerThatLeavesUnknownIsGone(t *testing.T) {
+	for _, c := range []struct {
+		born, earlier, later int64
+	}{{10, 10, 11}, {0, start.UnixMilli(), start.UnixMilli() + 1}} {
+		tab := New()
+		if _, got := tab.Leave("x", c.born, start); got != Changed || state(tab, "x") != Gone {
+			t.Errorf("leave of an unknown server born %d: %v, it is %s", c.born, got, state(tab, "x"))
+		}
+		if got := tab.Merge(ready("x", c.earlier, 50, "h:1")); got != Stale {
+			t.Errorf("a late announcement after a leave of born %d: %v", c.born, got)
+		}
+		if got := tab.Merge(ready("x", c.later, 1, "h:1")); got != Changed || state(tab, "x") != Ready {
+			t.Errorf("the next incarnation after a leave of born %d: %v", c.born, got)
+		}
 	}
 }
 
