Record that a server leaves before it is acknowledged

Cause: which servers leave was held in memory. The acknowledgement waited for a majority of the processes to have it, but also came when relayTimeout ended and when all calls had failed, so that it said more than was known; and a restart of the processes that knew forgot it, after which an announcement that arrived late was a new server. Class of fault: an acknowledgement without a durable record.

Change: the command Depart records the incarnation and its state in the replicated state. A leave, or the first heartbeat of a draining server, is acknowledged once a majority has it on disk, else answered with an error. Every process that applies the command tells its routers, and holds late announcements of the incarnation to it.

--- a/internal/directory/catchup.go
+++ b/internal/directory/catchup.go
@@ -15,8 +15,9 @@
 // report here.
 func (h *hub) stateChanged() {
 	// A test may end a server as soon as a router knows of it.
-	h.quarantine.updateRecords(h.machine.State().Quarantined, h.now())
 	state := h.machine.State()
+	h.quarantine.updateRecords(state.Quarantined, h.now())
+	h.mergeDepartures()
 	latest := state.Revision
 	if latest == h.broadcastRevision {
 		return
--- a/internal/directory/changes.go
+++ b/internal/directory/changes.go
@@ -17,10 +17,15 @@
 	return change
 }
 
-func (h *hub) leave(id string, born int64) inventory.Change {
-	_, change := h.table.Leave(id, born, h.now())
+// leave marks a server as gone. It returns the departure that the leave stands for.
+func (h *hub) leave(id string, born int64) (inventory.Departure, inventory.Change) {
+	s, change := h.table.Leave(id, born, h.now())
 	h.recordChange(id, change, true)
-	return change
+	d, _ := s.Departure()
+	if born != 0 {
+		d.Born, d.State = born, inventory.Gone
+	}
+	return d, change
 }
 
 func (h *hub) recordChange(id string, change inventory.Change, direct bool) {
--- /dev/null
+++ b/internal/directory/departures_test.go
@@ -0,0 +1,234 @@
+package directory
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/kumquathollow/kumquathollow/api/fleetpb"
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/inventory"
+)
+
+// stateOf returns the state of a server in the table of a process; 0 if it is unknown there.
+func (c *cluster) stateOf(host, id string) (state inventory.State) {
+	c.t.Helper()
+	h := c.nodes[host].p.hub
+	if err := h.do(context.Background(), func() {
+		if s := h.table.Get(id); s != nil {
+			state = s.State
+		}
+	}); err != nil {
+		c.t.Fatal(err)
+	}
+	return state
+}
+
+func (c *cluster) announce(host string, s inventory.Server) {
+	c.t.Helper()
+	s.LastSeen = time.Now()
+	if err := c.nodes[host].p.Announce(context.Background(), s); err != nil {
+		c.t.Fatalf("announce %s: %v", s.ID, err)
+	}
+}
+
+func (c *cluster) leave(host, id string, born int64) {
+	c.t.Helper()
+	c.eventually("record that "+id+" left", func() bool { return c.nodes[host].p.Leave(context.Background(), id, born) == nil })
+}
+
+// Guards against a server that has left and is in use again: all processes restart, and an
+// announcement arrives that is older than the acknowledged leave.
+func TestAServerThatLeftStaysGoneThroughARestartOfAll(t *testing.T) {
+	c := newCluster(t, 3)
+	c.publish(hosts[0], 1, "one")
+	for i, id := range []string{"leaves", "drains", "unknown"} {
+		if id != "unknown" {
+			c.announce(hosts[i], serverAnnouncement(id, 5, inventory.Ready))
+		}
+	}
+	c.leave(hosts[1], "leaves", 0)
+	c.leave(hosts[2], "unknown", 1)
+	c.announce(hosts[2], serverAnnouncement("drains", 6, inventory.Draining))
+	disks := map[string]*node{}
+	for h, n := range c.nodes {
+		disks[h] = n
+		c.stop(h)
+	}
+	for h, n := range disks {
+		c.start(h, n.fs)
+	}
+	c.awaitDocument(hosts[0], "one")
+	for id, want := range map[string]inventory.State{"leaves": inventory.Gone, "drains": inventory.Draining, "unknown": inventory.Gone} {
+		c.announce(hosts[0], serverAnnouncement(id, 5, inventory.Ready))
+		if got := c.stateOf(hosts[0], id); got != want {
+			t.Errorf("%s is %s after an announcement that is older than its leave, want %s", id, got, want)
+		}
+	}
+	next := serverAnnouncement("leaves", 1, inventory.Ready)
+	next.Born = 2
+	c.announce(hosts[0], next)
+	if got := c.stateOf(hosts[0], "leaves"); got != inventory.Ready {
+		t.Errorf("the next incarnation is %s", got)
+	}
+}
+
+// Guards against the acknowledgement of a leave that the process alone knows of: the calls to all
+// others fail, and nothing is recorded.
+func TestALeaveWithoutAQuorumIsNotAcknowledged(t *testing.T) {
+	c := newCluster(t, 3)
+	c.publish(hosts[0], 1, "one")
+	c.announce(hosts[0], serverAnnouncement("x", 5, inventory.Ready))
+	c.announce(hosts[0], serverAnnouncement("y", 5, inventory.Ready))
+	c.stop(hosts[1])
+	c.stop(hosts[2])
+	ctx, cancel := context.WithTimeout(context.Background(), 2*changeTimeout)
+	defer cancel()
+	if err := c.nodes[hosts[0]].p.Leave(ctx, "x", 0); err == nil {
+		t.Error("a leave was acknowledged that one of three processes has")
+	}
+	if err := c.nodes[hosts[0]].p.Announce(ctx, serverAnnouncement("y", 6, inventory.Draining)); err == nil {
+		t.Error("the announcement of a draining server was acknowledged that one of three processes has")
+	}
+	// Its routers are told all the same.
+	if got := c.stateOf(hosts[0], "x"); got != inventory.Gone {
+		t.Errorf("x is %s", got)
+	}
+}
+
+// Guards against routers that go on with a server which left, since the process that received the
+// leave stopped before it told others: whoever learns of the record tells its routers.
+func TestARecordedDepartureIsToldToRouters(t *testing.T) {
+	h, _ := newTestHub()
+	s := newSession(h, "r")
+	h.merge(serverAnnouncement("known", 25, inventory.Ready), true)
+	h.broadcastChanges()
+	drain(s)
+	applyCommand(t, h, &fleetpb.Command{Op: &fleetpb.Command_Depart{Depart: &fleetpb.Depart{Departures: []*fleetpb.Departure{
+		{Id: "known", Born: 1, Sequence: 3, State: fleetpb.ServerState_GONE}, {Id: "not known here", Born: 1, State: fleetpb.ServerState_GONE},
+	}}}})
+	revision := h.machine.State().Revision
+	h.stateChanged()
+	told := map[string]fleetpb.ServerState{}
+	for _, u := range drain(s) {
+		for _, a := range u.Announcements {
+			told[a.Id] = a.State
+		}
+	}
+	if len(told) != 2 || told["known"] != fleetpb.ServerState_GONE || told["not known here"] != fleetpb.ServerState_GONE {
+		t.Errorf("the router was told %v", told)
+	}
+	if h.machine.State().Revision != revision || revision != 0 {
+		t.Errorf("revision %d: processes of earlier releases count no revision for a departure", revision)
+	}
+}
+
+func applyCommand(t *testing.T, h *hub, cmd *fleetpb.Command) {
+	t.Helper()
+	data, err := proto.Marshal(cmd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.machine.Apply(data)
+}
+
+// Guards against a log that grows with each of a thousand servers that leave together, and against
+// departures that are kept for good.
+func TestDeparturesAreRecordedTogetherAndForgotten(t *testing.T) {
+	h, _ := newTestHub()
+	now := time.Unix(1_700_000_000, 0)
+	h.now = func() time.Time { return now }
+	var proposed []*fleetpb.Command
+	var done []func(error)
+	h.submit = func(cmd *fleetpb.Command, f func(error)) { proposed, done = append(proposed, cmd), append(done, f) }
+	h.propose = h.submit
+	leave := func(id string) <-chan error {
+		d, change := h.leave(id, 1)
+		return h.recordDeparture(d, change)
+	}
+	first := leave("first")
+	var others []<-chan error
+	for i := range 1000 {
+		others = append(others, leave(fmt.Sprint("s", i)))
+	}
+	if len(proposed) != 1 {
+		t.Fatalf("%d commands in flight, want 1", len(proposed))
+	}
+	finish := func(err error) {
+		if err == nil {
+			applyCommand(t, h, proposed[0])
+			h.stateChanged()
+		}
+		f := done[0]
+		proposed, done = proposed[1:], done[1:]
+		f(err)
+	}
+	finish(errkind.New(errkind.NoQuorum, "lost"))
+	if err := <-first; err == nil {
+		t.Error("a leave that was not recorded was acknowledged")
+	}
+	first = leave("first") // The server sends it again.
+	finish(nil)
+	finish(nil)
+	for _, r := range append(others, first) {
+		if err := <-r; err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := len(h.machine.State().Departures); n != 1001 || len(proposed) != 0 {
+		t.Fatalf("%d departures recorded, want 1001; %d commands in flight", n, len(proposed))
+	}
+	if leave("s7"); len(proposed) != 0 {
+		t.Error("a leave that is recorded was proposed again")
+	}
+	h.setLeading(true)
+	now = now.Add(departureTTL - time.Second)
+	if h.forgetDepartures(); len(proposed) != 0 {
+		t.Error("departures were forgotten early")
+	}
+	now = now.Add(time.Second)
+	h.forgetDepartures()
+	if len(proposed) != 1 {
+		t.Fatal("no departure was forgotten")
+	}
+	finish(nil)
+	if n := len(h.machine.State().Departures); n != 0 || len(h.departures.recordedAt) != 0 {
+		t.Errorf("%d departures are kept, %d here", n, len(h.departures.recordedAt))
+	}
+}
+
+// Guards against a command for each heartbeat of a draining server.
+func TestADrainingServerIsRecordedOnce(t *testing.T) {
+	h, _ := newTestHub()
+	proposed := 0
+	h.submit = func(cmd *fleetpb.Command, done func(error)) {
+		proposed++
+		applyCommand(t, h, cmd)
+		h.stateChanged()
+		done(nil)
+	}
+	h.merge(serverAnnouncement("x", 1, inventory.Ready), true)
+	for seq := uint64(2); seq < 10; seq++ {
+		s := serverAnnouncement("x", seq, inventory.Draining)
+		d, _ := s.Departure()
+		if err := <-h.recordDeparture(d, h.merge(s, true)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if proposed != 1 {
+		t.Errorf("%d commands for 8 heartbeats, want 1", proposed)
+	}
+	if h.merge(serverAnnouncement("x", 12, inventory.Ready), true); h.table.Get("x").State != inventory.Ready {
+		t.Error("a server that is ready again is not used")
+	}
+	s := serverAnnouncement("x", 13, inventory.Draining)
+	d, _ := s.Departure()
+	<-h.recordDeparture(d, h.merge(s, true))
+	h.merge(serverAnnouncement("x", 12, inventory.Ready), true)
+	if got := h.table.Get("x").State; proposed != 2 || got != inventory.Draining {
+		t.Errorf("%d commands, want 2; x is %s after an announcement older than its second draining", proposed, got)
+	}
+}
--- a/internal/directory/doc.go
+++ b/internal/directory/doc.go
@@ -14,6 +14,7 @@
 //     processes, as are heartbeats and the load of the routers (peers.go). The server
 //     list has no elected owner, so a partitioned data centre keeps working with the
 //     servers that still reach it.
+//   - That a server leaves is replicated before it is acknowledged (departures.go).
 //   - A router has sessions with two processes and reports its requests in flight to
 //     one of them (hub.go). That process sends it new revisions, the changes relayed by
 //     other processes and the load of all routers (catchup.go).
--- a/internal/directory/hub.go
+++ b/internal/directory/hub.go
@@ -63,7 +63,9 @@
 	machine *publication.Machine
 	// propose replicates a command and calls done on the hub's goroutine.
 	propose func(cmd *fleetpb.Command, done func(error))
-	table   *inventory.Table
+	// submit is like propose, but forwards the command if another process leads.
+	submit func(cmd *fleetpb.Command, done func(error))
+	table  *inventory.Table
 	// refreshed holds the ids of servers that were announced unchanged. directChanges
 	// and relayedChanges hold those that changed, as announced by the servers themselves
 	// and as relayed by other processes.
@@ -103,6 +105,7 @@
 	origins    originKeeper
 	handoffs   handoffKeeper
 	rollouts   rolloutKeeper
+	departures departureKeeper
 	// knowsAllServers is set once the process has been in quorum for learnTime: by then the other
 	// processes have sent what they know, servers that have left included.
 	knowsAllServers bool
@@ -121,6 +124,7 @@
 }
 
 func (h *hub) run(ctx context.Context) error {
+	h.mergeDepartures()
 	flush := time.NewTimer(minFlushInterval)
 	defer flush.Stop()
 	expire := time.NewTicker(expireInterval)
@@ -141,6 +145,7 @@
 			flush.Reset(h.flushInterval())
 		case <-expire.C:
 			h.expireServers()
+			h.forgetDepartures()
 		}
 	}
 }
--- a/internal/directory/operations.go
+++ b/internal/directory/operations.go
@@ -75,16 +75,20 @@
 }
 
 // Announce processes the announcement of a backend server. It returns once the change
-// has been sent to the routers that follow this process. If the server is leaving,
-// Announce also waits until a majority of the directory processes has sent the change
-// to its own routers, for at most relayTimeout.
+// has been sent to the routers that follow this process. If the server is leaving, it returns
+// once a majority of the directory processes has recorded that on disk, and waits until a majority
+// has sent the change to its own routers, for at most relayTimeout.
 func (p *Process) Announce(ctx context.Context, s inventory.Server) error {
 	began := time.Now()
 	var relayed *ackCounter
+	var recorded <-chan error
 	var broadcastDone <-chan struct{}
 	var change inventory.Change
 	err := p.hub.do(ctx, func() {
 		change = p.hub.merge(s, true)
+		if d, leaving := s.Departure(); leaving {
+			recorded = p.hub.recordDeparture(d, change)
+		}
 		relayed = p.hub.relayed
 		if change == inventory.Changed && p.hub.broadcastTimer != nil {
 			broadcastDone = p.hub.broadcastDone
@@ -93,8 +97,8 @@
 	switch {
 	case err != nil:
 		return err
-	case s.State != inventory.Ready:
-		err := awaitRelayed(ctx, relayed)
+	case recorded != nil:
+		err := awaitDeparture(ctx, recorded, relayed)
 		if change == inventory.Changed || err != nil {
 			p.logDeparture("server announced that it leaves", s.ID, s.Born, change, began, relayed, err)
 		}
@@ -110,30 +114,22 @@
 	}
 }
 
-func awaitRelayed(ctx context.Context, relayed *ackCounter) error {
-	select {
-	case <-relayed.done:
-	case <-time.After(relayTimeout):
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	return nil
-}
-
 // Leave processes the departure of a backend server. It waits like Announce does for a
 // server that is leaving.
 func (p *Process) Leave(ctx context.Context, id string, born int64) error {
 	began := time.Now()
 	var relayed *ackCounter
+	var recorded <-chan error
 	var change inventory.Change
 	err := p.hub.do(ctx, func() {
-		change = p.hub.leave(id, born)
-		relayed = p.hub.relayed
+		var d inventory.Departure
+		d, change = p.hub.leave(id, born)
+		recorded, relayed = p.hub.recordDeparture(d, change), p.hub.relayed
 	})
 	if err != nil {
 		return err
 	}
-	err = awaitRelayed(ctx, relayed)
+	err = awaitDeparture(ctx, recorded, relayed)
 	p.logDeparture("server left", id, born, change, began, relayed, err)
 	return err
 }
--- a/internal/directory/places.go
+++ b/internal/directory/places.go
@@ -1,11 +1,9 @@
 package directory
 
 import (
-	"context"
 	"maps"
 	"slices"
 
-	"github.com/kumquathollow/kumquathollow/api/fleetpb"
 	"github.com/kumquathollow/kumquathollow/internal/assignment"
 	"github.com/kumquathollow/kumquathollow/internal/inventory"
 	"github.com/kumquathollow/kumquathollow/internal/publication"
@@ -70,13 +68,3 @@
 		}
 	})
 }
-
-// proposeForHub replicates a command and calls done with the result on the hub's goroutine.
-func (p *Process) proposeForHub(cmd *fleetpb.Command, done func(error)) {
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), changeTimeout)
-		defer cancel()
-		_, err := p.server.proposeLocal(ctx, cmd)
-		p.hub.post(context.Background(), func() { done(err) })
-	}()
-}
--- a/internal/directory/process.go
+++ b/internal/directory/process.go
@@ -130,7 +130,7 @@
 	p.server = &server{process: uuid.NewString(), group: p.group, machine: p.machine, voterManager: manager, dialer: p.dialer, log: p.log}
 	p.hub = newHub(p.log.Named("servers"), p.machine, ownAddress, p.conf.DataCentre, p.startPeer)
 	p.server.hub = p.hub
-	p.hub.propose = p.proposeForHub
+	p.hub.propose, p.hub.submit = p.submitter(p.server.proposeLocal), p.submitter(p.server.propose)
 	p.hub.rollouts.bounds = p.conf.Rollouts.bounds()
 	p.machine.OnChange = func(*publication.State) { p.hub.post(context.Background(), p.hub.stateChanged) }
 	p.server.confirmer = newConfirmer(p.server.barrier, func(pings map[*session]uint64, newest uint64, err error) {
--- a/internal/inventory/table.go
+++ b/internal/inventory/table.go
@@ -1,7 +1,6 @@
 package inventory
 
 import (
-	"math"
 	"time"
 )
 
@@ -62,6 +61,8 @@
 	// owners maps an address to the id of the server whose incarnation started
 	// there last.
 	owners map[string]string
+	// departures are those that the fleet has recorded, by server.
+	departures map[string]Departure
 }
 
 // New returns an empty Table.
@@ -98,6 +99,12 @@
 
 // Merge applies an announcement to the table.
 func (t *Table) Merge(s Server) Change {
+	if d, departed := t.departures[s.ID]; departed && d.covers(&s) {
+		if s.Born < d.Born {
+			return Stale
+		}
+		d.apply(&s)
+	}
 	old := t.servers[s.ID]
 	if old != nil && !newer(&s, old) {
 		return Stale
@@ -153,10 +160,6 @@
 	}
 }
 
-// lastSequence is the sequence of a server that has left, by which processes of earlier releases
-// order a departure.
-const lastSequence = math.MaxUint64
-
 // Leave marks the known incarnation of a server as gone. A leave for an older
 // incarnation is stale; born 0 stands for the known one. A server that is not known may be
 // known to other processes: all incarnations that started before now are gone.
--- a/internal/publication/machine.go
+++ b/internal/publication/machine.go
@@ -43,8 +43,8 @@
 	return m.state
 }
 
-// Encoded returns the latest state in the encoding in which it is sent. The caller
-// must not modify it.
+// Encoded returns the latest state in the encoding in which routers are sent it, without the
+// departures. The caller must not modify it.
 func (m *Machine) Encoded() (*fleetpb.State, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -88,10 +88,11 @@
 	defer m.mu.Unlock()
 	next, err := m.state.Apply(cmd)
 	effective := next != m.state
-	if effective {
-		m.state, m.encoded = next, nil
+	if next.Revision != m.state.Revision {
+		m.encoded = nil
 		m.retainCommand(cmd)
 	}
+	m.state = next
 	return Result{Revision: next.Revision, Effective: effective, Err: err}
 }
 
@@ -121,7 +122,12 @@
 	if err != nil {
 		return errors.Wrap(err, "encode the state")
 	}
-	_, err = w.Write(data)
+	// Serialized messages are merged if they are concatenated.
+	departures, err := proto.Marshal(&fleetpb.State{Departures: encodeDepartures(m.State().Departures)})
+	if err != nil {
+		return errors.Wrap(err, "encode the departures")
+	}
+	_, err = w.Write(append(data, departures...))
 	return err
 }
 
@@ -141,6 +147,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	encoded.Departures = nil
 	m.state, m.encoded, m.recentCommands, m.recentBytes = state, encoded, nil, 0
 	return nil
 }
--- a/internal/publication/state.go
+++ b/internal/publication/state.go
@@ -7,6 +7,7 @@
 	"github.com/kumquathollow/kumquathollow/api/fleetpb"
 	"github.com/kumquathollow/kumquathollow/internal/assignment"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/inventory"
 	"github.com/kumquathollow/kumquathollow/internal/rollout"
 )
 
@@ -30,6 +31,9 @@
 	Quarantined []Quarantined
 	// Rollouts holds the last rollout of each service.
 	Rollouts map[string]*rollout.Rollout
+	// Departures are those of servers that are leaving or have left, by id. They are no part of
+	// the revision.
+	Departures map[string]inventory.Departure
 }
 
 // Version returns the configuration version in force, or 0 if there is none.
@@ -84,6 +88,11 @@
 		if !next.rollOut(op.Rollout) {
 			return s, nil
 		}
+	case *fleetpb.Command_Depart:
+		next.Revision = s.Revision
+		if !next.depart(op.Depart) {
+			return s, nil
+		}
 	default:
 		return s, nil
 	}
@@ -161,7 +170,8 @@
 	return &fleetpb.Command{Op: &fleetpb.Command_Publish{Publish: p}}, nil
 }
 
-// Encode returns the full state in the encoding in which it is sent and stored.
+// Encode returns the state of its revision in the encoding in which it is sent and stored.
+// Departures are not part of that.
 func (s *State) Encode() (*fleetpb.State, error) {
 	out := &fleetpb.State{Revision: s.Revision, Evacuated: s.Evacuated, Pools: encodePlaces(s.Places), Quarantined: encodeQuarantined(s.Quarantined), Rollouts: encodeRollouts(s.Rollouts)}
 	if c := s.Configuration; c != nil {
@@ -176,7 +186,7 @@
 
 // Decode returns the state encoded by Encode.
 func Decode(in *fleetpb.State) (*State, error) {
-	out := &State{Revision: in.Revision, Evacuated: in.Evacuated}
+	out := &State{Revision: in.Revision, Evacuated: in.Evacuated, Departures: decodeDepartures(in.Departures)}
 	if len(in.Pools) > 0 {
 		out.assign(&fleetpb.Assign{Pools: in.Pools})
 	}
