An order that its caller has given up does not undo a newer evacuation

An operator that gets no answer sends its order to another process. The first process, stopped until then, finds the order in its socket and passes it on, as does one that waited for a leader, or a leader that was stopped with the call in its socket. An evacuation carries no version, so the late order undoes what was acknowledged since.

An order now has a base: the latest revision, read before the receiver makes sure that the caller is still there (its connection has not ended, and the process was not paused lately). The leader proposes it only if the evacuation of that data centre has not changed since the base, or if the order changes nothing. What the caller has had acknowledged elsewhere came after it moved on, so it has a higher revision. The leader confirms its term first, serialises the orders of a data centre and proposes in that term, so that the check sees all that was acknowledged. A dropped order is answered 503 or 504, never 4xx, so that a caller that is still there sends it again.

--- a/internal/directory/cluster_test.go
+++ b/internal/directory/cluster_test.go
@@ -28,6 +28,9 @@
 	port  string
 	seeds []string
 	nodes map[string]*node
+	// prepare, if set, is called before a process runs. It returns the handler of its operations
+	// address.
+	prepare func(*Process) http.Handler
 }
 
 type node struct {
@@ -91,7 +94,11 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	n := &node{p: p, fs: fs, stop: stop, done: make(chan error, 1)}
-	go func() { n.done <- p.Run(ctx, http.NotFoundHandler()) }()
+	handler := http.NotFoundHandler()
+	if c.prepare != nil {
+		handler = c.prepare(p)
+	}
+	go func() { n.done <- p.Run(ctx, handler) }()
 	c.nodes[host] = n
 	return p
 }
--- a/internal/directory/operations.go
+++ b/internal/directory/operations.go
@@ -41,11 +41,11 @@
 }
 
 // Evacuate takes a data centre's backend servers out of service, or returns them to
-// service.
+// service. It fails if the order might undo a later one of the data centre.
 func (p *Process) Evacuate(ctx context.Context, dataCentre string, out bool) error {
 	began := time.Now()
 	cmd := &fleetpb.Command{Op: &fleetpb.Command_Evacuate{Evacuate: &fleetpb.Evacuate{DataCentre: dataCentre, Out: out}}}
-	revision, err := p.server.propose(ctx, cmd)
+	revision, err := p.order(ctx, cmd)
 	p.logChange("evacuation received", began, err, "data-centre", dataCentre, "out", out, "revision", revision)
 	return err
 }
@@ -152,6 +152,11 @@
 
 // propose replicates a command, forwarding it if another process leads.
 func (s *server) propose(ctx context.Context, cmd *fleetpb.Command) (uint64, error) {
+	return s.change(ctx, &fleetpb.ChangeRequest{Command: cmd})
+}
+
+// change is propose for a command that may depend on a revision.
+func (s *server) change(ctx context.Context, req *fleetpb.ChangeRequest) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
 	address, leading, err := s.awaitLeader(ctx)
@@ -159,11 +164,11 @@
 		return 0, err
 	}
 	if leading {
-		return s.proposeLocal(ctx, cmd)
+		return s.changeLocal(ctx, req)
 	}
 	conn := s.dialer.Conn(ctx, address)
 	defer conn.Close()
-	resp, err := fleetpb.NewDRPCDirectoryClient(conn).Change(ctx, &fleetpb.ChangeRequest{Command: cmd})
+	resp, err := fleetpb.NewDRPCDirectoryClient(conn).Change(ctx, req)
 	if err != nil {
 		return 0, rpc.WrapConnectionError(err, errkind.ChangeUnknown, leaderLostMessage)
 	}
--- a/internal/directory/process.go
+++ b/internal/directory/process.go
@@ -15,6 +15,7 @@
 
 	"github.com/kumquathollow/kumquathollow/api/fleetpb"
 	pb "github.com/kumquathollow/kumquathollow/api/replicationpb"
+	"github.com/kumquathollow/kumquathollow/internal/callerconn"
 	"github.com/kumquathollow/kumquathollow/internal/publication"
 	"github.com/kumquathollow/kumquathollow/internal/replication"
 	"github.com/kumquathollow/kumquathollow/internal/rpc"
@@ -46,6 +47,7 @@
 	setAside int
 	// ownAddress is the address at which other processes of the fleet reach this one.
 	ownAddress string
+	pauses     pauseDetector
 }
 
 // Open opens the data folder, restores the state and binds the listen addresses.
@@ -127,7 +129,10 @@
 		id: ownAddress, address: ownAddress, disk: p.store.DiskID(), group: p.group, dialer: p.dialer, log: p.log.Named("roster"),
 		now: time.Now, seeds: seeds, pendingJoins: map[string]pendingJoin{},
 	}
-	p.server = &server{process: uuid.NewString(), group: p.group, machine: p.machine, voterManager: manager, dialer: p.dialer, log: p.log}
+	p.server = &server{
+		process: uuid.NewString(), group: p.group, machine: p.machine, voterManager: manager, dialer: p.dialer, log: p.log,
+		evacuations: newEvacuationLocks(),
+	}
 	p.hub = newHub(p.log.Named("servers"), p.machine, ownAddress, p.conf.DataCentre, p.startPeer)
 	p.server.hub = p.hub
 	p.hub.propose = p.proposeForHub
@@ -184,7 +189,7 @@
 	ctx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	g, ctx := errgroup.WithContext(ctx)
-	operations := &http.Server{Handler: handler, ReadHeaderTimeout: adminTimeout, ReadTimeout: adminTimeout, IdleTimeout: operationsIdleTimeout}
+	operations := &http.Server{Handler: handler, ReadHeaderTimeout: adminTimeout, ReadTimeout: adminTimeout, IdleTimeout: operationsIdleTimeout, ConnContext: callerconn.Context}
 	admin := &http.Server{Handler: telemetry.AdminHandler(p.metrics, p.readiness), ReadHeaderTimeout: adminTimeout}
 	g.Go(func() error {
 		select {
@@ -204,6 +209,7 @@
 	g.Go(func() error { return p.server.confirmer.run(ctx) })
 	g.Go(func() error { return p.voterManager().run(ctx) })
 	g.Go(func() error { return p.watchGroup(ctx) })
+	g.Go(func() error { return p.pauses.run(ctx) })
 	g.Go(func() error { return ignoreShutdownError(ctx, rpc.Serve(ctx, p.fleet, mux)) })
 	g.Go(func() error { return ignoreShutdownError(ctx, operations.Serve(p.operations)) })
 	if p.admin != nil {
--- a/internal/directory/server.go
+++ b/internal/directory/server.go
@@ -23,6 +23,7 @@
 	voterManager *voterManager
 	dialer       *rpc.Dialer
 	log          hclog.Logger
+	evacuations  evacuationLocks
 }
 
 var _ fleetpb.DRPCDirectoryServer = (*server)(nil)
@@ -35,7 +36,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
-	revision, err := s.proposeLocal(ctx, req.Command)
+	revision, err := s.changeLocal(ctx, req)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/publication/machine.go
+++ b/internal/publication/machine.go
@@ -30,7 +30,8 @@
 	recentCommands []*fleetpb.Command
 	recentBytes    int
 	// encoded caches the encoded state; nil until it is requested.
-	encoded *fleetpb.State
+	encoded           *fleetpb.State
+	evacuationChanges evacuationChanges
 }
 
 // New returns a Machine without a configuration.
@@ -91,6 +92,7 @@
 	if effective {
 		m.state, m.encoded = next, nil
 		m.retainCommand(cmd)
+		m.evacuationChanges.record(cmd, next.Revision)
 	}
 	return Result{Revision: next.Revision, Effective: effective, Err: err}
 }
@@ -142,5 +144,6 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.state, m.encoded, m.recentCommands, m.recentBytes = state, encoded, nil, 0
+	m.evacuationChanges = evacuationChanges{unknownUntil: state.Revision}
 	return nil
 }
--- a/internal/replication/group.go
+++ b/internal/replication/group.go
@@ -294,6 +294,17 @@
 	return g.awaitProposal(ctx, func() (uint64, uint64, error) { return g.core.Propose(data) })
 }
 
+// ProposeInTerm is like Propose, but fails with kind not-leader unless this process leads in the
+// term. A caller that has confirmed a read in that term knows that no other process has led since.
+func (g *Group) ProposeInTerm(ctx context.Context, term uint64, data []byte) (any, error) {
+	return g.awaitProposal(ctx, func() (uint64, uint64, error) {
+		if g.core.term != term {
+			return 0, 0, ErrNotLeader
+		}
+		return g.core.Propose(data)
+	})
+}
+
 func (g *Group) proposeVoters(ctx context.Context, next func(*pb.VoterSet) *pb.VoterSet) error {
 	_, err := g.awaitProposal(ctx, func() (uint64, uint64, error) { return g.core.ProposeVoters(next(g.core.Voters())) })
 	return err
