A rollout whose caller has gone is not started

The order of a rollout is numbered after the last one of its service. A process that was stopped with the order in its socket reads that number when it goes on. If the rollout that the operator had acknowledged elsewhere meanwhile, and a later one to another version, have ended by then, the process starts the first one once more, although nobody waits for it. The number guards an order only once it is read: another one takes it.

The process makes sure that the caller is still there between the read of the number and the proposal, as for evacuations.

--- a/internal/directory/rollouts.go
+++ b/internal/directory/rollouts.go
@@ -262,6 +262,10 @@
 	if obstacle != "" {
 		return 0, errkind.New(errkind.NotReady, "%s runs a release that knows no rollouts", obstacle).WithRetryAfter(time.Second)
 	}
+	// The number was read before, so the order has no effect once another one was given.
+	if err := p.checkCaller(ctx); err != nil {
+		return 0, err
+	}
 	if _, err := p.server.propose(ctx, next.Command()); err != nil {
 		return 0, err
 	}
--- a/internal/directory/rollouts_test.go
+++ b/internal/directory/rollouts_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"testing"
 	"time"
 
@@ -246,3 +247,51 @@
 		})
 	}
 }
+
+// Guards against a rollout that a paused process starts after its caller has gone, when the
+// rollout that the caller had acknowledged elsewhere, and a later one, have ended.
+func TestARolloutWhoseCallerHasGoneIsNotStarted(t *testing.T) {
+	var h *pausedHandler
+	c := startPrepared(t, func(p *Process) http.Handler {
+		if p.conf.Name != hosts[0] {
+			return http.NotFoundHandler()
+		}
+		h = newPausedHandler(func(ctx context.Context) error { return p.StartRollout(ctx, "chat", "v2", time.Minute) })
+		return h
+	})
+	p := c.nodes[hosts[1]].p
+	rollOut := func(target string) {
+		t.Helper()
+		c.eventually("start and end the rollout", func() bool {
+			if p.StartRollout(context.Background(), "chat", target, time.Minute) != nil {
+				return false
+			}
+			r, err := p.Rollout(context.Background(), "chat")
+			if err != nil {
+				return false
+			}
+			ended := *r
+			ended.Phase = rollout.RolledBack
+			_, err = p.server.propose(context.Background(), ended.Command())
+			return err == nil
+		})
+	}
+	c.eventually("know that all processes keep to rollouts", func() bool {
+		obstacle := "not asked"
+		return c.nodes[hosts[0]].p.hub.do(context.Background(), func() { obstacle = c.nodes[hosts[0]].p.hub.rolloutObstacle() }) == nil && obstacle == ""
+	})
+	h.send(t, c.nodes[hosts[0]].p.OperationsAddress())
+	rollOut("v2")
+	rollOut("v3")
+	close(h.wake)
+	if err := <-h.outcome; err == nil {
+		t.Error("the order was acknowledged, although its caller has gone")
+	}
+	c.eventually("read the rollout", func() bool {
+		r, err := p.Rollout(context.Background(), "chat")
+		if err == nil && (r.Target != "v3" || r.Running()) {
+			t.Errorf("rollout %d to %s runs, want the ended one to v3", r.Number, r.Target)
+		}
+		return err == nil
+	})
+}
