A server is evacuated with the data centre that it announced last

A server that announced another data centre within its incarnation counted as unchanged: the table took the new name, and a router that knew the server kept the old one for its choices. Such a router went on sending to the server after the data centre that it names was evacuated, or sent nothing while the other one was.

The data centre counts as a change like the address does.

--- a/internal/inventory/table.go
+++ b/internal/inventory/table.go
@@ -78,7 +78,8 @@
 	Stale Change = iota
 	// Refreshed: the server is alive and unchanged.
 	Refreshed
-	// Changed: the server is new, or its state, service, address or version changed.
+	// Changed: the server is new, or its state, service, address, data centre or version
+	// changed.
 	Changed
 )
 
@@ -118,7 +119,7 @@
 		merged.LastSeen = old.LastSeen
 	}
 	t.servers[s.ID] = &merged
-	if old == nil || old.Born != s.Born || old.State != s.State || old.Service != s.Service || old.Address != s.Address || old.Version != s.Version {
+	if old == nil || old.Born != s.Born || old.State != s.State || old.Service != s.Service || old.Address != s.Address || old.DataCentre != s.DataCentre || old.Version != s.Version {
 		return Changed
 	}
 	if s.ColdUntil.Sub(old.ColdUntil) > coldTolerance {
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -129,13 +129,13 @@
 }
 
 // Update replaces the list of servers. The statistics of a server are kept for as
-// long as its incarnation, address, service and version stay the same.
+// long as its incarnation, address, service, data centre and version stay the same.
 func (f *Fleet) Update(t *inventory.Table, now time.Time) {
 	pools := map[string]*pool{}
 	byID := map[string]*Server{}
 	t.All(func(announced *inventory.Server) {
 		s := f.byID[announced.ID]
-		if s == nil || s.Born != announced.Born || s.Address != announced.Address || s.Service != announced.Service || s.Version != announced.Version {
+		if s == nil || s.Born != announced.Born || s.Address != announced.Address || s.Service != announced.Service || s.DataCentre != announced.DataCentre || s.Version != announced.Version {
 			restarted := s != nil && s.Born != announced.Born
 			if s = newServer(announced, f.noticesOf(announced)); restarted {
 				s.markCacheIncomplete(now)
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -851,3 +851,26 @@
 		t.Errorf("%d of 300 keys have another home at a restarted router", n)
 	}
 }
+
+// Guards against requests to a server that has announced that it runs in a data centre which is
+// evacuated, and that was known in another one before.
+func TestAServerIsEvacuatedWithTheDataCentreThatItAnnouncedLast(t *testing.T) {
+	w := newFleetSim(t)
+	moved, other := w.server("moved", "a"), w.server("other", "a")
+	w.announce(moved, other)
+	w.advance(time.Minute)
+	moved.DataCentre, moved.LastSeen = "b", w.now
+	moved.Sequence = other.Sequence + 1
+	if got := w.table.Merge(moved); got != inventory.Changed {
+		t.Errorf("an announcement of another data centre: %v, want changed", got)
+	}
+	w.fleet.Update(w.table, w.now)
+	w.fleet.SetEvacuated([]string{"b"}, func(string) time.Duration { return 0 }, w.now)
+	for i := range 20 {
+		p := w.pick(PickRequest{Key: key(i)})
+		if p.ID != "other" {
+			t.Fatalf("key %d went to server %q, whose data centre is evacuated", i, p.ID)
+		}
+		p.Done(Success, time.Millisecond, w.now)
+	}
+}
