--- a/internal/publication/machine.go
+++ b/internal/publication/machine.go
@@ -30,7 +30,8 @@
 	recentCommands []*fleetpb.Command
 	recentBytes    int
 	// encoded caches the encoded state; nil until it is requested.
-	encoded *fleetpb.State
+	encoded           *fleetpb.State
+	evacuationChanges evacuationChanges
 }
 
 // New returns a Machine without a configuration.
@@ -91,6 +92,7 @@
 	if next.Revision != m.state.Revision {
 		m.encoded = nil
 		m.retainCommand(cmd)
+		m.evacuationChanges.record(cmd, next.Revision)
 	}
 	m.state = next
 	return Result{Revision: next.Revision, Effective: effective, Err: err}
@@ -149,5 +151,6 @@
 	defer m.mu.Unlock()
 	encoded.Departures = nil
 	m.state, m.encoded, m.recentCommands, m.recentBytes = state, encoded, nil, 0
+	m.evacuationChanges = evacuationChanges{unknownUntil: state.Revision}
 	return nil
 }
