Fetch the state again where the directory confirms a revision below the router's

A router whose revision was higher than the directory's went on with what it held: it ignored every state with a lower revision, took confirmations of lower revisions for its own, and applied the commands that followed to a state which the directory never had.

Cause: states are compared by revision alone, and one that is ahead was never doubted.

Change: a quorum that confirms, after a ping, a newest revision below the one that the router held when it sent the ping proves that it holds another state. The router fetches the whole state then, and is not confirmed before it has it.

TestAStateThatTheDirectoryDoesNotHaveIsReplaced failed before: 'confirmed true, revision 9 ... want the state fetched', 'evacuated []'.

--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -347,11 +347,12 @@
 	v.newestRevision = max(v.newestRevision, u.Revision, u.Newest)
 	v.applyUpdate(l, u.FollowUpdate)
 	if u.Confirmed {
-		if u.Newest < u.pingRevision {
-			v.opts.Log.Error("the directory confirmed a revision below the one held", "address", l.address, "confirmed", u.Newest, "revision", u.pingRevision)
-		}
 		v.quorumConfirmedAt.Store(int64(clock.SinceBoot()))
-		v.recordConfirmation(u.Newest, u.pingSentAt)
+		if u.Newest < u.pingRevision && u.pingRevision <= v.state.Revision {
+			v.discardState(l, u.Newest)
+		} else {
+			v.recordConfirmation(u.Newest, u.pingSentAt)
+		}
 	}
 	v.catchUp()
 }
@@ -468,6 +469,20 @@
 	return other
 }
 
+// discardState has the state fetched again, as a whole, after a quorum confirmed that the revision
+// held does not exist. What it holds is not what the directory has, and commands that follow would
+// be applied to it. The snapshot stays in use, without a confirmation, until the state arrives.
+func (v *View) discardState(l *link, confirmed uint64) {
+	v.opts.Log.Error("the directory confirmed a revision below the one held; fetching its state", "address", l.address, "confirmed", confirmed, "revision", v.state.Revision)
+	v.state = &publication.State{}
+	snapshot := *v.Snapshot()
+	snapshot.Revision = 0
+	v.snapshot.Store(&snapshot)
+	v.newestRevision, v.pendingRevision = confirmed, 0
+	v.lastFetchAt, v.lastFetchFrom = clock.SinceBoot(), l
+	l.requestFetch()
+}
+
 // applyUpdate installs the newer state that a message contains, either as a whole or
 // as commands that follow the current revision.
 func (v *View) applyUpdate(l *link, u *fleetpb.FollowUpdate) {
--- a/internal/fleetview/view_test.go
+++ b/internal/fleetview/view_test.go
@@ -64,6 +64,31 @@
 	}
 }
 
+// Guards against a router that goes on with a state which the directory does not have, since its
+// revision is higher, and misses an evacuation.
+func TestAStateThatTheDirectoryDoesNotHaveIsReplaced(t *testing.T) {
+	v, l := newView()
+	v.installState(stateAt(9, 10, "10"))
+	confirm := func(newest, held uint64) {
+		v.onUpdate(l, update{FollowUpdate: &fleetpb.FollowUpdate{Pong: 1, Confirmed: true, Newest: newest, Revision: newest}, pingSentAt: clock.SinceBoot(), pingRevision: held})
+	}
+	confirm(5, 9)
+	if _, confirmed := v.ConfirmationAge(); confirmed || !l.takeFetchRequest() || v.Snapshot().Revision != 0 || v.version() != 10 {
+		t.Errorf("confirmed %t, revision %d, version %d, want the state fetched from revision 0 and version 10 in force", confirmed, v.Snapshot().Revision, v.version())
+	}
+	confirm(5, 9) // The answer to a ping of before.
+	if l.takeFetchRequest() {
+		t.Error("the state was fetched again before it arrived")
+	}
+	state := encodedState(t, 5, 10, "10")
+	state.Evacuated = []string{"b"}
+	v.onUpdate(l, update{FollowUpdate: &fleetpb.FollowUpdate{State: state, Revision: 5}})
+	confirm(5, 5)
+	if _, confirmed := v.ConfirmationAge(); !confirmed || v.Snapshot().Revision != 5 || len(v.Snapshot().Evacuated) != 1 {
+		t.Errorf("confirmed %t, revision %d, evacuated %v", confirmed, v.Snapshot().Revision, v.Snapshot().Evacuated)
+	}
+}
+
 // A configuration that cannot be decoded must not replace the one in force.
 func TestUnusableConfigurationIsNotInstalled(t *testing.T) {
 	v, _ := newView()
