Keep line breaks out of the headers of requests to servers

A server would have got a header, or a whole request, that no client sent: the router copied values into the request without a check, on the assumption that net/http had parsed them all. The id of the last event is the server's own text up to the line feed and may hold a carriage return; ids of servers came from a URL path, and names of workspaces from a document.

Line breaks and NUL now become spaces where the header is written, as net/http does it, whatever the source.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -104,15 +105,19 @@
 	return done
 }
 
+var lineBreaks = strings.NewReplacer("\r", " ", "\n", " ", "\x00", " ")
+
 func encodeHeader(r *Request) []byte {
 	var b bytes.Buffer
 	b.Grow(512)
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
-	// The headers were parsed by net/http, so names and values contain no line
-	// breaks.
+	// The names were parsed by net/http. A value may come from elsewhere, such as the id of an
+	// event, and a line break in it would begin another header or request.
 	for name, values := range r.Header {
 		for _, v := range values {
-			b.WriteString(name + ": " + v + "\r\n")
+			b.WriteString(name + ": ")
+			_, _ = lineBreaks.WriteString(&b, v) // A bytes.Buffer returns no errors.
+			b.WriteString("\r\n")
 		}
 	}
 	if r.HasBody || len(r.Body) > 0 {
