--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -28,6 +28,8 @@
 	// which a connection is kept, so that the backend server does not close it while
 	// a request is on its way.
 	idleTimeoutFraction = 0.7
+	// maxIdleSeconds is the longest idle timeout that is not taken for a mistake.
+	maxIdleSeconds = 24 * 60 * 60
 )
 
 // conn is one connection to a backend server.
@@ -123,7 +125,7 @@
 	for _, line := range h["Keep-Alive"] {
 		for part := range strings.SplitSeq(line, ",") {
 			name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
-			if seconds, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") {
+			if seconds, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") && 0 <= seconds && seconds <= maxIdleSeconds {
 				c.idleTimeout = time.Duration(idleTimeoutFraction * float64(seconds) * float64(time.Second))
 			}
 		}
