Believe an answer without a request id only on a new connection

A faulty server that wrote an earlier refusal once more on a kept connection made the router tell clients 503 or 400 for requests that the server had run (REFUSED), or send such a request to a second server (TWICE), if the refusal named no request, had an empty id, or named both requests in two headers. By reading, a repeated 404 or 500 without an id went to the next client.

The router took the first answer whose first id was this request's or which had none. The bytes arrive after the check of the idle connection, so the id alone tells whose answer it is.

An answer must now have exactly one id, this request's. One without an id is taken only as the first answer on its connection, where no earlier request can have caused it; later it ends the connection as a lost answer does: the request may have run, and only an idempotent one is repeated. PROTOCOL.md has runners echo the id in their responses. Those with another id were and are discarded, also before interim answers and with the id in another case.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -42,6 +42,8 @@
 	idleTimeout time.Duration
 	pool        *serverPool
 	closed      atomic.Bool
+	// hasResponded is set once a response other than an interim one was received.
+	hasResponded bool
 }
 
 func newConn(raw net.Conn, pool *serverPool) *conn {
--- a/internal/backend/doc.go
+++ b/internal/backend/doc.go
@@ -7,5 +7,6 @@
 // A connection serves one request at a time. It is returned to the pool only if the
 // request was sent completely, the response was read completely, and no bytes
 // followed the response. Before a pooled connection is used again, it is checked for
-// bytes or an end of file that arrived in the meantime.
+// bytes or an end of file that arrived in the meantime. A response that arrives after
+// that check must name the request, since it may belong to an earlier one.
 package backend
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -127,10 +127,14 @@
 	return b.Bytes()
 }
 
-var errMismatchedResponse = errors.New("received only responses to other requests")
+var (
+	errMismatchedResponse = errors.New("received only responses to other requests")
+	errUnnamedResponse    = errors.New("received a response that names no request, on a connection that has served another one")
+)
 
-// readResponse returns the first response that names the request or no request at
-// all. Interim responses and responses that name another request are discarded.
+// readResponse returns the first response that names the request. Interim responses and
+// responses that name another request are discarded. A response that names none belongs to the
+// request only if it is the first on the connection: a server may repeat an earlier response.
 func (c *conn) readResponse(r *Request) (*http.Response, error) {
 	req := &http.Request{Method: r.Method}
 	for range maxResponses {
@@ -141,8 +145,16 @@
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			continue
 		}
-		if got := resp.Header.Get(r.IDHeader); got == "" || got == r.ID {
+		first := !c.hasResponded
+		c.hasResponded = true
+		switch ids := resp.Header.Values(r.IDHeader); {
+		case len(ids) == 1 && ids[0] == r.ID:
 			return resp, nil
+		case len(ids) == 0 || len(ids) == 1 && ids[0] == "":
+			if first {
+				return resp, nil
+			}
+			return nil, errUnnamedResponse
 		}
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return nil, errMismatchedResponse
