An announcement for an unknown service shuts no server out

As "draining" it was recorded for the whole fleet besides, so that restarts and new routers kept it.

The table ordered announcements by start alone. It now asks whether the configuration names their services: an announcement for a service that is not named leaves a server of a named one in force that was heard of within 5 s, and the server's own replaces such an announcement that came first, whatever the starts.

Open: a leave names no service, so one by another writer still takes a server out, and an announcement for a named service with a later start cannot be told from a restart.

--- a/internal/directory/hub.go
+++ b/internal/directory/hub.go
@@ -106,6 +106,7 @@
 	handoffs   handoffKeeper
 	rollouts   rolloutKeeper
 	departures departureKeeper
+	served     servedServices
 	// knowsAllServers is set once the process has been in quorum for learnTime: by then the other
 	// processes have sent what they know, servers that have left included.
 	knowsAllServers bool
--- a/internal/directory/operations.go
+++ b/internal/directory/operations.go
@@ -85,8 +85,9 @@
 	var broadcastDone <-chan struct{}
 	var change inventory.Change
 	err := p.hub.do(ctx, func() {
+		overruled := p.hub.table.Overruled(&s)
 		change = p.hub.merge(s, true)
-		if d, leaving := s.Departure(); leaving {
+		if d, leaving := s.Departure(); leaving && !overruled {
 			recorded = p.hub.recordDeparture(d, change)
 		}
 		relayed = p.hub.relayed
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -122,6 +122,7 @@
 		handoffs: map[string][]string{}, selector: newSelector(opts.RouterID, opts.DataCentre), monitor: quarantine.NewMonitor(), origins: streamorigin.NewRecorder(), attempts: rollout.NewRecorder(opts.RouterID),
 	}
 	v.snapshot.Store(&Snapshot{})
+	v.table.SetServed(func(service string) bool { return v.Snapshot().serves(service) })
 	v.handoffList.Store(&[]string{})
 	return v
 }
@@ -541,6 +542,11 @@
 	}
 }
 
+// serves reports whether the configuration names the service; true while there is none.
+func (s *Snapshot) serves(service string) bool {
+	return s.Configuration == nil || s.Configuration.Service(service) != nil
+}
+
 func (s *Snapshot) coldTime(service string) time.Duration {
 	if s.Configuration == nil || s.Configuration.Service(service) == nil {
 		return 0
--- a/internal/inventory/table.go
+++ b/internal/inventory/table.go
@@ -63,6 +63,8 @@
 	owners map[string]string
 	// departures are those that the fleet has recorded, by server.
 	departures map[string]Departure
+	// isServed reports whether the configuration names a service; nil if that is not known.
+	isServed func(service string) bool
 }
 
 // New returns an empty Table.
@@ -107,12 +109,12 @@
 		d.apply(&s)
 	}
 	old := t.servers[s.ID]
-	if old != nil && !newer(&s, old) {
+	if t.Overruled(&s) || old != nil && !newer(&s, old) && !(old.State != Gone && t.overrules(&s, old)) {
 		return Stale
 	}
 	if s.Address != "" {
 		if owner := t.servers[t.owners[s.Address]]; owner != nil && owner.ID != s.ID && owner.Address == s.Address {
-			if owner.Born > s.Born {
+			if owner.Born > s.Born && !t.overrules(&s, owner) {
 				return Stale
 			}
 			gone := *owner
--- a/internal/inventory/table_test.go
+++ b/internal/inventory/table_test.go
@@ -216,3 +216,48 @@
 		t.Errorf("the leave again: %v", got)
 	}
 }
+
+// Guards against a server that another writer shuts out, with an announcement that names a later
+// start and a service that no configuration names.
+func TestAnUnservedServiceDoesNotReplaceAServer(t *testing.T) {
+	unserved := func(id string, born int64, address string) Server {
+		s := ready(id, born, 1, address)
+		s.Service = "nowhere"
+		return s
+	}
+	drained := unserved("x", 30, "h:1")
+	drained.State = Draining
+	later := unserved("x", 30, "h:1")
+	later.LastSeen = start.Add(aliveTime)
+	gone := Server{ID: "x", Born: 30, State: Gone, LastSeen: start}
+	for name, tc := range map[string]struct {
+		s    Server
+		want Change
+	}{
+		"same id":            {unserved("x", 30, "h:2"), Stale},
+		"same id, draining":  {drained, Stale},
+		"same address":       {unserved("y", 30, "h:1"), Stale},
+		"elsewhere":          {unserved("y", 30, "h:2"), Changed},
+		"the server is dead": {later, Changed},
+		"its own departure":  {gone, Changed},
+	} {
+		tab := New()
+		tab.SetServed(func(service string) bool { return service == "chat" })
+		tab.Merge(ready("x", 10, 5, "h:1"))
+		if got := tab.Merge(tc.s); got != tc.want {
+			t.Errorf("%s: %v, want %v", name, got, tc.want)
+		}
+		if tc.want == Stale && (state(tab, "x") != Ready || tab.Merge(ready("x", 10, 6, "h:1")) != Refreshed) {
+			t.Errorf("%s: the server is %s, or its next announcement is not taken", name, state(tab, "x"))
+		}
+	}
+	// Where the other announcement came first, the server's own replaces it.
+	for name, first := range map[string]Server{"same id": unserved("x", 30, "h:2"), "same address": unserved("y", 30, "h:1")} {
+		tab := New()
+		tab.SetServed(func(service string) bool { return service == "chat" })
+		tab.Merge(first)
+		if got := tab.Merge(ready("x", 10, 5, "h:1")); got != Changed || tab.Get("x").Service != "chat" {
+			t.Errorf("%s came first: %v, %+v", name, got, *tab.Get("x"))
+		}
+	}
+}
