Limit the servers in the table

49,152 entries of another writer with the longest names made a list of 64 MB, twice the largest message: by reading, the session of each router would have ended at its first list. Nothing refused the entries.

The table took every id that was announced. It now holds 16,384 servers, those that are gone included: nearly seven times the target of 2,400. Beyond that a server of a service that the configuration names takes the place of an entry of another service; otherwise it gets 503, which sends it to another process, with its id and service. Departures of servers that are not known are kept beyond the limit.

TestManyEntriesOfOthersKeepNoServerOut fails on the code before: 64,192,542 bytes for 49,153 servers, wanted at most 33,554,432.

Open: entries that name a service of the configuration count like servers.

--- a/internal/directory/operations.go
+++ b/internal/directory/operations.go
@@ -84,9 +84,11 @@
 	var recorded <-chan error
 	var broadcastDone <-chan struct{}
 	var change inventory.Change
+	full := false
 	err := p.hub.do(ctx, func() {
 		overruled := p.hub.table.Overruled(&s)
 		change = p.hub.merge(s, true)
+		full = change == inventory.Stale && p.hub.table.Full() && p.hub.table.Get(s.ID) == nil
 		if d, leaving := s.Departure(); leaving && !overruled {
 			recorded = p.hub.recordDeparture(d, change)
 		}
@@ -98,6 +100,8 @@
 	switch {
 	case err != nil:
 		return err
+	case full:
+		return errkind.New(errkind.QueueFull, "the table of servers is full: server %q of service %q was not registered", s.ID, s.Service)
 	case recorded != nil:
 		err := awaitDeparture(ctx, recorded, relayed)
 		if change == inventory.Changed || err != nil {
--- a/internal/inventory/table.go
+++ b/internal/inventory/table.go
@@ -112,6 +112,9 @@
 	if t.Overruled(&s) || old != nil && !newer(&s, old) && !(old.State != Gone && t.overrules(&s, old)) {
 		return Stale
 	}
+	if old == nil && !t.makeRoom(&s) {
+		return Stale
+	}
 	if s.Address != "" {
 		if owner := t.servers[t.owners[s.Address]]; owner != nil && owner.ID != s.ID && owner.Address == s.Address {
 			if owner.Born > s.Born && !t.overrules(&s, owner) {
@@ -190,10 +193,7 @@
 		if now.Sub(s.LastSeen) < expireAfter {
 			continue
 		}
-		delete(t.servers, id)
-		if t.owners[s.Address] == id {
-			delete(t.owners, s.Address)
-		}
+		t.remove(id)
 		expired = true
 	}
 	return expired
