Hand off no text that a message cannot hold

A client's header or request target with bytes that are not UTF-8, on a request that was handed off, made the other router look failed, so that it got no further requests for a while, and its own answer look lost: 502 for a request that was never sent. Such a header in a server's response did the same after the request had run.

Headers are texts of protobuf messages, which must be UTF-8; encoding failed midway, and the client of the handoff took that for a broken connection. TestHeadersThatAreNotUTF8FailNoRouter fails on the code before for both directions.

Such a request is now not handed off: the error is unreachable, not run, and no router is to blame. In a response the bytes become U+FFFD; the body is passed on as it is. Passing request headers on unchanged needs a change of the message's type from string to bytes.

--- a/internal/handoff/client.go
+++ b/internal/handoff/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"time"
+	"unicode/utf8"
 
 	"github.com/kumquathollow/kumquathollow/api/handoffpb"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
@@ -51,6 +52,9 @@
 // response. An error of receive ends the exchange and is returned.
 func (c *Client) Do(ctx context.Context, address string, req *handoffpb.ExchangeRequest, receive func(Part) error) Result {
 	req.Router = c.Router
+	if !isText(req) {
+		return Result{Err: errkind.New(errkind.Unreachable, "the request cannot be handed off: its target or headers are not UTF-8"), Sends: int(req.Sends)}
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // Tells the other router that the response is no longer needed.
 	conn := c.Dialer.Conn(ctx, address)
@@ -87,6 +91,16 @@
 	}
 }
 
+// isText reports whether the texts of a request are UTF-8, as those of messages must be.
+func isText(req *handoffpb.ExchangeRequest) bool {
+	for _, h := range req.Headers {
+		if !utf8.ValidString(h.Value) {
+			return false
+		}
+	}
+	return utf8.ValidString(req.Target) && utf8.ValidString(req.Host) && utf8.ValidString(req.LastEventId)
+}
+
 func lost(ctx context.Context, err error, address string, req *handoffpb.ExchangeRequest) Result {
 	return Result{
 		Err:   errkind.Wrap(err, errkind.BackendLost, "the connection to router %s broke before the response was complete", address),
--- a/internal/handoff/handoff_test.go
+++ b/internal/handoff/handoff_test.go
@@ -144,3 +144,25 @@
 	close(release)
 	held.Wait()
 }
+
+// Guards against headers that are not UTF-8, which no message can hold: they made a sound router
+// look failed, and the request look as if it had run.
+func TestHeadersThatAreNotUTF8FailNoRouter(t *testing.T) {
+	client, address, _ := startServer(t, func(w http.ResponseWriter, r *Request) (int, bool, error) {
+		w.Header().Set("X-Odd", "caf\xe9")
+		return ok(w, r)
+	})
+	var got Part
+	res := client.Do(t.Context(), address, newRequest(), func(p Part) error { got = p; return nil })
+	if res.Err != nil || string(got.Data) != "body" || got.Header.Get("X-Odd") != "caf\ufffd" {
+		t.Errorf("a response with an odd header: %+v, %+v", res, got)
+	}
+	req := newRequest()
+	req.Headers = encodeHeaders(http.Header{"X-Odd": {"caf\xe9"}})
+	if res := client.Do(t.Context(), address, req, ignoreParts); !errkind.Is(res.Err, errkind.Unreachable) || res.MayHaveRun || res.PeerFailed || res.Sends != 1 {
+		t.Errorf("a request with an odd header: %+v, want unreachable, not run, and no failed router", res)
+	}
+	if res := client.Do(t.Context(), address, newRequest(), ignoreParts); res.Err != nil {
+		t.Errorf("the next request: %+v", res)
+	}
+}
--- a/internal/handoff/server.go
+++ b/internal/handoff/server.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"runtime/debug"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -106,7 +107,7 @@
 }
 
 func sendFailure(stream handoffpb.DRPCHandoff_ExchangeStream, err error, sends int, mayHaveRun bool) error {
-	f := &handoffpb.Failure{Code: errkind.Lookup(errkind.Of(err)).Code, Message: err.Error(), Sends: uint32(sends), MayHaveRun: mayHaveRun}
+	f := &handoffpb.Failure{Code: errkind.Lookup(errkind.Of(err)).Code, Message: strings.ToValidUTF8(err.Error(), "\ufffd"), Sends: uint32(sends), MayHaveRun: mayHaveRun}
 	var e *errkind.Error
 	if errors.As(err, &e) {
 		f.RetryAfterMs = uint64(e.RetryAfter.Milliseconds())
@@ -171,6 +172,9 @@
 	}
 	w.headerSent = true
 	part := &handoffpb.ExchangeResponse{Status: uint32(w.status), Headers: encodeHeaders(w.header), Data: data}
+	for _, h := range part.Headers {
+		h.Value = strings.ToValidUTF8(h.Value, "\ufffd") // Other bytes would fail the whole response.
+	}
 	part.Server, part.Born = w.request.Server()
 	return w.stream.Send(part)
 }
