Judge attempts since a mark by the present median

Callers saw: a sound version was rolled back ("6 of 1 attempts at the target were slow", "4 of 17 ..., 0.001 tolerated").

Cause: a mark held samples, in which the slow attempts were counted from the median of that moment. When the median moved by a bucket, attempts from before the mark became slow, or others' attempts ceased to be slow, and the difference counted as if it had happened since.

Change: marks hold counts, and every sample is taken with the present median. The cap for single servers applies to what they did since the mark, which moved in the same way.

--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -92,7 +92,7 @@
 	if c.phase != r.Phase {
 		c.phase = r.Phase
 		c.judge.Reset()
-		c.judge.Mark(in.Totals, r.Phase)
+		c.judge.Mark(in.Totals)
 		c.endedBefore = in.Totals.endedAtTarget()
 	}
 	step := func(phase Phase, share uint32, format string, args ...any) *Rollout {
@@ -148,7 +148,7 @@
 		c.rate = float64(max(0, all-c.sentAtMark)) / since.Seconds()
 	}
 	c.markedAt, c.sentAtMark = in.Elapsed, all
-	c.judge.Mark(in.Totals, r.Phase)
+	c.judge.Mark(in.Totals)
 }
 
 // observingShare returns the share with which the observation of a rollout spends its part of the
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -70,27 +70,20 @@
 // ones among them.
 type sample struct{ n, bad, paced, slow int }
 
-func (s sample) minus(o sample) sample {
-	return sample{s.n - o.n, s.bad - o.bad, s.paced - o.paced, s.slow - o.slow}
-}
-
-// comparison is what the judge compares on one route.
-type comparison struct{ target, others sample }
-
-func (c comparison) minus(o comparison) comparison {
-	return comparison{c.target.minus(o.target), c.others.minus(o.others)}
-}
+// comparison is what the judge compares on one route. It holds counts and no samples: which
+// attempts are slow depends on the median, which moves between two looks.
+type comparison struct{ target, others *Counts }
 
 // Judge condemns a target that does worse than the other versions. It is a deterministic
 // state machine.
 type Judge struct {
-	// marks are earlier samples by route, from which later ones are counted as well.
+	// marks are earlier counts by route, from which later ones are counted as well.
 	marks []map[uint64]comparison
 }
 
-// Mark has later attempts judged by themselves as well.
-func (j *Judge) Mark(totals *Totals, phase Phase) {
-	j.marks = append(j.marks, compare(totals, phase))
+// Mark has later attempts judged by themselves as well. The totals must not change afterwards.
+func (j *Judge) Mark(totals *Totals) {
+	j.marks = append(j.marks, compare(totals))
 	if len(j.marks) > maxMarks {
 		j.marks = slices.Delete(j.marks, 1, 2) // The first one is the beginning of the phase.
 	}
@@ -103,20 +96,21 @@
 // since the phase began.
 func (j *Judge) Worst(totals *Totals, phase Phase) (worst, lasting *Verdict) {
 	worst, lasting = &Verdict{}, &Verdict{}
-	for route, whole := range compare(totals, phase) {
+	for route, whole := range compare(totals) {
+		from := whole.others.slowFrom(phase)
 		for i := -1; i < len(j.marks); i++ {
-			c := whole
+			var earlier comparison
 			if i >= 0 {
-				c = whole.minus(j.marks[i][route])
+				earlier = j.marks[i][route]
 			}
+			target, others := whole.target.since(earlier.target, from, phase), whole.others.since(earlier.others, from, phase)
 			// Where the other versions had few requests in the same time, all that they had count.
-			others := c.others
 			if others.n < minCompared {
-				others = whole.others
+				others = whole.others.since(nil, from, phase)
 			}
 			for _, v := range []*Verdict{
-				{Route: route, Test: "failed or were late", Bad: c.target.bad, N: c.target.n, ToleratedRate: tolerated(others.bad, others.n)},
-				{Route: route, Test: "were slow", Bad: c.target.slow, N: c.target.paced, ToleratedRate: tolerated(others.slow, others.paced)},
+				{Route: route, Test: "failed or were late", Bad: target.bad, N: target.n, ToleratedRate: tolerated(others.bad, others.n)},
+				{Route: route, Test: "were slow", Bad: target.slow, N: target.paced, ToleratedRate: tolerated(others.slow, others.paced)},
 			} {
 				if v.LogRatio = logRatio(v.Bad, v.N, v.ToleratedRate); v.LogRatio > worst.LogRatio {
 					worst = v
@@ -137,30 +131,40 @@
 func (v *Verdict) Doubtful() bool { return v.LogRatio >= -math.Log(doubtBound) }
 
 // compare returns what is compared, by route; 0 stands for all routes.
-func compare(totals *Totals, phase Phase) map[uint64]comparison {
+func compare(totals *Totals) map[uint64]comparison {
 	out := map[uint64]comparison{}
 	for route, c := range totals.Target {
 		others := totals.Others[route]
 		if others == nil {
 			others = &Counts{}
 		}
-		out[route] = comparison{c.sample(others, phase), others.sample(others, phase)}
+		out[route] = comparison{c, others}
 	}
 	if len(out) > 1 {
-		target, others := sum(totals.Target), sum(totals.Others)
-		out[0] = comparison{target.sample(others, phase), others.sample(others, phase)}
+		out[0] = comparison{sum(totals.Target), sum(totals.Others)}
 	}
 	return out
 }
 
-func (c *Counts) sample(others *Counts, phase Phase) sample {
-	s := sample{n: c.judged(), bad: c.Failed}
+// since returns the sample of what was counted after the earlier counts, which may be nil. Paces
+// from the given bucket on are slow.
+func (c *Counts) since(earlier *Counts, from int, phase Phase) sample {
+	if earlier == nil {
+		earlier = &Counts{}
+	}
+	failed, late := c.Failed-earlier.Failed, c.Late-earlier.Late
+	ended := c.Completed - earlier.Completed + failed
+	// Half of the attempts in flight count as well: failures end sooner, so that the attempts that
+	// end first are mostly bad ones when the target begins to get many.
+	s := sample{n: max(ended+max(0, c.Sent-earlier.Sent-ended)/2, late), bad: failed}
 	if phase == Observing {
-		s.bad += c.Late
+		s.bad += late
 	}
-	s.bad = min(s.n, s.bad, c.capped())
-	from := others.slowFrom(phase)
-	for i, n := range c.Pace {
+	if s.bad > 0 {
+		s.bad = min(s.n, s.bad, c.cappedSince(earlier))
+	}
+	for i := range c.Pace {
+		n := c.Pace[i] - earlier.Pace[i]
 		s.paced += n
 		if i >= from {
 			s.slow += n
@@ -169,26 +173,18 @@
 	return s
 }
 
-// judged returns the number of attempts among which the bad ones are counted: those that have ended,
-// and half of those in flight. Failures end sooner, so that the attempts that end first are mostly
-// bad ones when the target begins to get many.
-func (c *Counts) judged() int {
-	ended := c.Completed + c.Failed
-	return max(ended+max(0, c.Sent-ended)/2, c.Late)
-}
-
-// capped returns the bad attempts, of which each server counts only up to a multiple of the median
-// server's: a few faulty servers are not the version.
-func (c *Counts) capped() (n int) {
+// cappedSince returns the bad attempts after the earlier counts, of which each server counts only up
+// to a multiple of the median server's: a few faulty servers are not the version.
+func (c *Counts) cappedSince(earlier *Counts) (n int) {
 	bad := make([]int, max(len(c.Bad), c.servers))
 	i := 0
-	for _, of := range c.Bad {
-		bad[i] = of
+	for server, of := range c.Bad {
+		bad[i] = of - earlier.Bad[server]
 		i++
 	}
 	slices.Sort(bad)
 	if len(bad) < minCappedServers {
-		return c.Failed + c.Late
+		return c.Failed - earlier.Failed + c.Late - earlier.Late
 	}
 	most := serverBadBase + serverBadFactor*bad[len(bad)/2]
 	for _, of := range bad {
--- a/internal/rollout/judge_test.go
+++ b/internal/rollout/judge_test.go
@@ -18,3 +18,35 @@
 		}
 	}
 }
+
+// Guards against attempts that a later look counts as slow, or not any more, because the median of
+// the other versions has moved since the mark: both versions answer alike, at 11 to 45 ms.
+func TestAMedianThatMovesCondemnsNoSoundVersion(t *testing.T) {
+	// Two in ten attempts of either version are in a bucket that counts as slow with one of the
+	// medians and not with the other.
+	const slower = 7 + slowBuckets
+	for _, tc := range []struct {
+		name                string
+		at7, at8, then, now int
+	}{
+		{"the median falls", 395, 305, 7, 40}, {"the median rises", 405, 295, 8, 40},
+	} {
+		others, target := &Counts{Sent: 1000, Completed: 1000}, &Counts{Sent: 30, Completed: 30}
+		others.Pace[7], others.Pace[8], others.Pace[slower] = tc.at7, tc.at8, 200
+		others.Pace[6] = 100 // The median is at 7 or 8.
+		target.Pace[7], target.Pace[slower] = 24, 6
+		var judge Judge
+		judge.Mark(&Totals{Target: map[uint64]*Counts{1: target}, Others: map[uint64]*Counts{1: others}})
+		laterOthers, laterTarget := *others, *target
+		laterOthers.Sent, laterOthers.Completed, laterTarget.Sent, laterTarget.Completed = others.Sent+tc.now, others.Completed+tc.now, 31, 31
+		laterOthers.Pace[tc.then] += tc.now
+		laterTarget.Pace[7]++
+		totals := &Totals{Target: map[uint64]*Counts{1: &laterTarget}, Others: map[uint64]*Counts{1: &laterOthers}}
+		if before, after := others.slowFrom(Observing), laterOthers.slowFrom(Observing); before == after {
+			t.Fatalf("%s: attempts are slow from bucket %d on before and after, want a difference", tc.name, before)
+		}
+		if worst, _ := judge.Worst(totals, Observing); worst.LogRatio > 0 {
+			t.Errorf("%s: %s, want no evidence", tc.name, worst)
+		}
+	}
+}
