Do not take a pause during the shift for the new version

Cause: while the target gets all requests, nothing at other versions shows that everything is slow. Slow attempts were compared with those at other versions since the order, as if each of them were independent; a pause of the machine strikes all requests of a moment.

Change: attempts during the shift fall into moments; a moment counts slow attempts up to twice the median moment's share plus 2; slow moments condemn once they have come for 0.2 s. Doubt defers success, and rolls back a second's requests before the bound instead of half a second's, since it waits.

--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -103,7 +103,7 @@
 		}
 		return &next
 	}
-	worst, lasting := c.judge.Worst(in.Totals, r.Phase)
+	worst, lasting := c.judge.Worst(in.Totals, r.Phase, in.Elapsed)
 	if worst.Condemns() {
 		return step(RolledBack, 0, "%s", worst)
 	}
@@ -112,7 +112,10 @@
 	allowed := c.allowed(all)
 	left := r.Duration - max(minEndMargin, time.Duration(endMargin*float64(r.Duration))) - in.Elapsed
 	switch {
-	case r.Phase == Shifting && lasting.Doubtful() && (left <= 0 || float64(target) >= allowed-c.rate*countLag.Seconds()):
+	case r.Phase == Shifting && lasting.Doubtful():
+		if left > 0 && float64(target) < allowed-2*c.rate*countLag.Seconds() {
+			return nil // Further attempts may dispel the doubt.
+		}
 		return step(RolledBack, 0, "%s, which is in doubt at the end of what the target may get", lasting)
 	case r.Phase == Observing && len(in.Others.Versions) == 0 && in.Target.Ready > 0 && left < r.Duration/2:
 		return step(Succeeded, WholeShare, "no other version serves")
--- a/internal/rollout/pattern_test.go
+++ b/internal/rollout/pattern_test.go
@@ -49,6 +49,9 @@
 	{"four times slower", func(target bool, _ int, _ uint32, _ time.Duration, _ float64, rng *rand.Rand) (bool, float64) {
 		return fails(0.02, rng), pick(target, 4, 1)
 	}, false},
+	{"four times slower only under load", func(target bool, _ int, _ uint32, _ time.Duration, load float64, rng *rand.Rand) (bool, float64) {
+		return fails(0.02, rng), pick(target && load > 0.5, 4, 1)
+	}, false},
 	{"both versions fail alike from 3 to 6 s", func(_ bool, _ int, _ uint32, at time.Duration, _ float64, rng *rand.Rand) (bool, float64) {
 		return fails(pick(at > 3*time.Second && at < 6*time.Second, 0.4, 0.02), rng), 1
 	}, true},
