Resume streams of unknown origin only once the directory confirms that all servers are known

Callers saw: a stream that had begun at a server of a new version, through another router, was taken up at a router that was out of step and went on at the old version (ORDER; report of an operator).

Cause: "I know servers of one version" was taken for "there is one version". A router remembered that it had once received all servers; after a minute it did not ask for origins any more, and before, it went on without an answer. Nothing made that knowledge end when the router was cut off, stood still, or followed a process that was cut off. Class of fault: absence of news taken for news of absence.

Change: a router always asks for the origin of a stream that it has not begun. Pending changes are sent before the answer, and the router takes servers over before it lets the request go on. The time since the first whole list is not kept any more.

Why it works: a server at which a stream began was announced to a process before the client came back; that process has been heard since, or the stream is refused (503, it has not run).

Processes of the earlier release leave the field out: routers that follow them refuse such streams.

--- a/internal/directory/origins.go
+++ b/internal/directory/origins.go
@@ -26,7 +26,7 @@
 
 type originLookup struct {
 	sessions map[*session]bool
-	expires  time.Time
+	askedAt  time.Time
 }
 
 func newOriginKeeper() originKeeper {
@@ -45,7 +45,7 @@
 		if l := h.origins.lookups[s]; l != nil {
 			delete(h.origins.lookups, s)
 			for waiting := range l.sessions {
-				h.answerLookups(waiting, []streamorigin.Record{{Stream: s, Origin: o}}, nil)
+				h.answerLookups(waiting, []streamorigin.Record{{Stream: s, Origin: o}}, nil, false)
 			}
 		}
 	})
@@ -73,36 +73,61 @@
 				unknown = append(unknown, hash)
 				continue
 			}
-			l = &originLookup{sessions: map[*session]bool{}, expires: h.now().Add(lookupTimeout)}
+			l = &originLookup{sessions: map[*session]bool{}, askedAt: h.now()}
 			h.origins.lookups[stream] = l
 		}
 		l.sessions[s] = true
 	}
-	h.answerLookups(s, found, unknown)
+	h.answerLookups(s, found, unknown, false)
 }
 
 // expireLookups answers the lookups that have waited long enough.
 func (h *hub) expireLookups() {
-	unknown := map[*session][]uint64{}
+	type answer struct {
+		session *session
+		// whole is set if this process knows all servers that were in use when it was asked.
+		whole bool
+	}
+	unknown := map[answer][]uint64{}
 	for stream, l := range h.origins.lookups {
-		if h.now().Before(l.expires) {
+		if h.now().Sub(l.askedAt) < lookupTimeout {
 			continue
 		}
 		delete(h.origins.lookups, stream)
 		for s := range l.sessions {
-			unknown[s] = append(unknown[s], uint64(stream))
+			a := answer{s, h.knowsServersSince(l.askedAt)}
+			unknown[a] = append(unknown[a], uint64(stream))
 		}
 	}
-	for s, streams := range unknown {
-		h.log.Info("origins of streams not known", "router", s.router, "streams", len(streams))
-		h.answerLookups(s, nil, streams)
+	for a, streams := range unknown {
+		h.log.Info("origins of streams not known", "router", a.session.router, "streams", len(streams), "servers-known", a.whole)
+		h.answerLookups(a.session, nil, streams, a.whole)
 	}
 }
 
-func (h *hub) answerLookups(s *session, found []streamorigin.Record, unknown []uint64) {
-	if len(found)+len(unknown) > 0 && h.sessions[s] {
-		s.push(h.withStatus(&fleetpb.FollowUpdate{Origins: streamorigin.Encode(found), UnknownStreams: unknown}))
+// knowsServersSince reports whether this process knows all servers that were in use at a time:
+// each other process, which relays what servers announce to it, has been heard after that.
+func (h *hub) knowsServersSince(at time.Time) bool {
+	if !h.knowsAllServers || h.leader == "" {
+		return false
+	}
+	for _, a := range h.members {
+		if r := h.peerReports[a]; a != h.ownAddress && (r == nil || !r.receivedAt.After(at)) {
+			return false
+		}
+	}
+	return true
+}
+
+func (h *hub) answerLookups(s *session, found []streamorigin.Record, unknown []uint64, serversKnown bool) {
+	if len(found)+len(unknown) == 0 || !h.sessions[s] {
+		return
+	}
+	if serversKnown && len(h.directChanges)+len(h.relayedChanges) > 0 {
+		h.broadcastChanges() // The router is to have them before the answer.
 	}
+	serversKnown = serversKnown && s.load != nil && s.listSent && !s.listDue
+	s.push(h.withStatus(&fleetpb.FollowUpdate{Origins: streamorigin.Encode(found), UnknownStreams: unknown, ServersKnown: serversKnown}))
 }
 
 // addOrigins marks origins to be sent with the next call, the newest ones if there are too
--- a/internal/directory/origins_test.go
+++ b/internal/directory/origins_test.go
@@ -136,3 +136,72 @@
 		t.Error("the router is not told that it knows all servers")
 	}
 }
+
+// Guards against routers that resume a stream of unknown origin at the one version they know,
+// although servers of another one joined elsewhere: only a process that has heard all others since
+// it was asked, and has sent this router what it knows, may say that the router knows all servers.
+func TestServersCountAsKnownOnlyIfAllProcessesWereHeardSince(t *testing.T) {
+	newer := []*fleetpb.Announcement{{Id: "new", Born: 1, Sequence: 1, Service: "chat", Address: "h:1", State: fleetpb.ServerState_READY, Version: "v2"}}
+	heard := func(h *hub) { h.receiveSpread(&fleetpb.SpreadRequest{From: "d:2"}) }
+	for _, tc := range []struct {
+		name string
+		// before and after happen before and after the lookup.
+		before, after func(*hub, *session)
+		want          bool
+	}{
+		{"the other process was heard since", nil, func(h *hub, _ *session) { heard(h) }, true},
+		{"the other process told of a server", nil, func(h *hub, _ *session) {
+			h.receiveSpread(&fleetpb.SpreadRequest{From: "d:2", Announcements: newer})
+		}, true},
+		{"the other process was heard before alone", func(h *hub, _ *session) { heard(h) }, nil, false},
+		{"the other process was never heard", nil, nil, false},
+		{"this process has lost the quorum", nil, func(h *hub, _ *session) {
+			heard(h)
+			h.groupChanged(h.members, "")
+		}, false},
+		{"this process has just started", func(h *hub, _ *session) { h.knowsAllServers, h.quorumSince = false, h.now().Add(time.Hour) }, func(h *hub, _ *session) { heard(h) }, false},
+		{"the router reports elsewhere", nil, func(h *hub, s *session) {
+			heard(h)
+			h.handleRequest(s, &fleetpb.FollowRequest{})
+		}, false},
+		{"the router was not sent the list", func(_ *hub, s *session) { s.listSent = false }, func(h *hub, _ *session) { heard(h) }, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h, _ := newTestHub()
+			at := h.now()
+			h.now = func() time.Time { return at }
+			h.flush()
+			at = at.Add(learnTime)
+			h.flush()
+			s := newSession(h, "r1")
+			h.handleRequest(s, &fleetpb.FollowRequest{Load: &fleetpb.Load{}})
+			if tc.before != nil {
+				tc.before(h, s)
+			}
+			h.handleRequest(s, &fleetpb.FollowRequest{Load: &fleetpb.Load{}, Lookups: []uint64{1}})
+			at = at.Add(time.Millisecond)
+			if tc.after != nil {
+				tc.after(h, s)
+			}
+			drain(s)
+			at = at.Add(lookupTimeout)
+			h.expireLookups()
+			told, answered := 0, false
+			for _, u := range drain(s) {
+				told += len(u.Announcements)
+				if len(u.UnknownStreams) == 0 {
+					continue
+				}
+				if answered = true; u.ServersKnown != tc.want {
+					t.Errorf("servers known: %t, want %t", u.ServersKnown, tc.want)
+				}
+				if u.ServersKnown && h.table.Get("new") != nil && told == 0 {
+					t.Error("the router was told that it knows all servers before it was told of the newest one")
+				}
+			}
+			if !answered {
+				t.Error("the router was not answered")
+			}
+		})
+	}
+}
--- a/internal/fleetview/origins.go
+++ b/internal/fleetview/origins.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/kumquathollow/kumquathollow/internal/clock"
 	"github.com/kumquathollow/kumquathollow/internal/streamorigin"
 )
 
@@ -12,21 +11,6 @@
 // the directory answers, by the time in which a lost session is replaced.
 const originTimeout = time.Second
 
-// streamTime is the time that streams take at most. A router that has known all servers for that
-// long has known all versions that began them.
-const streamTime = time.Minute
-
-// KnowsAllServers reports whether the router has received the list of all servers, those that
-// left lately included.
-func (v *View) KnowsAllServers() bool { return v.wholeListAt.Load() != 0 }
-
-// KnowsVersionsOfStreams reports whether the router has known all servers since before any
-// stream that may go on began.
-func (v *View) KnowsVersionsOfStreams() bool {
-	at := v.wholeListAt.Load()
-	return at != 0 && clock.SinceBoot()-time.Duration(at) >= streamTime
-}
-
 // RecordOrigin records and reports which version of which service begins a stream, at once if
 // it is urgent and else with the next report of loads.
 func (v *View) RecordOrigin(s streamorigin.Stream, o streamorigin.Origin, urgent bool) {
@@ -38,9 +22,11 @@
 	}
 }
 
-// StreamOrigin returns which version of which service began a stream, and false if neither
-// this router nor the directory knows it.
-func (v *View) StreamOrigin(ctx context.Context, s streamorigin.Stream) (streamorigin.Origin, bool) {
+// StreamOrigin returns which version of which service began a stream, and known false if neither
+// this router nor the directory knows it. serversKnown is set if, besides, this router now knows all
+// servers that were in use before it asked. A router that is cut off or has stood still does not know
+// that of itself, however long it has known all of them before.
+func (v *View) StreamOrigin(ctx context.Context, s streamorigin.Stream) (origin streamorigin.Origin, known, serversKnown bool) {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
 	return v.origins.Lookup(ctx, s, func() {
--- a/internal/fleetview/origins_test.go
+++ b/internal/fleetview/origins_test.go
@@ -59,3 +59,26 @@
 	<-done
 	close(stream.requests)
 }
+
+// Guards against a request that goes on before the router has taken over the servers that came with
+// the answer: it would still know one version alone.
+func TestServersThatComeWithAnAnswerAreKnownOnceItArrives(t *testing.T) {
+	v, l := newView()
+	v.links[l.address] = l
+	asked, done := make(chan bool, 1), make(chan []string, 1)
+	go func() {
+		_, known, serversKnown := v.origins.Lookup(t.Context(), 1, func() { asked <- true })
+		if known || !serversKnown {
+			t.Errorf("known %t, servers known %t, want false and true", known, serversKnown)
+		}
+		done <- v.opts.Fleet.Versions("chat")
+	}()
+	<-asked
+	v.onUpdate(l, update{FollowUpdate: &fleetpb.FollowUpdate{
+		Announcements:  []*fleetpb.Announcement{{Id: "new", Born: 1, Sequence: 1, Service: "chat", Address: "h:1", State: fleetpb.ServerState_READY, Version: "v2"}},
+		UnknownStreams: []uint64{1}, ServersKnown: true,
+	}})
+	if got := <-done; len(got) != 1 || got[0] != "v2" {
+		t.Errorf("the router knows versions %v, want v2", got)
+	}
+}
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -77,9 +77,6 @@
 	origins *streamorigin.Recorder
 	// attempts counts the attempts at each version of services with a running rollout.
 	attempts *rollout.Recorder
-	// wholeListAt is when the list of all backend servers was first received, by the boot
-	// clock; 0 before.
-	wholeListAt atomic.Int64
 
 	// The fields below are owned by the goroutine of Run.
 	state *publication.State
@@ -332,15 +329,12 @@
 	if u.ReportMs > 0 && l == v.reportTo.Load() {
 		v.monitor.SetSuspects(u.Suspects, time.Now())
 	}
-	if len(u.Origins)+len(u.UnknownStreams) > 0 {
-		v.origins.Answer(u.Origins, u.UnknownStreams, time.Now())
-	}
 	if u.Handoffs != nil {
 		v.setHandoffs(l.address, u.Handoffs.Addresses)
 	}
 	v.mergeAnnouncements(u.Announcements)
-	if u.WholeList && v.wholeListAt.Load() == 0 {
-		v.wholeListAt.Store(int64(clock.SinceBoot()))
+	if len(u.Origins)+len(u.UnknownStreams) > 0 {
+		v.origins.Answer(u.Origins, u.UnknownStreams, u.ServersKnown, time.Now())
 	}
 	v.refreshServers(l, u.Heard)
 	l.revision = max(l.revision, u.Revision)
--- a/internal/forward/resumption.go
+++ b/internal/forward/resumption.go
@@ -1,6 +1,9 @@
 package forward
 
 import (
+	"slices"
+
+	"github.com/kumquathollow/kumquathollow/internal/catalog"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/placement"
 	"github.com/kumquathollow/kumquathollow/internal/streamorigin"
@@ -21,43 +24,52 @@
 }
 
 // resolveOrigin finds out which software version began the stream that the request resumes,
-// since only that one can continue it. Nothing needs to be known if the route has had only
-// one version lately, as far back as streams go: a router that has just started may know the
-// servers of a newer version alone.
+// since only that one can continue it. What this router knows of servers shows nothing by itself:
+// the stream may have begun at one of which it has not heard yet. If nobody knows the origin, the
+// request goes on only if the directory confirms that this router knows all servers, and they have
+// one version.
 func (x *exchange) resolveOrigin() error {
 	if !x.isResumption() || x.origin.Version != "" {
 		return nil
 	}
-	versions, mixed := x.f.opts.Fleet.Versions(x.service.Name), false
-	for _, share := range x.route.Split {
-		mixed = mixed || len(x.f.opts.Fleet.Versions(share.Service)) > 1
-	}
-	one := !mixed && len(x.route.Split) == 1
-	if one && x.f.opts.View.KnowsVersionsOfStreams() {
-		x.onlyVersion(versions)
-		return nil
-	}
-	origin, known := x.f.opts.View.StreamOrigin(x.ctx, x.stream())
-	switch {
-	case known:
+	origin, known, serversKnown := x.f.opts.View.StreamOrigin(x.ctx, x.stream())
+	if known {
 		x.f.opts.Metrics.Counter("forward.resumed.known").Inc(1)
 		x.origin = origin
 		x.useService(origin.Service)
-	case one && x.f.opts.View.KnowsAllServers():
-		x.onlyVersion(versions)
-	case mixed || one:
-		x.f.opts.Metrics.Counter("forward.resumed.unknown").Inc(1)
-		return errkind.New(errkind.StreamNotResumable, "it is not known which software version began the stream of request %q, and service %q has servers of %d versions, all of which are known: %t", x.requestInfo.Resumes, x.service.Name, len(versions), x.f.opts.View.KnowsAllServers()).
-			WithRetryAfter(refusedRetryAfter)
+		return nil
+	}
+	versions := x.routeVersions()
+	if len(x.route.Split) > 1 && !x.servicesMixed() {
+		return nil
 	}
-	return nil
+	if serversKnown && len(versions) <= 1 {
+		x.f.opts.Metrics.Counter("forward.resumed.one_version").Inc(1)
+		if len(versions) == 1 {
+			x.origin.Version = versions[0]
+		}
+		return nil
+	}
+	x.f.opts.Metrics.Counter("forward.resumed.unknown").Inc(1)
+	return errkind.New(errkind.StreamNotResumable, "it is not known which software version began the stream of request %q; route %q has servers of %d versions, all of which are known: %t", x.requestInfo.Resumes, x.route.Name, len(versions), serversKnown).
+		WithRetryAfter(refusedRetryAfter)
 }
 
-// onlyVersion fixes the version of the stream if a service has servers of only one.
-func (x *exchange) onlyVersion(versions []string) {
-	if len(versions) == 1 {
-		x.origin.Version = versions[0]
+// routeVersions returns the software versions of the servers of all services of the route.
+func (x *exchange) routeVersions() (versions []string) {
+	for _, share := range x.route.Split {
+		for _, version := range x.f.opts.Fleet.Versions(share.Service) {
+			if !slices.Contains(versions, version) {
+				versions = append(versions, version)
+			}
+		}
 	}
+	return versions
+}
+
+// servicesMixed reports whether a service of the route has servers of several versions.
+func (x *exchange) servicesMixed() bool {
+	return slices.ContainsFunc(x.route.Split, func(share catalog.Share) bool { return len(x.f.opts.Fleet.Versions(share.Service)) > 1 })
 }
 
 // useService has the request sent to another service of its route. A service that the route
--- a/internal/streamorigin/recorder.go
+++ b/internal/streamorigin/recorder.go
@@ -26,10 +26,13 @@
 // lookup is a stream whose origin was not known to the router.
 type lookup struct {
 	// done is closed once the directory has answered.
-	done    chan struct{}
-	origin  Origin
-	known   bool
-	waiting int
+	done   chan struct{}
+	origin Origin
+	known  bool
+	// serversKnown is set if the origin is unknown and the router knows all servers that the stream
+	// may have begun at.
+	serversKnown bool
+	waiting      int
 	// sent is set once the directory was asked.
 	sent bool
 }
@@ -53,12 +56,13 @@
 
 // Lookup returns the origin of a stream. If this router does not know it, Lookup calls ask,
 // which has the directory asked by the next report, and waits for the answer until ctx is
-// done.
-func (r *Recorder) Lookup(ctx context.Context, s Stream, ask func()) (o Origin, known bool) {
+// done. If the origin is not known, serversKnown says whether the router knows all servers that
+// the stream may have begun at.
+func (r *Recorder) Lookup(ctx context.Context, s Stream, ask func()) (o Origin, known, serversKnown bool) {
 	r.mu.Lock()
 	if o, known = r.table.Lookup(s); known {
 		r.mu.Unlock()
-		return o, true
+		return o, true, false
 	}
 	l := r.lookups[s]
 	if l == nil {
@@ -77,7 +81,7 @@
 	if l.waiting--; l.waiting == 0 && r.lookups[s] == l {
 		delete(r.lookups, s)
 	}
-	return l.origin, l.known
+	return l.origin, l.known, l.serversKnown
 }
 
 // Report returns what to report, and the streams to ask for. If all is set, the process has
@@ -100,8 +104,9 @@
 	return Encode(records), lookups
 }
 
-// Answer takes over the directory's answers to lookups.
-func (r *Recorder) Answer(found []*fleetpb.StreamOrigins, unknown []uint64, now time.Time) {
+// Answer takes over the directory's answers to lookups. serversKnown is set if the router has
+// received all servers that the unknown streams may have begun at.
+func (r *Recorder) Answer(found []*fleetpb.StreamOrigins, unknown []uint64, serversKnown bool, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	Decode(found, func(s Stream, o Origin) {
@@ -113,6 +118,7 @@
 	})
 	for _, s := range unknown {
 		if l := r.lookups[Stream(s)]; l != nil {
+			l.serversKnown = serversKnown
 			r.finish(Stream(s), l)
 		}
 	}
--- a/internal/streamorigin/streamorigin_test.go
+++ b/internal/streamorigin/streamorigin_test.go
@@ -104,18 +104,18 @@
 func TestLookupsAreAskedOnceAndAnswered(t *testing.T) {
 	r := NewRecorder()
 	r.Record(1, v1, epoch)
-	if o, known := r.Lookup(context.Background(), 1, func() { t.Error("the directory was asked for a known stream") }); !known || o != v1 {
+	if o, known, _ := r.Lookup(context.Background(), 1, func() { t.Error("the directory was asked for a known stream") }); !known || o != v1 {
 		t.Errorf("own stream: %v, %v", o, known)
 	}
 	type result struct {
-		origin Origin
-		known  bool
+		origin              Origin
+		known, serversKnown bool
 	}
 	asked, results := make(chan bool, 4), make(chan result, 4)
 	lookUp := func(ctx context.Context, s Stream) {
 		go func() {
-			o, known := r.Lookup(ctx, s, func() { asked <- true })
-			results <- result{o, known}
+			o, known, serversKnown := r.Lookup(ctx, s, func() { asked <- true })
+			results <- result{o, known, serversKnown}
 		}()
 		<-asked
 	}
@@ -130,21 +130,23 @@
 	if _, lookups := r.Report(true, epoch); !slices.Equal(lookups, []uint64{2}) {
 		t.Errorf("another process was asked for %v", lookups)
 	}
-	r.Answer(Encode([]Record{{Stream: 2, Origin: v2}}), nil, epoch)
+	r.Answer(Encode([]Record{{Stream: 2, Origin: v2}}), nil, false, epoch)
 	for range 2 {
 		if got := <-results; !got.known || got.origin != v2 {
 			t.Errorf("answered %v", got)
 		}
 	}
-	lookUp(context.Background(), 3)
-	r.Answer(nil, []uint64{3}, epoch)
-	if got := <-results; got.known {
-		t.Errorf("an unknown stream: %v", got)
+	for _, serversKnown := range []bool{false, true} {
+		lookUp(context.Background(), 3)
+		r.Answer(nil, []uint64{3}, serversKnown, epoch)
+		if got := <-results; got.known || got.serversKnown != serversKnown {
+			t.Errorf("an unknown stream, servers known %t: %v", serversKnown, got)
+		}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	lookUp(ctx, 4)
 	cancel()
-	if got := <-results; got.known || len(r.lookups) != 0 {
+	if got := <-results; got.known || got.serversKnown || len(r.lookups) != 0 {
 		t.Errorf("after the request ended: %v, %d lookups are left", got, len(r.lookups))
 	}
 }
