Do not resume a stream of unknown origin at services with different versions

Callers saw: on a route that is split over services, a stream of unknown origin went on at whichever service the new request's id chose.

Cause: versions were counted for each service by itself; services with one version each, but not the same, counted as one.

Change: the versions of all services of the route count together.

--- a/internal/forward/resumption.go
+++ b/internal/forward/resumption.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 
-	"github.com/kumquathollow/kumquathollow/internal/catalog"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/placement"
 	"github.com/kumquathollow/kumquathollow/internal/streamorigin"
@@ -40,9 +39,6 @@
 		return nil
 	}
 	versions := x.routeVersions()
-	if len(x.route.Split) > 1 && !x.servicesMixed() {
-		return nil
-	}
 	if serversKnown && len(versions) <= 1 {
 		x.f.opts.Metrics.Counter("forward.resumed.one_version").Inc(1)
 		if len(versions) == 1 {
@@ -67,11 +63,6 @@
 	return versions
 }
 
-// servicesMixed reports whether a service of the route has servers of several versions.
-func (x *exchange) servicesMixed() bool {
-	return slices.ContainsFunc(x.route.Split, func(share catalog.Share) bool { return len(x.f.opts.Fleet.Versions(share.Service)) > 1 })
-}
-
 // useService has the request sent to another service of its route. A service that the route
 // no longer has is left out.
 func (x *exchange) useService(name string) {
