Remember the version of a server that starts again with another one

Callers saw: nothing reported. A stream of unknown origin that began at v1 could go on at v2, after its server had started again under the same id with v2, and no other server of v1 was left.

Cause: the list of servers holds one incarnation for each id, so that the version vanished at once, while that of a server with an id of its own counts for 90 s after it left.

Change: a router counts the version of a replaced incarnation for 90 s.

Result: TestTheVersionOfAServerThatStartsAgainWithAnotherIsKnownForAWhile failed before (v2 alone).

--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -32,6 +32,9 @@
 	byHash     map[uint32]*Server
 	// departed holds the notices of servers that are no longer in the list.
 	departed map[incarnation]*notices
+	// replacedVersions holds when a server of a service and version was last replaced by an
+	// incarnation with another version.
+	replacedVersions map[serviceVersion]time.Time
 	// refusals are the limits of refusals by service.
 	refusals     map[string]*serviceRefusals
 	rankings     map[string]*ranking
@@ -46,6 +49,12 @@
 	meanSharedTokens atomic.Uint64
 }
 
+type serviceVersion struct{ service, version string }
+
+// replacedVersionTime is how long the version of a server counts that has started again with another
+// one: as long as servers that have left are listed.
+const replacedVersionTime = 90 * time.Second
+
 // pool holds the servers of a service. It is immutable.
 type pool struct {
 	servers []*Server
@@ -78,7 +87,7 @@
 
 // NewFleet returns an empty Fleet for the named router in the data centre.
 func NewFleet(router, dataCentre string, bounds Bounds) *Fleet {
-	f := &Fleet{routerHash: routing.Hash(router), dataCentre: dataCentre, bounds: bounds, byID: map[string]*Server{}, departed: map[incarnation]*notices{}, refusals: map[string]*serviceRefusals{}, rankings: map[string]*ranking{}}
+	f := &Fleet{routerHash: routing.Hash(router), dataCentre: dataCentre, bounds: bounds, byID: map[string]*Server{}, departed: map[incarnation]*notices{}, replacedVersions: map[serviceVersion]time.Time{}, refusals: map[string]*serviceRefusals{}, rankings: map[string]*ranking{}}
 	f.pools.Store(&map[string]*pool{})
 	f.peerLoads.Store(&peerLoads{})
 	f.evacuated.Store(&[]string{})
@@ -137,6 +146,9 @@
 		s := f.byID[announced.ID]
 		if s == nil || s.Born != announced.Born || s.Address != announced.Address || s.Service != announced.Service || s.Version != announced.Version {
 			restarted := s != nil && s.Born != announced.Born
+			if s != nil && s.Version != announced.Version {
+				f.replacedVersions[serviceVersion{s.Service, s.Version}] = now
+			}
 			if s = newServer(announced, f.noticesOf(announced)); restarted {
 				s.markCacheIncomplete(now)
 			}
@@ -159,6 +171,15 @@
 			p.draining[s.ID] = s
 		}
 	})
+	for v, at := range f.replacedVersions {
+		p := pools[v.service]
+		switch {
+		case now.Sub(at) >= replacedVersionTime:
+			delete(f.replacedVersions, v)
+		case p != nil && v.version != "" && !slices.Contains(p.versions, v.version):
+			p.versions = append(p.versions, v.version)
+		}
+	}
 	for service, p := range pools {
 		slices.SortFunc(p.servers, func(a, b *Server) int { return cmp.Compare(a.ID, b.ID) })
 		p.ranking = f.ranking(service)
--- a/internal/placement/version_test.go
+++ b/internal/placement/version_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/inventory"
 )
 
 // A request that needs a version goes to no other one, whatever the load and the prompt
@@ -40,3 +41,24 @@
 		t.Errorf("versions %v, want those of servers that leave as well", got)
 	}
 }
+
+// Guards against a version that is forgotten because its server has started again, under the same id,
+// with another one: streams that began at it may still be resumed.
+func TestTheVersionOfAServerThatStartsAgainWithAnotherIsKnownForAWhile(t *testing.T) {
+	w := newFleetSim(t)
+	s := w.server("p", "a")
+	s.Version = "v1"
+	w.announce(s)
+	s.Born, s.Sequence, s.Version = s.Born+1, 1, "v2"
+	w.announce(s)
+	if got := slices.Sorted(slices.Values(w.fleet.Versions("chat"))); !slices.Equal(got, []string{"v1", "v2"}) {
+		t.Errorf("versions %v after the server has started again, want v1 and v2", got)
+	}
+	w.advance(replacedVersionTime)
+	s.Sequence++
+	s.State = inventory.Draining
+	w.announce(s)
+	if got := w.fleet.Versions("chat"); !slices.Equal(got, []string{"v2"}) {
+		t.Errorf("versions %v long after that, want v2", got)
+	}
+}
