Say that all servers are known as soon as it holds, and only after two calls of each process

And one call of another directory process that arrives after the question may have been begun before it, on a slow path long before.

Cause: the answer to an unknown origin came only once every report could have arrived, though with one version only the servers matter; and the time of a call's arrival was taken for that of its beginning.

A router whose route has one version then goes on, any other waits for the origin.

Result: TestServersCountAsKnownOnlyIfAllProcessesWereHeardSince: ten states, the word comes before the wait is over and after the newest server; TestLookupsAreAskedOnceAndAnswered: a request waits on if the servers do not suffice. Time until a stream of unknown origin goes on with several processes: not measured.

--- a/internal/directory/origins.go
+++ b/internal/directory/origins.go
@@ -25,6 +25,7 @@
 }
 
 type originLookup struct {
+	// sessions are those that wait; true once they were told that their router knows all servers.
 	sessions map[*session]bool
 	askedAt  time.Time
 }
@@ -76,57 +77,103 @@
 			l = &originLookup{sessions: map[*session]bool{}, askedAt: h.now()}
 			h.origins.lookups[stream] = l
 		}
-		l.sessions[s] = true
+		if !l.sessions[s] {
+			l.sessions[s] = false
+		}
 	}
 	h.answerLookups(s, found, unknown, false)
+	h.confirmLookups()
 }
 
 // expireLookups answers the lookups that have waited long enough.
 func (h *hub) expireLookups() {
 	type answer struct {
-		session *session
-		// whole is set if this process knows all servers that were in use when it was asked.
-		whole bool
+		session      *session
+		serversKnown bool
 	}
-	unknown := map[answer][]uint64{}
+	unknown, until := map[answer][]uint64{}, h.serversKnownUntil()
 	for stream, l := range h.origins.lookups {
 		if h.now().Sub(l.askedAt) < lookupTimeout {
 			continue
 		}
 		delete(h.origins.lookups, stream)
 		for s := range l.sessions {
-			a := answer{s, h.knowsServersSince(l.askedAt)}
+			a := answer{s, until.After(l.askedAt)}
 			unknown[a] = append(unknown[a], uint64(stream))
 		}
 	}
 	for a, streams := range unknown {
-		h.log.Info("origins of streams not known", "router", a.session.router, "streams", len(streams), "servers-known", a.whole)
-		h.answerLookups(a.session, nil, streams, a.whole)
+		h.log.Info("origins of streams not known", "router", a.session.router, "streams", len(streams), "servers-known", a.serversKnown)
+		h.answerLookups(a.session, nil, streams, a.serversKnown)
 	}
 }
 
-// knowsServersSince reports whether this process knows all servers that were in use at a time:
-// each other process, which relays what servers announce to it, has been heard after that.
-func (h *hub) knowsServersSince(at time.Time) bool {
+// serversKnownUntil returns the time up to which this process knows all servers that came into use.
+// Each other process relays what servers announce to it, in one call after the other: a call was
+// begun after the one before it had arrived here.
+func (h *hub) serversKnownUntil() time.Time {
 	if !h.knowsAllServers || h.leader == "" {
-		return false
+		return time.Time{}
 	}
+	until := h.now().Add(time.Nanosecond) // What happens now is known, if there is no other process.
 	for _, a := range h.members {
-		if r := h.peerReports[a]; a != h.ownAddress && (r == nil || !r.receivedAt.After(at)) {
-			return false
+		switch r := h.peerReports[a]; {
+		case a == h.ownAddress:
+		case r == nil:
+			return time.Time{}
+		case r.previousAt.Before(until):
+			until = r.previousAt
+		}
+	}
+	return until
+}
+
+// confirmLookups tells routers that wait for the origins of streams once they know all servers: if
+// those have one version, the origin does not matter.
+func (h *hub) confirmLookups() {
+	if len(h.origins.lookups) == 0 {
+		return
+	}
+	confirmed, until := map[*session][]uint64{}, h.serversKnownUntil()
+	for stream, l := range h.origins.lookups {
+		if !until.After(l.askedAt) {
+			continue
+		}
+		for s, told := range l.sessions {
+			if !told && s.hasAllServers() {
+				l.sessions[s] = true
+				confirmed[s] = append(confirmed[s], uint64(stream))
+			}
+		}
+	}
+	if len(confirmed) > 0 {
+		h.sendPendingChanges()
+	}
+	for s, streams := range confirmed {
+		if h.sessions[s] {
+			s.push(h.withStatus(&fleetpb.FollowUpdate{ServersKnownStreams: streams}))
 		}
 	}
-	return true
 }
 
+// sendPendingChanges sends the changes of servers that routers have yet to be sent.
+func (h *hub) sendPendingChanges() {
+	if len(h.directChanges)+len(h.relayedChanges) > 0 {
+		h.broadcastChanges()
+	}
+}
+
+// hasAllServers reports whether the router was sent all servers that this process knows, except for
+// changes that are pending.
+func (s *session) hasAllServers() bool { return s.load != nil && s.listSent && !s.listDue }
+
 func (h *hub) answerLookups(s *session, found []streamorigin.Record, unknown []uint64, serversKnown bool) {
 	if len(found)+len(unknown) == 0 || !h.sessions[s] {
 		return
 	}
-	if serversKnown && len(h.directChanges)+len(h.relayedChanges) > 0 {
-		h.broadcastChanges() // The router is to have them before the answer.
+	if serversKnown = serversKnown && s.hasAllServers(); serversKnown {
+		h.sendPendingChanges()
 	}
-	serversKnown = serversKnown && s.load != nil && s.listSent && !s.listDue
 	s.push(h.withStatus(&fleetpb.FollowUpdate{Origins: streamorigin.Encode(found), UnknownStreams: unknown, ServersKnown: serversKnown}))
 }
 
--- a/internal/directory/origins_test.go
+++ b/internal/directory/origins_test.go
@@ -139,37 +139,43 @@
 
 // Guards against routers that resume a stream of unknown origin at the one version they know,
 // although servers of another one joined elsewhere: only a process that has heard all others since
-// it was asked, and has sent this router what it knows, may say that the router knows all servers.
+// it was asked, and has sent this router what it knows, may say that the router knows all servers. A
+// call of another process that comes after the question may have been begun before; the next one
+// was not.
 func TestServersCountAsKnownOnlyIfAllProcessesWereHeardSince(t *testing.T) {
 	newer := []*fleetpb.Announcement{{Id: "new", Born: 1, Sequence: 1, Service: "chat", Address: "h:1", State: fleetpb.ServerState_READY, Version: "v2"}}
-	heard := func(h *hub) { h.receiveSpread(&fleetpb.SpreadRequest{From: "d:2"}) }
+	heard := func(h *hub, calls int, announcements ...*fleetpb.Announcement) {
+		for range calls {
+			h.receiveSpread(&fleetpb.SpreadRequest{From: "d:2", Announcements: announcements})
+		}
+	}
 	for _, tc := range []struct {
 		name string
 		// before and after happen before and after the lookup.
 		before, after func(*hub, *session)
 		want          bool
 	}{
-		{"the other process was heard since", nil, func(h *hub, _ *session) { heard(h) }, true},
-		{"the other process told of a server", nil, func(h *hub, _ *session) {
-			h.receiveSpread(&fleetpb.SpreadRequest{From: "d:2", Announcements: newer})
-		}, true},
-		{"the other process was heard before alone", func(h *hub, _ *session) { heard(h) }, nil, false},
+		{"the other process was heard twice since", nil, func(h *hub, _ *session) { heard(h, 2) }, true},
+		{"the other process told of a server", nil, func(h *hub, _ *session) { heard(h, 2, newer...) }, true},
+		{"the other process was heard once since", nil, func(h *hub, _ *session) { heard(h, 1) }, false},
+		{"the other process was heard before, and once since", func(h *hub, _ *session) { heard(h, 2) }, func(h *hub, _ *session) { heard(h, 1) }, false},
+		{"the other process was heard before alone", func(h *hub, _ *session) { heard(h, 2) }, nil, false},
 		{"the other process was never heard", nil, nil, false},
-		{"this process has lost the quorum", nil, func(h *hub, _ *session) {
-			heard(h)
-			h.groupChanged(h.members, "")
-		}, false},
-		{"this process has just started", func(h *hub, _ *session) { h.knowsAllServers, h.quorumSince = false, h.now().Add(time.Hour) }, func(h *hub, _ *session) { heard(h) }, false},
+		{"this process has lost the quorum", func(h *hub, _ *session) { h.groupChanged(h.members, "") }, func(h *hub, _ *session) { heard(h, 2) }, false},
+		{"this process has just started", func(h *hub, _ *session) { h.knowsAllServers, h.quorumSince = false, h.now().Add(time.Hour) }, func(h *hub, _ *session) { heard(h, 2) }, false},
 		{"the router reports elsewhere", nil, func(h *hub, s *session) {
-			heard(h)
 			h.handleRequest(s, &fleetpb.FollowRequest{})
+			heard(h, 2)
 		}, false},
-		{"the router was not sent the list", func(_ *hub, s *session) { s.listSent = false }, func(h *hub, _ *session) { heard(h) }, false},
+		{"the router was not sent the list", func(_ *hub, s *session) { s.listSent = false }, func(h *hub, _ *session) { heard(h, 2) }, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			h, _ := newTestHub()
 			at := h.now()
-			h.now = func() time.Time { return at }
+			h.now = func() time.Time {
+				at = at.Add(time.Microsecond)
+				return at
+			}
 			h.flush()
 			at = at.Add(learnTime)
 			h.flush()
@@ -178,28 +184,32 @@
 			if tc.before != nil {
 				tc.before(h, s)
 			}
+			drain(s)
 			h.handleRequest(s, &fleetpb.FollowRequest{Load: &fleetpb.Load{}, Lookups: []uint64{1}})
-			at = at.Add(time.Millisecond)
 			if tc.after != nil {
 				tc.after(h, s)
 			}
-			drain(s)
-			at = at.Add(lookupTimeout)
-			h.expireLookups()
-			told, answered := 0, false
-			for _, u := range drain(s) {
-				told += len(u.Announcements)
-				if len(u.UnknownStreams) == 0 {
-					continue
-				}
-				if answered = true; u.ServersKnown != tc.want {
-					t.Errorf("servers known: %t, want %t", u.ServersKnown, tc.want)
-				}
-				if u.ServersKnown && h.table.Get("new") != nil && told == 0 {
-					t.Error("the router was told that it knows all servers before it was told of the newest one")
+			told, confirmed, answered := 0, false, false
+			read := func() {
+				for _, u := range drain(s) {
+					told += len(u.Announcements)
+					confirmed = confirmed || len(u.ServersKnownStreams) == 1
+					if len(u.UnknownStreams) > 0 {
+						if answered = true; u.ServersKnown != tc.want {
+							t.Errorf("servers known in the answer: %t, want %t", u.ServersKnown, tc.want)
+						}
+					}
+					if (confirmed || u.ServersKnown) && h.table.Get("new") != nil && told == 0 {
+						t.Error("the router was told that it knows all servers before it was told of the newest one")
+					}
 				}
 			}
-			if !answered {
+			if read(); confirmed != tc.want || answered {
+				t.Errorf("before the wait is over: servers known %t, answered %t, want %t and no answer", confirmed, answered, tc.want)
+			}
+			at = at.Add(lookupTimeout)
+			h.expireLookups()
+			if read(); !answered {
 				t.Error("the router was not answered")
 			}
 		})
--- a/internal/directory/peers.go
+++ b/internal/directory/peers.go
@@ -65,7 +65,8 @@
 	handoffs []string
 	// followsRollouts is set if the process and its routers keep to rollouts.
 	followsRollouts bool
-	receivedAt      time.Time
+	// previousAt is when the report before this one was received.
+	receivedAt, previousAt time.Time
 }
 
 func newPeer(address string) *peer {
@@ -215,12 +216,13 @@
 	if req.From != "" {
 		report := &peerReport{dataCentre: req.DataCentre, load: req.Load, routers: int(req.Routers), followsRollouts: req.FollowsRollouts, receivedAt: now}
 		if previous := h.peerReports[req.From]; previous != nil {
-			report.handoffs = previous.handoffs
+			report.handoffs, report.previousAt = previous.handoffs, previous.receivedAt
 		}
 		if req.Handoffs != nil {
 			report.handoffs = req.Handoffs.Addresses
 		}
 		h.peerReports[req.From] = report
+		h.confirmLookups()
 	}
 	return list
 }
--- a/internal/fleetview/origins.go
+++ b/internal/fleetview/origins.go
@@ -25,13 +25,14 @@
 // StreamOrigin returns which version of which service began a stream, and known false if neither
 // this router nor the directory knows it. serversKnown is set if, besides, this router now knows all
 // servers that were in use before it asked. A router that is cut off or has stood still does not know
-// that of itself, however long it has known all of them before.
-func (v *View) StreamOrigin(ctx context.Context, s streamorigin.Stream) (origin streamorigin.Origin, known, serversKnown bool) {
+// that of itself, however long it has known all of them before. StreamOrigin does not wait for the
+// origin once all servers are known, if they suffice.
+func (v *View) StreamOrigin(ctx context.Context, s streamorigin.Stream, suffice func() bool) (origin streamorigin.Origin, known, serversKnown bool) {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
 	return v.origins.Lookup(ctx, s, func() {
 		if l := v.reportTo.Load(); l != nil {
 			l.reportNow()
 		}
-	})
+	}, suffice)
 }
--- a/internal/fleetview/origins_test.go
+++ b/internal/fleetview/origins_test.go
@@ -67,7 +67,7 @@
 	v.links[l.address] = l
 	asked, done := make(chan bool, 1), make(chan []string, 1)
 	go func() {
-		_, known, serversKnown := v.origins.Lookup(t.Context(), 1, func() { asked <- true })
+		_, known, serversKnown := v.origins.Lookup(t.Context(), 1, func() { asked <- true }, nil)
 		if known || !serversKnown {
 			t.Errorf("known %t, servers known %t, want false and true", known, serversKnown)
 		}
--- a/internal/forward/resumption.go
+++ b/internal/forward/resumption.go
@@ -31,7 +31,7 @@
 	if !x.isResumption() || x.origin.Version != "" {
 		return nil
 	}
-	origin, known, serversKnown := x.f.opts.View.StreamOrigin(x.ctx, x.stream())
+	origin, known, serversKnown := x.f.opts.View.StreamOrigin(x.ctx, x.stream(), func() bool { return len(x.routeVersions()) <= 1 })
 	if known {
 		x.f.opts.Metrics.Counter("forward.resumed.known").Inc(1)
 		x.origin = origin
--- a/internal/streamorigin/recorder.go
+++ b/internal/streamorigin/recorder.go
@@ -29,9 +29,10 @@
 	done   chan struct{}
 	origin Origin
 	known  bool
-	// serversKnown is set if the origin is unknown and the router knows all servers that the stream
-	// may have begun at.
+	// serversKnown is set if the router knows all servers that the stream may have begun at;
+	// confirmed is closed once it is.
 	serversKnown bool
+	confirmed    chan struct{}
 	waiting      int
 	// sent is set once the directory was asked.
 	sent bool
@@ -57,8 +58,8 @@
 // Lookup returns the origin of a stream. If this router does not know it, Lookup calls ask,
 // which has the directory asked by the next report, and waits for the answer until ctx is
 // done. If the origin is not known, serversKnown says whether the router knows all servers that
-// the stream may have begun at.
-func (r *Recorder) Lookup(ctx context.Context, s Stream, ask func()) (o Origin, known, serversKnown bool) {
+// the stream may have begun at. Once it does, Lookup waits no longer if they suffice.
+func (r *Recorder) Lookup(ctx context.Context, s Stream, ask func(), suffice func() bool) (o Origin, known, serversKnown bool) {
 	r.mu.Lock()
 	if o, known = r.table.Lookup(s); known {
 		r.mu.Unlock()
@@ -66,7 +67,7 @@
 	}
 	l := r.lookups[s]
 	if l == nil {
-		l = &lookup{done: make(chan struct{})}
+		l = &lookup{done: make(chan struct{}), confirmed: make(chan struct{})}
 		r.lookups[s] = l
 	}
 	l.waiting++
@@ -75,6 +76,14 @@
 	select {
 	case <-l.done:
 	case <-ctx.Done():
+	case <-l.confirmed:
+		if suffice() {
+			break
+		}
+		select {
+		case <-l.done:
+		case <-ctx.Done():
+		}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -118,12 +127,25 @@
 	})
 	for _, s := range unknown {
 		if l := r.lookups[Stream(s)]; l != nil {
-			l.serversKnown = serversKnown
+			l.serversKnown = l.serversKnown || serversKnown
 			r.finish(Stream(s), l)
 		}
 	}
 }
 
+// ConfirmServers records that the router has received all servers that the streams may have begun
+// at.
+func (r *Recorder) ConfirmServers(streams []uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range streams {
+		if l := r.lookups[Stream(s)]; l != nil && !l.serversKnown {
+			l.serversKnown = true
+			close(l.confirmed)
+		}
+	}
+}
+
 // finish wakes the requests that wait. The caller holds mu.
 func (r *Recorder) finish(s Stream, l *lookup) {
 	delete(r.lookups, s)
--- a/internal/streamorigin/streamorigin_test.go
+++ b/internal/streamorigin/streamorigin_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -104,7 +105,7 @@
 func TestLookupsAreAskedOnceAndAnswered(t *testing.T) {
 	r := NewRecorder()
 	r.Record(1, v1, epoch)
-	if o, known, _ := r.Lookup(context.Background(), 1, func() { t.Error("the directory was asked for a known stream") }); !known || o != v1 {
+	if o, known, _ := r.Lookup(context.Background(), 1, func() { t.Error("the directory was asked for a known stream") }, nil); !known || o != v1 {
 		t.Errorf("own stream: %v, %v", o, known)
 	}
 	type result struct {
@@ -112,9 +113,10 @@
 		known, serversKnown bool
 	}
 	asked, results := make(chan bool, 4), make(chan result, 4)
+	var suffice atomic.Bool
 	lookUp := func(ctx context.Context, s Stream) {
 		go func() {
-			o, known, serversKnown := r.Lookup(ctx, s, func() { asked <- true })
+			o, known, serversKnown := r.Lookup(ctx, s, func() { asked <- true }, func() bool { return suffice.Load() })
 			results <- result{o, known, serversKnown}
 		}()
 		<-asked
@@ -143,6 +145,19 @@
 			t.Errorf("an unknown stream, servers known %t: %v", serversKnown, got)
 		}
 	}
+	// All servers are known: the request waits for the origin only if they do not suffice.
+	lookUp(context.Background(), 5)
+	r.ConfirmServers([]uint64{5, 6})
+	r.Answer(Encode([]Record{{Stream: 5, Origin: v2}}), nil, false, epoch)
+	if got := <-results; !got.known || got.origin != v2 {
+		t.Errorf("an origin that follows: %v", got)
+	}
+	suffice.Store(true)
+	lookUp(context.Background(), 6)
+	r.ConfirmServers([]uint64{6})
+	if got := <-results; got.known || !got.serversKnown {
+		t.Errorf("the servers suffice: %v", got)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	lookUp(ctx, 4)
 	cancel()
