Decide on a doubt when the bound is spent, not when it might be

Callers saw: "13 of 28 attempts at the target were slow ..., which is in doubt at the end of what the target may get" 0.15 s after the shift, in 2 of 12 rollouts with two tests at once on one processor, three times at once (load 23).

Cause: the reserve for attempts that are not counted yet was a full second's requests, also in a small fleet, where they are counted within 0.1 s.

Change: what was sent is estimated by the time since the shift and the rate, and the reserve is the half second again that a step takes to be in force.

--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -82,6 +82,8 @@
 	sentAtMark int
 	// endedBefore is the number of attempts that had ended at the target when the phase began.
 	endedBefore int
+	// sentBefore is the number of attempts that were sent to the target by then.
+	sentBefore int
 }
 
 // Next returns the next state of a running rollout, or nil if it stays as it is.
@@ -94,6 +96,7 @@
 		c.judge.Reset()
 		c.judge.Mark(in.Totals)
 		c.endedBefore = in.Totals.endedAtTarget()
+		c.sentBefore, _ = in.Totals.Sent()
 	}
 	step := func(phase Phase, share uint32, format string, args ...any) *Rollout {
 		next := *r
@@ -113,7 +116,9 @@
 	left := r.Duration - max(minEndMargin, time.Duration(endMargin*float64(r.Duration))) - in.Elapsed
 	switch {
 	case r.Phase == Shifting && lasting.Doubtful():
-		if left > 0 && float64(target) < allowed-2*c.rate*countLag.Seconds() {
+		// Attempts are counted late, and a step takes countLag to be in force everywhere.
+		sent := max(float64(target), float64(c.sentBefore)+c.rate*(in.Elapsed-r.Elapsed).Seconds())
+		if left > 0 && sent < allowed-c.rate*countLag.Seconds() {
 			return nil // Further attempts may dispel the doubt.
 		}
 		return step(RolledBack, 0, "%s, which is in doubt at the end of what the target may get", lasting)
--- a/internal/rollout/judge_test.go
+++ b/internal/rollout/judge_test.go
@@ -91,3 +91,38 @@
 		}
 	}
 }
+
+// Guards against a sound version that is rolled back for a doubt of its first moment with all
+// requests, although the bound lasts for further ones, which dispel it.
+func TestDoubtIsDeferredWhileTheBoundLasts(t *testing.T) {
+	const perSecond, look, shiftAt = 350, 50 * time.Millisecond, 9300 * time.Millisecond
+	for _, tc := range []struct {
+		name string
+		slow func(look int) float64
+		want Phase
+	}{
+		{"slow at first", func(look int) float64 { return pick(look <= 2, 0.5, 0) }, Succeeded},
+		{"slow throughout", func(int) float64 { return 0.5 }, RolledBack},
+	} {
+		c := &Controller{Bounds: DefaultBounds, rate: perSecond}
+		r := &Rollout{Service: "chat", Target: "v2", Number: 1, Phase: Shifting, Share: WholeShare, Duration: 12 * time.Second, Elapsed: shiftAt}
+		others, target := &Counts{Sent: 2900, Completed: 2900}, Counts{Sent: 60, Completed: 60}
+		others.Pace[4], target.Pace[4] = 2900, 60
+		var got *Rollout
+		for i := 0; got == nil && i < 60; i++ {
+			if i > 0 {
+				n := int(perSecond * look.Seconds())
+				slow := int(tc.slow(i) * float64(n))
+				target.Sent, target.Completed = target.Sent+n, target.Completed+n
+				target.Pace[4] += n - slow
+				target.Pace[12] += slow
+			}
+			counts := target
+			totals := &Totals{Target: map[uint64]*Counts{1: &counts}, Others: map[uint64]*Counts{1: others}}
+			got = c.Next(r, Input{Elapsed: shiftAt + time.Duration(i)*look, Totals: totals, Target: Pool{Ready: 3, Warm: 3, Slots: 192}, Others: Pool{Versions: []string{"v1"}}})
+		}
+		if got == nil || got.Phase != tc.want {
+			t.Errorf("%s: ended as %+v, want %s", tc.name, got, tc.want)
+		}
+	}
+}
