Condemn slowness during the shift only once it lasts or the bound is spent

Cause: slow moments condemned after 0.2 s, although the bound lasted longer; and the reserve for a step to be in force was half a second's requests also in a fleet in which it takes a tenth of that.

--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -84,6 +84,9 @@
 	endedBefore int
 	// sentBefore is the number of attempts that were sent to the target by then.
 	sentBefore int
+	// lag is how long after the beginning of the phase attempts were first counted in number; 0
+	// before.
+	lag time.Duration
 }
 
 // Next returns the next state of a running rollout, or nil if it stays as it is.
@@ -97,6 +100,7 @@
 		c.judge.Mark(in.Totals)
 		c.endedBefore = in.Totals.endedAtTarget()
 		c.sentBefore, _ = in.Totals.Sent()
+		c.lag = 0
 	}
 	step := func(phase Phase, share uint32, format string, args ...any) *Rollout {
 		next := *r
@@ -106,6 +110,9 @@
 		}
 		return &next
 	}
+	if c.lag == 0 && in.Totals.endedAtTarget()-c.endedBefore >= minMomentAttempts {
+		c.lag = in.Elapsed - r.Elapsed
+	}
 	worst, lasting := c.judge.Worst(in.Totals, r.Phase, in.Elapsed)
 	if worst.Condemns() {
 		return step(RolledBack, 0, "%s", worst)
@@ -116,9 +123,10 @@
 	left := r.Duration - max(minEndMargin, time.Duration(endMargin*float64(r.Duration))) - in.Elapsed
 	switch {
 	case r.Phase == Shifting && lasting.Doubtful():
-		// Attempts are counted late, and a step takes countLag to be in force everywhere.
+		// Attempts are counted late, and a step takes a while to be in force everywhere: no longer than the
+		// last one and the first attempts after it took.
 		sent := max(float64(target), float64(c.sentBefore)+c.rate*(in.Elapsed-r.Elapsed).Seconds())
-		if left > 0 && sent < allowed-c.rate*countLag.Seconds() {
+		if left > 0 && sent < allowed-c.rate*c.stepLag().Seconds() {
 			return nil // Further attempts may dispel the doubt.
 		}
 		return step(RolledBack, 0, "%s, which is in doubt at the end of what the target may get", lasting)
@@ -145,6 +153,14 @@
 	return nil
 }
 
+// stepLag returns how long a step takes to be in force, at most.
+func (c *Controller) stepLag() time.Duration {
+	if c.lag > 0 {
+		return min(countLag, c.lag)
+	}
+	return countLag
+}
+
 // mark has the judge count from here on as well, from time to time.
 func (c *Controller) mark(r *Rollout, in Input) {
 	since := in.Elapsed - c.markedAt
--- a/internal/rollout/judge_test.go
+++ b/internal/rollout/judge_test.go
@@ -102,6 +102,7 @@
 		want Phase
 	}{
 		{"slow at first", func(look int) float64 { return pick(look <= 2, 0.5, 0) }, Succeeded},
+		{"slow for 0.25 s", func(look int) float64 { return pick(look <= 5, 0.5, 0) }, Succeeded},
 		{"slow throughout", func(int) float64 { return 0.5 }, RolledBack},
 	} {
 		c := &Controller{Bounds: DefaultBounds, rate: perSecond}
