--- a/internal/streamorigin/recorder.go
+++ b/internal/streamorigin/recorder.go
@@ -26,10 +26,14 @@
 // lookup is a stream whose origin was not known to the router.
 type lookup struct {
 	// done is closed once the directory has answered.
-	done    chan struct{}
-	origin  Origin
-	known   bool
-	waiting int
+	done   chan struct{}
+	origin Origin
+	known  bool
+	// serversKnown is set if the router knows all servers that the stream may have begun at;
+	// confirmed is closed once it is.
+	serversKnown bool
+	confirmed    chan struct{}
+	waiting      int
 	// sent is set once the directory was asked.
 	sent bool
 }
@@ -53,16 +57,17 @@
 
 // Lookup returns the origin of a stream. If this router does not know it, Lookup calls ask,
 // which has the directory asked by the next report, and waits for the answer until ctx is
-// done.
-func (r *Recorder) Lookup(ctx context.Context, s Stream, ask func()) (o Origin, known bool) {
+// done. If the origin is not known, serversKnown says whether the router knows all servers that
+// the stream may have begun at. Once it does, Lookup waits no longer if they suffice.
+func (r *Recorder) Lookup(ctx context.Context, s Stream, ask func(), suffice func() bool) (o Origin, known, serversKnown bool) {
 	r.mu.Lock()
 	if o, known = r.table.Lookup(s); known {
 		r.mu.Unlock()
-		return o, true
+		return o, true, false
 	}
 	l := r.lookups[s]
 	if l == nil {
-		l = &lookup{done: make(chan struct{})}
+		l = &lookup{done: make(chan struct{}), confirmed: make(chan struct{})}
 		r.lookups[s] = l
 	}
 	l.waiting++
@@ -71,13 +76,21 @@
 	select {
 	case <-l.done:
 	case <-ctx.Done():
+	case <-l.confirmed:
+		if suffice() {
+			break
+		}
+		select {
+		case <-l.done:
+		case <-ctx.Done():
+		}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if l.waiting--; l.waiting == 0 && r.lookups[s] == l {
 		delete(r.lookups, s)
 	}
-	return l.origin, l.known
+	return l.origin, l.known, l.serversKnown
 }
 
 // Report returns what to report, and the streams to ask for. If all is set, the process has
@@ -100,8 +113,9 @@
 	return Encode(records), lookups
 }
 
-// Answer takes over the directory's answers to lookups.
-func (r *Recorder) Answer(found []*fleetpb.StreamOrigins, unknown []uint64, now time.Time) {
+// Answer takes over the directory's answers to lookups. serversKnown is set if the router has
+// received all servers that the unknown streams may have begun at.
+func (r *Recorder) Answer(found []*fleetpb.StreamOrigins, unknown []uint64, serversKnown bool, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	Decode(found, func(s Stream, o Origin) {
@@ -113,11 +127,25 @@
 	})
 	for _, s := range unknown {
 		if l := r.lookups[Stream(s)]; l != nil {
+			l.serversKnown = l.serversKnown || serversKnown
 			r.finish(Stream(s), l)
 		}
 	}
 }
 
+// ConfirmServers records that the router has received all servers that the streams may have begun
+// at.
+func (r *Recorder) ConfirmServers(streams []uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range streams {
+		if l := r.lookups[Stream(s)]; l != nil && !l.serversKnown {
+			l.serversKnown = true
+			close(l.confirmed)
+		}
+	}
+}
+
 // finish wakes the requests that wait. The caller holds mu.
 func (r *Recorder) finish(s Stream, l *lookup) {
 	delete(r.lookups, s)
