Soak: servers that leave through the API, evacuations, all directory processes killed

Callers saw requests reach servers that had left and data centres that were evacuated, both acknowledged. The soak did not show it: its servers left by saying so in answers only, nothing was evacuated, and a majority of the directory processes always ran.

--- a/cmd/kqsoak/main.go
+++ b/cmd/kqsoak/main.go
@@ -28,7 +28,7 @@
 func main() {
 	dir, previous := "", ""
 	seed, seeds, seconds := uint64(1), 1, 15
-	directories, routers, servers, clients := 3, 4, 6, 16
+	directories, routers, servers, clients := 3, 4, 6, 24
 	flaggy.SetName("kqsoak")
 	flaggy.SetDescription("Disturbs a fleet on loopback and checks its promises.")
 	flaggy.SetVersion(version.Version)
@@ -132,8 +132,8 @@
 	if err != nil {
 		return fmt.Errorf("%w; logs in %s", err, conf.Dir)
 	}
-	fmt.Printf("seed %d: %d faults, %d served, %d refused, %d failed, %d streams resumed, %d rollouts ordered, version %d acknowledged, recovered after %s, %d violations\n",
-		conf.Seed, r.Faults, r.Served, r.Refused, r.Failed, r.Resumed, r.Rollouts, r.AcknowledgedVersion, r.RecoveryTime.Round(time.Millisecond), len(r.Violations))
+	fmt.Printf("seed %d: %d faults, %d served, %d refused, %d failed, %d streams resumed, %d rollouts ordered, %d departures, %d evacuations, version %d acknowledged, recovered after %s, %d violations\n",
+		conf.Seed, r.Faults, r.Served, r.Refused, r.Failed, r.Resumed, r.Rollouts, r.Departures, r.Evacuations, r.AcknowledgedVersion, r.RecoveryTime.Round(time.Millisecond), len(r.Violations))
 	for _, v := range r.Violations[:min(maxPrintedViolations, len(r.Violations))] {
 		fmt.Println("  broken:", v)
 	}
