Departures: callers that have gone, unknown starts, details of servers, earlier releases

- A leave without the time of birth, in the socket of a process that had been stopped, ended the server's next start: the server had its leave acknowledged elsewhere since ('the next start of x is gone after a leave whose caller has gone').
Such a leave is now checked like an evacuation; one that names its start needs no check.
- Such a leave of an unknown server was recorded with the time of the receiver, so that clocks that differ kept the server in use or shut the next start out.
A process that may not know all servers yet answers not-ready, and the server asks another one.
- A departure that was known without its server kept the service and the version out that others sent later ('x is known with service "" and version ""'), by which routers tell which versions began streams.
- A draining announcement that arrived late was recorded, although the server was ready again.
- Processes of earlier releases take one server per address, so that of several departures without an address they kept one; and they apply no record, so that they are now relayed what it changes.

A directory process whose state went back sends its routers the whole state again.

--- a/internal/directory/catchup.go
+++ b/internal/directory/catchup.go
@@ -24,6 +24,9 @@
 	}
 	if latest < h.broadcastRevision {
 		h.log.Error("the replicated state went back", "revision", latest, "was-revision", h.broadcastRevision, "version", state.Version())
+		for s := range h.sessions {
+			s.revision = 0
+		}
 	}
 	h.logEvacuations(state)
 	h.broadcastRevision = latest
--- a/internal/directory/changes.go
+++ b/internal/directory/changes.go
@@ -28,6 +28,12 @@
 	return d, change
 }
 
+// isReady reports whether a server is known and ready.
+func (h *hub) isReady(id string) bool {
+	s := h.table.Get(id)
+	return s != nil && s.State == inventory.Ready
+}
+
 func (h *hub) recordChange(id string, change inventory.Change, direct bool) {
 	switch change {
 	case inventory.Stale:
--- a/internal/directory/departures.go
+++ b/internal/directory/departures.go
@@ -39,7 +39,8 @@
 	at time.Time
 }
 
-// mergeDepartures applies the recorded departures to the server table, and tells the routers.
+// mergeDepartures applies the recorded departures to the server table, and tells the routers and
+// the other processes.
 func (h *hub) mergeDepartures() {
 	departures, now := h.machine.State().Departures, h.now()
 	recorded := make(map[string]recordedDeparture, len(departures))
@@ -52,7 +53,8 @@
 	}
 	h.departures.recordedAt = recorded
 	for _, id := range h.table.SetDepartures(departures, now) {
-		h.recordChange(id, inventory.Changed, false)
+		// Processes of earlier releases apply no record.
+		h.recordChange(id, inventory.Changed, true)
 	}
 }
 
@@ -63,7 +65,9 @@
 	recorded := make(chan error, 1)
 	held, found := h.machine.State().Departures[d.ID]
 	repeated := held.Born == d.Born && held.State == d.State && change != inventory.Changed
-	if found && (repeated || !d.Supersedes(held)) {
+	// A late announcement says nothing of a server that is ready again.
+	readyAgain := d.State == inventory.Draining && change == inventory.Stale && h.isReady(d.ID)
+	if found && (repeated || !d.Supersedes(held)) || readyAgain {
 		recorded <- nil
 		return recorded
 	}
--- a/internal/directory/operations.go
+++ b/internal/directory/operations.go
@@ -123,16 +123,30 @@
 // server that is leaving.
 func (p *Process) Leave(ctx context.Context, id string, born int64) error {
 	began := time.Now()
+	if born == 0 {
+		// The server may have left by another process since, and started again.
+		if err := p.checkCaller(ctx); err != nil {
+			return err
+		}
+	}
 	var relayed *ackCounter
 	var recorded <-chan error
 	var change inventory.Change
+	unknown := false
 	err := p.hub.do(ctx, func() {
+		unknown = born == 0 && p.hub.table.Get(id) == nil && !p.hub.knowsAllServers
+		if unknown {
+			return
+		}
 		var d inventory.Departure
 		d, change = p.hub.leave(id, born)
 		recorded, relayed = p.hub.recordDeparture(d, change), p.hub.relayed
 	})
-	if err != nil {
+	switch {
+	case err != nil:
 		return err
+	case unknown:
+		return errkind.New(errkind.NotReady, "server %q, whose leave names no start, is not known here yet", id).WithRetryAfter(learnTime)
 	}
 	err = awaitDeparture(ctx, recorded, relayed)
 	p.logDeparture("server left", id, born, change, began, relayed, err)
--- a/internal/inventory/codec.go
+++ b/internal/inventory/codec.go
@@ -6,10 +6,19 @@
 	"github.com/kumquathollow/kumquathollow/api/fleetpb"
 )
 
+// noAddressPrefix begins the address in the announcement of a departed server whose address is not
+// known.
+const noAddressPrefix = "departed/"
+
 // Encode returns the announcement of a server, with its times relative to now.
 func Encode(s *Server, now time.Time) *fleetpb.Announcement {
+	address := s.Address
+	if address == "" {
+		// Processes of earlier releases let one server have an address, an empty one included.
+		address = noAddressPrefix + s.ID
+	}
 	return &fleetpb.Announcement{
-		Id: s.ID, Born: s.Born, Sequence: s.Sequence, Service: s.Service, Address: s.Address,
+		Id: s.ID, Born: s.Born, Sequence: s.Sequence, Service: s.Service, Address: address,
 		DataCentre: s.DataCentre, Version: s.Version, Slots: uint32(s.Slots), State: fleetpb.ServerState(s.State),
 		ColdMs: uint32(max(0, s.ColdUntil.Sub(now).Milliseconds())),
 		AgeMs:  uint32(max(0, now.Sub(s.LastSeen).Milliseconds())),
@@ -24,6 +33,9 @@
 		DataCentre: a.DataCentre, Version: a.Version, Slots: int(a.Slots), State: State(a.State),
 		LastSeen: now.Add(-time.Duration(a.AgeMs) * time.Millisecond),
 	}
+	if a.Address == noAddressPrefix+a.Id {
+		out.Address = ""
+	}
 	if a.ColdMs > 0 {
 		out.ColdUntil = now.Add(time.Duration(a.ColdMs) * time.Millisecond)
 	}
--- a/internal/inventory/table.go
+++ b/internal/inventory/table.go
@@ -109,6 +109,16 @@
 		d.apply(&s)
 	}
 	old := t.servers[s.ID]
+	if old != nil && s.Born == old.Born && s.State == Gone && old.State == Gone && old.Service == "" && s.Service != "" {
+		// The departure was known without the server, whose service and version still matter.
+		t.servers[s.ID] = &s
+		return Changed
+	}
+	if old != nil && s.State == Gone && s.Service == "" && s.Born >= old.Born {
+		described := *old
+		described.Born, described.Sequence, described.State, described.LastSeen = s.Born, s.Sequence, Gone, s.LastSeen
+		s = described
+	}
 	if t.Overruled(&s) || old != nil && !newer(&s, old) && !(old.State != Gone && t.overrules(&s, old)) {
 		return Stale
 	}
