Make a committed change of the voters durable before anything rests on it

Cause: a voter set takes effect when it is committed, and the commit index went to disk only with the next entry. After a restart the set before was in force, with the machine that is gone, and two of its four voters are no majority. Besides, the leader acknowledged commands by the new majority while it alone knew of it.

Change: a change of the commit index that puts a set in force is written. A leader appends an empty entry when a set comes into force, commits up to the set first, and counts the new majority only from that entry on, so that whatever the new majority has committed is preceded by the set on a majority of disks. The next change of the voters, AddVoter and RemoveVoter wait for that. Without a leader, processes tell each other what is committed (hellos, pre-votes and their answers, a field that earlier releases ignore), so that a voter with a longer log learns of a removal from one that cannot be elected.

Messages and state on disk stay readable both ways; under a leader of an earlier release a follower still writes the commit index.

Cost: one write more for each change of the set, none for an entry (a test counts them).

--- a/internal/replication/confirm.go
+++ b/internal/replication/confirm.go
@@ -140,8 +140,7 @@
 }
 
 func (c *Core) onHello(m *pb.Message) {
-	reply := &pb.Message{Type: pb.MessageType_HELLO_REPLY, Round: m.Round}
-	reply.Snapshot = &pb.SnapshotMeta{Index: c.commit, Voters: c.voters}
+	reply := &pb.Message{Type: pb.MessageType_HELLO_REPLY, Round: m.Round, Snapshot: c.commitMeta()}
 	if k := c.marks[m.FromDisk]; k != nil {
 		reply.Marks = []*pb.Mark{k}
 	}
--- a/internal/replication/core.go
+++ b/internal/replication/core.go
@@ -74,7 +74,7 @@
 var (
 	ErrNotLeader          = errors.New("this process is not the leader of its group")
 	ErrUncommittedLimit   = errors.New("the uncommitted entries of the leader exceed their size limit")
-	ErrChangePending      = errors.New("another voter set change is pending, or the leader has not committed an entry of its term yet")
+	ErrChangePending      = errors.New("another voter set change is pending or not durable yet, or the leader has not committed an entry of its term")
 	ErrInvalidVoterChange = errors.New("a voter set change may add or remove at most one voter and must leave at least one")
 )
 
@@ -93,6 +93,8 @@
 	log         raftLog
 	commit      uint64
 	voters      *pb.VoterSet
+	// votersIndex is the index of the entry that holds voters, or of the snapshot that does.
+	votersIndex uint64
 	snapshot    *pb.SnapshotMeta
 	// durableTerm and durableLast are the term and last index that are durable on
 	// this disk.
@@ -124,6 +126,9 @@
 	progress           map[string]*progress
 	// termStartIndex is the index of the leader's first entry in its term.
 	termStartIndex uint64
+	// votersStartIndex is the index of the first entry that the leader has appended in its term
+	// and since voters is in force.
+	votersStartIndex uint64
 	// pendingVotersIndex is the index up to which the log may hold an uncommitted voter
 	// set. No other set is proposed before it is committed.
 	pendingVotersIndex uint64
@@ -197,7 +202,7 @@
 	c.savedHardState = proto.Clone(hs).(*pb.HardState)
 	if r.Snapshot != nil {
 		c.snapshot, c.voters = r.Snapshot, cloneVoterSet(r.Snapshot.Voters)
-		c.commit, c.applying = r.Snapshot.Index, r.Snapshot.Index
+		c.commit, c.applying, c.votersIndex = r.Snapshot.Index, r.Snapshot.Index, r.Snapshot.Index
 	}
 	c.log = newLog(r.Snapshot.GetIndex(), r.Snapshot.GetTerm(), r.Entries)
 	c.durableTerm, c.durableLast = c.term, c.log.last()
@@ -373,10 +378,12 @@
 func (r *Ready) NeedsSync() bool { return r.HardState != nil || len(r.Entries) > 0 }
 
 // hardStateIfChanged returns the hard state to persist, or nil. A change of the commit
-// index alone is not persisted on its own, but together with the next other change.
+// index alone is persisted on its own only if it puts a voter set in force, since after a
+// restart the one before might count voters that are gone. Otherwise it is persisted
+// together with the next other change.
 func (c *Core) hardStateIfChanged() *pb.HardState {
 	s := c.savedHardState
-	changed := s.Term != c.term || s.Vote != c.vote || s.Quarantined != c.quarantined
+	changed := s.Term != c.term || s.Vote != c.vote || s.Quarantined != c.quarantined || s.Commit < c.votersIndex && c.snapshot.GetIndex() < c.votersIndex
 	if !changed && c.durableNext > c.log.last() {
 		return nil
 	}
--- a/internal/replication/election.go
+++ b/internal/replication/election.go
@@ -9,6 +9,7 @@
 		return
 	}
 	c.recordMarks(m)
+	c.learnCommit(m)
 	switch m.Type {
 	case pb.MessageType_HELLO:
 		c.onHello(m)
@@ -50,6 +51,9 @@
 	isRequest := m.Type == pb.MessageType_PRE_VOTE || m.Type == pb.MessageType_VOTE
 	if isRequest && !c.mayVote() {
 		c.sendHelloToCandidate(m)
+		if m.Type == pb.MessageType_PRE_VOTE && c.commit > 0 {
+			c.send(sender(m), &pb.Message{Type: pb.MessageType_PRE_VOTE_REPLY, Reject: true, Snapshot: c.commitMeta()})
+		}
 		return false
 	}
 	if isRequest && !m.HandedOver && c.hasLiveLeader() {
@@ -106,7 +110,7 @@
 	}
 	for _, v := range c.voters.Voters {
 		if v.Id != c.cfg.ID {
-			c.send(v, &pb.Message{Type: typ, Term: term, Index: c.log.last(), LogTerm: c.log.lastTerm(), HandedOver: c.leadershipTransfer})
+			c.send(v, &pb.Message{Type: typ, Term: term, Index: c.log.last(), LogTerm: c.log.lastTerm(), HandedOver: c.leadershipTransfer, Snapshot: c.commitMeta()})
 		}
 	}
 }
@@ -115,7 +119,7 @@
 	upToDate := m.LogTerm > c.log.lastTerm() || m.LogTerm == c.log.lastTerm() && m.Index >= c.log.last()
 	if m.Type == pb.MessageType_PRE_VOTE {
 		grant := upToDate && m.Term > c.term
-		reply := &pb.Message{Type: pb.MessageType_PRE_VOTE_REPLY, Reject: !grant}
+		reply := &pb.Message{Type: pb.MessageType_PRE_VOTE_REPLY, Reject: !grant, Snapshot: c.commitMeta()}
 		if grant {
 			reply.Term = m.Term
 			c.deferCampaign(m)
@@ -184,6 +188,32 @@
 	return true
 }
 
+// commitMeta returns the last entry known to be committed and the voter set in force. Processes
+// tell each other while there is no leader: after a restart only some of them may know that a
+// change of the voters is committed, and the others would wait for voters that are gone.
+func (c *Core) commitMeta() *pb.SnapshotMeta {
+	term, _ := c.log.term(c.commit)
+	return &pb.SnapshotMeta{Index: c.commit, Term: term, Voters: c.voters}
+}
+
+// learnCommit advances the commit index to that of another process if this log holds the
+// same entry there. Its term is missing in messages of earlier releases.
+func (c *Core) learnCommit(m *pb.Message) {
+	s := m.Snapshot
+	if m.Type == pb.MessageType_SNAPSHOT || c.role == Leader || s.GetTerm() == 0 || s.Index <= c.commit {
+		return
+	}
+	if t, ok := c.log.term(s.Index); !ok || t != s.Term {
+		return
+	}
+	known := c.votersIndex
+	c.advanceCommit(s.Index)
+	if c.votersIndex != known && c.role != Follower {
+		// The votes were asked of another set.
+		c.becomeFollower(c.term, "")
+	}
+}
+
 func (c *Core) becomeLeader() {
 	c.role, c.leader = Leader, c.cfg.ID
 	c.starting, c.attempts = false, 0
@@ -191,6 +221,7 @@
 	c.syncProgress()
 	c.quorumCheckDue = c.now + c.cfg.ElectionTimeout
 	c.termStartIndex = c.log.last() + 1
+	c.votersStartIndex = c.termStartIndex
 	c.uncommittedBytes = 0
 	// The log may hold an uncommitted voter set of an earlier leader.
 	c.pendingVotersIndex = c.log.last()
--- a/internal/replication/group.go
+++ b/internal/replication/group.go
@@ -295,8 +295,45 @@
 }
 
 func (g *Group) proposeVoters(ctx context.Context, next func(*pb.VoterSet) *pb.VoterSet) error {
-	_, err := g.awaitProposal(ctx, func() (uint64, uint64, error) { return g.core.ProposeVoters(next(g.core.Voters())) })
-	return err
+	var index uint64
+	_, err := g.awaitProposal(ctx, func() (uint64, uint64, error) {
+		i, term, err := g.core.ProposeVoters(next(g.core.Voters()))
+		index = i
+		return i, term, err
+	})
+	if err != nil {
+		return err
+	}
+	return g.awaitVotersDurable(ctx, index)
+}
+
+// votersPollInterval is how often a change of the voters checks whether it is durable.
+const votersPollInterval = 10 * time.Millisecond
+
+// awaitVotersDurable waits until a majority of the voters durably knows that the voter set in the
+// entry at index, which this process has committed, is committed. A leader that has removed
+// itself does not wait, since it is no longer told.
+func (g *Group) awaitVotersDurable(ctx context.Context, index uint64) error {
+	tick := time.NewTicker(votersPollInterval)
+	defer tick.Stop()
+	for {
+		s := g.Status()
+		switch {
+		case s.Commit < index:
+			// The status is older than the commit.
+		case s.VotersDurable || !isMember(s.Voters.Voters, s.ID, s.Disk):
+			return nil
+		case !s.Leading:
+			return errkind.New(errkind.ChangeUnknown, "the voters were changed, but this process lost leadership before a majority of them had recorded it")
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return errkind.Wrap(ctx.Err(), errkind.ChangeUnknown, "the voters were changed, but a majority of them has not recorded it before the deadline")
+		case <-g.done:
+			return errkind.New(errkind.ChangeUnknown, "this process stopped before a majority of the voters had recorded their change")
+		}
+	}
 }
 
 func (g *Group) awaitProposal(ctx context.Context, propose func() (uint64, uint64, error)) (any, error) {
--- a/internal/replication/replicate.go
+++ b/internal/replication/replicate.go
@@ -21,12 +21,13 @@
 }
 
 // ProposeVoters appends a new voter set to the leader's log. The set takes effect
-// when it is committed.
+// when it is committed. The next one is accepted once a majority of its voters durably
+// knows so.
 func (c *Core) ProposeVoters(next *pb.VoterSet) (index, term uint64, err error) {
 	switch {
 	case c.role != Leader || c.suspended:
 		return 0, 0, ErrNotLeader
-	case c.pendingVotersIndex > c.commit || c.commit < c.termStartIndex:
+	case c.pendingVotersIndex > c.commit || !c.votersDurable():
 		return 0, 0, ErrChangePending
 	case !differByAtMostOne(c.voters, next) || len(next.Voters) == 0:
 		return 0, 0, ErrInvalidVoterChange
@@ -218,7 +219,7 @@
 	}
 	c.log = newLog(s.Index, s.Term, nil)
 	c.commit, c.applying, c.durableNext = s.Index, s.Index, s.Index+1
-	c.snapshot, c.voters = s, cloneVoterSet(s.Voters)
+	c.snapshot, c.voters, c.votersIndex = s, cloneVoterSet(s.Voters), s.Index
 	c.ready.Install, c.ready.Committed = s, nil
 	reply.Index = s.Index
 	c.ackedIndex = max(c.ackedIndex, s.Index)
@@ -286,7 +287,10 @@
 }
 
 // maybeCommit advances the commit index to the highest index that a majority of
-// the voters holds, if the entry there is of the current term.
+// the voters holds, if the entry there is of the current term and was appended since
+// the voter set is in force. A voter that holds such an entry durably knows, by the
+// commit index that came with it, that the set is committed. So whatever is committed
+// by the majority of a set is preceded by the set itself on the disks of a majority.
 func (c *Core) maybeCommit() {
 	var matches []uint64
 	for _, v := range c.voters.Voters {
@@ -297,10 +301,10 @@
 	}
 	slices.Sort(matches)
 	index := matches[len(matches)-majority(len(matches))]
-	if t, ok := c.log.term(index); !ok || t != c.term || index <= c.commit {
+	if t, ok := c.log.term(index); !ok || t != c.term || index <= c.commit || index < c.votersStartIndex {
 		return
 	}
-	c.advanceCommit(index)
+	c.advanceCommit(c.firstVoterSet(index))
 	if c.role != Leader {
 		return
 	}
@@ -311,6 +315,17 @@
 	}
 }
 
+// firstVoterSet returns the index of the first voter set after the commit index and up
+// to the given index, or that index if there is none.
+func (c *Core) firstVoterSet(to uint64) uint64 {
+	for _, e := range c.log.slice(c.commit+1, to, int(^uint(0)>>1)) {
+		if e.Type == pb.EntryType_VOTERS {
+			return e.Index
+		}
+	}
+	return to
+}
+
 func (c *Core) matchIndex(v *pb.Voter) uint64 {
 	if v.Id == c.cfg.ID {
 		return c.durableLast
@@ -338,8 +353,14 @@
 	}
 }
 
+// votersDurable reports whether this process leads and a majority of the voters durably
+// knows that the set is committed, as they hold an entry of its term that came after.
+func (c *Core) votersDurable() bool {
+	return c.role == Leader && c.commit >= c.votersStartIndex
+}
+
 func (c *Core) activateVoters(set *pb.VoterSet) {
-	c.voters = set
+	c.voters, c.votersIndex = set, c.commit
 	c.updateConfirmed()
 	if c.role != Leader {
 		return
@@ -347,7 +368,10 @@
 	c.syncProgress()
 	if !c.isVoter() {
 		c.becomeFollower(c.term, "")
+		return
 	}
+	c.votersStartIndex = c.log.last() + 1
+	c.appendLocal(pb.EntryType_NOOP, nil)
 }
 
 // Compact reports that a snapshot is durable. The entries up to keepFrom that the
--- a/internal/replication/sim_test.go
+++ b/internal/replication/sim_test.go
@@ -74,6 +74,8 @@
 	committed   []*pb.Entry
 	leaders     map[uint64]string
 	lastCommand int
+	// writes counts the writes to disk of each process.
+	writes map[string]int
 }
 
 const simTick = 20 * time.Millisecond
@@ -89,7 +91,7 @@
 func newSim(t testing.TB, seed uint64, n int) *sim {
 	s := &sim{
 		t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]*simNode{},
-		blockedLinks: map[[2]string]bool{}, leaders: map[uint64]string{}, maxDelay: 15 * time.Millisecond,
+		blockedLinks: map[[2]string]bool{}, leaders: map[uint64]string{}, writes: map[string]int{}, maxDelay: 15 * time.Millisecond,
 	}
 	set := &pb.VoterSet{}
 	for i := range n {
@@ -157,6 +159,9 @@
 }
 
 func (s *sim) persist(n *simNode, r Ready) {
+	if r.NeedsSync() {
+		s.writes[n.id]++
+	}
 	if r.Install != nil {
 		n.disk.snap, n.disk.log = r.Install, nil
 		n.applied = r.Install.Index
@@ -399,12 +404,18 @@
 			return
 		}
 	}
+	s.logNodes()
+	s.fail("the group did not commit and apply a command in 60 attempts")
+}
+
+// logNodes logs the state of each process.
+func (s *sim) logNodes() {
+	s.t.Helper()
 	for _, id := range s.nodeIDs {
 		if c := s.nodes[id].core; c != nil {
 			s.t.Logf("%s: role %d term %d last %d commit %d confirmed %v quarantined %v voters %v", id, c.role, c.term, c.log.last(), c.commit, c.confirmed, c.quarantined, c.voters)
 		}
 	}
-	s.fail("the group did not commit and apply a command in 60 attempts")
 }
 
 func decodeVoterSet(s *sim, e *pb.Entry) *pb.VoterSet {
--- a/internal/replication/status.go
+++ b/internal/replication/status.go
@@ -22,6 +22,9 @@
 	Progress    map[string]MemberProgress
 	Confirmed   bool
 	Quarantined bool
+	// VotersDurable is set on a leader once a majority of Voters durably knows that the set is
+	// committed.
+	VotersDurable bool
 	// Suspended is set while the disk has no room. The process then knows no leader and
 	// does not lead.
 	Suspended bool
@@ -84,7 +87,7 @@
 	s := &Status{
 		ID: c.cfg.ID, Disk: c.cfg.Disk, Leading: c.role == Leader, Leader: c.leader, Term: c.term,
 		Commit: c.commit, LastIndex: c.log.last(), Voters: c.voters, Confirmed: c.Confirmed(),
-		Quarantined: c.quarantined, Suspended: c.suspended, LogBytes: c.log.bytes, Progress: map[string]MemberProgress{},
+		VotersDurable: c.votersDurable(), Quarantined: c.quarantined, Suspended: c.suspended, LogBytes: c.log.bytes, Progress: map[string]MemberProgress{},
 	}
 	for _, v := range c.members() {
 		if index, silentMs, ok := c.Progress(v.Id); ok {
@@ -187,7 +190,8 @@
 	}
 }
 
-// RemoveVoter removes a voter or learner. It returns once the removal is committed.
+// RemoveVoter removes a voter or learner. It returns once the removal is committed and a majority
+// of the other voters durably knows so: then the removed one is no longer needed.
 func (g *Group) RemoveVoter(ctx context.Context, id string) error {
 	set := g.Status().Voters
 	if findVoter(set.Voters, id) == nil && findVoter(set.Learners, id) == nil {
