--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -142,7 +142,7 @@
 				}
 				s := NewState()
 				if restored.Snapshot != nil {
-					if err := st.LoadSnapshot(s.Restore); err != nil {
+					if _, err := st.LoadSnapshot(s.Restore); err != nil {
 						b.Fatal(err)
 					}
 				}
--- a/internal/replication/applier.go
+++ b/internal/replication/applier.go
@@ -115,11 +115,15 @@
 }
 
 func (a *applier) applyBatch(ctx context.Context, snapshot *pb.SnapshotMeta, es []*pb.Entry) error {
-	if snapshot != nil {
-		if err := a.loadSnapshot(snapshot); err != nil {
+	if snapshot != nil && snapshot.Index > a.meta.Index {
+		if err := a.loadSnapshot(); err != nil {
 			return err
 		}
 	}
+	if snapshot != nil {
+		// A newer snapshot than the one that was queued may have been loaded.
+		es = slices.DeleteFunc(es, func(e *pb.Entry) bool { return e.Index <= a.meta.Index })
+	}
 	for _, e := range es {
 		if err := a.applyEntry(e); err != nil {
 			return err
@@ -130,8 +134,10 @@
 	return a.maybeSnapshot(ctx)
 }
 
-func (a *applier) loadSnapshot(meta *pb.SnapshotMeta) error {
-	if err := a.g.opt.Storage.LoadSnapshot(a.g.opt.StateMachine.Restore); err != nil {
+// loadSnapshot loads the newest snapshot.
+func (a *applier) loadSnapshot() error {
+	meta, err := a.g.opt.Storage.LoadSnapshot(a.g.opt.StateMachine.Restore)
+	if err != nil {
 		return err
 	}
 	a.meta = proto.Clone(meta).(*pb.SnapshotMeta)
--- a/internal/replication/group.go
+++ b/internal/replication/group.go
@@ -24,8 +24,8 @@
 	Append(hs *pb.HardState, entries []*pb.Entry, marks []*pb.Mark) error
 	// SaveSnapshot may run concurrently with Append.
 	SaveSnapshot(meta *pb.SnapshotMeta, write func(io.Writer) error) error
-	// LoadSnapshot passes the data of the newest snapshot to read.
-	LoadSnapshot(read func(io.Reader) error) error
+	// LoadSnapshot passes the data of the newest snapshot to read and returns its metadata.
+	LoadSnapshot(read func(io.Reader) error) (*pb.SnapshotMeta, error)
 	// OpenSnapshot opens the newest snapshot in the form in which it is sent to
 	// another process.
 	OpenSnapshot() (io.ReadCloser, *pb.SnapshotMeta, error)
@@ -132,7 +132,7 @@
 		opt.CatchUpEntries = DefaultCatchUpEntries
 	}
 	if opt.Restored.Snapshot != nil {
-		if err := opt.Storage.LoadSnapshot(opt.StateMachine.Restore); err != nil {
+		if _, err := opt.Storage.LoadSnapshot(opt.StateMachine.Restore); err != nil {
 			return nil, err
 		}
 		opt.StateMachine.Publish(opt.Restored.Snapshot.Index)
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -314,20 +314,21 @@
 	return nil
 }
 
-// LoadSnapshot calls read with the data of the newest snapshot and verifies all of it.
-func (s *Store) LoadSnapshot(read func(io.Reader) error) error {
+// LoadSnapshot calls read with the data of the newest snapshot, verifies all of it and returns
+// its metadata.
+func (s *Store) LoadSnapshot(read func(io.Reader) error) (*pb.SnapshotMeta, error) {
 	f, _, err := s.OpenSnapshot()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer f.Close()
 	r, err := ReadSnapshot(f)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if err := read(r); err != nil {
-		return err
+		return nil, err
 	}
 	_, err = io.Copy(io.Discard, r)
-	return err
+	return r.Meta, err
 }
