Remove silent voters also when several are silent

What callers saw: two core machines were replaced as planned work and stopped together.

Cause: nextVoterChange removed a silent voter only if all others but one were live. Two that turn silent together fail that for ever: five voters with two that are gone.

Change: silent voters are removed one at a time, the one silent for longest first, while 2 x toleratedLosses + 1 live ones remain.

Why it is safe: docs/design/replication.md, "Which voters a directory group removes". One voter at a time, so adjacent sets share a majority; the next change waits until a majority of the new set durably knows it; what is committed is then held by a majority of the set without the removed disk; a set of that floor bears the losses.

--- a/internal/directory/damaged_test.go
+++ b/internal/directory/damaged_test.go
@@ -95,7 +95,7 @@
 		})
 	}
 	c.publish(hosts[1], 2, "two")
-	for _, h := range hosts {
+	for _, h := range hosts[:4] {
 		c.awaitDocument(h, "two")
 	}
 }
--- a/internal/directory/process.go
+++ b/internal/directory/process.go
@@ -125,7 +125,7 @@
 func (p *Process) assemble(ownAddress string, seeds []string) {
 	manager := &voterManager{
 		id: ownAddress, address: ownAddress, disk: p.store.DiskID(), group: p.group, dialer: p.dialer, log: p.log.Named("roster"),
-		now: time.Now, seeds: seeds, pendingJoins: map[string]pendingJoin{},
+		now: time.Now, seeds: seeds, minVoters: minVoters(p.conf.ToleratedLosses), pendingJoins: map[string]pendingJoin{},
 	}
 	p.server = &server{process: uuid.NewString(), group: p.group, machine: p.machine, voterManager: manager, dialer: p.dialer, log: p.log}
 	p.hub = newHub(p.log.Named("servers"), p.machine, ownAddress, p.conf.DataCentre, p.startPeer)
--- a/internal/directory/settings.go
+++ b/internal/directory/settings.go
@@ -28,6 +28,9 @@
 	Data string `yaml:"data"`
 	// Seeds are addresses of directory processes; only their hosts are used.
 	Seeds []string `yaml:"seeds"`
+	// ToleratedLosses is how many directory processes may lose their disks at the same time; 0
+	// means 1. A silent voter is removed only while enough others are left to bear as many.
+	ToleratedLosses int `yaml:"toleratedLosses,omitempty"`
 	// Founding is true when the whole fleet starts for the first time.
 	Founding bool `yaml:"founding"`
 	// Memory is the limit of the Go heap in MiB; 0 means no limit.
@@ -83,6 +86,9 @@
 	if b := s.Rollouts; !(b.Share >= 0 && b.Share <= 1) || b.Slack < 0 {
 		return errkind.New(errkind.InvalidSettings, "rollouts: share is %v and slack %d: share must be from 0 to 1, slack not negative", b.Share, b.Slack)
 	}
+	if s.ToleratedLosses < 0 {
+		return errkind.New(errkind.InvalidSettings, "toleratedLosses is %d: it must not be negative", s.ToleratedLosses)
+	}
 	if len(s.Seeds) == 0 {
 		return errkind.New(errkind.InvalidSettings, "seeds is empty: name at least one directory process")
 	}
--- a/internal/directory/settings_test.go
+++ b/internal/directory/settings_test.go
@@ -45,6 +45,7 @@
 		`address "127.0.0.1"`: func(s *Settings) { s.Operations = "127.0.0.1" },
 		"4711x":               func(s *Settings) { s.FleetAddress = "4711x" },
 		"seeds":               func(s *Settings) { s.Seeds = nil },
+		"toleratedLosses":     func(s *Settings) { s.ToleratedLosses = -1 },
 		"seed-1":              func(s *Settings) { s.Seeds = []string{"seed-1"} },
 	} {
 		s := validSettings()
--- a/internal/directory/voters.go
+++ b/internal/directory/voters.go
@@ -24,12 +24,9 @@
 	// joinRequestTTL is how long a join request stays valid. A process that still wants
 	// to join has repeated its request several times by then.
 	joinRequestTTL = 2 * time.Second
-	// voterSilenceLimit is how long a voter must be silent before it is replaced. It
+	// voterSilenceLimit is how long a voter must be silent before it is removed. It
 	// exceeds the duration of an election, so that a busy voter is not removed.
 	voterSilenceLimit = 3 * time.Second
-	// minLiveVoters is the number of live voters below which no silent voter is removed.
-	// With fewer, a quorum could depend on the removed disk.
-	minLiveVoters = 3
 	// changeVoterTimeout limits one voter change, including the catch-up of a new voter.
 	changeVoterTimeout = 5 * time.Second
 )
@@ -43,6 +40,8 @@
 	dialer      *rpc.Dialer
 	log         hclog.Logger
 	now         func() time.Time
+	// minVoters is the number of live voters below which no silent voter is removed.
+	minVoters int
 
 	mu           sync.Mutex
 	seeds        []string
@@ -191,13 +190,19 @@
 		}
 		return 1
 	})
-	return nextVoterChange(s, pending)
+	return nextVoterChange(s, pending, m.minVoters)
 }
 
+// minVoters returns the number of voters that bear the loss of as many disks as are given: what is
+// committed is held by a majority of them, and a majority is left.
+func minVoters(losses int) int { return 2*max(1, losses) + 1 }
+
 // nextVoterChange returns the next voter change, or nil. A voter whose disk was
 // replaced is removed first, since it counts towards the majority without being able
-// to vote. A silent voter is removed only if enough live voters remain.
-func nextVoterChange(s *replication.Status, pending []*fleetpb.JoinRequest) *voterChange {
+// to vote. Silent voters are removed, the one that is silent for longest first, while at
+// least minVoters live ones remain. There is no need to keep a silent voter beyond that:
+// its disk holds nothing that a majority of the others does not hold once it is removed.
+func nextVoterChange(s *replication.Status, pending []*fleetpb.JoinRequest, minVoters int) *voterChange {
 	for _, join := range pending {
 		for _, v := range slices.Concat(s.Voters.Voters, s.Voters.Learners) {
 			if v.Id == join.Id && v.Disk != join.Disk {
@@ -207,14 +212,15 @@
 	}
 	silent, live := "", 0
 	for _, v := range s.Voters.Voters {
-		if v.Id == s.ID || s.Progress[v.Id].SilentMs < voterSilenceLimit.Milliseconds() {
+		switch p := s.Progress[v.Id]; {
+		case v.Id == s.ID || p.SilentMs < voterSilenceLimit.Milliseconds():
 			live++
-		} else {
+		case silent == "" || p.SilentMs > s.Progress[silent].SilentMs:
 			silent = v.Id
 		}
 	}
-	if silent != "" && live >= max(minLiveVoters, len(s.Voters.Voters)-1) {
-		return &voterChange{op: opRemove, id: silent, reason: "the voter is silent and a replacement has joined"}
+	if silent != "" && live >= minVoters {
+		return &voterChange{op: opRemove, id: silent, reason: "the voter is silent and enough others are left"}
 	}
 	for _, join := range pending {
 		return &voterChange{op: opAdd, id: join.Id, address: join.Address, reason: "the process requested to join"}
