Measure the silence of a voter across changes of the leader

Cause: a new leader takes every voter as just heard from. Where leaders change more often than every 3 s, a lost voter is never silent for that long.

Change: every process keeps when each member was last heard from. A heartbeat names the voters that the leader has not heard from for longer than an election timeout, and for how long (none in a healthy group, so it costs nothing there); followers take that over and go on from it when they lead. A new leader removes such a voter once that has left it without an answer for 1 s besides, since voters are silent without a leader too. Earlier releases ignore the field; under a leader of one, silence begins with the next leader's term, as before.

--- a/internal/directory/voters.go
+++ b/internal/directory/voters.go
@@ -27,6 +27,9 @@
 	// voterSilenceLimit is how long a voter must be silent before it is removed. It
 	// exceeds the duration of an election, so that a busy voter is not removed.
 	voterSilenceLimit = 3 * time.Second
+	// voterAnswerLimit is how long a voter must have left this leader without an answer
+	// besides: voters are silent without a leader as well.
+	voterAnswerLimit = 2 * electionTimeout
 	// changeVoterTimeout limits one voter change, including the catch-up of a new voter.
 	changeVoterTimeout = 5 * time.Second
 )
@@ -213,7 +216,7 @@
 	silent, live := "", 0
 	for _, v := range s.Voters.Voters {
 		switch p := s.Progress[v.Id]; {
-		case v.Id == s.ID || p.SilentMs < voterSilenceLimit.Milliseconds():
+		case v.Id == s.ID || p.SilentMs < voterSilenceLimit.Milliseconds() || p.UnansweredMs < voterAnswerLimit.Milliseconds():
 			live++
 		case silent == "" || p.SilentMs > s.Progress[silent].SilentMs:
 			silent = v.Id
--- a/internal/directory/voters_test.go
+++ b/internal/directory/voters_test.go
@@ -12,7 +12,7 @@
 	s := &replication.Status{ID: voters[0], Leading: true, Voters: &pb.VoterSet{}, Progress: map[string]replication.MemberProgress{}}
 	for _, v := range voters {
 		s.Voters.Voters = append(s.Voters.Voters, &pb.Voter{Id: v, Address: v, Disk: "disk-" + v})
-		s.Progress[v] = replication.MemberProgress{MatchIndex: 10, SilentMs: silent[v]}
+		s.Progress[v] = replication.MemberProgress{MatchIndex: 10, SilentMs: silent[v], UnansweredMs: silent[v]}
 	}
 	return s
 }
@@ -23,11 +23,14 @@
 
 func TestNextVoterChange(t *testing.T) {
 	const dead = 10_000
+	newLeader := groupStatus(map[string]int64{"b": dead}, "a", "b", "c", "d")
+	newLeader.Progress["b"] = replication.MemberProgress{SilentMs: dead, UnansweredMs: 500}
 	for name, c := range map[string]struct {
 		status  *replication.Status
 		pending []*fleetpb.JoinRequest
 		want    string
 	}{
+		"one that a new leader has not waited for is kept":                {newLeader, nil, ""},
 		"a silent voter of four is kept if three live ones do not remain": {groupStatus(map[string]int64{"b": dead, "c": dead}, "a", "b", "c", "d"), nil, ""},
 		"nothing to do":                                                      {groupStatus(nil, "a", "b", "c"), nil, ""},
 		"a wiped voter is removed first":                                     {groupStatus(nil, "a", "b", "c"), []*fleetpb.JoinRequest{join("b", "new")}, "remove b"},
--- a/internal/replication/change_test.go
+++ b/internal/replication/change_test.go
@@ -19,8 +19,8 @@
 	switch id := s.nodeIDs[s.rng.IntN(len(s.nodeIDs))]; {
 	case len(set.Learners) > 0:
 		v := set.Learners[0]
-		match, _, _ := l.core.Progress(v.Id)
-		if match+2 < l.core.Commit() || match == 0 {
+		p, _ := l.core.Progress(v.Id)
+		if p.MatchIndex+2 < l.core.Commit() || p.MatchIndex == 0 {
 			return
 		}
 		next = WithLearnerPromoted(set, v.Id)
--- a/internal/replication/core.go
+++ b/internal/replication/core.go
@@ -106,6 +106,9 @@
 	ackedIndex       uint64
 	uncommittedBytes int
 	marks            map[string]*pb.Mark
+	// heard is when each disk of a member was last heard from, here or by a leader that told.
+	// A new leader goes on from it, so that changes of the leader do not hide a silent voter.
+	heard map[string]time.Duration
 
 	electionDue time.Duration
 	// starting is true from a start with FirstElectionTimeout set until a leader is
@@ -193,7 +196,7 @@
 
 // New returns a core that continues from the restored state.
 func New(cfg Config, rng *rand.Rand, now time.Duration, r RestoredState) *Core {
-	c := &Core{cfg: cfg, rng: rng, now: now, marks: map[string]*pb.Mark{}, confirmations: map[string]bool{}, voters: &pb.VoterSet{}}
+	c := &Core{cfg: cfg, rng: rng, now: now, marks: map[string]*pb.Mark{}, heard: map[string]time.Duration{}, confirmations: map[string]bool{}, voters: &pb.VoterSet{}}
 	hs := r.HardState
 	if hs == nil {
 		hs = &pb.HardState{}
--- a/internal/replication/election.go
+++ b/internal/replication/election.go
@@ -9,6 +9,7 @@
 		return
 	}
 	c.recordMarks(m)
+	c.recordContact(m.FromDisk, c.now)
 	c.learnCommit(m)
 	switch m.Type {
 	case pb.MessageType_HELLO:
@@ -219,6 +220,11 @@
 	c.starting, c.attempts = false, 0
 	c.progress = map[string]*progress{}
 	c.syncProgress()
+	for _, v := range c.members() {
+		if _, known := c.heard[v.Disk]; !known {
+			c.heard[v.Disk] = c.now
+		}
+	}
 	c.quorumCheckDue = c.now + c.cfg.ElectionTimeout
 	c.termStartIndex = c.log.last() + 1
 	c.votersStartIndex = c.termStartIndex
--- a/internal/replication/replicate.go
+++ b/internal/replication/replicate.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -40,21 +41,25 @@
 	return c.pendingVotersIndex, c.term, nil
 }
 
-// Progress returns the last index that a member is known to hold and how long ago
-// it was last heard from, in milliseconds. ok is false if this process is not the
+// Progress returns the leader's view of a member. ok is false if this process is not the
 // leader or id is not a member.
-func (c *Core) Progress(id string) (match uint64, silentMs int64, ok bool) {
+func (c *Core) Progress(id string) (mp MemberProgress, ok bool) {
 	if c.role != Leader {
-		return 0, 0, false
+		return MemberProgress{}, false
 	}
 	if id == c.cfg.ID {
-		return c.durableLast, 0, true
+		return MemberProgress{MatchIndex: c.durableLast}, true
 	}
 	p := c.progress[id]
 	if p == nil {
-		return 0, 0, false
+		return MemberProgress{}, false
 	}
-	return p.match, (c.now - p.lastContact).Milliseconds(), true
+	unanswered := c.now - p.lastContact
+	silent := unanswered
+	if heard, known := c.heard[p.disk]; known {
+		silent = c.now - heard
+	}
+	return MemberProgress{MatchIndex: p.match, SilentMs: silent.Milliseconds(), UnansweredMs: unanswered.Milliseconds()}, true
 }
 
 func (c *Core) appendLocal(t pb.EntryType, data []byte) uint64 {
@@ -119,13 +124,13 @@
 func (c *Core) heartbeat() {
 	c.heartbeatDue = c.now + c.cfg.HeartbeatInterval
 	c.heartbeatRound++
-	marks := c.memberMarks()
+	marks, silent := c.memberMarks(), c.silences()
 	for _, v := range c.members() {
 		p := c.progress[v.Id]
 		if p == nil {
 			continue
 		}
-		m := &pb.Message{Type: pb.MessageType_HEARTBEAT, Round: c.heartbeatRound, Commit: min(c.commit, p.match), Marks: marks}
+		m := &pb.Message{Type: pb.MessageType_HEARTBEAT, Round: c.heartbeatRound, Commit: min(c.commit, p.match), Marks: marks, Silent: silent}
 		m.Shown = &pb.Mark{Disk: c.cfg.Disk, Term: c.term, Index: c.durableLast}
 		c.ready.Immediate = append(c.ready.Immediate, c.fill(v, m))
 	}
@@ -200,7 +205,45 @@
 	}
 }
 
+// recordContact records that the disk of a member was heard from.
+func (c *Core) recordContact(disk string, at time.Duration) {
+	for _, v := range c.members() {
+		if v.Disk != disk {
+			continue
+		}
+		if heard, known := c.heard[disk]; !known || at > heard {
+			c.heard[disk] = at
+		}
+		return
+	}
+}
+
+// silences returns the voters that were not heard from for longer than an election timeout.
+func (c *Core) silences() []*pb.Silence {
+	var out []*pb.Silence
+	for _, v := range c.voters.Voters {
+		heard, known := c.heard[v.Disk]
+		if known && v.Disk != c.cfg.Disk && c.now-heard > c.cfg.ElectionTimeout {
+			out = append(out, &pb.Silence{Disk: v.Disk, Ms: uint64((c.now - heard).Milliseconds())})
+		}
+	}
+	return out
+}
+
+// recordSilences takes over what a leader says of the voters. One that it does not mention was
+// heard from; a leader of an earlier release mentions none.
+func (c *Core) recordSilences(silent []*pb.Silence) {
+	since := map[string]time.Duration{}
+	for _, s := range silent {
+		since[s.Disk] = time.Duration(s.Ms) * time.Millisecond
+	}
+	for _, v := range c.voters.Voters {
+		c.recordContact(v.Disk, c.now-since[v.Disk])
+	}
+}
+
 func (c *Core) onHeartbeat(m *pb.Message) {
+	c.recordSilences(m.Silent)
 	c.advanceCommit(min(m.Commit, c.log.last()))
 	c.send(sender(m), &pb.Message{Type: pb.MessageType_HEARTBEAT_REPLY, Round: m.Round})
 }
@@ -361,6 +404,7 @@
 
 func (c *Core) activateVoters(set *pb.VoterSet) {
 	c.voters, c.votersIndex = set, c.commit
+	c.forgetRemoved()
 	c.updateConfirmed()
 	if c.role != Leader {
 		return
@@ -374,6 +418,19 @@
 	c.appendLocal(pb.EntryType_NOOP, nil)
 }
 
+// forgetRemoved drops the contacts of disks that are no longer members.
+func (c *Core) forgetRemoved() {
+	members := map[string]bool{}
+	for _, v := range c.members() {
+		members[v.Disk] = true
+	}
+	for disk := range c.heard {
+		if !members[disk] {
+			delete(c.heard, disk)
+		}
+	}
+}
+
 // Compact reports that a snapshot is durable. The entries up to keepFrom that the
 // snapshot covers are removed from memory.
 func (c *Core) Compact(meta *pb.SnapshotMeta, keepFrom uint64) {
--- a/internal/replication/status.go
+++ b/internal/replication/status.go
@@ -31,11 +31,14 @@
 	LogBytes  int
 }
 
-// MemberProgress is a leader's view of one member: how much of the log it holds
-// and how long ago it was last heard from.
+// MemberProgress is a leader's view of one member.
 type MemberProgress struct {
+	// MatchIndex is the last index that the member is known to hold.
 	MatchIndex uint64
-	SilentMs   int64
+	// SilentMs is how long ago it was last heard from, by this leader or one before.
+	SilentMs int64
+	// UnansweredMs is how long ago it last answered this leader, or how long this one leads.
+	UnansweredMs int64
 }
 
 // Status returns the latest status. The caller must not modify it.
@@ -90,8 +93,8 @@
 		VotersDurable: c.votersDurable(), Quarantined: c.quarantined, Suspended: c.suspended, LogBytes: c.log.bytes, Progress: map[string]MemberProgress{},
 	}
 	for _, v := range c.members() {
-		if index, silentMs, ok := c.Progress(v.Id); ok {
-			s.Progress[v.Id] = MemberProgress{MatchIndex: index, SilentMs: silentMs}
+		if p, ok := c.Progress(v.Id); ok {
+			s.Progress[v.Id] = p
 		}
 	}
 	if s.Suspended {
