--- a/internal/replication/group.go
+++ b/internal/replication/group.go
@@ -97,9 +97,11 @@
 
 	// Owned by the goroutine of Run.
 	receivedSnapshot *ReceivedSnapshot
-	suspension       suspension
-	readSeq          uint64
-	pendingReads     map[uint64]*waiter
+	// snapshotInstalled is closed once receivedSnapshot is installed.
+	snapshotInstalled chan struct{}
+	suspension        suspension
+	readSeq           uint64
+	pendingReads      map[uint64]*waiter
 
 	mu        sync.Mutex
 	proposals map[uint64]*waiter
@@ -252,6 +254,7 @@
 			return err
 		}
 		g.applier.enqueueSnapshot(r.Install)
+		close(g.snapshotInstalled)
 		g.receivedSnapshot, r.Install = nil, nil
 	}
 	if !r.NeedsSync() {
--- a/internal/replication/peerserver.go
+++ b/internal/replication/peerserver.go
@@ -14,7 +14,8 @@
 // PeerServer handles the calls of the other processes of the group.
 type PeerServer struct {
 	g *Group
-	// receiveMu is held while a snapshot is received; only one is received at a time.
+	// receiveMu is held from the start of a snapshot's transfer until the snapshot is installed or
+	// refused, since the next one is stored in its place.
 	receiveMu sync.Mutex
 	// Authorise, if set, returns an error for callers that are not members of the
 	// control group.
@@ -90,22 +91,34 @@
 	}
 	m.Snapshot = rec.Meta
 	s.g.peers.setAddress(m.From, m.FromAddress)
-	stepped := make(chan struct{})
-	err = s.g.enqueue(ctx, func() {
-		if s.g.suspension.ready == nil {
-			s.g.receivedSnapshot = rec
-			s.g.core.Step(m)
+	if err := s.g.installReceived(ctx, m, rec); err != nil {
+		return err
+	}
+	return stream.SendAndClose(&pb.DeliverResponse{})
+}
+
+// installReceived passes the message of a received snapshot to the core. It returns once the
+// snapshot is installed or refused.
+func (g *Group) installReceived(ctx context.Context, m *pb.Message, rec *ReceivedSnapshot) error {
+	settled := make(chan struct{})
+	err := g.enqueue(ctx, func() {
+		if g.suspension.ready == nil {
+			g.core.Step(m)
+		}
+		if g.suspension.ready != nil || g.core.ready.Install != rec.Meta {
+			close(settled)
+			return
 		}
-		close(stepped)
+		g.receivedSnapshot, g.snapshotInstalled = rec, settled
 	})
 	if err != nil {
 		return err
 	}
 	select {
-	case <-stepped:
-	case <-s.g.done:
+	case <-settled:
+	case <-g.done:
 	}
-	return stream.SendAndClose(&pb.DeliverResponse{})
+	return nil
 }
 
 func copySnapshotParts(w io.Writer, part *pb.SnapshotPart, stream pb.DRPCPeer_InstallSnapshotStream) error {
