--- a/internal/replication/group.go
+++ b/internal/replication/group.go
@@ -24,8 +24,8 @@
 	Append(hs *pb.HardState, entries []*pb.Entry, marks []*pb.Mark) error
 	// SaveSnapshot may run concurrently with Append.
 	SaveSnapshot(meta *pb.SnapshotMeta, write func(io.Writer) error) error
-	// LoadSnapshot passes the data of the newest snapshot to read.
-	LoadSnapshot(read func(io.Reader) error) error
+	// LoadSnapshot passes the data of the newest snapshot to read and returns its metadata.
+	LoadSnapshot(read func(io.Reader) error) (*pb.SnapshotMeta, error)
 	// OpenSnapshot opens the newest snapshot in the form in which it is sent to
 	// another process.
 	OpenSnapshot() (io.ReadCloser, *pb.SnapshotMeta, error)
@@ -97,9 +97,11 @@
 
 	// Owned by the goroutine of Run.
 	receivedSnapshot *ReceivedSnapshot
-	suspension       suspension
-	readSeq          uint64
-	pendingReads     map[uint64]*waiter
+	// snapshotInstalled is closed once receivedSnapshot is installed.
+	snapshotInstalled chan struct{}
+	suspension        suspension
+	readSeq           uint64
+	pendingReads      map[uint64]*waiter
 
 	mu        sync.Mutex
 	proposals map[uint64]*waiter
@@ -132,7 +134,7 @@
 		opt.CatchUpEntries = DefaultCatchUpEntries
 	}
 	if opt.Restored.Snapshot != nil {
-		if err := opt.Storage.LoadSnapshot(opt.StateMachine.Restore); err != nil {
+		if _, err := opt.Storage.LoadSnapshot(opt.StateMachine.Restore); err != nil {
 			return nil, err
 		}
 		opt.StateMachine.Publish(opt.Restored.Snapshot.Index)
@@ -252,6 +254,7 @@
 			return err
 		}
 		g.applier.enqueueSnapshot(r.Install)
+		close(g.snapshotInstalled)
 		g.receivedSnapshot, r.Install = nil, nil
 	}
 	if !r.NeedsSync() {
@@ -306,8 +309,45 @@
 }
 
 func (g *Group) proposeVoters(ctx context.Context, next func(*pb.VoterSet) *pb.VoterSet) error {
-	_, err := g.awaitProposal(ctx, func() (uint64, uint64, error) { return g.core.ProposeVoters(next(g.core.Voters())) })
-	return err
+	var index uint64
+	_, err := g.awaitProposal(ctx, func() (uint64, uint64, error) {
+		i, term, err := g.core.ProposeVoters(next(g.core.Voters()))
+		index = i
+		return i, term, err
+	})
+	if err != nil {
+		return err
+	}
+	return g.awaitVotersDurable(ctx, index)
+}
+
+// votersPollInterval is how often a change of the voters checks whether it is durable.
+const votersPollInterval = 10 * time.Millisecond
+
+// awaitVotersDurable waits until a majority of the voters durably knows that the voter set in the
+// entry at index, which this process has committed, is committed. A leader that has removed
+// itself does not wait, since it is no longer told.
+func (g *Group) awaitVotersDurable(ctx context.Context, index uint64) error {
+	tick := time.NewTicker(votersPollInterval)
+	defer tick.Stop()
+	for {
+		s := g.Status()
+		switch {
+		case s.Commit < index:
+			// The status is older than the commit.
+		case s.VotersDurable || !isMember(s.Voters.Voters, s.ID, s.Disk):
+			return nil
+		case !s.Leading:
+			return errkind.New(errkind.ChangeUnknown, "the voters were changed, but this process lost leadership before a majority of them had recorded it")
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return errkind.Wrap(ctx.Err(), errkind.ChangeUnknown, "the voters were changed, but a majority of them has not recorded it before the deadline")
+		case <-g.done:
+			return errkind.New(errkind.ChangeUnknown, "this process stopped before a majority of the voters had recorded their change")
+		}
+	}
 }
 
 func (g *Group) awaitProposal(ctx context.Context, propose func() (uint64, uint64, error)) (any, error) {
--- a/internal/replication/replicate.go
+++ b/internal/replication/replicate.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -21,12 +22,13 @@
 }
 
 // ProposeVoters appends a new voter set to the leader's log. The set takes effect
-// when it is committed.
+// when it is committed. The next one is accepted once a majority of its voters durably
+// knows so.
 func (c *Core) ProposeVoters(next *pb.VoterSet) (index, term uint64, err error) {
 	switch {
 	case c.role != Leader || c.suspended:
 		return 0, 0, ErrNotLeader
-	case c.pendingVotersIndex > c.commit || c.commit < c.termStartIndex:
+	case c.pendingVotersIndex > c.commit || !c.votersDurable():
 		return 0, 0, ErrChangePending
 	case !differByAtMostOne(c.voters, next) || len(next.Voters) == 0:
 		return 0, 0, ErrInvalidVoterChange
@@ -39,21 +41,25 @@
 	return c.pendingVotersIndex, c.term, nil
 }
 
-// Progress returns the last index that a member is known to hold and how long ago
-// it was last heard from, in milliseconds. ok is false if this process is not the
+// Progress returns the leader's view of a member. ok is false if this process is not the
 // leader or id is not a member.
-func (c *Core) Progress(id string) (match uint64, silentMs int64, ok bool) {
+func (c *Core) Progress(id string) (mp MemberProgress, ok bool) {
 	if c.role != Leader {
-		return 0, 0, false
+		return MemberProgress{}, false
 	}
 	if id == c.cfg.ID {
-		return c.durableLast, 0, true
+		return MemberProgress{MatchIndex: c.durableLast}, true
 	}
 	p := c.progress[id]
 	if p == nil {
-		return 0, 0, false
+		return MemberProgress{}, false
 	}
-	return p.match, (c.now - p.lastContact).Milliseconds(), true
+	unanswered := c.now - p.lastContact
+	silent := unanswered
+	if heard, known := c.heard[p.disk]; known {
+		silent = c.now - heard
+	}
+	return MemberProgress{MatchIndex: p.match, SilentMs: silent.Milliseconds(), UnansweredMs: unanswered.Milliseconds()}, true
 }
 
 func (c *Core) appendLocal(t pb.EntryType, data []byte) uint64 {
@@ -118,13 +124,13 @@
 func (c *Core) heartbeat() {
 	c.heartbeatDue = c.now + c.cfg.HeartbeatInterval
 	c.heartbeatRound++
-	marks := c.memberMarks()
+	marks, silent := c.memberMarks(), c.silences()
 	for _, v := range c.members() {
 		p := c.progress[v.Id]
 		if p == nil {
 			continue
 		}
-		m := &pb.Message{Type: pb.MessageType_HEARTBEAT, Round: c.heartbeatRound, Commit: min(c.commit, p.match), Marks: marks}
+		m := &pb.Message{Type: pb.MessageType_HEARTBEAT, Round: c.heartbeatRound, Commit: min(c.commit, p.match), Marks: marks, Silent: silent}
 		m.Shown = &pb.Mark{Disk: c.cfg.Disk, Term: c.term, Index: c.durableLast}
 		c.ready.Immediate = append(c.ready.Immediate, c.fill(v, m))
 	}
@@ -199,7 +205,45 @@
 	}
 }
 
+// recordContact records that the disk of a member was heard from.
+func (c *Core) recordContact(disk string, at time.Duration) {
+	for _, v := range c.members() {
+		if v.Disk != disk {
+			continue
+		}
+		if heard, known := c.heard[disk]; !known || at > heard {
+			c.heard[disk] = at
+		}
+		return
+	}
+}
+
+// silences returns the voters that were not heard from for longer than an election timeout.
+func (c *Core) silences() []*pb.Silence {
+	var out []*pb.Silence
+	for _, v := range c.voters.Voters {
+		heard, known := c.heard[v.Disk]
+		if known && v.Disk != c.cfg.Disk && c.now-heard > c.cfg.ElectionTimeout {
+			out = append(out, &pb.Silence{Disk: v.Disk, Ms: uint64((c.now - heard).Milliseconds())})
+		}
+	}
+	return out
+}
+
+// recordSilences takes over what a leader says of the voters. One that it does not mention was
+// heard from; a leader of an earlier release mentions none.
+func (c *Core) recordSilences(silent []*pb.Silence) {
+	since := map[string]time.Duration{}
+	for _, s := range silent {
+		since[s.Disk] = time.Duration(s.Ms) * time.Millisecond
+	}
+	for _, v := range c.voters.Voters {
+		c.recordContact(v.Disk, c.now-since[v.Disk])
+	}
+}
+
 func (c *Core) onHeartbeat(m *pb.Message) {
+	c.recordSilences(m.Silent)
 	c.advanceCommit(min(m.Commit, c.log.last()))
 	c.send(sender(m), &pb.Message{Type: pb.MessageType_HEARTBEAT_REPLY, Round: m.Round})
 }
@@ -218,7 +262,7 @@
 	}
 	c.log = newLog(s.Index, s.Term, nil)
 	c.commit, c.applying, c.durableNext = s.Index, s.Index, s.Index+1
-	c.snapshot, c.voters = s, cloneVoterSet(s.Voters)
+	c.snapshot, c.voters, c.votersIndex = s, cloneVoterSet(s.Voters), s.Index
 	c.ready.Install, c.ready.Committed = s, nil
 	reply.Index = s.Index
 	c.ackedIndex = max(c.ackedIndex, s.Index)
@@ -286,7 +330,10 @@
 }
 
 // maybeCommit advances the commit index to the highest index that a majority of
-// the voters holds, if the entry there is of the current term.
+// the voters holds, if the entry there is of the current term and was appended since
+// the voter set is in force. A voter that holds such an entry durably knows, by the
+// commit index that came with it, that the set is committed. So whatever is committed
+// by the majority of a set is preceded by the set itself on the disks of a majority.
 func (c *Core) maybeCommit() {
 	var matches []uint64
 	for _, v := range c.voters.Voters {
@@ -297,10 +344,10 @@
 	}
 	slices.Sort(matches)
 	index := matches[len(matches)-majority(len(matches))]
-	if t, ok := c.log.term(index); !ok || t != c.term || index <= c.commit {
+	if t, ok := c.log.term(index); !ok || t != c.term || index <= c.commit || index < c.votersStartIndex {
 		return
 	}
-	c.advanceCommit(index)
+	c.advanceCommit(c.firstVoterSet(index))
 	if c.role != Leader {
 		return
 	}
@@ -311,6 +358,17 @@
 	}
 }
 
+// firstVoterSet returns the index of the first voter set after the commit index and up
+// to the given index, or that index if there is none.
+func (c *Core) firstVoterSet(to uint64) uint64 {
+	for _, e := range c.log.slice(c.commit+1, to, int(^uint(0)>>1)) {
+		if e.Type == pb.EntryType_VOTERS {
+			return e.Index
+		}
+	}
+	return to
+}
+
 func (c *Core) matchIndex(v *pb.Voter) uint64 {
 	if v.Id == c.cfg.ID {
 		return c.durableLast
@@ -338,8 +396,15 @@
 	}
 }
 
+// votersDurable reports whether this process leads and a majority of the voters durably
+// knows that the set is committed, as they hold an entry of its term that came after.
+func (c *Core) votersDurable() bool {
+	return c.role == Leader && c.commit >= c.votersStartIndex
+}
+
 func (c *Core) activateVoters(set *pb.VoterSet) {
-	c.voters = set
+	c.voters, c.votersIndex = set, c.commit
+	c.forgetRemoved()
 	c.updateConfirmed()
 	if c.role != Leader {
 		return
@@ -347,6 +412,22 @@
 	c.syncProgress()
 	if !c.isVoter() {
 		c.becomeFollower(c.term, "")
+		return
+	}
+	c.votersStartIndex = c.log.last() + 1
+	c.appendLocal(pb.EntryType_NOOP, nil)
+}
+
+// forgetRemoved drops the contacts of disks that are no longer members.
+func (c *Core) forgetRemoved() {
+	members := map[string]bool{}
+	for _, v := range c.members() {
+		members[v.Disk] = true
+	}
+	for disk := range c.heard {
+		if !members[disk] {
+			delete(c.heard, disk)
+		}
 	}
 }
 
--- a/internal/replication/status.go
+++ b/internal/replication/status.go
@@ -22,17 +22,23 @@
 	Progress    map[string]MemberProgress
 	Confirmed   bool
 	Quarantined bool
+	// VotersDurable is set on a leader once a majority of Voters durably knows that the set is
+	// committed.
+	VotersDurable bool
 	// Suspended is set while the disk has no room. The process then knows no leader and
 	// does not lead.
 	Suspended bool
 	LogBytes  int
 }
 
-// MemberProgress is a leader's view of one member: how much of the log it holds
-// and how long ago it was last heard from.
+// MemberProgress is a leader's view of one member.
 type MemberProgress struct {
+	// MatchIndex is the last index that the member is known to hold.
 	MatchIndex uint64
-	SilentMs   int64
+	// SilentMs is how long ago it was last heard from, by this leader or one before.
+	SilentMs int64
+	// UnansweredMs is how long ago it last answered this leader, or how long this one leads.
+	UnansweredMs int64
 }
 
 // Status returns the latest status. The caller must not modify it.
@@ -84,11 +90,11 @@
 	s := &Status{
 		ID: c.cfg.ID, Disk: c.cfg.Disk, Leading: c.role == Leader, Leader: c.leader, Term: c.term,
 		Commit: c.commit, LastIndex: c.log.last(), Voters: c.voters, Confirmed: c.Confirmed(),
-		Quarantined: c.quarantined, Suspended: c.suspended, LogBytes: c.log.bytes, Progress: map[string]MemberProgress{},
+		VotersDurable: c.votersDurable(), Quarantined: c.quarantined, Suspended: c.suspended, LogBytes: c.log.bytes, Progress: map[string]MemberProgress{},
 	}
 	for _, v := range c.members() {
-		if index, silentMs, ok := c.Progress(v.Id); ok {
-			s.Progress[v.Id] = MemberProgress{MatchIndex: index, SilentMs: silentMs}
+		if p, ok := c.Progress(v.Id); ok {
+			s.Progress[v.Id] = p
 		}
 	}
 	if s.Suspended {
@@ -187,7 +193,8 @@
 	}
 }
 
-// RemoveVoter removes a voter or learner. It returns once the removal is committed.
+// RemoveVoter removes a voter or learner. It returns once the removal is committed and a majority
+// of the other voters durably knows so: then the removed one is no longer needed.
 func (g *Group) RemoveVoter(ctx context.Context, id string) error {
 	set := g.Status().Voters
 	if findVoter(set.Voters, id) == nil && findVoter(set.Learners, id) == nil {
