Test of the bound of handed-off requests: end instead of waiting for good on a busy machine

A request that reached no router is sent again, and if fewer are held than the limit, the test fails with the number. What it checks of the limit is unchanged.

--- a/internal/handoff/handoff_test.go
+++ b/internal/handoff/handoff_test.go
@@ -130,13 +130,22 @@
 	var held sync.WaitGroup
 	for range maxInFlight {
 		held.Go(func() {
-			if res := client.Do(t.Context(), address, newRequest(), ignoreParts); res.Err != nil {
+			res := client.Do(t.Context(), address, newRequest(), ignoreParts)
+			for errkind.Is(res.Err, errkind.Unreachable) { // A busy machine may open the connection too late.
+				res = client.Do(t.Context(), address, newRequest(), ignoreParts)
+			}
+			if res.Err != nil {
 				t.Errorf("a request within the limit: %v", res.Err)
 			}
 		})
 	}
 	for end := time.Now().Add(20 * time.Second); int(inFlight.Load()) < maxInFlight && time.Now().Before(end); time.Sleep(time.Millisecond) {
 	}
+	if n := inFlight.Load(); n < maxInFlight {
+		close(release)
+		held.Wait()
+		t.Fatalf("%d requests are held, want %d", n, maxInFlight)
+	}
 	res := client.Do(t.Context(), address, newRequest(), ignoreParts)
 	if !errkind.Is(res.Err, errkind.QueueFull) || res.MayHaveRun || !res.PeerFailed {
 		t.Errorf("a request over the limit: %+v, want queue-full, not run", res)
