Say who is still told that a list of servers is whole

Routers of this release ask for each stream instead (FollowUpdate.servers_known); the flag remains for those of earlier releases. Comment only.

--- a/internal/directory/changes.go
+++ b/internal/directory/changes.go
@@ -142,8 +142,8 @@
 // themselves every 1.2 s, and the other processes send theirs at once.
 const learnTime = 2 * time.Second
 
-// updateKnowsAllServers tells routers that were sent the list of servers before all were known
-// once that list and its later changes hold all.
+// updateKnowsAllServers records that all servers are known. Routers of earlier releases are told once
+// the list that they were sent, with its later changes, holds all.
 func (h *hub) updateKnowsAllServers() {
 	switch {
 	case h.leader == "":
