Log why leadership changes

A group whose leader changed without a fault logged who led and not why: an election after silence, a majority that the leader no longer heard, a higher term and a hand-over look alike. The line 'leadership' now says why this process follows, campaigns or leads, and how many voters there are.

--- a/internal/replication/core.go
+++ b/internal/replication/core.go
@@ -122,6 +122,8 @@
 	heartbeatDue     time.Duration
 	quorumCheckDue   time.Duration
 	leaderContact    time.Duration
+	// roleReason says why the role, the term or the known leader changed last.
+	roleReason string
 
 	votes map[string]bool
 	// leadershipTransfer is set while a campaign starts that the leader has asked for.
@@ -280,7 +282,7 @@
 		if c.mayCampaign() {
 			c.attempts++
 			c.campaignDeferred = false
-			c.campaign(PreCandidate)
+			c.campaign(PreCandidate, c.silenceReason())
 		} else {
 			c.resetElection()
 		}
@@ -291,7 +293,7 @@
 	if c.now >= c.quorumCheckDue {
 		c.quorumCheckDue = c.now + c.cfg.ElectionTimeout
 		if !c.hasQuorumContact() {
-			c.becomeFollower(c.term, "")
+			c.becomeFollower(c.term, "", "the leader does not hear from a majority")
 			return
 		}
 	}
@@ -316,7 +318,8 @@
 	return n >= majority(len(c.voters.Voters))
 }
 
-func (c *Core) becomeFollower(term uint64, leader string) {
+func (c *Core) becomeFollower(term uint64, leader, reason string) {
+	c.roleReason = reason
 	if term > c.term {
 		c.term, c.vote, c.ackedIndex = term, "", 0
 	}
--- a/internal/replication/election.go
+++ b/internal/replication/election.go
@@ -1,6 +1,11 @@
 package replication
 
-import pb "github.com/kumquathollow/kumquathollow/api/replicationpb"
+import (
+	"fmt"
+	"time"
+
+	pb "github.com/kumquathollow/kumquathollow/api/replicationpb"
+)
 
 // Step processes one received message. It ignores messages that are addressed to
 // another disk or come from this one.
@@ -69,7 +74,7 @@
 	case m.Type == pb.MessageType_PRE_VOTE_REPLY && !m.Reject:
 		return true
 	}
-	c.becomeFollower(m.Term, "")
+	c.becomeFollower(m.Term, "", fmt.Sprintf("%q has a higher term (%s)", m.From, m.Type))
 	return true
 }
 
@@ -97,7 +102,16 @@
 // vote.
 func (c *Core) mayVote() bool { return c.Confirmed() }
 
-func (c *Core) campaign(role Role) {
+// silenceReason says how long no leader was heard from when a voter begins to campaign.
+func (c *Core) silenceReason() string {
+	if c.leader == "" {
+		return "no leader is known"
+	}
+	return fmt.Sprintf("leader %q was not heard from for %s", c.leader, (c.now - c.leaderContact).Round(time.Millisecond))
+}
+
+func (c *Core) campaign(role Role, reason string) {
+	c.roleReason = reason
 	typ, term := pb.MessageType_PRE_VOTE, c.term+1
 	if role == Candidate {
 		c.term, c.vote, c.ackedIndex = c.term+1, c.cfg.Disk, 0
@@ -182,7 +196,7 @@
 		return false
 	}
 	if c.role == PreCandidate {
-		c.campaign(Candidate)
+		c.campaign(Candidate, "a majority would vote for this process")
 	} else {
 		c.becomeLeader()
 	}
@@ -211,12 +225,12 @@
 	c.advanceCommit(s.Index)
 	if c.votersIndex != known && c.role != Follower {
 		// The votes were asked of another set.
-		c.becomeFollower(c.term, "")
+		c.becomeFollower(c.term, "", "the voters changed during the campaign")
 	}
 }
 
 func (c *Core) becomeLeader() {
-	c.role, c.leader = Leader, c.cfg.ID
+	c.role, c.leader, c.roleReason = Leader, c.cfg.ID, "a majority voted for this process"
 	c.starting, c.attempts = false, 0
 	c.progress = map[string]*progress{}
 	c.syncProgress()
@@ -257,6 +271,9 @@
 }
 
 func (c *Core) followLeader(m *pb.Message) {
+	if c.leader != m.From {
+		c.roleReason = "a leader was heard from"
+	}
 	c.role, c.leader, c.votes = Follower, m.From, nil
 	c.starting, c.attempts = false, 0
 	c.leaderContact = c.now
@@ -308,6 +325,6 @@
 		return
 	}
 	c.leadershipTransfer = true
-	c.campaign(Candidate)
+	c.campaign(Candidate, fmt.Sprintf("leader %q handed over", m.From))
 	c.leadershipTransfer = false
 }
--- a/internal/replication/status.go
+++ b/internal/replication/status.go
@@ -105,7 +105,7 @@
 		return
 	}
 	if previous.Leader != s.Leader || previous.Term != s.Term {
-		g.opt.Log.Info("leadership", "leader", s.Leader, "term", s.Term, "commit", s.Commit)
+		g.opt.Log.Info("leadership", "leader", s.Leader, "term", s.Term, "commit", s.Commit, "voters", len(s.Voters.GetVoters()), "because", c.roleReason)
 	}
 	if s.Quarantined && !previous.Quarantined {
 		g.opt.Log.Error("disk quarantined: it holds less than it has acknowledged to the group, and this voter no longer votes. Remove the voter, empty its data folder and add it again.", "disk", s.Disk)
