Replace a lost voter by a learner that has caught up, the lost one first

Cause: a successor was added in one call that dialled it, had it catch up and promoted it, and only then was its predecessor's silence waited for. With both in the set three votes of four were needed instead of two of three. A leader that was lost in between left it all to the next one, which waited anew.

Change: a process that asks to join becomes a learner at once, by the disk that it names, without a call to it. Once it has caught up, the silent voter is removed, after 2 s of silence instead of 3 s, and the learner promoted in the next step. No promotion waits for a dial, and the majority never grows.

--- a/internal/directory/voters.go
+++ b/internal/directory/voters.go
@@ -27,10 +27,13 @@
 	// voterSilenceLimit is how long a voter must be silent before it is removed. It
 	// exceeds the duration of an election, so that a busy voter is not removed.
 	voterSilenceLimit = 3 * time.Second
+	// replacedSilenceLimit is that time if a process that has caught up is there to take the voter's
+	// place. The set keeps its size, so less is risked than with a removal alone.
+	replacedSilenceLimit = 2 * time.Second
 	// voterAnswerLimit is how long a voter must have left this leader without an answer
 	// besides: voters are silent without a leader as well.
 	voterAnswerLimit = 2 * electionTimeout
-	// changeVoterTimeout limits one voter change, including the catch-up of a new voter.
+	// changeVoterTimeout limits one voter change.
 	changeVoterTimeout = 5 * time.Second
 )
 
@@ -92,7 +95,7 @@
 		s := m.group.Status()
 		switch {
 		case s.Leading:
-			m.changeVoters(ctx, s)
+			m.changeVoters(ctx)
 		case m.wantsToJoin(s):
 			m.requestJoin(ctx)
 		}
@@ -146,33 +149,49 @@
 	}
 }
 
-// changeVoters makes at most one voter change.
-func (m *voterManager) changeVoters(ctx context.Context, s *replication.Status) {
-	change := m.nextChange(s)
-	if change == nil {
-		return
+// changeVoters makes the voter changes that are due, one after the other.
+func (m *voterManager) changeVoters(ctx context.Context) {
+	for {
+		s := m.group.Status()
+		change := m.nextChange(s)
+		if change == nil || !m.changeVoter(ctx, s, change) {
+			return
+		}
 	}
+}
+
+func (m *voterManager) changeVoter(ctx context.Context, s *replication.Status, change *voterChange) bool {
 	ctx, cancel := context.WithTimeout(ctx, changeVoterTimeout)
 	defer cancel()
+	began := m.now()
 	err := change.apply(ctx, m.group)
-	m.log.Info("voters changed", "step", change.op, "voter", change.id, "because", change.reason, "voters", len(s.Voters.Voters), "error", err)
+	m.log.Info("voters changed", "step", change.op, "voter", change.voter.Id, "because", change.reason, "voters", len(s.Voters.Voters),
+		"learners", len(s.Voters.Learners), "took", m.now().Sub(began).Round(time.Millisecond), "error", err)
+	return err == nil
 }
 
-// voterChange is the addition or removal of one voter.
+// voterChange is one step of a change of the voters.
 type voterChange struct {
-	op, id, address, reason string
+	op, reason string
+	voter      *pb.Voter
 }
 
 func (c *voterChange) apply(ctx context.Context, g *replication.Group) error {
-	if c.op == opRemove {
-		return g.RemoveVoter(ctx, c.id)
+	switch c.op {
+	case opRemove:
+		return g.RemoveVoter(ctx, c.voter.Id)
+	case opLearn:
+		return g.AddLearner(ctx, c.voter)
+	default:
+		return g.PromoteLearner(ctx, c.voter.Id)
 	}
-	return g.AddVoterAllowingLog(ctx, c.id, c.address)
 }
 
 const (
 	opRemove = "remove"
-	opAdd    = "add"
+	// opLearn has a process get the log, without a vote.
+	opLearn = "learn"
+	opAdd   = "add"
 )
 
 func (m *voterManager) nextChange(s *replication.Status) *voterChange {
@@ -202,31 +221,73 @@
 
 // nextVoterChange returns the next voter change, or nil. A voter whose disk was
 // replaced is removed first, since it counts towards the majority without being able
-// to vote. Silent voters are removed, the one that is silent for longest first, while at
+// to vote. A process that asks to join becomes a learner, and a voter once it has caught up.
+//
+// Silent voters are removed, the one that is silent for longest first, while at
 // least minVoters live ones remain. There is no need to keep a silent voter beyond that:
 // its disk holds nothing that a majority of the others does not hold once it is removed.
+//
+// Where a learner replaces a silent voter, that one is removed first: with both in the set, the
+// majority would be larger, and the loss of one more voter could end the quorum for good.
 func nextVoterChange(s *replication.Status, pending []*fleetpb.JoinRequest, minVoters int) *voterChange {
 	for _, join := range pending {
 		for _, v := range slices.Concat(s.Voters.Voters, s.Voters.Learners) {
 			if v.Id == join.Id && v.Disk != join.Disk {
-				return &voterChange{op: opRemove, id: v.Id, reason: "the voter's disk was replaced"}
+				return &voterChange{op: opRemove, voter: v, reason: "the voter's disk was replaced"}
 			}
 		}
 	}
-	silent, live := "", 0
+	var replacement *pb.Voter
+	for _, join := range pending {
+		v := &pb.Voter{Id: join.Id, Address: join.Address, Disk: join.Disk}
+		if !slices.ContainsFunc(s.Voters.Learners, func(l *pb.Voter) bool { return l.Id == join.Id }) {
+			return &voterChange{op: opLearn, voter: v, reason: "the process requested to join"}
+		}
+		if replacement == nil && s.CaughtUp(join.Id) {
+			replacement = v
+		}
+	}
+	limit, reason := voterSilenceLimit, "the voter is silent and enough others are left"
+	// A removal that has left fewer voters is followed by an addition, not by another one.
+	replaces := replacement != nil && len(s.Voters.Voters) >= minVoters
+	if replaces {
+		limit, reason = replacedSilenceLimit, "the voter is silent and a process that has caught up replaces it"
+	}
+	silent, live, suspected := longestSilent(s, limit)
+	switch {
+	case silent != nil && (live >= minVoters || replaces):
+		return &voterChange{op: opRemove, voter: silent, reason: reason}
+	case replacement == nil || replaces && suspected:
+		return removalOfLearner(s)
+	}
+	return &voterChange{op: opAdd, voter: replacement, reason: "the process requested to join and has caught up"}
+}
+
+// longestSilent returns the voter that is silent for longest and at least for limit, or nil, and
+// the number of those that are not. suspected is set if one of these was not heard from for an
+// election timeout, so that it may be silent soon.
+func longestSilent(s *replication.Status, limit time.Duration) (silent *pb.Voter, live int, suspected bool) {
 	for _, v := range s.Voters.Voters {
-		switch p := s.Progress[v.Id]; {
-		case v.Id == s.ID || p.SilentMs < voterSilenceLimit.Milliseconds() || p.UnansweredMs < voterAnswerLimit.Milliseconds():
+		p := s.Progress[v.Id]
+		switch {
+		case v.Id == s.ID:
+			live++
+		case p.SilentMs < limit.Milliseconds() || p.UnansweredMs < voterAnswerLimit.Milliseconds():
 			live++
-		case silent == "" || p.SilentMs > s.Progress[silent].SilentMs:
-			silent = v.Id
+			suspected = suspected || p.SilentMs >= electionTimeout.Milliseconds()
+		case silent == nil || p.SilentMs > s.Progress[silent.Id].SilentMs:
+			silent = v
 		}
 	}
-	if silent != "" && live >= minVoters {
-		return &voterChange{op: opRemove, id: silent, reason: "the voter is silent and enough others are left"}
-	}
-	for _, join := range pending {
-		return &voterChange{op: opAdd, id: join.Id, address: join.Address, reason: "the process requested to join"}
+	return silent, live, suspected
+}
+
+// removalOfLearner returns the removal of a learner that has gone, or nil.
+func removalOfLearner(s *replication.Status) *voterChange {
+	for _, v := range s.Voters.Learners {
+		if p := s.Progress[v.Id]; p.SilentMs >= voterSilenceLimit.Milliseconds() && p.UnansweredMs >= voterSilenceLimit.Milliseconds() {
+			return &voterChange{op: opRemove, voter: v, reason: "the learner is silent"}
+		}
 	}
 	return nil
 }
--- a/internal/replication/status.go
+++ b/internal/replication/status.go
@@ -132,17 +132,6 @@
 // AddVoter adds a process with a blank disk as a learner, waits until it has
 // caught up, and promotes it to voter. It returns once the promotion is committed.
 func (g *Group) AddVoter(ctx context.Context, id, address string) error {
-	return g.addVoter(ctx, id, address, false)
-}
-
-// AddVoterAllowingLog is AddVoter for a process whose disk may already hold the
-// group's log: a voter that was removed while it was unreachable. Its votes and
-// acknowledgements in the group remain valid, so its disk need not be blank.
-func (g *Group) AddVoterAllowingLog(ctx context.Context, id, address string) error {
-	return g.addVoter(ctx, id, address, true)
-}
-
-func (g *Group) addVoter(ctx context.Context, id, address string, allowLog bool) error {
 	conn := g.opt.Dialer.Conn(ctx, address)
 	defer conn.Close()
 	peer, err := pb.NewDRPCPeerClient(conn).Identify(ctx, &pb.IdentifyRequest{})
@@ -156,24 +145,42 @@
 	if isMember(set.Voters, id, peer.Disk) {
 		return nil
 	}
-	if findVoter(set.Voters, id) != nil {
-		return errkind.New(errkind.WrongDisk, "%q is already a voter with another disk; remove it first", id)
+	if peer.LastIndex > 0 && !isMember(set.Learners, id, peer.Disk) {
+		return errkind.New(errkind.WrongDisk, "the disk of %q already holds a log; empty its data folder before adding it", id)
 	}
-	if !isMember(set.Learners, id, peer.Disk) {
-		if peer.LastIndex > 0 && !allowLog {
-			return errkind.New(errkind.WrongDisk, "the disk of %q already holds a log; empty its data folder before adding it", id)
-		}
-		v := &pb.Voter{Id: id, Address: address, Disk: peer.Disk}
-		if err := g.proposeVoters(ctx, func(s *pb.VoterSet) *pb.VoterSet { return WithLearner(s, v) }); err != nil {
-			return err
-		}
+	if err := g.AddLearner(ctx, &pb.Voter{Id: id, Address: address, Disk: peer.Disk}); err != nil {
+		return err
 	}
 	if err := g.awaitCatchUp(ctx, id); err != nil {
 		return err
 	}
+	return g.PromoteLearner(ctx, id)
+}
+
+// AddLearner adds a process as a learner. Its disk need not be blank: the votes and
+// acknowledgements of a voter that was removed while it was unreachable remain valid.
+func (g *Group) AddLearner(ctx context.Context, v *pb.Voter) error {
+	set := g.Status().Voters
+	switch {
+	case isMember(set.Learners, v.Id, v.Disk):
+		return nil
+	case findVoter(set.Voters, v.Id) != nil:
+		return errkind.New(errkind.WrongDisk, "%q is already a voter with another disk; remove it first", v.Id)
+	}
+	return g.proposeVoters(ctx, func(s *pb.VoterSet) *pb.VoterSet { return WithLearner(s, v) })
+}
+
+// PromoteLearner makes a learner a voter; it is to have caught up.
+func (g *Group) PromoteLearner(ctx context.Context, id string) error {
 	return g.proposeVoters(ctx, func(s *pb.VoterSet) *pb.VoterSet { return WithLearnerPromoted(s, id) })
 }
 
+// CaughtUp reports whether this leader knows that a member holds almost all that is committed.
+func (s *Status) CaughtUp(id string) bool {
+	m := s.Progress[id]
+	return m.MatchIndex > 0 && m.MatchIndex+maxCatchUpLag >= s.Commit
+}
+
 func (g *Group) awaitCatchUp(ctx context.Context, id string) error {
 	tick := time.NewTicker(catchUpPollInterval)
 	defer tick.Stop()
@@ -182,7 +189,7 @@
 		if !s.Leading {
 			return errkind.New(errkind.NotLeader, "this process lost leadership while a learner was catching up; retry with the new leader")
 		}
-		if m := s.Progress[id]; m.MatchIndex > 0 && m.MatchIndex+maxCatchUpLag >= s.Commit {
+		if s.CaughtUp(id) {
 			return nil
 		}
 		select {
