A leader does not give up while its answers wait behind a large message

Cause: a leader gave up when it had not heard from a majority for one election timeout (0.5 s). A configuration of 490 KB occupies the 6 Mbit/s link of a core VM for 0.65 s, and answers to heartbeats wait behind it. With one voter of three lost, one busy link suffices.

Change: QuorumTimeout, three election timeouts in a directory. Nothing rests on the leadership of a process without a majority; followers that are cut off from it elect another by their own timeouts, as before. A leader refuses the votes of followers that only heard nothing from it for a while, so that nothing changes.

The simulated schedules now run with the longer timeout as well.

--- a/internal/directory/process.go
+++ b/internal/directory/process.go
@@ -93,7 +93,7 @@
 	}
 	config := replication.DefaultConfig(ownAddress, store.DiskID())
 	config.ElectionTimeout, config.HeartbeatInterval, config.FirstElectionTimeout = electionTimeout, heartbeatInterval, firstElectionTimeout
-	config.ConfirmTimeout = confirmTimeout
+	config.ConfirmTimeout, config.QuorumTimeout = confirmTimeout, quorumLossTimeout
 	p.group, err = replication.NewGroup(replication.Options{
 		Config: config, Address: ownAddress, Storage: store, Restored: restored,
 		StateMachine: p.machine, Dialer: p.dialer, Log: p.log.Named("replication"), DeclaredVoters: declared,
@@ -111,6 +111,10 @@
 	// heartbeats on a VM that stalls for 100 ms at a time.
 	electionTimeout   = 500 * time.Millisecond
 	heartbeatInterval = 100 * time.Millisecond
+	// quorumLossTimeout is how long a leader leads that does not hear from a majority. A large
+	// configuration occupies the link of a small VM for 0.7 s, so that heartbeats and their
+	// answers wait.
+	quorumLossTimeout = 3 * electionTimeout
 	// firstElectionTimeout replaces electionTimeout in a voter that has just started. It
 	// does not disrupt a live leader, since voters keep a leader that they hear from.
 	firstElectionTimeout = 150 * time.Millisecond
--- a/internal/replication/core.go
+++ b/internal/replication/core.go
@@ -18,6 +18,10 @@
 	// actual timeout is drawn at random from one to two times this value.
 	ElectionTimeout   time.Duration
 	HeartbeatInterval time.Duration
+	// QuorumTimeout is how long a leader that does not hear from a majority goes on leading;
+	// 0 means ElectionTimeout. It may exceed it: nothing that a leader says counts without a
+	// majority. If followers hear from it again in that time, leadership does not change.
+	QuorumTimeout time.Duration
 	// FirstElectionTimeout, if set, replaces ElectionTimeout until a leader is first
 	// known after a start, so that a group whose voters all start together elects
 	// one sooner. It doubles with each campaign, up to ElectionTimeout.
@@ -120,7 +124,6 @@
 	// of another's.
 	campaignDeferred bool
 	heartbeatDue     time.Duration
-	quorumCheckDue   time.Duration
 	leaderContact    time.Duration
 	// roleReason says why the role, the term or the known leader changed last.
 	roleReason string
@@ -199,6 +202,9 @@
 // New returns a core that continues from the restored state.
 func New(cfg Config, rng *rand.Rand, now time.Duration, r RestoredState) *Core {
 	c := &Core{cfg: cfg, rng: rng, now: now, marks: map[string]*pb.Mark{}, heard: map[string]time.Duration{}, confirmations: map[string]bool{}, voters: &pb.VoterSet{}}
+	if c.cfg.QuorumTimeout == 0 {
+		c.cfg.QuorumTimeout = cfg.ElectionTimeout
+	}
 	hs := r.HardState
 	if hs == nil {
 		hs = &pb.HardState{}
@@ -290,12 +296,9 @@
 }
 
 func (c *Core) tickLeader() {
-	if c.now >= c.quorumCheckDue {
-		c.quorumCheckDue = c.now + c.cfg.ElectionTimeout
-		if !c.hasQuorumContact() {
-			c.becomeFollower(c.term, "", "the leader does not hear from a majority")
-			return
-		}
+	if !c.hasQuorumContact() {
+		c.becomeFollower(c.term, "", "the leader does not hear from a majority")
+		return
 	}
 	if c.now >= c.heartbeatDue {
 		c.heartbeat()
@@ -311,7 +314,7 @@
 	n := 0
 	for _, v := range c.voters.Voters {
 		p := c.progress[v.Id]
-		if v.Id == c.cfg.ID || p != nil && p.lastContact+c.cfg.ElectionTimeout > c.now {
+		if v.Id == c.cfg.ID || p != nil && p.lastContact+c.cfg.QuorumTimeout > c.now {
 			n++
 		}
 	}
--- a/internal/replication/election.go
+++ b/internal/replication/election.go
@@ -239,7 +239,6 @@
 			c.heard[v.Disk] = c.now
 		}
 	}
-	c.quorumCheckDue = c.now + c.cfg.ElectionTimeout
 	c.termStartIndex = c.log.last() + 1
 	c.votersStartIndex = c.termStartIndex
 	c.uncommittedBytes = 0
--- a/internal/replication/schedule_test.go
+++ b/internal/replication/schedule_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"slices"
 	"testing"
 	"time"
 
@@ -275,6 +276,34 @@
 	}
 }
 
+// Guards against a leader that gives up without a fault: one voter of three is lost, and large messages
+// occupy the link between the two others again and again, each time for twice the election timeout.
+// With a new leader after each, no change of the voters was completed.
+func TestABusyLinkDoesNotChangeTheLeader(t *testing.T) {
+	for seed := range uint64(100) {
+		s := newSim(t, seed, 3)
+		s.mustMakeProgress()
+		l := s.leader()
+		term := l.core.Term()
+		lost := s.nodeIDs[(slices.Index(s.nodeIDs, l.id)+1)%3]
+		s.crash(s.nodes[lost])
+		for range 5 {
+			for _, id := range s.nodeIDs {
+				if id != l.id {
+					s.blockedLinks[[2]string{id, l.id}], s.blockedLinks[[2]string{l.id, id}] = true, true
+				}
+			}
+			s.run(int(2 * simConfig("", "").ElectionTimeout / simTick))
+			clear(s.blockedLinks)
+			s.run(10)
+			if s.leader() != l || l.core.Term() != term {
+				s.fail("leadership changed from %s, term %d", l.id, term)
+			}
+		}
+		s.mustMakeProgressWithout(lost)
+	}
+}
+
 // TestReadRound checks that a partitioned leader, which may have been replaced without
 // knowing, does not confirm a read.
 func TestReadRound(t *testing.T) {
--- a/internal/replication/sim_test.go
+++ b/internal/replication/sim_test.go
@@ -83,6 +83,7 @@
 func simConfig(id, disk string) Config {
 	c := DefaultConfig(id, disk)
 	c.ElectionTimeout, c.HeartbeatInterval = 200*time.Millisecond, 40*time.Millisecond
+	c.QuorumTimeout = 3 * c.ElectionTimeout
 	c.ConfirmTimeout, c.InstallTimeout = 600*time.Millisecond, 500*time.Millisecond
 	c.MaxAppendBytes, c.MaxInflightMessages = 300, 4
 	return c
