A broken stream does not end with an answer that is no stream

What callers saw: a stream had begun and broke off; the server asked next answered with 204, 302, 400, 404, 409 or a 200 that is no stream. Its body followed the events, and the response ended as whole.

Cause: every answer that was not an event stream went to forwardResponse, which wrote its body into the response, whether or not events had been relayed. A 204 of type text/event-stream passed for a stream without further events.

Change: after the first event only a 200 with an event stream continues the response; anything else is dropped and counts as a failed attempt, so that another server is asked or the client's connection is aborted.

--- a/internal/dispatch/stream_test.go
+++ b/internal/dispatch/stream_test.go
@@ -100,3 +100,52 @@
 		t.Errorf("%d bytes of bodies still counted", n)
 	}
 }
+
+// Guards against a broken stream that ends with the server's answer to the resumption: clients would
+// find the text of an error, or of a response that is no rest of this stream, after its beginning.
+func TestABrokenStreamDoesNotEndWithAnAnswerThatIsNoStream(t *testing.T) {
+	for name, answer := range map[string]struct {
+		status           int
+		stream, otherRun bool
+	}{
+		"204": {status: 204}, "204 stream": {status: 204, stream: true}, "302": {status: 302}, "400": {status: 400}, "404": {status: 404},
+		"409": {status: 409}, "500": {status: 500}, "200 text": {status: 200}, "404 stream": {status: 404, stream: true},
+		"another stream": {status: 200, stream: true, otherRun: true},
+	} {
+		address := backend(t, func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(HeaderStream, r.Header.Get(HeaderRequestID))
+			if r.Method != http.MethodGet {
+				w.Header().Set("Content-Type", eventStreamType)
+				_, _ = io.WriteString(w, "data: half\n\n")
+				w.(http.Flusher).Flush()
+				panic(http.ErrAbortHandler)
+			}
+			w.Header().Set(HeaderStream, strings.TrimPrefix(r.URL.Path, "/v1/streams/"))
+			if answer.otherRun {
+				w.Header().Set(HeaderStream, "other")
+			}
+			if answer.stream {
+				w.Header().Set("Content-Type", eventStreamType)
+			}
+			w.WriteHeader(answer.status)
+			if answer.status != http.StatusNoContent {
+				_, _ = io.WriteString(w, "oops")
+			}
+		})
+		rig := newRig(t, address)
+		resp, err := http.DefaultTransport.RoundTrip(rig.request("POST", "/v1/chat/completions", "{}"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if err == nil || string(body) != "data: half\n\n" {
+			t.Errorf("%s: got %q, error %v, want the first event and an error", name, body, err)
+		}
+		id := resp.Header.Get(HeaderRequestID)
+		resp, got := do(t, rig.request("GET", "/v1/resume/"+id+"?offset=12", ""))
+		if wantKind(t, name, resp, errkind.StreamGone); strings.Contains(got, "oops") {
+			t.Errorf("%s: a client that resumed got %q", name, got)
+		}
+	}
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -86,6 +86,8 @@
 		return x.invalidResponse("the successful response of server %q does not name the request or is not signed", picked.ID)
 	case impliesNotExecuted(resp.StatusCode):
 		return x.invalidResponse("server %q responded with status %d but did not state that it did not run the request", picked.ID, resp.StatusCode)
+	case x.lastEventID != "" && (resp.StatusCode != http.StatusOK || !isEventStream(resp.Header)):
+		return x.streamNotContinued(picked, resp)
 	case resp.StatusCode < 300 && isEventStream(resp.Header):
 		return x.forwardStream(picked, resp)
 	}
@@ -235,6 +237,20 @@
 	return attemptResult{err: errkind.New(errkind.BackendCrossed, format, args...), sent: true, mayHaveRun: true, retryable: true, outcome: placement.Failure}
 }
 
+// streamNotContinued returns the result for a response that cannot follow the events that the
+// client already has. It is dropped, whatever it says.
+func (x *exchange) streamNotContinued(picked *placement.PickResult, resp *backend.Response) attemptResult {
+	resp.Discard(x.ctx)
+	outcome := placement.Neutral
+	if resp.StatusCode >= 500 {
+		outcome = placement.Failure
+	}
+	return attemptResult{
+		err:  errkind.New(errkind.StreamBroken, "server %q did not continue the stream after event %q and responded with status %d", picked.ID, x.lastEventID, resp.StatusCode),
+		sent: true, mayHaveRun: true, retryable: true, outcome: outcome,
+	}
+}
+
 // forwardResponse buffers a response that is not a stream and relays it once it is
 // complete.
 func (x *exchange) forwardResponse(picked *placement.PickResult, resp *backend.Response, info ResponseInfo) attemptResult {
