A router that stops takes no request that it would cut

What callers saw: in a planned stop of one router, in calm, requests that came late were taken and passed on, and cut with no answer at the end of the grace period, among them requests that may not be repeated.

Cause: nothing compared a request with what was left. All were taken until the load balancer had noticed, 2.5 s after the signal; the rest of a grace period of 4 s was less than many took. It also ended 0.7 s early, before the last sixth of the period.

Change: internal/drain counts how long requests of each route take. While the process stops, a request is refused at once, as not run, unless all counted ones of its route were shorter than what is left. Both request paths use it. The margin at the end of the grace period is an eighth of it, at most 0.7 s.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/kumquathollow/kumquathollow/internal/config"
+	"github.com/kumquathollow/kumquathollow/internal/drain"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 )
 
@@ -22,6 +23,7 @@
 	budget             retryBudget
 	routes             atomic.Pointer[routeTable]
 	draining           atomic.Bool
+	drain              drain.Gate
 	closingConnections atomic.Bool
 	inFlight           atomic.Int64
 	bodyBytes          atomic.Int64
@@ -50,9 +52,13 @@
 	return d
 }
 
-// CloseConnections makes every later response ask the client to close its
-// connection, so that clients reconnect through another router.
-func (d *Dispatcher) CloseConnections() { d.closingConnections.Store(true) }
+// Stop tells that requests in flight will be cut at end. Until then those are accepted that will
+// most likely have ended by then, and every response asks the client to close its connection, so
+// that it reconnects through another router.
+func (d *Dispatcher) Stop(end time.Time) {
+	d.closingConnections.Store(true)
+	d.drain.Stop(end)
+}
 
 // Drain makes the Dispatcher refuse every later request as not run.
 func (d *Dispatcher) Drain() { d.draining.Store(true) }
@@ -79,7 +85,11 @@
 	}
 	x := &exchange{d: d, w: w, rc: http.NewResponseController(w), startedAt: d.opts.Now()}
 	err := d.serve(x, r)
-	d.metrics.recordRequest(err, d.opts.Now().Sub(x.startedAt))
+	took := d.opts.Now().Sub(x.startedAt)
+	d.metrics.recordRequest(err, took)
+	if x.attempts > 0 && !errkind.Is(err, errkind.ClientGone) {
+		d.drain.Record(x.q.route.drainKey(), took)
+	}
 	if err == nil {
 		return
 	}
@@ -138,6 +148,9 @@
 		x.baseID = newBaseID(x.q.workspace) // the workspace is named in the body
 	}
 	x.body = newRequestBody(x.q.body)
+	if err := d.checkStopping(route); err != nil {
+		return err
+	}
 	d.budget.recordRequest(d.opts.Now())
 	if x.q.idempotencyKey != "" {
 		return x.runClaimed(r)
@@ -149,6 +162,17 @@
 	return x.runAttempts()
 }
 
+// checkStopping returns an error if this router stops and a request of the route would most
+// likely still run when it ends.
+func (d *Dispatcher) checkStopping(route *resolvedRoute) error {
+	now := d.opts.Now()
+	if d.drain.Takes(route.drainKey(), route.deadline, now) {
+		return nil
+	}
+	left, _ := d.drain.Left(now)
+	return errkind.New(errkind.ShuttingDown, "this router stops in %s, and requests of route %s of service %s may take longer; send the request again", left.Round(time.Millisecond), route.path, route.service.Name)
+}
+
 // table returns the route table of set. It is built once per set.
 func (d *Dispatcher) table(set *config.Set) *routeTable {
 	if t := d.routes.Load(); t != nil && t.set == set {
--- a/internal/dispatch/routes.go
+++ b/internal/dispatch/routes.go
@@ -34,6 +34,9 @@
 	maxBody    int64
 }
 
+// drainKey names the route among those whose requests are counted by how long they take.
+func (r *resolvedRoute) drainKey() string { return r.service.Name + r.path }
+
 // routeTable maps a method and path to a route. It is immutable.
 type routeTable struct {
 	set    *config.Set
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -47,11 +47,16 @@
 	headerTimeout = 10 * time.Second
 	// maxHeaderBytes limits a request header.
 	maxHeaderBytes = 64 << 10
-	// closeMargin is the part of the grace period that is reserved for closing
-	// connections and listeners at its end.
-	closeMargin = 700 * time.Millisecond
+	// maxCloseMargin and closeMarginFraction, a fraction of the grace period, limit the time that is
+	// reserved for closing connections and listeners at its end.
+	maxCloseMargin      = 700 * time.Millisecond
+	closeMarginFraction = 8
 )
 
+func closeMargin(grace time.Duration) time.Duration {
+	return min(maxCloseMargin, grace/closeMarginFraction)
+}
+
 // Router is an edge router process.
 type Router struct {
 	settings  *Settings
@@ -230,14 +235,16 @@
 }
 
 // drain makes the router unready, waits until the load balancer has noticed, and
-// then waits for the requests in flight until the grace period is almost over.
+// then waits for the requests in flight until the grace period is almost over. Requests that
+// would outlast it are refused all the while.
 func (r *Router) drain(clients *http.Server) {
 	start := time.Now()
 	r.log.Info("stopping", "in-flight", r.forwarder.InFlight())
 	r.ready.SetReason(reasonStopping, true)
-	r.forwarder.DisableKeepAlives()
+	end := start.Add(r.settings.Grace.AsDuration() - closeMargin(r.settings.Grace.AsDuration()))
+	r.forwarder.Stop(end)
 	time.Sleep(placement.BalancerDetectionTime)
-	ctx, cancel := context.WithTimeout(context.Background(), r.settings.Grace.AsDuration()-placement.BalancerDetectionTime-closeMargin)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	err := clients.Shutdown(ctx)
 	if err == nil {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -99,6 +99,9 @@
 	if notReady != nil && !(errkind.Is(notReady, errkind.NotReady) && x.mayHandOff() && x.f.CanHandOff()) {
 		return notReady
 	}
+	if err := x.checkStopping(); err != nil {
+		return err
+	}
 	defer func() {
 		x.f.requestBodies.release(x.reservedBytes)
 		x.f.responses.release(x.reservedResponseBytes)
@@ -285,6 +288,9 @@
 		if err := x.checkQuarantine(); err != nil {
 			return x.fail(err)
 		}
+		if err := x.checkStopping(); err != nil {
+			return x.fail(err)
+		}
 		res, err := x.nextAttempt()
 		if err != nil {
 			return x.fail(err)
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/kumquathollow/kumquathollow/internal/backend"
+	"github.com/kumquathollow/kumquathollow/internal/drain"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/eventlog"
 	"github.com/kumquathollow/kumquathollow/internal/fleetview"
@@ -52,6 +53,7 @@
 	prober                   *prober
 	peers                    *handoff.Peers
 	handoffPauses            handoffPauses
+	drain                    drain.Gate
 
 	mu           sync.Mutex
 	retryBudgets map[string]*retryBudget
@@ -75,9 +77,12 @@
 	return f
 }
 
-// DisableKeepAlives makes every later response ask the client to close its
-// connection.
-func (f *Forwarder) DisableKeepAlives() { f.keepAlivesDisabled.Store(true) }
+// Stop tells that requests in flight will be cut at end. Until then those are taken that will
+// most likely have ended by then, and every response asks the client to close its connection.
+func (f *Forwarder) Stop(end time.Time) {
+	f.keepAlivesDisabled.Store(true)
+	f.drain.Stop(end)
+}
 
 // InFlight returns the number of requests in flight.
 func (f *Forwarder) InFlight() int64 { return f.inFlight.Load() }
@@ -122,6 +127,7 @@
 	}
 	err := x.serve()
 	x.recordOutcome(err)
+	x.recordDuration(err)
 	if err == nil {
 		return
 	}
--- /dev/null
+++ b/internal/forward/stopping.go
@@ -0,0 +1,34 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
+)
+
+// checkStopping returns an error if this router stops and the request, which has not run, would
+// most likely still run when it ends.
+func (x *exchange) checkStopping() error {
+	if x.anyMayHaveRun || x.route == nil {
+		return nil
+	}
+	now := time.Now()
+	if x.f.drain.Takes(x.route.Name, x.timeout()-now.Sub(x.startedAt), now) {
+		return nil
+	}
+	left, _ := x.f.drain.Left(now)
+	return errkind.New(errkind.ShuttingDown, "this router stops in %s, and requests of route %q may take longer", left.Round(time.Millisecond), x.route.Name).
+		WithRetryAfter(stoppingRetryAfter)
+}
+
+// stoppingRetryAfter is the Retry-After of a router that stops: a new connection may lead to
+// another router at once.
+const stoppingRetryAfter = 50 * time.Millisecond
+
+// recordDuration counts how long a request took that was sent to a server. One that its client
+// gave up would have taken longer.
+func (x *exchange) recordDuration(err error) {
+	if x.route != nil && x.sends > 0 && !errkind.Is(err, errkind.ClientGone) {
+		x.f.drain.Record(x.route.Name, time.Since(x.startedAt))
+	}
+}
--- a/internal/router/shutdown.go
+++ b/internal/router/shutdown.go
@@ -28,7 +28,7 @@
 //
 //  1. The router becomes unready, and responses ask clients to close their connections.
 //  2. New requests are still accepted for Shutdown.BalancerWait, so that the load
-//     balancer can notice.
+//     balancer can notice. Those that would outlast Shutdown.Finish are refused.
 //  3. The callers listener is closed and later requests are refused. Requests in
 //     flight have Shutdown.Finish to complete.
 //  4. The outcomes of claims are recorded, within Shutdown.Settle.
@@ -75,7 +75,7 @@
 	limits := r.settings.Shutdown
 	r.log.Info("shutting down", "in-flight", r.dispatcher.InFlight())
 	r.ready.SetReason(reasonShutdown, true)
-	r.dispatcher.CloseConnections()
+	r.dispatcher.Stop(time.Now().Add(limits.BalancerWait.AsDuration() + limits.Finish.AsDuration()))
 	time.Sleep(limits.BalancerWait.AsDuration())
 
 	code := r.drainRequests(limits.Finish.AsDuration())
