Answer requests that arrive while a server shuts down

What callers saw: in a planned stop, a new connection that was closed without an answer at the moment the listener closed.

Cause: http.Server.Shutdown has connections closed whose request is read after the call. It closed the listener too, so a connection that was accepted just before was among them.

Change: drain.Shutdown closes the listener, waits 0.2 s for the requests on the last connections, then shuts down. Both kinds of router use it.

--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -15,6 +15,7 @@
 
 	"github.com/kumquathollow/kumquathollow/internal/backend"
 	"github.com/kumquathollow/kumquathollow/internal/catalog"
+	"github.com/kumquathollow/kumquathollow/internal/drain"
 	"github.com/kumquathollow/kumquathollow/internal/fleetview"
 	"github.com/kumquathollow/kumquathollow/internal/forward"
 	"github.com/kumquathollow/kumquathollow/internal/handoff"
@@ -193,7 +194,7 @@
 			continue
 		}
 		g.Go(func() error {
-			if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+			if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 				return err
 			}
 			return nil
@@ -246,7 +247,7 @@
 	time.Sleep(placement.BalancerDetectionTime)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	err := clients.Shutdown(ctx)
+	err := drain.Shutdown(ctx, clients, r.clients)
 	if err == nil {
 		err = r.awaitHandedOff(ctx)
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
 	"storj.io/drpc/drpcmux"
@@ -251,7 +252,7 @@
 		listener net.Listener
 	}{{r.callerServer, r.callers}, {r.announceServer, r.announce}, {r.adminServer, r.admin}} {
 		g.Go(func() error {
-			if err := s.server.Serve(s.listener); err != http.ErrServerClosed {
+			if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 				return err
 			}
 			return nil
--- a/internal/router/shutdown.go
+++ b/internal/router/shutdown.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"github.com/kumquathollow/kumquathollow/internal/drain"
 )
 
 // Exit codes of kqrouter, in addition to those of package errkind.
@@ -98,7 +100,7 @@
 	r.dispatcher.Drain()
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	if err := r.callerServer.Shutdown(ctx); err == nil || err == http.ErrServerClosed {
+	if err := drain.Shutdown(ctx, r.callerServer, r.callers); err == nil || err == http.ErrServerClosed {
 		return 0
 	}
 	r.log.Error("requests aborted: still in flight at the end of shutdown.finish", "in-flight", r.dispatcher.InFlight())
