Tell a returning router who left while its list waits for bandwidth

Change: while its list waits, a router is sent the servers that leave, up to 4 KB, once.

Shown: TestAReturningRouterIsToldWhoLeftWhileItsListWaits; before, the router was sent nothing.

--- a/internal/directory/catchup.go
+++ b/internal/directory/catchup.go
@@ -99,8 +99,13 @@
 	return h.bulkBytes > 0
 }
 
+// maxDeparturesBytes limits the departures that a router is sent while its list waits for
+// bandwidth.
+const maxDeparturesBytes = 4 << 10
+
 // sendLists sends the list of all servers to the routers that are due to get it, as the
-// bandwidth allows.
+// bandwidth allows. While a list waits, its router is sent the servers that leave: a router that
+// comes back may still use them.
 func (h *hub) sendLists() {
 	var list []*fleetpb.Announcement
 	size := 0
@@ -109,19 +114,35 @@
 			continue
 		}
 		if !h.maySendBulk() {
-			return
+			h.sendDepartures(s)
+			continue
 		}
 		if list == nil {
 			list = h.allAnnouncements()
 			size = proto.Size(&fleetpb.FollowUpdate{Announcements: list})
 		}
-		s.listDue = false
+		s.listDue, s.departuresSent = false, false
 		s.push(h.withStatus(&fleetpb.FollowUpdate{Announcements: list, WholeList: h.knowsAllServers}))
 		s.listSent = true
 		h.bulkBytes -= float64(size)
 	}
 }
 
+func (h *hub) sendDepartures(s *session) {
+	if s.departuresSent || h.leader == "" {
+		return
+	}
+	s.departuresSent = true
+	_, leaving := splitByState(h.allAnnouncements())
+	u := &fleetpb.FollowUpdate{Announcements: leaving}
+	size := proto.Size(u)
+	if len(leaving) == 0 || size > maxDeparturesBytes {
+		return
+	}
+	h.bulkBytes -= float64(size)
+	s.push(h.withStatus(u))
+}
+
 const (
 	// maxFullStatesInFlight limits the concurrent transfers of the full state. More
 	// would delay replication heartbeats on a slow link beyond the election timeout.
--- a/internal/directory/departures_test.go
+++ b/internal/directory/departures_test.go
@@ -126,6 +126,32 @@
 	}
 }
 
+// Guards against a router that comes back and goes on with a server that left meanwhile, since it is
+// told with the list of all servers: nothing came for 4 s where other lists had used up the bandwidth.
+func TestAReturningRouterIsToldWhoLeftWhileItsListWaits(t *testing.T) {
+	h, _ := newTestHub()
+	for i := range 200 {
+		h.merge(serverAnnouncement(fmt.Sprint("s", i), 1, inventory.Ready), false)
+	}
+	h.leave("s7", 1)
+	h.broadcastChanges()
+	h.maySendBulk()
+	h.bulkBytes = -4 * bulkBytesPerSecond // Other lists have used up 4 s.
+	s := newSession(h, "returns")
+	drain(s)
+	h.handleRequest(s, &fleetpb.FollowRequest{Load: &fleetpb.Load{}})
+	h.sendLists()
+	got := drain(s)
+	if len(got) != 1 || len(got[0].Announcements) != 1 || got[0].Announcements[0].Id != "s7" || got[0].Announcements[0].State != fleetpb.ServerState_GONE || got[0].WholeList {
+		t.Fatalf("the router was sent %v, want that s7 is gone, once", got)
+	}
+	h.bulkBytes = bulkBurstBytes
+	h.sendLists()
+	if got := drain(s); len(got) != 1 || len(got[0].Announcements) != 200 {
+		t.Errorf("then it was sent %v, want the whole list", got)
+	}
+}
+
 func applyCommand(t *testing.T, h *hub, cmd *fleetpb.Command) {
 	t.Helper()
 	data, err := proto.Marshal(cmd)
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -23,6 +23,8 @@
 	// begun to report here, or asked for the list. Besides, while it reports here, it is
 	// sent the changes relayed by other processes.
 	listDue bool
+	// departuresSent is set once the router was sent the servers that leave while its list waits.
+	departuresSent bool
 	// listSent is set once the router was sent the list of all servers that were known.
 	listSent bool
 	// revision is the revision that the router holds, or will hold once it has received
