Refuse fewer requests while a router stops

Cause: a request was refused if one of its route had taken longer, or if the route had had fewer than 20.

Change: of requests that may be repeated, 5 in 100 may take longer, and those of the whole service are counted where a route had few. The strict rule stays for those that may not be repeated.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -166,7 +166,7 @@
 // likely still run when it ends.
 func (d *Dispatcher) checkStopping(route *resolvedRoute) error {
 	now := d.opts.Now()
-	if d.drain.Takes(route.drainKey(), route.deadline, now) {
+	if d.drain.Takes(route.drainKey(), route.repeatable, route.deadline, now) {
 		return nil
 	}
 	left, _ := d.drain.Left(now)
--- a/internal/dispatch/routes.go
+++ b/internal/dispatch/routes.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/kumquathollow/kumquathollow/internal/config"
+	"github.com/kumquathollow/kumquathollow/internal/drain"
 )
 
 // Defaults for what a route or policy does not declare.
@@ -35,7 +36,9 @@
 }
 
 // drainKey names the route among those whose requests are counted by how long they take.
-func (r *resolvedRoute) drainKey() string { return r.service.Name + r.path }
+func (r *resolvedRoute) drainKey() drain.Key {
+	return drain.Key{Service: r.service.Name, Route: r.path}
+}
 
 // routeTable maps a method and path to a route. It is immutable.
 type routeTable struct {
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -5,7 +5,8 @@
 // backend server runs it. So it is refused at once, and its client sends it to another process.
 //
 // How long a request takes is not known beforehand, but how long others of its route took is. The
-// gate counts them in a few buckets for each route.
+// gate counts them in a few buckets for each route, and for each service, whose counts stand for
+// routes with few requests that may be repeated.
 package drain
 
 import (
@@ -22,9 +23,12 @@
 	// maxCount is the number of a route's requests at which all its counts are halved, so
 	// that they follow changes of the load.
 	maxCount = 1 << 10
-	// minCount is from how many requests on the counts of a route are relied on.
+	// minCount is from how many requests on counts are relied on.
 	minCount = 20
-	// maxRoutes limits the routes whose requests are counted. Routes come and go.
+	// repeatableShare is the share of requests that may take longer than what is left of the
+	// time if their clients can send them again.
+	repeatableShare = 0.05
+	// maxRoutes limits the routes and services whose requests are counted. Routes come and go.
 	maxRoutes = 1 << 12
 )
 
@@ -64,11 +68,17 @@
 	return n
 }
 
+// Key names a route of a service, or with an empty Route all routes of the service.
+type Key struct {
+	Service, Route string
+}
+
 // Gate counts the durations of requests and, once the process stops, compares them with the
 // time that is left. The zero Gate is ready for use, and safe for concurrent use.
 type Gate struct {
-	mu     sync.Mutex
-	routes map[string]*durations
+	mu sync.Mutex
+	// counts holds those of routes and of services.
+	counts map[Key]*durations
 	// end is when the requests in flight are cut; zero while the process does not stop.
 	end time.Time
 }
@@ -81,24 +91,29 @@
 }
 
 // Record counts a request that ended after it was sent to a backend server.
-func (g *Gate) Record(route string, took time.Duration) {
+func (g *Gate) Record(route Key, took time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	c := g.routes[route]
-	if c == nil {
-		if g.routes == nil {
-			g.routes = map[string]*durations{}
-		}
-		if len(g.routes) >= maxRoutes {
-			for name := range g.routes {
-				delete(g.routes, name)
-				break
-			}
+	g.durationsOf(route).add(took)
+	g.durationsOf(Key{Service: route.Service}).add(took)
+}
+
+func (g *Gate) durationsOf(k Key) *durations {
+	if c := g.counts[k]; c != nil {
+		return c
+	}
+	if g.counts == nil {
+		g.counts = map[Key]*durations{}
+	}
+	if len(g.counts) >= maxRoutes {
+		for other := range g.counts {
+			delete(g.counts, other)
+			break
 		}
-		c = &durations{}
-		g.routes[route] = c
 	}
-	c.add(took)
+	c := &durations{}
+	g.counts[k] = c
+	return c
 }
 
 // Left returns what is left of the time for requests, and false if the process does not stop.
@@ -109,9 +124,9 @@
 }
 
 // Takes reports whether a request that may take up to limit is taken: the process does not stop,
-// or the request will most likely end in time, as no request of its route took longer lately than is
-// left now.
-func (g *Gate) Takes(route string, limit time.Duration, now time.Time) bool {
+// or the request will most likely end in time. One that may not be repeated is taken only if no
+// request of its route took longer lately than is left now.
+func (g *Gate) Takes(route Key, repeatable bool, limit time.Duration, now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.end.IsZero() {
@@ -121,6 +136,13 @@
 	if left >= limit {
 		return true
 	}
-	c := g.routes[route]
-	return left > 0 && c != nil && c.total >= minCount && c.longer(left) == 0
+	c := g.counts[route]
+	if repeatable && (c == nil || c.total < minCount) {
+		c = g.counts[Key{Service: route.Service}]
+	}
+	if left <= 0 || c == nil || c.total < minCount {
+		return false
+	}
+	longer := c.longer(left)
+	return longer == 0 || repeatable && float64(longer) <= repeatableShare*float64(c.total)
 }
--- a/internal/forward/stopping.go
+++ b/internal/forward/stopping.go
@@ -3,17 +3,18 @@
 import (
 	"time"
 
+	"github.com/kumquathollow/kumquathollow/internal/drain"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 )
 
 // checkStopping returns an error if this router stops and the request, which has not run, would
 // most likely still run when it ends.
 func (x *exchange) checkStopping() error {
-	if x.anyMayHaveRun || x.route == nil {
+	if x.anyMayHaveRun || x.service == nil {
 		return nil
 	}
 	now := time.Now()
-	if x.f.drain.Takes(x.route.Name, x.timeout()-now.Sub(x.startedAt), now) {
+	if x.f.drain.Takes(x.drainKey(), x.route.Idempotent(), x.timeout()-now.Sub(x.startedAt), now) {
 		return nil
 	}
 	left, _ := x.f.drain.Left(now)
@@ -28,7 +29,11 @@
 // recordDuration counts how long a request took that was sent to a server. One that its client
 // gave up would have taken longer.
 func (x *exchange) recordDuration(err error) {
-	if x.route != nil && x.sends > 0 && !errkind.Is(err, errkind.ClientGone) {
-		x.f.drain.Record(x.route.Name, time.Since(x.startedAt))
+	if x.service != nil && x.sends > 0 && !errkind.Is(err, errkind.ClientGone) {
+		x.f.drain.Record(x.drainKey(), time.Since(x.startedAt))
 	}
 }
+
+func (x *exchange) drainKey() drain.Key {
+	return drain.Key{Service: x.service.Name, Route: x.route.Name}
+}
