Compare server tables, so that those that differ become equal

Cause: a heartbeat that changes nothing is relayed by its server's id alone, which keeps alive whatever the receiver has.

Change: each process sends each other one the full announcements of 16 servers every 2 s, in turn. Announcements are ordered as before, so that the later one holds at both. Processes of earlier releases read them too.

Shown: TestServerTablesThatDifferBecomeEqual; before: 'after 10 s the other process has s7 at elsewhere:1, want s7:1'.

--- a/internal/directory/peers.go
+++ b/internal/directory/peers.go
@@ -44,6 +44,10 @@
 	// tallies are those of rollouts that routers have reported and the peer has not
 	// acknowledged.
 	tallies map[tallyKey]*fleetpb.RolloutTally
+	// toCompare are the servers that the peer is still to be sent in this round of comparisons,
+	// and comparedAt is when it was last sent some.
+	toCompare  []string
+	comparedAt time.Time
 	// acks are the counters of changes that are not yet sent to the peer.
 	acks []*ackCounter
 	// handoffsAcked is the version of the handoffs that the peer has acknowledged.
@@ -80,6 +84,7 @@
 		members[a] = true
 		if a != h.ownAddress && h.peers[a] == nil {
 			p := newPeer(a)
+			p.comparedAt = h.now()
 			h.peers[a] = p
 			h.addAllServers(p)
 			p.addOrigins(h.origins.table.Recent(h.now()))
@@ -109,6 +114,33 @@
 	h.table.All(func(s *inventory.Server) { p.pending[s.ID] = true })
 }
 
+const (
+	// compareInterval is how often a peer is sent the full announcements of serversCompared
+	// servers, whether or not they changed: about 2 KB.
+	compareInterval = 2 * time.Second
+	serversCompared = 16
+)
+
+// compare returns the announcements that the peer is sent so that tables that differ become equal.
+// A server that announces itself unchanged is relayed by its id alone, which keeps alive whatever
+// the peer has under that id.
+func (h *hub) compare(p *peer) []*fleetpb.Announcement {
+	if h.now().Sub(p.comparedAt) < compareInterval {
+		return nil
+	}
+	p.comparedAt = h.now()
+	if len(p.toCompare) == 0 {
+		h.table.All(func(s *inventory.Server) { p.toCompare = append(p.toCompare, s.ID) })
+	}
+	ids := map[string]bool{}
+	for _, id := range p.toCompare[:min(serversCompared, len(p.toCompare))] {
+		ids[id] = !p.pending[id]
+	}
+	p.toCompare = p.toCompare[len(ids):]
+	maps.DeleteFunc(ids, func(_ string, included bool) bool { return !included })
+	return h.announcements(ids)
+}
+
 // relay marks servers to be sent to all peers at once, and returns the counter of the
 // processes that have them.
 func (h *hub) relay(ids map[string]bool) *ackCounter {
@@ -141,7 +173,7 @@
 	call := &spreadCall{ids: p.pending, acks: p.acks, crashes: p.crashes, survived: p.survived, origins: p.origins}
 	survived, survivedRequests := quarantine.EncodeSubjects(slices.SortedFunc(maps.Keys(p.survived), quarantine.Subject.Compare))
 	call.req = &fleetpb.SpreadRequest{
-		Announcements: h.announcements(p.pending), From: h.ownAddress, DataCentre: h.dataCentre,
+		Announcements: append(h.announcements(p.pending), h.compare(p)...), From: h.ownAddress, DataCentre: h.dataCentre,
 		Load: inventory.EncodeLoad(h.ownLoad()), Routers: uint32(h.reporting),
 		Crashes: quarantine.EncodeCrashes(p.crashes, h.now()), Survived: survived, SurvivedRequests: survivedRequests, Origins: streamorigin.Encode(p.origins),
 	}
--- a/internal/directory/peers_test.go
+++ b/internal/directory/peers_test.go
@@ -74,6 +74,32 @@
 	}
 }
 
+// Guards against server tables that differ for good: a process that was cut off took an announcement by
+// another writer under the id of a server, older than the server's own. The server's later announcements
+// change nothing where they arrive, so that the process is told its id alone and keeps the wrong address.
+func TestServerTablesThatDifferBecomeEqual(t *testing.T) {
+	p := newPair()
+	now := time.Unix(1_700_000_000, 0)
+	p.a.now = func() time.Time { return now }
+	p.b.now = p.a.now
+	for i := range 40 {
+		p.a.merge(serverAnnouncement(fmt.Sprint("s", i), 5, inventory.Ready), true)
+	}
+	p.a.broadcastChanges()
+	p.call(p.a, p.b, "run 1")
+	foreign := serverAnnouncement("s7", 6, inventory.Ready)
+	foreign.Address = "elsewhere:1"
+	p.b.table.Merge(foreign) // What it relayed itself was lost.
+	for sequence := uint64(7); now.Sub(time.Unix(1_700_000_000, 0)) < 10*time.Second; sequence++ {
+		now = now.Add(250 * time.Millisecond)
+		p.a.merge(serverAnnouncement("s7", sequence, inventory.Ready), true)
+		p.call(p.a, p.b, "run 1")
+	}
+	if got := p.b.table.Get("s7").Address; got != "s7:1" {
+		t.Errorf("after 10 s the other process has s7 at %s, want s7:1", got)
+	}
+}
+
 // The acknowledgement of a leaving server waits until a majority of the processes has
 // the change, and no longer than until every other one was tried.
 func TestALeaveIsAcknowledgedOnceAMajorityHasIt(t *testing.T) {
