Record a second draining that is sent again

Cause: a departure counted as recorded if the record had its incarnation and state and the announcement changed nothing here. A server that drained, was ready again and drained once more has an older record of the same state; where the new one failed, the announcement that was sent again changed nothing any more.

Change: the table remembers the latest announcement in which each server was ready, and a record before that does not count.

Shown: TestASecondDrainingIsRecordedWhenItIsSentAgain; before, 'acknowledged with the record of sequence 2, want 4' at the same process and at another one.

--- a/internal/directory/departures.go
+++ b/internal/directory/departures.go
@@ -64,7 +64,8 @@
 func (h *hub) recordDeparture(d inventory.Departure, change inventory.Change) <-chan error {
 	recorded := make(chan error, 1)
 	held, found := h.machine.State().Departures[d.ID]
-	repeated := held.Born == d.Born && held.State == d.State && change != inventory.Changed
+	// A server that was ready since the record leaves once more, even if the process knows already.
+	repeated := held.Born == d.Born && held.State == d.State && change != inventory.Changed && !h.table.ReadySince(held)
 	// A late announcement says nothing of a server that is ready again.
 	readyAgain := d.State == inventory.Draining && change == inventory.Stale && h.isReady(d.ID)
 	if found && (repeated || !d.Supersedes(held)) || readyAgain {
--- a/internal/directory/departures_test.go
+++ b/internal/directory/departures_test.go
@@ -226,6 +226,64 @@
 	}
 }
 
+// Guards against a draining that is acknowledged without a record: a server drains, is ready again and
+// drains once more; that record fails, and the announcement is sent again, to the same process or to
+// another one that has heard of it.
+func TestASecondDrainingIsRecordedWhenItIsSentAgain(t *testing.T) {
+	for _, sentAgainTo := range []string{"the same process", "another process"} {
+		first, _ := newTestHub()
+		other, _ := newTestHub()
+		hubs := []*hub{first, other}
+		fails := false
+		for _, h := range hubs {
+			h.submit = func(cmd *fleetpb.Command, done func(error)) {
+				if fails {
+					done(errkind.New(errkind.NoQuorum, "no leader"))
+					return
+				}
+				for _, h := range hubs {
+					applyCommand(t, h, cmd)
+					h.stateChanged()
+				}
+				done(nil)
+			}
+		}
+		announce := func(h *hub, sequence uint64, state inventory.State) error {
+			s := serverAnnouncement("x", sequence, state)
+			change := h.merge(s, true)
+			for _, o := range hubs {
+				if o != h {
+					o.merge(s, false)
+				}
+			}
+			if d, leaving := s.Departure(); leaving {
+				return <-h.recordDeparture(d, change)
+			}
+			return nil
+		}
+		for i, state := range []inventory.State{inventory.Ready, inventory.Draining, inventory.Ready} {
+			if err := announce(first, uint64(i+1), state); err != nil {
+				t.Fatal(err)
+			}
+		}
+		fails = true
+		if announce(first, 4, inventory.Draining) == nil {
+			t.Fatal("a draining was acknowledged without a record")
+		}
+		fails = false
+		to := first
+		if sentAgainTo == "another process" {
+			to = other
+		}
+		if err := announce(to, 4, inventory.Draining); err != nil {
+			t.Fatal(err)
+		}
+		if got := to.machine.State().Departures["x"]; got.Sequence != 4 {
+			t.Errorf("sent again to %s: acknowledged with the record of sequence %d, want 4", sentAgainTo, got.Sequence)
+		}
+	}
+}
+
 // Guards against a command for each heartbeat of a draining server.
 func TestADrainingServerIsRecordedOnce(t *testing.T) {
 	h, _ := newTestHub()
--- a/internal/inventory/room.go
+++ b/internal/inventory/room.go
@@ -30,6 +30,7 @@
 func (t *Table) remove(id string) {
 	s := t.servers[id]
 	delete(t.servers, id)
+	delete(t.lastReady, id)
 	if t.owners[s.Address] == id {
 		delete(t.owners, s.Address)
 	}
--- a/internal/inventory/table.go
+++ b/internal/inventory/table.go
@@ -61,6 +61,9 @@
 	// owners maps an address to the id of the server whose incarnation started
 	// there last.
 	owners map[string]string
+	// lastReady holds the latest announcement of each server in which it was ready, late ones
+	// included.
+	lastReady map[string]position
 	// departures are those that the fleet has recorded, by server.
 	departures map[string]Departure
 	// isServed reports whether the configuration names a service; nil if that is not known.
@@ -69,7 +72,7 @@
 
 // New returns an empty Table.
 func New() *Table {
-	return &Table{servers: map[string]*Server{}, owners: map[string]string{}}
+	return &Table{servers: map[string]*Server{}, owners: map[string]string{}, lastReady: map[string]position{}}
 }
 
 // Change is the effect of an announcement or a leave on the table.
@@ -100,8 +103,31 @@
 	return "unknown"
 }
 
+// position is the place of an announcement among those of its server.
+type position struct {
+	born     int64
+	sequence uint64
+}
+
+func (p position) before(o position) bool {
+	return p.born < o.born || p.born == o.born && p.sequence < o.sequence
+}
+
+// ReadySince reports whether the server of a departure was ready after it, as far as is known here.
+func (t *Table) ReadySince(d Departure) bool {
+	return position{d.Born, d.Sequence}.before(t.lastReady[d.ID])
+}
+
 // Merge applies an announcement to the table.
 func (t *Table) Merge(s Server) Change {
+	change := t.merge(s)
+	if at := (position{s.Born, s.Sequence}); s.State == Ready && t.servers[s.ID] != nil && t.lastReady[s.ID].before(at) {
+		t.lastReady[s.ID] = at
+	}
+	return change
+}
+
+func (t *Table) merge(s Server) Change {
 	if d, departed := t.departures[s.ID]; departed && d.covers(&s) {
 		if s.Born < d.Born {
 			return Stale
