Send a directory process that starts what fits its link

Cause: a process that starts is sent all recent origins of streams and all servers by each other process, in one call. There they are 55 KB each and 385 KB from seven, which takes the 6 Mbit/s link longer than the 0.4 s that a call has. What is not acknowledged is sent again whole with the next call, so the link stayed full for good.

Evidence: bytes by kind, logged by a scratch copy: from second 10 to 16 the restarted process received 0.5 to 0.78 MB/s, of which origins were 0.4 to 0.6 MB/s, in 9 to 14 calls a second.

Change: a call carries up to 512 origins and 64 servers that are ready, about 10 KB, and all that leave. If more is to be sent, the next call follows the answer at once. Relayed changes count as sent when nothing is left.

Shown: TestAProcessThatStartsIsSentWhatFitsItsLink; before, the first call had all.

--- a/internal/directory/peers.go
+++ b/internal/directory/peers.go
@@ -25,6 +25,11 @@
 	// peerLoadTTL, since a count that is too high only lowers each router's share of
 	// what routers may do together.
 	routerCountTTL = 3 * time.Second
+	// maxServersPerCall and maxOriginsPerCall limit what a peer is sent with one call, to about
+	// 10 KB. All processes call one that has started at the same time: what does not fit its
+	// link within peerCallTimeout is sent again and again.
+	maxServersPerCall = 64
+	maxOriginsPerCall = 512
 )
 
 // peer is another directory process and what it has yet to be sent. All access runs on
@@ -164,18 +169,24 @@
 	crashes  []quarantine.Crash
 	survived map[quarantine.Subject]bool
 	origins  []streamorigin.Record
+	// more is set if the peer has to be sent more than fits the call.
+	more bool
 	// handoffsVersion is that of the handoffs in the request.
 	handoffsVersion uint64
 }
 
 // takeCall returns what the peer is to be sent now.
 func (h *hub) takeCall(p *peer) *spreadCall {
-	call := &spreadCall{ids: p.pending, acks: p.acks, crashes: p.crashes, survived: p.survived, origins: p.origins}
+	call := &spreadCall{ids: h.takeServers(p), crashes: p.crashes, survived: p.survived, origins: p.takeOrigins()}
+	if len(p.pending) == 0 {
+		call.acks, p.acks = p.acks, nil
+	}
+	call.more = len(p.pending) > 0 || len(p.origins) > 0
 	survived, survivedRequests := quarantine.EncodeSubjects(slices.SortedFunc(maps.Keys(p.survived), quarantine.Subject.Compare))
 	call.req = &fleetpb.SpreadRequest{
-		Announcements: append(h.announcements(p.pending), h.compare(p)...), From: h.ownAddress, DataCentre: h.dataCentre,
+		Announcements: append(h.announcements(call.ids), h.compare(p)...), From: h.ownAddress, DataCentre: h.dataCentre,
 		Load: inventory.EncodeLoad(h.ownLoad()), Routers: uint32(h.reporting),
-		Crashes: quarantine.EncodeCrashes(p.crashes, h.now()), Survived: survived, SurvivedRequests: survivedRequests, Origins: streamorigin.Encode(p.origins),
+		Crashes: quarantine.EncodeCrashes(p.crashes, h.now()), Survived: survived, SurvivedRequests: survivedRequests, Origins: streamorigin.Encode(call.origins),
 	}
 	call.handoffsVersion = h.handoffs.version
 	if p.handoffsAcked != call.handoffsVersion {
@@ -188,12 +199,38 @@
 	for id := range p.heard {
 		call.req.Heard = append(call.req.Heard, uint32(routing.Hash(id)))
 	}
-	p.pending, p.heard, p.acks = map[string]bool{}, map[string]bool{}, nil
+	p.heard = map[string]bool{}
 	p.tallies = map[tallyKey]*fleetpb.RolloutTally{}
-	p.crashes, p.survived, p.origins = nil, map[quarantine.Subject]bool{}, nil
+	p.crashes, p.survived = nil, map[quarantine.Subject]bool{}
 	return call
 }
 
+// takeServers removes the servers to be sent with the next call from those that are pending: all
+// that leave, and as many others as fit it.
+func (h *hub) takeServers(p *peer) map[string]bool {
+	ids, others := map[string]bool{}, 0
+	for id := range p.pending {
+		if h.isReady(id) {
+			if others == maxServersPerCall {
+				continue
+			}
+			others++
+		}
+		ids[id] = true
+		delete(p.pending, id)
+	}
+	return ids
+}
+
+// takeOrigins removes the origins to be sent with the next call, the oldest ones: of several of a
+// stream, the last one counts.
+func (p *peer) takeOrigins() []streamorigin.Record {
+	n := min(maxOriginsPerCall, len(p.origins))
+	taken := p.origins[:n:n]
+	p.origins = p.origins[n:]
+	return taken
+}
+
 // finishCall processes the outcome of a call. What the peer did not acknowledge is sent
 // again with the next one; a peer that has started again is sent all servers.
 func (h *hub) finishCall(p *peer, call *spreadCall, resp *fleetpb.SpreadResponse, err error) {
@@ -224,6 +261,9 @@
 		p.addOrigins(h.origins.table.Recent(h.now()))
 	}
 	p.process = resp.Process
+	if call.more {
+		signal(p.wake)
+	}
 }
 
 // receiveSpread merges what another directory process sent, and reports whether it
--- a/internal/directory/peers_test.go
+++ b/internal/directory/peers_test.go
@@ -14,6 +14,7 @@
 	"github.com/kumquathollow/kumquathollow/internal/inventory"
 	"github.com/kumquathollow/kumquathollow/internal/publication"
 	"github.com/kumquathollow/kumquathollow/internal/routing"
+	"github.com/kumquathollow/kumquathollow/internal/streamorigin"
 )
 
 // pair is the hubs of two directory processes in one group, d:1 and d:2, at one clock.
@@ -100,6 +101,47 @@
 	}
 }
 
+// Guards against a process that has started and whose link the others keep full for good: each sent it all
+// recent origins and servers in one call, which did not fit the link in its time, and sent them again.
+func TestAProcessThatStartsIsSentWhatFitsItsLink(t *testing.T) {
+	p := newPair()
+	const servers, streams, maxBytes = 300, 5000, 16 << 10
+	for i := range servers {
+		p.a.merge(serverAnnouncement(fmt.Sprint("server-with-a-usual-name-", i), 1, inventory.Ready), true)
+	}
+	p.a.broadcastChanges()
+	var records []streamorigin.Record
+	for i := range streams {
+		records = append(records, streamorigin.Record{Stream: streamorigin.Stream(i + 1), Origin: streamorigin.Origin{Service: "chat", Version: "v1"}})
+	}
+	to := p.a.peers["d:2"]
+	to.addOrigins(records)
+	sent := 0
+	for calls := 0; ; calls++ {
+		call := p.a.takeCall(to)
+		if size := proto.Size(call.req); size > maxBytes {
+			t.Fatalf("call %d has %d bytes, at most %d are to be sent", calls, size, maxBytes)
+		}
+		if calls%3 == 0 {
+			p.a.finishCall(to, call, nil, errkind.New(errkind.Unreachable, "lost"))
+			continue
+		}
+		p.a.finishCall(to, call, &fleetpb.SpreadResponse{Process: "run 1", List: p.b.receiveSpread(call.req)}, nil)
+		sent += len(call.origins)
+		if !call.more {
+			break
+		}
+		select {
+		case <-to.wake:
+		default:
+			t.Fatalf("call %d was not followed at once, although more is to be sent", calls)
+		}
+	}
+	if n := p.b.table.Len(); n != servers || sent != streams {
+		t.Errorf("%d servers and %d origins arrived, want %d and %d", n, sent, servers, streams)
+	}
+}
+
 // The acknowledgement of a leaving server waits until a majority of the processes has
 // the change, and no longer than until every other one was tried.
 func TestALeaveIsAcknowledgedOnceAMajorityHasIt(t *testing.T) {
