--- a/internal/directory/peers.go
+++ b/internal/directory/peers.go
@@ -137,12 +137,11 @@
 	if len(p.toCompare) == 0 {
 		h.table.All(func(s *inventory.Server) { p.toCompare = append(p.toCompare, s.ID) })
 	}
-	ids := map[string]bool{}
-	for _, id := range p.toCompare[:min(serversCompared, len(p.toCompare))] {
-		ids[id] = !p.pending[id]
+	ids, n := map[string]bool{}, min(serversCompared, len(p.toCompare))
+	for _, id := range p.toCompare[:n] {
+		ids[id] = true
 	}
-	p.toCompare = p.toCompare[len(ids):]
-	maps.DeleteFunc(ids, func(_ string, included bool) bool { return !included })
+	p.toCompare = p.toCompare[n:]
 	return h.announcements(ids)
 }
 
--- a/internal/replication/confirm.go
+++ b/internal/replication/confirm.go
@@ -52,7 +52,7 @@
 	}
 	c.quarantined = true
 	if c.role != Follower {
-		c.becomeFollower(c.term, "", "the disk holds less than it has acknowledged")
+		c.becomeFollower(c.term, "the disk holds less than it has acknowledged")
 	}
 }
 
--- a/internal/replication/core.go
+++ b/internal/replication/core.go
@@ -297,7 +297,7 @@
 
 func (c *Core) tickLeader() {
 	if !c.hasQuorumContact() {
-		c.becomeFollower(c.term, "", "the leader does not hear from a majority")
+		c.becomeFollower(c.term, "the leader does not hear from a majority")
 		return
 	}
 	if c.now >= c.heartbeatDue {
@@ -321,7 +321,7 @@
 	return n >= majority(len(c.voters.Voters))
 }
 
-func (c *Core) becomeFollower(term uint64, leader, reason string) {
+func (c *Core) becomeFollower(term uint64, reason string) {
 	c.roleReason = reason
 	if term > c.term {
 		c.term, c.vote, c.ackedIndex = term, "", 0
@@ -332,7 +332,7 @@
 		}
 		c.reads, c.progress = nil, nil
 	}
-	c.role, c.leader, c.votes = Follower, leader, nil
+	c.role, c.leader, c.votes = Follower, "", nil
 	c.resetElection()
 }
 
--- a/internal/replication/election.go
+++ b/internal/replication/election.go
@@ -74,7 +74,7 @@
 	case m.Type == pb.MessageType_PRE_VOTE_REPLY && !m.Reject:
 		return true
 	}
-	c.becomeFollower(m.Term, "", fmt.Sprintf("%q has a higher term (%s)", m.From, m.Type))
+	c.becomeFollower(m.Term, fmt.Sprintf("%q has a higher term (%s)", m.From, m.Type))
 	return true
 }
 
@@ -225,7 +225,7 @@
 	c.advanceCommit(s.Index)
 	if c.votersIndex != known && c.role != Follower {
 		// The votes were asked of another set.
-		c.becomeFollower(c.term, "", "the voters changed during the campaign")
+		c.becomeFollower(c.term, "the voters changed during the campaign")
 	}
 }
 
--- a/internal/replication/replicate.go
+++ b/internal/replication/replicate.go
@@ -411,7 +411,7 @@
 	}
 	c.syncProgress()
 	if !c.isVoter() {
-		c.becomeFollower(c.term, "", "this process is no longer a voter")
+		c.becomeFollower(c.term, "this process is no longer a voter")
 		return
 	}
 	c.votersStartIndex = c.log.last() + 1
