Read-through: encode departures once for all waiting routers, count durations in one place

sendDepartures encoded the whole table for each router whose list waits; it now encodes the servers that leave once for all of them. Durations of requests were recorded beside both calls of recordOutcome; that records them now. Gate.Left returned a flag that neither caller read. Behaviour is as before.

--- a/internal/directory/catchup.go
+++ b/internal/directory/catchup.go
@@ -2,11 +2,13 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"github.com/kumquathollow/kumquathollow/api/fleetpb"
+	"github.com/kumquathollow/kumquathollow/internal/inventory"
 	"github.com/kumquathollow/kumquathollow/internal/publication"
 	"github.com/kumquathollow/kumquathollow/internal/quarantine"
 )
@@ -109,12 +111,13 @@
 func (h *hub) sendLists() {
 	var list []*fleetpb.Announcement
 	size := 0
+	departures := sync.OnceValues(h.departuresUpdate)
 	for s := range h.sessions {
 		if !s.listDue {
 			continue
 		}
 		if !h.maySendBulk() {
-			h.sendDepartures(s)
+			h.sendDepartures(s, departures)
 			continue
 		}
 		if list == nil {
@@ -128,19 +131,28 @@
 	}
 }
 
-func (h *hub) sendDepartures(s *session) {
+func (h *hub) sendDepartures(s *session, departures func() ([]*fleetpb.Announcement, int)) {
 	if s.departuresSent || h.leader == "" {
 		return
 	}
 	s.departuresSent = true
-	_, leaving := splitByState(h.allAnnouncements())
-	u := &fleetpb.FollowUpdate{Announcements: leaving}
-	size := proto.Size(u)
+	leaving, size := departures()
 	if len(leaving) == 0 || size > maxDeparturesBytes {
 		return
 	}
 	h.bulkBytes -= float64(size)
-	s.push(h.withStatus(u))
+	s.push(h.withStatus(&fleetpb.FollowUpdate{Announcements: leaving}))
+}
+
+// departuresUpdate returns an announcement for every known server that leaves, and the size of an
+// update with them.
+func (h *hub) departuresUpdate() (leaving []*fleetpb.Announcement, size int) {
+	h.table.All(func(s *inventory.Server) {
+		if s.State != inventory.Ready {
+			leaving = append(leaving, inventory.Encode(s, h.now()))
+		}
+	})
+	return leaving, proto.Size(&fleetpb.FollowUpdate{Announcements: leaving})
 }
 
 const (
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -169,8 +169,7 @@
 	if d.drain.Takes(route.drainKey(), route.repeatable, route.deadline, now) {
 		return nil
 	}
-	left, _ := d.drain.Left(now)
-	return errkind.New(errkind.ShuttingDown, "this router stops in %s, and requests of route %s of service %s may take longer; send the request again", left.Round(time.Millisecond), route.path, route.service.Name)
+	return errkind.New(errkind.ShuttingDown, "this router stops in %s, and requests of route %s of service %s may take longer; send the request again", d.drain.Left(now).Round(time.Millisecond), route.path, route.service.Name)
 }
 
 // table returns the route table of set. It is built once per set.
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -116,11 +116,11 @@
 	return c
 }
 
-// Left returns what is left of the time for requests, and false if the process does not stop.
-func (g *Gate) Left(now time.Time) (time.Duration, bool) {
+// Left returns what is left of the time for requests of a process that stops.
+func (g *Gate) Left(now time.Time) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return max(0, g.end.Sub(now)), !g.end.IsZero()
+	return max(0, g.end.Sub(now))
 }
 
 // Takes reports whether a request that may take up to limit is taken: the process does not stop,
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -127,7 +127,6 @@
 	}
 	err := x.serve()
 	x.recordOutcome(err)
-	x.recordDuration(err)
 	if err == nil {
 		return
 	}
--- a/internal/forward/handoff.go
+++ b/internal/forward/handoff.go
@@ -57,7 +57,6 @@
 	}
 	err = x.serve()
 	x.recordOutcome(err)
-	x.recordDuration(err)
 	if errors.Is(err, placement.ErrUnreachable) && !x.anyMayHaveRun {
 		err = errkind.Wrap(err, errkind.NotReady, "this router reaches no server either") // Others may.
 	}
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -13,6 +13,7 @@
 // recordOutcome updates the metrics for a completed request and logs it.
 func (x *exchange) recordOutcome(err error) {
 	duration := time.Since(x.startedAt)
+	x.recordDuration(err, duration)
 	kind := errkind.Of(err)
 	m := x.f.opts.Metrics
 	m.Histogram("forward.request_us").Update(duration.Microseconds())
--- a/internal/forward/stopping.go
+++ b/internal/forward/stopping.go
@@ -17,8 +17,7 @@
 	if x.f.drain.Takes(x.drainKey(), x.route.Idempotent(), x.timeout()-now.Sub(x.startedAt), now) {
 		return nil
 	}
-	left, _ := x.f.drain.Left(now)
-	return errkind.New(errkind.ShuttingDown, "this router stops in %s, and requests of route %q may take longer", left.Round(time.Millisecond), x.route.Name).
+	return errkind.New(errkind.ShuttingDown, "this router stops in %s, and requests of route %q may take longer", x.f.drain.Left(now).Round(time.Millisecond), x.route.Name).
 		WithRetryAfter(stoppingRetryAfter)
 }
 
@@ -28,9 +27,9 @@
 
 // recordDuration counts how long a request took that was sent to a server. One that its client
 // gave up would have taken longer.
-func (x *exchange) recordDuration(err error) {
+func (x *exchange) recordDuration(err error, took time.Duration) {
 	if x.service != nil && x.sends > 0 && !errkind.Is(err, errkind.ClientGone) {
-		x.f.drain.Record(x.drainKey(), time.Since(x.startedAt))
+		x.f.drain.Record(x.drainKey(), took)
 	}
 }
 
