Pass a continued stream on only from the client's last event

Seen: a stream of events 1 to 3 broke, the next server went on at 6, and the client got 1 to 3 and 6 to 8 as a whole stream; one that went on with no event, or ended before event 3, ended as whole too.

Cause: at the seam of two servers only ids that the client had from this response were dropped. Whether the next event follows, and what the client said it has, was not looked at.

Change: a server that continues a stream must write the number after the client's last one, or events up to it again; ids already had are dropped, also for a client's own resumption. If it ends without an event, nothing shows that the stream had ended: the attempt failed, another server is asked or the connection aborted. A client that asks for what is left itself gets the server's empty answer. Streams whose service does not number consecutively are known by what most of its events do. The same check holds for responses of other routers. Counters forward.resumed.in_response and forward.resumed.wrong.

--- /dev/null
+++ b/internal/forward/continuity.go
@@ -0,0 +1,107 @@
+package forward
+
+import (
+	"bytes"
+	"strconv"
+	"sync/atomic"
+
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
+)
+
+// numbering records whether a service numbers the events of its streams consecutively. It is safe
+// for concurrent use.
+type numbering struct {
+	consecutive, other atomic.Int64
+}
+
+// record counts two numbers that followed each other in what one server wrote.
+func (n *numbering) record(previous, next uint64) {
+	if next == previous+1 {
+		n.consecutive.Add(1)
+	} else {
+		n.other.Add(1)
+	}
+}
+
+// isConsecutive reports whether numbers that are left out stand for missing events. That is assumed
+// until streams show otherwise.
+func (n *numbering) isConsecutive() bool { return n.consecutive.Load() >= n.other.Load() }
+
+// position is the place in a stream up to which the client has its events.
+type position struct {
+	// last is the number of the last event; valid if known is set.
+	last  uint64
+	known bool
+}
+
+// positionAfter returns the position after the event with an id.
+func positionAfter(id string) position {
+	n, err := strconv.ParseUint(id, 10, 64)
+	return position{last: n, known: err == nil}
+}
+
+// streamEvent is one event of a stream.
+type streamEvent struct {
+	text []byte
+	// id is the event's id; empty if it has none.
+	id string
+}
+
+// parseEvent returns the event of a text, which ends with an empty line.
+func parseEvent(text []byte) streamEvent {
+	e := streamEvent{text: text}
+	for line := range bytes.Lines(text) {
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			e.id = string(bytes.TrimSpace(id))
+		}
+	}
+	return e
+}
+
+// continuity checks that what one server writes follows the events that the client has.
+type continuity struct {
+	numbering *numbering
+	// after is the position at which the server is to go on; not known for a new stream.
+	after position
+	// read is the position of the server, and joined is set once an event was new.
+	read   position
+	joined bool
+}
+
+// isNew reports whether the client does not have the event yet. It returns an error if events are
+// missing before it.
+func (c *continuity) isNew(e streamEvent) (bool, error) {
+	at := positionAfter(e.id)
+	if !at.known {
+		return true, nil
+	}
+	previous := c.read
+	if c.joined && previous.known && at.last <= previous.last {
+		return false, nil
+	}
+	c.read = at
+	switch {
+	case c.after.known && at.last <= c.after.last:
+		return false, nil
+	case c.joined && previous.known:
+		c.numbering.record(previous.last, at.last)
+	case !c.joined && c.after.known && at.last != c.after.last+1 && c.numbering.isConsecutive():
+		return false, errkind.New(errkind.StreamBroken, "event %d follows event %d", at.last, c.after.last)
+	}
+	c.joined = true
+	return true, nil
+}
+
+// end returns an error if the server ended the stream at an earlier event than the last one that the
+// client has. hasEvents is set if the response contains events of another server: then the server
+// must have written the last of them again, or a later one.
+func (c *continuity) end(hasEvents bool) error {
+	switch {
+	case c.joined || !c.after.known || c.read.known && c.read.last == c.after.last:
+	case c.read.known:
+		return errkind.New(errkind.StreamBroken, "the stream ended with event %d, before event %d", c.read.last, c.after.last)
+	case hasEvents:
+		return errkind.New(errkind.StreamBroken, "the stream ended without an event after event %d", c.after.last)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/forward/continuity_test.go
@@ -0,0 +1,77 @@
+package forward
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+)
+
+func event(n int) streamEvent { return streamEvent{id: fmt.Sprint(n)} }
+
+// Guards against a response joined from several servers that lacks an event, has one twice, or ends
+// as whole before an event that a server had.
+func TestJoinedStreamsHaveEachEventOnce(t *testing.T) {
+	rng := rand.New(rand.NewPCG(57, 1))
+	for round := range 20_000 {
+		numbering, has := &numbering{}, 0
+		for attempt := 0; attempt < 4; attempt++ {
+			c := continuity{numbering: numbering}
+			if has > 0 {
+				c.after = positionAfter(fmt.Sprint(has))
+			}
+			// The server writes some consecutive events, often not those asked for.
+			from, count, whole := has+1, rng.IntN(5), rng.IntN(2) == 0
+			if has > 0 && rng.IntN(2) == 0 {
+				from = max(1, has-2+rng.IntN(6))
+			}
+			var err error
+			for n := from; n < from+count && err == nil; n++ {
+				var isNew bool
+				if isNew, err = c.isNew(event(n)); isNew {
+					if n != has+1 {
+						t.Fatalf("round %d: event %d is passed on after event %d", round, n, has)
+					}
+					has = n
+				}
+			}
+			if err == nil && whole && c.end(has > 0) == nil {
+				if last := from + count - 1; has > 0 && (count == 0 || last != has) && !(attempt == 0 && count == 0) {
+					t.Fatalf("round %d: events %d to %d end a stream with %d events as whole", round, from, last, has)
+				}
+				break
+			}
+		}
+	}
+}
+
+// Guards against taking a service's own numbering for missing events, and against believing one server
+// that numbers its events otherwise.
+func TestNumberingFollowsMostOfTheEvents(t *testing.T) {
+	n := &numbering{}
+	write := func(numbers ...int) {
+		c := continuity{numbering: n}
+		for _, number := range numbers {
+			if isNew, err := c.isNew(event(number)); !isNew || err != nil {
+				t.Fatalf("event %d: new %t, %v", number, isNew, err)
+			}
+		}
+	}
+	if !n.isConsecutive() {
+		t.Error("a new service does not count as numbering its events consecutively")
+	}
+	write(1, 2, 3, 4, 5)
+	write(1, 9)
+	if !n.isConsecutive() {
+		t.Error("one step among five decides")
+	}
+	for range 10 {
+		write(5, 10)
+	}
+	if n.isConsecutive() {
+		t.Error("numbers in steps of 5 count as consecutive")
+	}
+	c := continuity{numbering: n, after: positionAfter("10")}
+	if isNew, err := c.isNew(event(15)); !isNew || err != nil {
+		t.Errorf("the next step: new %t, %v", isNew, err)
+	}
+}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/kumquathollow/kumquathollow/internal/backend"
+	"github.com/kumquathollow/kumquathollow/internal/catalog"
 	"github.com/kumquathollow/kumquathollow/internal/drain"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/eventlog"
@@ -58,6 +59,7 @@
 	mu           sync.Mutex
 	retryBudgets map[string]*retryBudget
 	roomQueues   map[string]*roomQueue
+	numberings   map[string]*numbering
 }
 
 // logLinesPerSecond limits the log lines per second of each kind. It is above the
@@ -66,7 +68,7 @@
 
 // New returns a Forwarder.
 func New(opts Options) *Forwarder {
-	f := &Forwarder{opts: opts, startedAt: time.Now(), sampler: eventlog.NewSampler(logLinesPerSecond), retryBudgets: map[string]*retryBudget{}, roomQueues: map[string]*roomQueue{}}
+	f := &Forwarder{opts: opts, startedAt: time.Now(), sampler: eventlog.NewSampler(logLinesPerSecond), retryBudgets: map[string]*retryBudget{}, roomQueues: map[string]*roomQueue{}, numberings: map[string]*numbering{}}
 	f.requestBodies.limit, f.responses.limit = maxBufferedBytes, maxBufferedResponseBytes
 	f.crashes = newCrashDetector(opts.Pool, f.reportCrash)
 	f.prober = newProber(opts.Fleet, opts.Pool)
@@ -150,6 +152,22 @@
 // Run checks which servers can be reached, until ctx is done.
 func (f *Forwarder) Run(ctx context.Context) error { return f.prober.run(ctx) }
 
+// numberingOf returns how a service numbers the events of its streams. The service is nil if it is
+// not known here.
+func (f *Forwarder) numberingOf(service *catalog.Service) *numbering {
+	if service == nil {
+		return &numbering{}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := f.numberings[service.Name]
+	if n == nil {
+		n = &numbering{}
+		f.numberings[service.Name] = n
+	}
+	return n
+}
+
 const (
 	// discardTimeout and maxDiscardedBytes limit how much of a refused request's body is
 	// read before the response.
--- a/internal/forward/handoff.go
+++ b/internal/forward/handoff.go
@@ -140,14 +140,17 @@
 	}
 	x.handedOffTo = append(x.handedOffTo, address)
 	x.f.opts.Metrics.Counter("forward.handoff.handed_off").Inc(1)
-	sentAt := time.Now()
+	sentAt, check := time.Now(), x.newContinuity()
 	res := peers.Do(x.ctx, address, x.handoffRequest(), func(p handoff.Part) error {
 		if p.Header != nil {
 			x.recordRemoteNotice(p, sentAt)
 		}
-		return x.receivePart(p)
+		return x.receivePart(p, check)
 	})
 	x.f.peers.Done(address, res.PeerFailed, time.Now())
+	if res.Err == nil {
+		res.Err = check.end(x.eventsSent > 0) // Routers of earlier releases do not check it.
+	}
 	out := x.handoffResult(res)
 	if out.err != nil {
 		x.f.logFailedHandoff(x, address, out)
@@ -206,7 +209,7 @@
 }
 
 // receivePart relays one part of another router's response to the client.
-func (x *exchange) receivePart(p handoff.Part) error {
+func (x *exchange) receivePart(p handoff.Part, check *continuity) error {
 	whole := p.Header.Get("Content-Length") != ""
 	switch {
 	case whole && x.headerSent:
@@ -217,17 +220,11 @@
 		x.writeHeader(&http.Response{StatusCode: p.Status, Header: p.Header})
 		return nil
 	}
-	id, ok := eventID(p.Data)
-	if ok && x.isDuplicate(id) {
-		return nil
-	}
-	if err := x.writeEvent(&http.Response{StatusCode: p.Status, Header: p.Header}, p.Data); err != nil {
+	event := parseEvent(p.Data)
+	if isNew, err := check.isNew(event); err != nil || !isNew {
 		return err
 	}
-	if ok {
-		x.lastEventID = id
-	}
-	return nil
+	return x.writeEvent(&http.Response{StatusCode: p.Status, Header: p.Header}, event)
 }
 
 // recordRemoteNotice records what a server says of itself in a response that another router
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -6,7 +6,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -42,12 +41,19 @@
 func (x *exchange) forwardStream(picked *placement.PickResult, resp *backend.Response) attemptResult {
 	br := bufio.NewReaderSize(resp.Body, eventBufferBytes)
 	survived, firstEventAt := false, time.Time{}
+	check := x.newContinuity()
+	if x.lastEventID != "" {
+		x.f.opts.Metrics.Counter("forward.resumed.in_response").Inc(1)
+	}
 	for events := 0; ; events++ {
 		event, err := x.nextEvent(resp, br)
 		switch {
 		case err == nil:
 		case errors.Is(err, io.EOF) && len(event) == 0:
 			resp.MarkBodyRead()
+			if err := check.end(x.eventsSent > 0); err != nil {
+				return x.wronglyContinued(picked, err)
+			}
 			x.recordPace(events, firstEventAt)
 			x.f.opts.View.RecordSurvival(x.subjects)
 			return x.streamEnded(resp)
@@ -67,17 +73,18 @@
 		if events == paceEvents {
 			x.recordPace(events, firstEventAt)
 		}
-		id, ok := eventID(event)
-		if ok && x.isDuplicate(id) {
+		parsed := parseEvent(event)
+		isNew, err := check.isNew(parsed)
+		if err != nil {
+			return x.wronglyContinued(picked, err)
+		}
+		if !isNew {
 			continue
 		}
 		x.beginStream(picked)
-		if err := x.writeEvent(resp.Response, event); err != nil {
+		if err := x.writeEvent(resp.Response, parsed); err != nil {
 			return attemptResult{err: err, sent: true, mayHaveRun: true, outcome: placement.Neutral}
 		}
-		if ok {
-			x.lastEventID = id
-		}
 	}
 }
 
@@ -128,31 +135,20 @@
 	return nextEventTimeoutFactor * x.route.MaxGap
 }
 
-// eventID returns the id of an event, and false if it has none.
-func eventID(event []byte) (string, bool) {
-	for line := range bytes.Lines(event) {
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(id)), true
-		}
-	}
-	return "", false
-}
-
-// isDuplicate reports whether a resumed stream repeats an event that the client
-// already has.
-func (x *exchange) isDuplicate(id string) bool {
-	if x.lastEventID == "" {
-		return false
-	}
-	lastSent, err := strconv.ParseUint(x.lastEventID, 10, 64)
-	if err != nil {
-		return false
+// newContinuity returns the check of what the next server, or router, writes: the client has the
+// events of this response, or those up to the one that its request names.
+func (x *exchange) newContinuity() *continuity {
+	c := &continuity{numbering: x.f.numberingOf(x.service)}
+	switch {
+	case x.lastEventID != "":
+		c.after = positionAfter(x.lastEventID)
+	case x.route != nil && x.isResumption():
+		c.after = positionAfter(x.requestInfo.LastEventID)
 	}
-	current, err := strconv.ParseUint(id, 10, 64)
-	return err == nil && current <= lastSent
+	return c
 }
 
-func (x *exchange) writeEvent(resp *http.Response, event []byte) error {
+func (x *exchange) writeEvent(resp *http.Response, event streamEvent) error {
 	x.writeHeader(resp)
 	if x.eventsSent == 0 {
 		x.firstEvent = time.Since(x.startedAt)
@@ -161,13 +157,16 @@
 	// An error is ignored: a client that does not read is detected at its own
 	// deadline at the latest.
 	_ = x.rc.SetWriteDeadline(time.Now().Add(clientWriteTimeout))
-	_, err := x.w.Write(event)
+	_, err := x.w.Write(event.text)
 	if err == nil {
 		err = x.rc.Flush()
 	}
 	if err != nil {
 		return errkind.Wrap(err, errkind.ClientGone, "write a stream event to the client")
 	}
+	if event.id != "" {
+		x.lastEventID = event.id
+	}
 	return nil
 }
 
@@ -188,6 +187,12 @@
 	return attemptResult{sent: true, mayHaveRun: true, outcome: placement.Success}
 }
 
+// wronglyContinued returns the result for a server that did not go on where the client's events end.
+func (x *exchange) wronglyContinued(picked *placement.PickResult, cause error) attemptResult {
+	x.f.opts.Metrics.Counter("forward.resumed.wrong").Inc(1)
+	return x.streamBroken(picked, cause)
+}
+
 func (x *exchange) streamBroken(picked *placement.PickResult, cause error) attemptResult {
 	res := attemptResult{sent: true, mayHaveRun: true, retryable: true, outcome: placement.Failure}
 	switch {
