Do not resume a stream that broke after an event without an id

Seen: events 1, 2 and one without an id, a break, and the client got that event a second time from the next server (ORDER).

Cause: where a stream goes on is told by the last id, and events without one were passed on without a trace.

Evidence: TestAStreamThatBreaksAfterAnEventWithoutAnIDIsNotResumed got the event twice before.

Change: such a stream is aborted, since no id names the place. Comments and events without data do not count.

--- a/internal/forward/continuity.go
+++ b/internal/forward/continuity.go
@@ -45,6 +45,8 @@
 	text []byte
 	// id is the event's id; empty if it has none.
 	id string
+	// hasData is set unless the event consists of comments and other fields only.
+	hasData bool
 }
 
 // parseEvent returns the event of a text, which ends with an empty line.
@@ -54,6 +56,7 @@
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			e.id = string(bytes.TrimSpace(id))
 		}
+		e.hasData = e.hasData || bytes.HasPrefix(line, []byte("data"))
 	}
 	return e
 }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -78,7 +78,9 @@
 	firstEvent  time.Duration
 	eventsSent  int
 	lastEventID string
-	lastPicked  *placement.PickResult
+	// afterUnnumbered is set if events without an id were relayed after that one.
+	afterUnnumbered bool
+	lastPicked      *placement.PickResult
 	// counted is the attempt that runs, if the service has a running rollout.
 	counted *rollout.Attempt
 }
@@ -365,7 +367,7 @@
 		return false // Another server could end as well.
 	}
 	if x.headerSent {
-		return x.route.Resumable && x.lastEventID != ""
+		return x.route.Resumable && x.lastEventID != "" && !x.afterUnnumbered
 	}
 	return !x.anyMayHaveRun || x.route.Idempotent()
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -165,7 +165,9 @@
 		return errkind.Wrap(err, errkind.ClientGone, "write a stream event to the client")
 	}
 	if event.id != "" {
-		x.lastEventID = event.id
+		x.lastEventID, x.afterUnnumbered = event.id, false
+	} else if event.hasData {
+		x.afterUnnumbered = true
 	}
 	return nil
 }
