Reset the connections of HTTP/1.0 clients whose response is cut

What clients saw: a stream that its server broke off, that the router cut at the end of its grace period, or whose client did not read for longer than a write may take, ended as whole for clients of HTTP/1.0, before its last event. Clients of HTTP/1.1 saw each of these cuts, with kept connections and with "Connection: close".

Cause: to a client of HTTP/1.0 the end of the connection marks the end of a response without a length. net/http closes it after a panic with ErrAbortHandler as after a whole response.

Change: while a request of HTTP/1.0 is handled, closing its connection resets it, whoever closes it: the handler's panic, the server that stops, or the system once the process was killed. The dispatcher of declared fleets refuses HTTP/1.0 and is not changed.

--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -179,7 +179,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	errorLog := r.log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})
 	clients := &http.Server{
-		Handler: r.forwarder, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: errorLog,
+		Handler: httpguard.Handler(r.forwarder), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: errorLog,
 		ConnState: httpguard.ConnState, ConnContext: httpguard.ConnContext, DisableGeneralOptionsHandler: true,
 	}
 	mux := http.NewServeMux()
--- a/internal/httpguard/guard.go
+++ b/internal/httpguard/guard.go
@@ -5,7 +5,7 @@
 // of the header.
 //
 // It also applies an idle timeout to connections and a timeout to request headers; both
-// may change while the server runs.
+// may change while the server runs. Handler has clients of HTTP/1.0 see that a response is cut.
 package httpguard
 
 import (
