End streams whose end comes long after their last event

What clients saw: a whole stream whose server ended it more than 5 s after its last event was cut: all events, then "unexpected EOF" instead of the last chunk. The client of a stream that may be resumed then asked for what follows the last event.

Cause: writing an event may take 5 s (clientWriteTimeout), by a deadline of the connection that is set with each event. net/http writes the end of the response after the handler has returned, when that deadline had passed.

Change: the deadline is renewed when a stream has ended.

--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -128,6 +128,10 @@
 	err := x.serve()
 	x.recordOutcome(err)
 	if err == nil {
+		if x.eventsSent > 0 {
+			// The end of the stream is still to be written, maybe long after its last event.
+			_ = x.rc.SetWriteDeadline(time.Now().Add(clientWriteTimeout))
+		}
 		return
 	}
 	if x.headerSent {
