Do not resume a stream at another service than the one that began it

Cause: versions were compared by name across the services of a route, the service was drawn anew by the hash of the new request, and a service that the route no longer has was left out while the version's name still counted.

Change: an origin is a version of one service. A stream of unknown origin goes on only if the services of its route, and those that its path had until less than the route's time-out ago, have one origin in all; a known one only if the route still sends requests to its service. It is refused as not run otherwise.

--- /dev/null
+++ b/internal/fleetview/former_services.go
@@ -0,0 +1,61 @@
+package fleetview
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/kumquathollow/kumquathollow/internal/catalog"
+)
+
+// formerService is a service that a route of resumable streams had before a change of the
+// configuration. Streams that began there may still be resumed until the route's time-out has passed.
+type formerService struct {
+	host, prefix, service string
+	until                 time.Time
+}
+
+// formerServices returns the services that the snapshot's routes have, or had, and those of next do not.
+func (s *Snapshot) formerServices(next *catalog.Set, now time.Time) []formerService {
+	var former []formerService
+	for _, f := range s.former {
+		if now.Before(f.until) {
+			former = append(former, f)
+		}
+	}
+	if s.Configuration == nil {
+		return former
+	}
+	for i := range s.Configuration.Routes {
+		r := &s.Configuration.Routes[i]
+		if !r.Resumable {
+			continue
+		}
+		successor := next.FindRoute(r.Host, r.Prefix)
+		for _, share := range r.Split {
+			if successor == nil || !hasService(successor, share.Service) {
+				former = append(former, formerService{host: strings.ToLower(r.Host), prefix: r.Prefix, service: share.Service, until: now.Add(r.Timeout)})
+			}
+		}
+	}
+	return former
+}
+
+func hasService(r *catalog.Route, service string) bool {
+	return slices.ContainsFunc(r.Split, func(share catalog.Share) bool { return share.Service == service })
+}
+
+// StreamServices returns the services at which a stream may have begun that a request resumes now: those of
+// its route, and those that the path had before lately.
+func (s *Snapshot) StreamServices(route *catalog.Route, path string, now time.Time) []string {
+	var services []string
+	for _, share := range route.Split {
+		services = append(services, share.Service)
+	}
+	for _, f := range s.former {
+		if now.Before(f.until) && f.host == strings.ToLower(route.Host) && strings.HasPrefix(path, f.prefix) && !slices.Contains(services, f.service) {
+			services = append(services, f.service)
+		}
+	}
+	return services
+}
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -29,6 +29,8 @@
 	Quarantined map[quarantine.Subject]*Quarantine
 	// Rollouts holds the last rollout of each service.
 	Rollouts map[string]*rollout.Rollout
+	// former are the services that routes had before lately.
+	former []formerService
 }
 
 // Options configures a View.
@@ -513,14 +515,14 @@
 	if state.Revision <= previous.Revision {
 		return
 	}
-	next := &Snapshot{Configuration: previous.Configuration, Revision: state.Revision, Evacuated: state.Evacuated, Quarantined: previous.nextQuarantines(state.Quarantined), Rollouts: state.Rollouts}
+	next := &Snapshot{Configuration: previous.Configuration, Revision: state.Revision, Evacuated: state.Evacuated, Quarantined: previous.nextQuarantines(state.Quarantined), Rollouts: state.Rollouts, former: previous.former}
 	if c := state.Configuration; c != nil && (previous.Configuration == nil || c.Version > previous.Configuration.Version) {
 		config, err := v.opts.Decode(c.Document)
 		if err != nil {
 			v.opts.Log.Error("configuration is invalid; keeping the one in force", "version", c.Version, "revision", state.Revision, "error", err)
 			return
 		}
-		next.Configuration = config
+		next.Configuration, next.former = config, previous.formerServices(config, time.Now())
 	}
 	v.state, v.lastFetchAt, v.lastFetchFrom = state, 0, nil
 	v.snapshot.Store(next)
--- a/internal/forward/handoff.go
+++ b/internal/forward/handoff.go
@@ -97,10 +97,6 @@
 	}
 	x.requestInfo.Timeout = max(time.Millisecond, x.received.Timeout)
 	x.lastEventID = x.received.LastEventID
-	if x.received.Origin.Version != "" {
-		x.origin = x.received.Origin
-		x.useService(x.origin.Service)
-	}
 }
 
 // mayHandOff reports whether the request may be handed off to another router. One that was
--- a/internal/forward/resumption.go
+++ b/internal/forward/resumption.go
@@ -1,7 +1,7 @@
 package forward
 
 import (
-	"slices"
+	"time"
 
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/placement"
@@ -26,51 +26,53 @@
 // since only that one can continue it. What this router knows of servers shows nothing by itself:
 // the stream may have begun at one of which it has not heard yet. If nobody knows the origin, the
 // request goes on only if the directory confirms that this router knows all servers, and they have
-// one version.
+// one version of one service.
 func (x *exchange) resolveOrigin() error {
-	if !x.isResumption() || x.origin.Version != "" {
+	switch {
+	case x.received != nil && x.received.Origin.Version != "":
+		return x.continueAt(x.received.Origin)
+	case !x.isResumption():
 		return nil
 	}
-	origin, known, serversKnown := x.f.opts.View.StreamOrigin(x.ctx, x.stream(), func() bool { return len(x.routeVersions()) <= 1 })
+	origin, known, serversKnown := x.f.opts.View.StreamOrigin(x.ctx, x.stream(), func() bool { return len(x.possibleOrigins()) <= 1 })
 	if known {
 		x.f.opts.Metrics.Counter("forward.resumed.known").Inc(1)
-		x.origin = origin
-		x.useService(origin.Service)
-		return nil
+		return x.continueAt(origin)
 	}
-	versions := x.routeVersions()
-	if serversKnown && len(versions) <= 1 {
+	possible := x.possibleOrigins()
+	if serversKnown && len(possible) <= 1 {
 		x.f.opts.Metrics.Counter("forward.resumed.one_version").Inc(1)
-		if len(versions) == 1 {
-			x.origin.Version = versions[0]
+		if len(possible) == 1 {
+			return x.continueAt(possible[0])
 		}
 		return nil
 	}
 	x.f.opts.Metrics.Counter("forward.resumed.unknown").Inc(1)
-	return errkind.New(errkind.StreamNotResumable, "it is not known which software version began the stream of request %q; route %q has servers of %d versions, all of which are known: %t", x.requestInfo.Resumes, x.route.Name, len(versions), serversKnown).
+	return errkind.New(errkind.StreamNotResumable, "it is not known which software version began the stream of request %q; the services of route %q have servers of %d versions, all of which are known: %t", x.requestInfo.Resumes, x.route.Name, len(possible), serversKnown).
 		WithRetryAfter(refusedRetryAfter)
 }
 
-// routeVersions returns the software versions of the servers of all services of the route.
-func (x *exchange) routeVersions() (versions []string) {
-	for _, share := range x.route.Split {
-		for _, version := range x.f.opts.Fleet.Versions(share.Service) {
-			if !slices.Contains(versions, version) {
-				versions = append(versions, version)
-			}
+// possibleOrigins returns the software versions of the servers of all services at which the stream may
+// have begun. Versions of the same name of two services differ.
+func (x *exchange) possibleOrigins() (origins []streamorigin.Origin) {
+	for _, service := range x.f.opts.View.Snapshot().StreamServices(x.route, x.r.URL.Path, time.Now()) {
+		for _, version := range x.f.opts.Fleet.Versions(service) {
+			origins = append(origins, streamorigin.Origin{Service: service, Version: version})
 		}
 	}
-	return versions
+	return origins
 }
 
-// useService has the request sent to another service of its route. A service that the route
-// no longer has is left out.
-func (x *exchange) useService(name string) {
+// continueAt has the request sent to the service and version that began its stream. The route may not have
+// that service any more.
+func (x *exchange) continueAt(origin streamorigin.Origin) error {
 	for _, share := range x.route.Split {
-		if share.Service == name && share.Weight > 0 {
-			x.service = x.view.Configuration.Service(name)
+		if share.Service == origin.Service && share.Weight > 0 {
+			x.origin, x.service = origin, x.view.Configuration.Service(origin.Service)
+			return nil
 		}
 	}
+	return errkind.New(errkind.StreamNotResumable, "the stream began at service %q, to which route %q sends no requests any more", origin.Service, x.route.Name).WithRetryAfter(refusedRetryAfter)
 }
 
 // beginStream fixes the version that began the stream, before its first event is relayed: no
--- a/internal/forward/resumption_test.go
+++ b/internal/forward/resumption_test.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -26,6 +28,7 @@
 	x := &exchange{
 		f:           &Forwarder{opts: Options{View: view, Fleet: fleet, Metrics: telemetry.NewRegistry()}},
 		ctx:         t.Context(),
+		r:           httptest.NewRequest(http.MethodPost, "/chat/x", nil),
 		route:       &catalog.Route{Repeat: catalog.Stream, Resumable: true, Split: []catalog.Share{{Service: "chat", Weight: 1}}},
 		service:     &catalog.Service{Name: "chat"},
 		requestInfo: RequestInfo{ID: "2", Resumes: "1", LastEventID: "3", HasLastEventID: true},
