--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -195,7 +195,9 @@
 			}
 		}
 	}
-	for len(s.segments) > 1 && s.segments[0].lastIndex <= s.snapshot.Index {
+	// The newest record holds the latest hard state and marks, so its file stays. Files without a
+	// record may follow it, if the disk is full.
+	for len(s.segments) > 1 && s.segments[0].lastIndex <= s.snapshot.Index && slices.ContainsFunc(s.segments[1:], segment.hasRecord) {
 		if err := s.fs.Remove(s.fs.PathJoin(s.dir, numberedName(logPrefix, s.segments[0].firstSequence))); err != nil {
 			return errors.Wrap(err, "remove an old log file")
 		}
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -53,12 +53,16 @@
 	snapshotIndex, lastIndex uint64
 }
 
-// segment is one log file. lastIndex is the highest index of its entries and resets.
+// segment is one log file. lastIndex is the highest index of its entries and resets, and records
+// the number of its valid records.
 type segment struct {
 	firstSequence uint64
 	lastIndex     uint64
+	records       uint64
 }
 
+func (s segment) hasRecord() bool { return s.records > 0 }
+
 // Open locks the data folder, reads and verifies all of it, makes it durable, and returns
 // the state that it holds. A folder without an identity gets a new one with a random disk
 // id. Errors have kind damaged-storage, wrong-disk, invalid-settings (another process uses
@@ -188,7 +192,7 @@
 		if err != nil {
 			return err
 		}
-		s.segments = append(s.segments, segment{firstSequence: n, lastIndex: l.highestIndex})
+		s.segments = append(s.segments, segment{firstSequence: n, lastIndex: l.highestIndex, records: s.sequence - n})
 		s.summary.files++
 		s.summary.records += int(s.sequence - n)
 		s.summary.tornBytes += torn
@@ -302,6 +306,7 @@
 	}
 	s.sequence++
 	seg := &s.segments[len(s.segments)-1]
+	seg.records++
 	if n := len(b.Entries); n > 0 {
 		seg.lastIndex = max(seg.lastIndex, b.Entries[n-1].Index)
 	}
