Durable files: remove a file that could not be renamed

The next one has another name, a second later, so that the files fill the disk, and only a restart removed them.

TestASnapshotThatCannotBeRenamedIsRemoved failed before: 20 attempts left 20 files.

--- a/internal/durable/durable.go
+++ b/internal/durable/durable.go
@@ -31,13 +31,14 @@
 // what it has written, which may be all the room that is left.
 func WriteFile(fs vfs.FS, dir, name string, write func(io.Writer) error) error {
 	final := fs.PathJoin(dir, name)
-	if err := writeTemporary(fs, final+TempSuffix, write); err != nil {
+	err := writeTemporary(fs, final+TempSuffix, write)
+	if err == nil {
+		err = errors.Wrapf(fs.Rename(final+TempSuffix, final), "rename %s", name)
+	}
+	if err != nil {
 		_ = fs.Remove(final + TempSuffix) // It may not exist. The next start removes it as well.
 		return err
 	}
-	if err := fs.Rename(final+TempSuffix, final); err != nil {
-		return errors.Wrapf(err, "rename %s", name)
-	}
 	return SyncDir(fs, dir)
 }
 
--- a/internal/storage/no_room_test.go
+++ b/internal/storage/no_room_test.go
@@ -118,3 +118,30 @@
 		}
 	}
 }
+
+// Guards against a disk that files without use fill for good: snapshots that are written whole and
+// then cannot be renamed.
+func TestASnapshotThatCannotBeRenamedIsRemoved(t *testing.T) {
+	disk := &refusingFS{FS: vfs.NewMem()}
+	s, _ := openRefusing(t, disk)
+	for i := uint64(1); i <= 20; i++ {
+		if err := s.Append(&pb.HardState{Term: 1}, []*pb.Entry{entry(i, 1)}, nil); err != nil {
+			t.Fatal(err)
+		}
+		disk.refuses = func(op, _ string) bool { return op == "rename" }
+		wantDiskFull(t, "save a snapshot", saveSnapshot(s, i, 1))
+		disk.refuses = nil
+	}
+	names, err := disk.List(testDir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range names {
+		if strings.HasPrefix(n, snapshotPrefix) {
+			t.Errorf("the folder holds %s", n)
+		}
+	}
+	if err := saveSnapshot(s, 20, 1); err != nil {
+		t.Error(err)
+	}
+}
