--- a/internal/storage/no_room_test.go
+++ b/internal/storage/no_room_test.go
@@ -145,3 +145,51 @@
 		t.Error(err)
 	}
 }
+
+// Guards against a process that ends because its disk has no room: some file systems need room to
+// rename or remove a file as well. The operation must be possible again later.
+func TestEachOperationWithoutRoomCanBeRepeated(t *testing.T) {
+	for _, op := range []string{"create", "write", "rename", "remove"} {
+		disk := &refusingFS{FS: vfs.NewMem()}
+		s, _ := openRefusing(t, disk)
+		next := uint64(1)
+		attempt := func(what string, f func() error) {
+			t.Helper()
+			disk.refuses = func(o, _ string) bool { return o == op }
+			err := f()
+			if err != nil {
+				wantDiskFull(t, op+": "+what, err)
+			}
+			disk.refuses = nil
+			if err != nil {
+				if err := f(); err != nil {
+					t.Errorf("%s: %s again: %v", op, what, err)
+				}
+			}
+		}
+		for range 5 {
+			attempt("append", func() error { return s.Append(&pb.HardState{Term: 1}, []*pb.Entry{entry(next, 1)}, nil) })
+			attempt("save a snapshot", func() error { return saveSnapshot(s, next, 1) })
+			next++
+		}
+		var received *replication.ReceivedSnapshot
+		attempt("receive a snapshot", func() (err error) {
+			received, err = s.ReceiveSnapshot(func(w io.Writer) error {
+				return WriteSnapshot(w, &pb.SnapshotMeta{Index: 100, Term: 1}, func(w io.Writer) error {
+					_, err := w.Write([]byte("state"))
+					return err
+				})
+			})
+			return err
+		})
+		attempt("install a snapshot", func() error { return s.InstallSnapshot(received) })
+		attempt("append", func() error { return s.Append(&pb.HardState{Term: 2}, []*pb.Entry{entry(101, 2)}, nil) })
+		if err := s.Close(); err != nil {
+			t.Fatal(err)
+		}
+		_, r := openRefusing(t, disk)
+		if r.Snapshot.GetIndex() != 100 || len(r.Entries) != 1 || r.HardState.Term != 2 {
+			t.Errorf("%s: restored snapshot %v, %d entries, %v", op, r.Snapshot, len(r.Entries), r.HardState)
+		}
+	}
+}
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -170,7 +170,16 @@
 	if meta.Index > s.snapshot.GetIndex() {
 		s.snapshot = meta
 	}
-	return s.fail(s.removeObsoleteFiles())
+	return s.failUnlessFull(s.removeObsoleteFiles())
+}
+
+// failUnlessFull records a failed operation on files other than the log, which can be repeated if
+// the disk is full. It returns nil if err is nil.
+func (s *Store) failUnlessFull(err error) error {
+	if !durable.IsDiskFull(err) || errors.Is(err, errSync) {
+		return s.fail(err)
+	}
+	return errkind.Wrap(err, errkind.DiskFull, "the files of the data folder were not changed")
 }
 
 // removeObsoleteFiles removes the snapshots and log files that the newest snapshot
@@ -206,27 +215,32 @@
 		// could leave a gap between log files. A lost removal of a snapshot leaves none:
 		// the newest snapshot is used, and the next one removes the others again.
 		if err := durable.SyncDir(s.fs, s.dir); err != nil {
-			return err
+			return errors.Mark(err, errSync)
 		}
 	}
 	return nil
 }
 
 // ReceiveSnapshot stores a snapshot file from another process under a temporary name
-// and verifies it.
+// and verifies it. After an error of kind disk-full it may be called again.
 func (s *Store) ReceiveSnapshot(write func(io.Writer) error) (*replication.ReceivedSnapshot, error) {
 	path := s.fs.PathJoin(s.dir, numberedName("received-", 0)+durable.TempSuffix)
 	f, err := s.fs.Create(path, vfs.WriteCategoryUnspecified)
-	if err != nil {
-		return nil, errors.Wrap(err, "create a snapshot")
-	}
-	err = write(f)
 	if err == nil {
-		err = f.Sync()
+		err = write(f)
+		if err == nil {
+			err = f.Sync()
+		}
+		err = errors.CombineErrors(err, f.Close())
 	}
-	if err := errors.CombineErrors(err, f.Close()); err != nil {
-		_ = s.fs.Remove(path) // The next start removes it as well.
-		return nil, err
+	if err != nil {
+		_ = s.fs.Remove(path) // It may not exist. The next start removes it as well.
+	}
+	switch {
+	case durable.IsDiskFull(err):
+		return nil, errkind.Wrap(err, errkind.DiskFull, "the received snapshot was not stored")
+	case err != nil:
+		return nil, errors.Wrap(err, "store a received snapshot")
 	}
 	return s.verifyReceived(path)
 }
@@ -258,7 +272,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.fail(s.removeObsoleteFiles())
+	return s.failUnlessFull(s.removeObsoleteFiles())
 }
 
 // renameReceived makes a received snapshot the newest one, unless it already is.
@@ -268,11 +282,10 @@
 	if s.snapshot == r.Meta {
 		return nil
 	}
-	err := s.fs.Rename(r.Path, s.fs.PathJoin(s.dir, numberedName(snapshotPrefix, r.Meta.Index)))
-	if err == nil {
-		err = durable.SyncDir(s.fs, s.dir)
+	if err := s.fs.Rename(r.Path, s.fs.PathJoin(s.dir, numberedName(snapshotPrefix, r.Meta.Index))); err != nil {
+		return s.failUnlessFull(err)
 	}
-	if err != nil {
+	if err := durable.SyncDir(s.fs, s.dir); err != nil {
 		return s.fail(err)
 	}
 	s.snapshot = r.Meta
