--- a/internal/replication/peers.go
+++ b/internal/replication/peers.go
@@ -160,8 +160,10 @@
 	defer p.wg.Done()
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
+	index := m.Snapshot.Index
 	err := p.streamSnapshot(ctx, m)
 	if err == nil {
+		_ = p.g.enqueue(ctx, func() { p.g.core.ReportSnapshotSent(m.To, index) })
 		return
 	}
 	p.g.opt.Log.Warn("failed to send snapshot", "voter", m.To, "error", err)
--- a/internal/replication/peerserver.go
+++ b/internal/replication/peerserver.go
@@ -73,6 +73,9 @@
 	if err := s.checkAuthorised(ctx); err != nil {
 		return err
 	}
+	if st := s.g.Status(); st.Suspended {
+		return suspendedError(st.ID)
+	}
 	if !s.receiveMu.TryLock() {
 		return errkind.New(errkind.NotReady, "another snapshot is being received")
 	}
@@ -98,14 +101,14 @@
 }
 
 // installReceived passes the message of a received snapshot to the core. It returns once the
-// snapshot is installed or refused.
+// snapshot is installed or refused. It fails with kind disk-full if this process is suspended.
 func (g *Group) installReceived(ctx context.Context, m *pb.Message, rec *ReceivedSnapshot) error {
-	settled := make(chan struct{})
+	settled, suspended := make(chan struct{}), false
 	err := g.enqueue(ctx, func() {
-		if g.suspension.ready == nil {
+		if suspended = g.suspension.ready != nil; !suspended {
 			g.core.Step(m)
 		}
-		if g.suspension.ready != nil || g.core.ready.Install != rec.Meta {
+		if suspended || g.core.ready.Install != rec.Meta {
 			close(settled)
 			return
 		}
@@ -116,11 +119,19 @@
 	}
 	select {
 	case <-settled:
+		if suspended {
+			return suspendedError(m.To)
+		}
 	case <-g.done:
 	}
 	return nil
 }
 
+// suspendedError tells the sender of a snapshot that it was not taken, so that it sends it again.
+func suspendedError(id string) error {
+	return errkind.New(errkind.DiskFull, "the disk of %q is full, so it takes no snapshot", id)
+}
+
 func copySnapshotParts(w io.Writer, part *pb.SnapshotPart, stream pb.DRPCPeer_InstallSnapshotStream) error {
 	for {
 		if _, err := w.Write(part.Data); err != nil {
--- a/internal/replication/peerserver_test.go
+++ b/internal/replication/peerserver_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	pb "github.com/kumquathollow/kumquathollow/api/replicationpb"
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
 )
 
 // installCounter counts the snapshots that were installed.
@@ -59,3 +60,20 @@
 		}
 	}
 }
+
+// Guards against a sender that takes a snapshot for received which a voter without room has
+// ignored: it would wait for the acknowledgement and send nothing else meanwhile.
+func TestAVoterWithAFullDiskRefusesASnapshot(t *testing.T) {
+	core := New(simConfig("b", "b-1"), rand.New(rand.NewPCG(1, 1)), 0, RestoredState{})
+	g := &Group{opt: Options{Storage: &installCounter{}}, core: core, inbox: make(chan func(), 1), done: make(chan struct{})}
+	core.Suspend()
+	g.suspension.ready = &Ready{}
+	meta := &pb.SnapshotMeta{Index: 20, Term: 1, Voters: &pb.VoterSet{}}
+	m := &pb.Message{Type: pb.MessageType_SNAPSHOT, From: "a", FromDisk: "a-1", To: "b", ToDisk: "b-1", Term: 1, Snapshot: meta}
+	returned := make(chan error, 1)
+	go func() { returned <- g.installReceived(context.Background(), m, &ReceivedSnapshot{Meta: meta}) }()
+	(<-g.inbox)()
+	if err := <-returned; !errkind.Is(err, errkind.DiskFull) {
+		t.Errorf("the call that brought the snapshot returned %v, want an error of kind disk-full", err)
+	}
+}
--- a/internal/replication/replicate.go
+++ b/internal/replication/replicate.go
@@ -121,6 +121,17 @@
 	}
 }
 
+// ReportSnapshotSent reports that the follower has received the snapshot at index, or a later one,
+// and has installed or refused it. Its acknowledgement may have been lost, so the leader asks it
+// for what follows.
+func (c *Core) ReportSnapshotSent(id string, index uint64) {
+	if p := c.progress[id]; p != nil && p.state == installing && p.pendingSnapshot == index {
+		p.becomeProbe()
+		p.next = max(p.next, index+1)
+		p.paused = true
+	}
+}
+
 func (c *Core) heartbeat() {
 	c.heartbeatDue = c.now + c.cfg.HeartbeatInterval
 	c.heartbeatRound++
--- a/internal/replication/sim_test.go
+++ b/internal/replication/sim_test.go
@@ -48,6 +48,19 @@
 	// suspended.
 	roomAt time.Duration
 	held   *Ready
+	// receiving is the transfer of the snapshot that is to be installed.
+	receiving *snapshotTransfer
+	// installs counts the snapshots that were installed.
+	installs int
+}
+
+// snapshotTransfer is a stream that brings a snapshot. Its sender is told at endsAt whether the
+// snapshot was taken or refused, or that the stream broke.
+type snapshotTransfer struct {
+	m           *pb.Message
+	senderBoots int
+	endsAt      time.Duration
+	broken      bool
 }
 
 type inFlightMessage struct {
@@ -65,6 +78,7 @@
 	nodes        map[string]*simNode
 	nodeIDs      []string
 	inFlight     []inFlightMessage
+	transfers    []*snapshotTransfer
 	blockedLinks map[[2]string]bool
 	lossPct      int
 	// maxDelay bounds the delay of a message; with loss, one in ten takes 20 times its
@@ -84,7 +98,8 @@
 	c := DefaultConfig(id, disk)
 	c.ElectionTimeout, c.HeartbeatInterval = 200*time.Millisecond, 40*time.Millisecond
 	c.QuorumTimeout = 3 * c.ElectionTimeout
-	c.ConfirmTimeout, c.InstallTimeout = 600*time.Millisecond, 500*time.Millisecond
+	// As in a directory, a snapshot may take over a hundred election timeouts.
+	c.ConfirmTimeout, c.InstallTimeout = 600*time.Millisecond, 120*c.ElectionTimeout
 	c.MaxAppendBytes, c.MaxInflightMessages = 300, 4
 	return c
 }
@@ -143,6 +158,7 @@
 	if n.core == nil {
 		return
 	}
+	defer func() { s.endTransfer(n, true) }()
 	if n.held != nil {
 		n.core = nil
 		return
@@ -166,6 +182,8 @@
 	if r.Install != nil {
 		n.disk.snap, n.disk.log = r.Install, nil
 		n.applied = r.Install.Index
+		n.installs++
+		s.endTransfer(n, false)
 	}
 	if r.HardState != nil {
 		n.disk.hs = r.HardState
@@ -270,6 +288,10 @@
 
 func (s *sim) send(ms []*pb.Message) {
 	for _, m := range ms {
+		if m.Type == pb.MessageType_SNAPSHOT {
+			s.sendSnapshot(m)
+			continue
+		}
 		if s.blockedLinks[[2]string{m.From, m.To}] || s.rng.IntN(100) < s.lossPct {
 			continue
 		}
@@ -301,8 +323,13 @@
 	}
 	s.inFlight = later
 	s.rng.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
+	s.reportTransfers()
 	for _, f := range due {
 		n := s.nodes[f.m.To]
+		if f.m.Type == pb.MessageType_SNAPSHOT {
+			s.receiveSnapshot(f.m)
+			continue
+		}
 		if n == nil || n.core == nil || s.blockedLinks[[2]string{f.m.From, f.m.To}] {
 			continue
 		}
