Directory: a repeated change is acknowledged without replicating it again

Operators repeat a change that got no answer within a second. Where many wait, after a while without a leader, each attempt was compressed and replicated whole, although the same version or a higher one was already in force: with configurations of 3 MB this kept a busy directory from the changes that were new.

Cause: that a version has no effect was found by the state machine, after replication.

Change: a process that has applied this version or a higher one acknowledges the change. What is applied is committed, so a majority has it on disk; a process without a quorum can say so as well.

--- a/internal/directory/operations.go
+++ b/internal/directory/operations.go
@@ -18,6 +18,13 @@
 func (p *Process) Publish(ctx context.Context, version uint64, document []byte) error {
 	began := time.Now()
 	base := p.machine.State()
+	if base.Configuration != nil && version <= base.Version() {
+		// What is applied here is committed, so that the change would have no effect. Callers that
+		// got no answer send a change again; proposing it would take as much work as a new one.
+		p.logChange("configuration received", began, nil, "version", version, "held-version", base.Version(), "bytes", len(document),
+			"proposed", false, "revision", base.Revision)
+		return nil
+	}
 	revision, size, err := p.publish(ctx, base, version, document, false)
 	full := errkind.Of(err) == errkind.ChangeConflict
 	if full {
