Soak: a release of the backend servers at size

The soak lets one server of a data centre leave at a time, and excuses routers near each fault of a directory process. So it looks at few departures of a large fleet, and at hardly any while nothing else happens.

--- a/cmd/kqsoak/main.go
+++ b/cmd/kqsoak/main.go
@@ -41,6 +41,8 @@
 	flaggy.Int(&routers, "", "routers", "routers")
 	flaggy.Int(&servers, "", "servers", "backend servers")
 	flaggy.Int(&clients, "", "clients", "clients")
+	release := false
+	flaggy.Bool(&release, "", "release", "replace the servers one after another instead of injecting the usual faults")
 	directory := flaggy.NewSubcommand("directory")
 	directory.Description = "runs a directory process on a disk that misbehaves while $" + soak.DiskControlEnv + " says so"
 	router := flaggy.NewSubcommand("router")
@@ -77,7 +79,7 @@
 	conf := soak.Config{
 		SoakBinary: self, Previous: previous,
 		FaultDuration: time.Duration(seconds) * time.Second, Directories: directories, Routers: routers, Servers: servers, Clients: clients,
-		Out: os.Stdout,
+		Out: os.Stdout, Release: release,
 	}
 	failedSeeds := 0
 	for n := range uint64(seeds) {
