Tell a returning router who left last, where not all fit the message

What callers saw: none observed; found by reading while departures were traced at 143 servers. A router that returns while other lists have used up the bandwidth is sent the servers that leave, so that it does not go on with them for seconds, but none of them if all together exceed 4 KB. A server counts for 90 s after it left, so that happens with about 40: in a release of a large fleet, and never in a small one.

Change: it is sent as many as fit 4 KB, those that were heard of last first.

Shown: TestAReturningRouterIsToldWhoLeftLastDuringARelease; before, the router was told of 0 of 64 servers.

--- a/internal/directory/catchup.go
+++ b/internal/directory/catchup.go
@@ -137,22 +137,33 @@
 	}
 	s.departuresSent = true
 	leaving, size := departures()
-	if len(leaving) == 0 || size > maxDeparturesBytes {
+	if len(leaving) == 0 {
 		return
 	}
 	h.bulkBytes -= float64(size)
 	s.push(h.withStatus(&fleetpb.FollowUpdate{Announcements: leaving}))
 }
 
-// departuresUpdate returns an announcement for every known server that leaves, and the size of an
-// update with them.
+// departuresUpdate returns an announcement for each server that leaves, or for as many as fit
+// maxDeparturesBytes, and the size of an update with them. The servers that were heard of last come
+// first: a router that was away for a short time knows of the others.
 func (h *hub) departuresUpdate() (leaving []*fleetpb.Announcement, size int) {
+	var servers []*inventory.Server
 	h.table.All(func(s *inventory.Server) {
 		if s.State != inventory.Ready {
-			leaving = append(leaving, inventory.Encode(s, h.now()))
+			servers = append(servers, s)
 		}
 	})
-	return leaving, proto.Size(&fleetpb.FollowUpdate{Announcements: leaving})
+	slices.SortFunc(servers, func(a, b *inventory.Server) int { return b.LastSeen.Compare(a.LastSeen) })
+	for _, s := range servers {
+		a := inventory.Encode(s, h.now())
+		added := proto.Size(&fleetpb.FollowUpdate{Announcements: []*fleetpb.Announcement{a}})
+		if size+added > maxDeparturesBytes {
+			break
+		}
+		leaving, size = append(leaving, a), size+added
+	}
+	return leaving, size
 }
 
 const (
--- a/internal/directory/departures_test.go
+++ b/internal/directory/departures_test.go
@@ -316,3 +316,40 @@
 		t.Errorf("%d commands, want 2; x is %s after an announcement older than its second draining", proposed, got)
 	}
 }
+
+// Guards against a router that comes back and goes on with a server that left meanwhile, since more servers
+// left than fit the message that it is sent while its list waits: it was sent none of them.
+func TestAReturningRouterIsToldWhoLeftLastDuringARelease(t *testing.T) {
+	h, _ := newTestHub()
+	now := h.now()
+	h.now = func() time.Time { return now }
+	name := func(i int) string { return fmt.Sprint("advisor-voice-", i) }
+	for i := range 143 {
+		h.merge(serverAnnouncement(name(i), 1, inventory.Ready), false)
+	}
+	const left = 64 // 45 % of them, one each second.
+	for i := range left {
+		now = now.Add(time.Second)
+		h.leave(name(i), 1)
+		h.broadcastChanges()
+	}
+	h.maySendBulk()
+	h.bulkBytes = -4 * bulkBytesPerSecond
+	s := newSession(h, "returns")
+	drain(s)
+	h.handleRequest(s, &fleetpb.FollowRequest{Load: &fleetpb.Load{}})
+	told := map[string]bool{}
+	for _, u := range drain(s) {
+		if size := proto.Size(u); size > maxDeparturesBytes+100 {
+			t.Errorf("a message of %d bytes was sent while the bandwidth is used up", size)
+		}
+		for _, a := range u.Announcements {
+			told[a.Id] = a.State == fleetpb.ServerState_GONE
+		}
+	}
+	for i := left - 20; i < left; i++ {
+		if !told[name(i)] {
+			t.Errorf("%s left %d s ago, and the router was not told: it was told of %d servers", name(i), left-1-i, len(told))
+		}
+	}
+}
