Log the sessions that end because a router's queue is full

A session whose queue of 64 updates is full is ended, and the log of neither side told that from a cut. The directory process logs the router, and whether it reported its load there.

--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -49,6 +49,8 @@
 	// list with handoffsVersion.
 	handoffsSent    []string
 	handoffsVersion uint64
+	// overflowed is set once the queue was full.
+	overflowed bool
 	// followsRollouts is set once the router has said that it keeps to rollouts.
 	followsRollouts bool
 	// confirmed is true once the router was sent a confirmation. The first one is sent
@@ -78,6 +80,7 @@
 	select {
 	case s.queue <- u:
 	default:
+		s.overflowed = true
 		s.cancel()
 	}
 }
--- a/internal/directory/hub.go
+++ b/internal/directory/hub.go
@@ -311,10 +311,14 @@
 
 func (h *hub) closeSession(s *session) {
 	if h.sessions[s] {
+		reported := s.load != nil
 		h.setLoad(s, nil)
 		h.handoffs.set(s, "")
 		delete(h.sessions, s)
 		h.closed++
+		if s.overflowed {
+			h.log.Warn("session of a router ended: its queue is full", "router", s.router, "updates", sessionQueueSize, "reported", reported)
+		}
 	}
 }
 
