--- a/cmd/kqsoak/main.go
+++ b/cmd/kqsoak/main.go
@@ -10,6 +10,8 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -41,8 +43,8 @@
 	flaggy.Int(&routers, "", "routers", "routers")
 	flaggy.Int(&servers, "", "servers", "backend servers")
 	flaggy.Int(&clients, "", "clients", "clients")
-	release := false
-	flaggy.Bool(&release, "", "release", "replace the servers one after another instead of injecting the usual faults")
+	release := ""
+	flaggy.String(&release, "", "release", "replace the servers instead of injecting the usual faults; one of "+strings.Join(soak.Releases, ", "))
 	directory := flaggy.NewSubcommand("directory")
 	directory.Description = "runs a directory process on a disk that misbehaves while $" + soak.DiskControlEnv + " says so"
 	router := flaggy.NewSubcommand("router")
@@ -69,6 +71,10 @@
 		fmt.Fprintln(os.Stderr, "kqsoak: at least 3 directories and 1 of each other are needed")
 		os.Exit(errkind.ExitUsage)
 	}
+	if release != "" && !slices.Contains(soak.Releases, release) {
+		fmt.Fprintf(os.Stderr, "kqsoak: release %q does not exist\n", release)
+		os.Exit(errkind.ExitUsage)
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	self, err := os.Executable()
