Tell routers of servers that leave together with one message

A directory process that learns of 64 or more departures with one call or one entry of the record ended the sessions of all routers that follow it. The routers went on with servers that had left until another process had sent them its list.

Cause: routers were sent a message for each departure, and their queues hold 64 updates, which nothing takes out meanwhile. A process that starts during a release is sent all servers that left in the last 90 s with one call; one that is behind applies their record at once. A small site does not have as many servers.

Change: the departures that are received together are sent with one message, as soon as all of them are in the table.

Shown: TestManyServersThatLeaveAtOnceEndNoSession, 143 servers; before, the session ended and the router was told of 64 of them, both for relayed and for recorded ones. The tests of internal/directory passed with -race.

--- a/internal/directory/changes.go
+++ b/internal/directory/changes.go
@@ -14,6 +14,7 @@
 func (h *hub) merge(s inventory.Server, direct bool) inventory.Change {
 	change := h.table.Merge(s)
 	h.recordChange(s.ID, change, direct)
+	h.broadcastLeaving()
 	return change
 }
 
@@ -21,6 +22,7 @@
 func (h *hub) leave(id string, born int64) (inventory.Departure, inventory.Change) {
 	s, change := h.table.Leave(id, born, h.now())
 	h.recordChange(id, change, true)
+	h.broadcastLeaving()
 	d, _ := s.Departure()
 	if born != 0 {
 		d.Born, d.State = born, inventory.Gone
@@ -34,6 +36,8 @@
 	return s != nil && s.State == inventory.Ready
 }
 
+// recordChange records a change of a server for the routers and the other processes. The caller must
+// call broadcastLeaving after all changes that it received together.
 func (h *hub) recordChange(id string, change inventory.Change, direct bool) {
 	switch change {
 	case inventory.Stale:
@@ -61,6 +65,14 @@
 	if s.State == inventory.Ready {
 		h.scheduleBroadcast()
 	} else {
+		h.leavingRecorded = true
+	}
+}
+
+// broadcastLeaving sends the pending changes at once if servers that leave are among them. It does so
+// with one message to each router: as many as servers leave together would fill its queue.
+func (h *hub) broadcastLeaving() {
+	if h.leavingRecorded {
 		h.broadcastChanges()
 	}
 }
@@ -83,6 +95,7 @@
 // one may stop before it has sent it. A router that is due to get the list of all servers
 // gets the joins with it.
 func (h *hub) broadcastChanges() {
+	h.leavingRecorded = false
 	if len(h.directChanges) > 0 {
 		h.relayed = h.relay(h.directChanges)
 	}
--- a/internal/directory/departures.go
+++ b/internal/directory/departures.go
@@ -56,6 +56,7 @@
 		// Processes of earlier releases apply no record.
 		h.recordChange(id, inventory.Changed, true)
 	}
+	h.broadcastLeaving()
 }
 
 // recordDeparture has the fleet record a departure. The returned channel receives nil once a
--- a/internal/directory/hub.go
+++ b/internal/directory/hub.go
@@ -70,6 +70,8 @@
 	// and relayedChanges hold those that changed, as announced by the servers themselves
 	// and as relayed by other processes.
 	refreshed, directChanges, relayedChanges map[string]bool
+	// leavingRecorded is set while one of the changes is of a server that leaves.
+	leavingRecorded bool
 	// idByHash maps the low 32 bits of the hash of a server's id to the id.
 	idByHash map[uint32]string
 	sessions map[*session]bool
--- a/internal/directory/late_departures_test.go
+++ b/internal/directory/late_departures_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -192,3 +193,51 @@
 	}
 	c.leave(hosts[0], "x", 0)
 }
+
+// Guards against a process that ends the sessions of all its routers, since it tells them of each server on
+// its own: many servers left at once, or another process relays those that left before this one started.
+// The routers go on with these servers until they have another list.
+func TestManyServersThatLeaveAtOnceEndNoSession(t *testing.T) {
+	const left = 143
+	for name, depart := range map[string]func(h *hub){
+		"relayed": func(h *hub) {
+			var gone []*fleetpb.Announcement
+			for i := range left {
+				s := serverAnnouncement(fmt.Sprint("s", i), 9, inventory.Gone)
+				gone = append(gone, inventory.Encode(&s, h.now()))
+			}
+			h.receiveSpread(&fleetpb.SpreadRequest{Announcements: gone})
+		},
+		"recorded": func(h *hub) {
+			var gone []inventory.Departure
+			for i := range left {
+				gone = append(gone, inventory.Departure{ID: fmt.Sprint("s", i), Born: 1, Sequence: 9, State: inventory.Gone})
+			}
+			applyCommand(t, h, publication.DepartCommand(gone))
+			h.stateChanged()
+		},
+	} {
+		h, p := newTestHub()
+		for i := range left {
+			h.merge(serverAnnouncement(fmt.Sprint("s", i), 1, inventory.Ready), false)
+		}
+		h.broadcastChanges()
+		relayedTo(h, p)
+		s, ended := newSession(h, "r"), false
+		s.cancel = func() { ended = true }
+		drain(s)
+		depart(h)
+		told := map[string]bool{}
+		for _, u := range drain(s) {
+			for _, a := range u.Announcements {
+				told[a.Id] = a.State == fleetpb.ServerState_GONE
+			}
+		}
+		if ended || len(told) != left {
+			t.Errorf("%s: session ended %v, the router was told of %d of %d servers that left", name, ended, len(told), left)
+		}
+		if relayed := len(relayedTo(h, p)); name == "recorded" && relayed != left {
+			t.Errorf("%s: %d of %d servers were relayed", name, relayed, left)
+		}
+	}
+}
--- a/internal/directory/peers.go
+++ b/internal/directory/peers.go
@@ -270,8 +270,10 @@
 func (h *hub) receiveSpread(req *fleetpb.SpreadRequest) (list bool) {
 	now := h.now()
 	for _, a := range req.Announcements {
-		h.merge(inventory.Decode(a, now), false)
+		s := inventory.Decode(a, now)
+		h.recordChange(s.ID, h.table.Merge(s), false)
 	}
+	h.broadcastLeaving()
 	for _, hash := range req.Heard {
 		id, known := h.idByHash[hash]
 		if !known {
