--- a/internal/directory/hub.go
+++ b/internal/directory/hub.go
@@ -70,6 +70,8 @@
 	// and relayedChanges hold those that changed, as announced by the servers themselves
 	// and as relayed by other processes.
 	refreshed, directChanges, relayedChanges map[string]bool
+	// leavingRecorded is set while one of the changes is of a server that leaves.
+	leavingRecorded bool
 	// idByHash maps the low 32 bits of the hash of a server's id to the id.
 	idByHash map[uint32]string
 	sessions map[*session]bool
@@ -311,10 +313,14 @@
 
 func (h *hub) closeSession(s *session) {
 	if h.sessions[s] {
+		reported := s.load != nil
 		h.setLoad(s, nil)
 		h.handoffs.set(s, "")
 		delete(h.sessions, s)
 		h.closed++
+		if s.overflowed {
+			h.log.Warn("session of a router ended: its queue is full", "router", s.router, "updates", sessionQueueSize, "reported", reported)
+		}
 	}
 }
 
