--- a/cmd/kqsoak/main.go
+++ b/cmd/kqsoak/main.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
@@ -26,13 +27,14 @@
 )
 
 func main() {
-	dir, previous := "", ""
+	dir, processes, previous := "", "", ""
 	seed, seeds, seconds := uint64(1), 1, 15
 	directories, routers, servers, clients := 3, 4, 6, 24
 	flaggy.SetName("kqsoak")
 	flaggy.SetDescription("Disturbs a fleet on loopback and checks its promises.")
 	flaggy.SetVersion(version.Version)
 	flaggy.String(&dir, "d", "dir", "folder for settings, data and logs; default a temporary one, kept if a promise broke")
+	flaggy.String(&processes, "", "processes", "path of the kqsoak that runs the processes; default this one")
 	flaggy.String(&previous, "", "previous", "path of the kqsoak of an earlier release, of which every other process starts")
 	flaggy.UInt64(&seed, "s", "seed", "first seed")
 	flaggy.Int(&seeds, "n", "seeds", "number of seeds")
@@ -69,13 +71,15 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	self, err := os.Executable()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "kqsoak:", err)
-		os.Exit(errkind.ExitFailed)
+	if processes == "" {
+		var err error
+		if processes, err = os.Executable(); err != nil {
+			fmt.Fprintln(os.Stderr, "kqsoak:", err)
+			os.Exit(errkind.ExitFailed)
+		}
 	}
 	conf := soak.Config{
-		SoakBinary: self, Previous: previous,
+		SoakBinary: processes, Previous: previous,
 		FaultDuration: time.Duration(seconds) * time.Second, Directories: directories, Routers: routers, Servers: servers, Clients: clients,
 		Out: os.Stdout,
 	}
@@ -132,12 +136,16 @@
 	if err != nil {
 		return fmt.Errorf("%w; logs in %s", err, conf.Dir)
 	}
-	fmt.Printf("seed %d: %d faults, %d served, %d refused, %d failed, %d streams resumed, %d rollouts ordered, %d departures, %d evacuations, version %d acknowledged, recovered after %s, %d violations\n",
-		conf.Seed, r.Faults, r.Served, r.Refused, r.Failed, r.Resumed, r.Rollouts, r.Departures, r.Evacuations, r.AcknowledgedVersion, r.RecoveryTime.Round(time.Millisecond), len(r.Violations))
+	fmt.Printf("seed %d: %d faults, %d served, %d refused, %d failed, %d rollouts ordered, %d departures, %d evacuations, version %d acknowledged, recovered after %s, %d violations\n",
+		conf.Seed, r.Faults, r.Served, r.Refused, r.Failed, r.Rollouts, r.Departures, r.Evacuations, r.AcknowledgedVersion, r.RecoveryTime.Round(time.Millisecond), len(r.Violations))
+	fmt.Printf("  streams: %s\n", r.Streams)
 	for _, v := range r.Violations[:min(maxPrintedViolations, len(r.Violations))] {
 		fmt.Println("  broken:", v)
 	}
 	if len(r.Violations) > 0 {
+		if err := os.WriteFile(filepath.Join(conf.Dir, "violations.txt"), []byte(strings.Join(r.Violations, "\n")+"\n"), 0o600); err != nil {
+			return err
+		}
 		return fmt.Errorf("%d promises broken; logs in %s", len(r.Violations), conf.Dir)
 	}
 	if !keep {
