Do not let one server end a stream that a client resumes

Cause: a server that has nothing left and one that does not know how the stream goes on answer alike, and the first answer was passed on.

Evidence: TestOneServerDoesNotEndAClientsResumption, with one of two servers answering so, got an empty stream in 4 of 8 requests before.

Change: it counts once a second server has said so, within the route's attempts; where no other server can be asked, the client's own resumption gets the answer as before.

--- a/internal/forward/continuity.go
+++ b/internal/forward/continuity.go
@@ -95,16 +95,18 @@
 	return true, nil
 }
 
+// errNothingLeft means that a server ended the continuation of a stream without an event. The stream had
+// ended before it broke, or the server does not know how it goes on.
+var errNothingLeft = errkind.New(errkind.StreamBroken, "the stream ended without an event after the last one that the client has")
+
 // end returns an error if the server ended the stream at an earlier event than the last one that the
-// client has. hasEvents is set if the response contains events of another server: then the server
-// must have written the last of them again, or a later one.
-func (c *continuity) end(hasEvents bool) error {
+// client has, and errNothingLeft if it wrote none at all.
+func (c *continuity) end() error {
 	switch {
 	case c.joined || !c.after.known || c.read.known && c.read.last == c.after.last:
+		return nil
 	case c.read.known:
 		return errkind.New(errkind.StreamBroken, "the stream ended with event %d, before event %d", c.read.last, c.after.last)
-	case hasEvents:
-		return errkind.New(errkind.StreamBroken, "the stream ended without an event after event %d", c.after.last)
 	}
-	return nil
+	return errNothingLeft
 }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -80,7 +80,9 @@
 	lastEventID string
 	// afterUnnumbered is set if events without an id were relayed after that one.
 	afterUnnumbered bool
-	lastPicked      *placement.PickResult
+	// nothingLeft is set once a server has continued the stream without an event.
+	nothingLeft bool
+	lastPicked  *placement.PickResult
 	// counted is the attempt that runs, if the service has a running rollout.
 	counted *rollout.Attempt
 }
--- a/internal/forward/handoff.go
+++ b/internal/forward/handoff.go
@@ -145,7 +145,10 @@
 	})
 	x.f.peers.Done(address, res.PeerFailed, time.Now())
 	if res.Err == nil {
-		res.Err = check.end(x.eventsSent > 0) // Routers of earlier releases do not check it.
+		// Routers of earlier releases do not check it.
+		if err := check.end(); !errors.Is(err, errNothingLeft) || x.eventsSent > 0 {
+			res.Err = err
+		}
 	}
 	out := x.handoffResult(res)
 	if out.err != nil {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -51,7 +51,7 @@
 		case err == nil:
 		case errors.Is(err, io.EOF) && len(event) == 0:
 			resp.MarkBodyRead()
-			if err := check.end(x.eventsSent > 0); err != nil {
+			if err := check.end(); err != nil && !x.believe(err) {
 				return x.wronglyContinued(picked, err)
 			}
 			x.recordPace(events, firstEventAt)
@@ -189,6 +189,18 @@
 	return attemptResult{sent: true, mayHaveRun: true, outcome: placement.Success}
 }
 
+// believe reports whether the stream counts as ended although a server continued it without an event:
+// another one has done so too, or none is left to ask for a client that has resumed the stream itself.
+func (x *exchange) believe(err error) bool {
+	if !errors.Is(err, errNothingLeft) {
+		return false
+	}
+	agreed := x.nothingLeft
+	x.nothingLeft = true
+	mayAsk := x.sends < x.route.MaxAttempts && len(x.f.opts.Fleet.Servers(x.service.Name)) > 1
+	return agreed || x.eventsSent == 0 && !mayAsk
+}
+
 // wronglyContinued returns the result for a server that did not go on where the client's events end.
 func (x *exchange) wronglyContinued(picked *placement.PickResult, cause error) attemptResult {
 	x.f.opts.Metrics.Counter("forward.resumed.wrong").Inc(1)
