Test streams of declared fleets that are cut at any byte

Each response of the server, the first one and those that resume the stream by offset, ends after the same number of bytes, closed or reset: no stream skipped or repeated a byte or ended as whole early. Passed without a change of code, 3 times with -race.

--- a/internal/dispatch/stream_test.go
+++ b/internal/dispatch/stream_test.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
@@ -149,3 +152,73 @@
 		}
 	}
 }
+
+// Guards against a stream that skips or repeats bytes, or ends as whole early, where its connection to
+// the server ends after any byte of each response, closed or reset.
+func TestAStreamIsWholeOrVisiblyBrokenWhereverItIsCut(t *testing.T) {
+	var text strings.Builder
+	for i := range 8 {
+		fmt.Fprintf(&text, "data: token %d\n\n", i)
+	}
+	whole := text.String()
+	// inChunks returns the body of a response, in chunks of 7 bytes.
+	inChunks := func(rest string) string {
+		var b strings.Builder
+		for chunk := range slices.Chunk([]byte(rest), 7) {
+			fmt.Fprintf(&b, "%x\r\n%s\r\n", len(chunk), chunk)
+		}
+		return b.String() + "0\r\n\r\n"
+	}
+	var cut atomic.Int64
+	var reset atomic.Bool
+	address := backend(t, func(w http.ResponseWriter, r *http.Request) {
+		stream, at := r.Header.Get(HeaderRequestID), 0
+		if r.Method == http.MethodGet {
+			stream = strings.TrimPrefix(r.URL.Path, "/v1/streams/")
+			_, _ = fmt.Sscanf(r.URL.RawQuery, "offset=%d", &at)
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		body := inChunks(whole[at:])
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n%s: %s\r\n%s: %s\r\n\r\n%s",
+			HeaderStream, stream, HeaderAttempt, r.Header.Get(HeaderAttempt), body[:min(len(body), int(cut.Load()))])
+		if reset.Load() {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		}
+		_ = conn.Close()
+	})
+	rig := newRig(t, address)
+	rig.addRetryBudget()
+	broken, continued := 0, 0
+	for n := range len(inChunks(whole)) + 1 {
+		for _, r := range []bool{false, true} {
+			cut.Store(int64(n))
+			reset.Store(r)
+			resp, err := http.DefaultTransport.RoundTrip(rig.request("POST", "/v1/chat/completions", "{}"))
+			if err != nil {
+				t.Fatalf("cut after %d bytes: %v", n, err)
+			}
+			body, err := io.ReadAll(resp.Body)
+			_ = resp.Body.Close()
+			switch {
+			case resp.StatusCode >= 500:
+				broken++
+			case !strings.HasPrefix(whole, string(body)):
+				t.Fatalf("cut after %d bytes, reset %v: %q", n, r, body)
+			case err == nil && (string(body) != whole || resp.Trailer.Get(HeaderOutcome) != string(errkind.Completed)):
+				t.Fatalf("cut after %d bytes, reset %v: whole after %d of %d bytes, outcome %q", n, r, len(body), len(whole), resp.Trailer.Get(HeaderOutcome))
+			case err == nil:
+				continued++
+			default:
+				broken++
+			}
+		}
+	}
+	if broken == 0 || continued < len(whole) {
+		t.Errorf("%d streams were broken, %d whole; want some broken and most whole", broken, continued)
+	}
+}
