Notice a router whose state is of another history

What callers saw: nothing reported; found by review. A router that holds a state of another history with the directory's revision took each confirmation for its own state, and went on with another configuration or without an evacuation. Commands that followed were applied to that state.

Cause: a confirmation named a revision alone, and a state whose revision is not higher is ignored.

Change: a confirmation also names a sum of what the leader's state holds at that revision, which routers compare with the sum of their own. If it differs, they fetch the state as a whole, as they do after a confirmation of a lower revision, and take its configuration also if the version is the one in force. Only confirmations of pings after the state was installed are compared. Sums that still differ once the directory has sent that state are logged, and no longer compared by this router. Processes of the release before send no sum (0), with which nothing changes, and ignore the new fields. Departures are no part of a revision, and none of its sum.

Tests of fleetview, publication and directory passed with -race. Not run: a fleet of both releases.

--- a/internal/directory/cluster_test.go
+++ b/internal/directory/cluster_test.go
@@ -19,6 +19,7 @@
 	"github.com/kumquathollow/kumquathollow/internal/assignment"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/inventory"
+	"github.com/kumquathollow/kumquathollow/internal/publication"
 )
 
 // cluster runs directory processes on loopback. All use the same port on different
@@ -185,6 +186,31 @@
 	})
 }
 
+// Guards against confirmations that do not identify the state, which may be of another history: each
+// process tells its routers the mark of the leader's state.
+func TestConfirmationsCarryTheMarkOfTheState(t *testing.T) {
+	c := newCluster(t, 3)
+	c.publish(hosts[0], 4, "four")
+	for _, h := range hosts[:3] {
+		mark, err := c.nodes[h].p.server.barrier(t.Context())
+		if want := c.nodes[hosts[0]].p.machine.Mark(); err != nil || mark != want || mark.Sum == 0 {
+			t.Errorf("%s: %+v, %v, want %+v", h, mark, err, want)
+		}
+	}
+	hub := c.nodes[hosts[0]].p.hub
+	pong := make(chan *fleetpb.FollowUpdate, 1)
+	hub.post(t.Context(), func() {
+		s := &session{queue: make(chan *fleetpb.FollowUpdate, 1), confirmed: true}
+		hub.sessions[s] = true
+		hub.confirmRouters(map[*session]uint64{s: 1}, publication.Mark{Revision: 7, Sum: 8}, nil)
+		pong <- s.takePong()
+		delete(hub.sessions, s)
+	})
+	if u := <-pong; !u.Confirmed || u.Newest != 7 || u.NewestSum != 8 {
+		t.Errorf("routers are sent %v", u)
+	}
+}
+
 // A process that restarts with an empty disk must not vote as the voter that it was
 // before. It must be admitted again without an operator.
 func TestAWipedProcessTakesItsPlaceAgain(t *testing.T) {
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -7,6 +7,7 @@
 
 	"github.com/kumquathollow/kumquathollow/api/fleetpb"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/publication"
 )
 
 // session is the Follow stream of one router.
@@ -135,10 +136,10 @@
 // confirmer settles each ping with the result of a quorum round that started after the
 // ping arrived. Pings that arrive during a round are batched into the next one.
 type confirmer struct {
-	// barrier returns the latest revision committed before the call.
-	barrier func(context.Context) (uint64, error)
+	// barrier returns the mark of the latest state committed before the call.
+	barrier func(context.Context) (publication.Mark, error)
 	// report is called with the pings of a round and its result.
-	report func(pings map[*session]uint64, newest uint64, err error)
+	report func(pings map[*session]uint64, newest publication.Mark, err error)
 
 	mu           sync.Mutex
 	pending      map[*session]uint64
@@ -153,7 +154,7 @@
 	firstConfirmDelay = 40 * time.Millisecond
 )
 
-func newConfirmer(barrier func(context.Context) (uint64, error), report func(map[*session]uint64, uint64, error)) *confirmer {
+func newConfirmer(barrier func(context.Context) (publication.Mark, error), report func(map[*session]uint64, publication.Mark, error)) *confirmer {
 	return &confirmer{barrier: barrier, report: report, pending: map[*session]uint64{}, wake: make(chan struct{}, 1), urgent: make(chan struct{}, 1)}
 }
 
@@ -206,12 +207,12 @@
 }
 
 // confirmRouters records the result of a round for the sessions whose pings it answers.
-func (h *hub) confirmRouters(pings map[*session]uint64, newest uint64, err error) {
+func (h *hub) confirmRouters(pings map[*session]uint64, newest publication.Mark, err error) {
 	for s, ping := range pings {
 		if !h.sessions[s] {
 			continue
 		}
-		s.pong = &fleetpb.FollowUpdate{Pong: ping, Confirmed: err == nil, Newest: newest}
+		s.pong = &fleetpb.FollowUpdate{Pong: ping, Confirmed: err == nil, Newest: newest.Revision, NewestSum: newest.Sum}
 		if !s.confirmed && err == nil {
 			s.push(h.withStatus(s.takePong()))
 		}
--- a/internal/directory/operations.go
+++ b/internal/directory/operations.go
@@ -213,11 +213,11 @@
 	return address, leading, err
 }
 
-// barrier returns the latest revision committed before the call.
-func (s *server) barrier(ctx context.Context) (uint64, error) {
+// barrier returns the mark of the latest state committed before the call.
+func (s *server) barrier(ctx context.Context) (publication.Mark, error) {
 	address, leading, err := s.awaitLeader(ctx)
 	if err != nil {
-		return 0, err
+		return publication.Mark{}, err
 	}
 	if leading {
 		return s.barrierLocal(ctx)
@@ -226,14 +226,14 @@
 	defer conn.Close()
 	resp, err := fleetpb.NewDRPCDirectoryClient(conn).Barrier(ctx, &fleetpb.BarrierRequest{})
 	if err != nil {
-		return 0, rpc.WrapConnectionError(err, errkind.NoQuorum, leaderLostMessage)
+		return publication.Mark{}, rpc.WrapConnectionError(err, errkind.NoQuorum, leaderLostMessage)
 	}
-	return resp.Revision, nil
+	return publication.Mark{Revision: resp.Revision, Sum: resp.Sum}, nil
 }
 
-func (s *server) barrierLocal(ctx context.Context) (uint64, error) {
+func (s *server) barrierLocal(ctx context.Context) (publication.Mark, error) {
 	if err := s.group.ReadBarrier(ctx); err != nil {
-		return 0, err
+		return publication.Mark{}, err
 	}
-	return s.machine.State().Revision, nil
+	return s.machine.Mark(), nil
 }
--- a/internal/directory/orders.go
+++ b/internal/directory/orders.go
@@ -30,7 +30,7 @@
 	if err := p.checkCaller(ctx); err != nil {
 		return 0, err
 	}
-	revision, err := p.server.change(ctx, &fleetpb.ChangeRequest{Command: cmd, BaseRevision: &base})
+	revision, err := p.server.change(ctx, &fleetpb.ChangeRequest{Command: cmd, BaseRevision: &base.Revision})
 	if errkind.Is(err, errkind.ChangeConflict) {
 		// The same order may have been accepted at another process, so it must not be refused.
 		err = errkind.Wrap(err, errkind.ChangeUnknown, "the order was overtaken; send it again if it still holds")
--- a/internal/directory/peers_test.go
+++ b/internal/directory/peers_test.go
@@ -298,7 +298,7 @@
 				pings[s] = 1
 			}
 			if beat%2 == 0 { // Each router pings every 300 ms.
-				h.confirmRouters(pings, 1, nil)
+				h.confirmRouters(pings, publication.Mark{Revision: 1}, nil)
 			}
 			h.flush()
 		}
--- a/internal/directory/process.go
+++ b/internal/directory/process.go
@@ -142,7 +142,7 @@
 	p.hub.propose, p.hub.submit = p.submitter(p.server.proposeLocal), p.submitter(p.server.propose)
 	p.hub.rollouts.bounds = p.conf.Rollouts.bounds()
 	p.machine.OnChange = func(*publication.State) { p.hub.post(context.Background(), p.hub.stateChanged) }
-	p.server.confirmer = newConfirmer(p.server.barrier, func(pings map[*session]uint64, newest uint64, err error) {
+	p.server.confirmer = newConfirmer(p.server.barrier, func(pings map[*session]uint64, newest publication.Mark, err error) {
 		p.hub.post(context.Background(), func() { p.hub.confirmRouters(pings, newest, err) })
 	})
 	p.metrics.Gauge("directory.revision", func() int64 { return int64(p.machine.State().Revision) })
--- a/internal/directory/rollouts.go
+++ b/internal/directory/rollouts.go
@@ -319,13 +319,13 @@
 	}
 	for {
 		s := p.machine.State()
-		if s.Revision >= latest {
+		if s.Revision >= latest.Revision {
 			return s, nil
 		}
 		select {
 		case <-time.After(statePollInterval):
 		case <-ctx.Done():
-			return nil, errkind.New(errkind.NotReady, "this process has applied revision %d, the latest is %d", s.Revision, latest)
+			return nil, errkind.New(errkind.NotReady, "this process has applied revision %d, the latest is %d", s.Revision, latest.Revision)
 		}
 	}
 }
--- a/internal/directory/server.go
+++ b/internal/directory/server.go
@@ -47,11 +47,11 @@
 func (s *server) Barrier(ctx context.Context, _ *fleetpb.BarrierRequest) (*fleetpb.BarrierResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, barrierTimeout)
 	defer cancel()
-	revision, err := s.barrierLocal(ctx)
+	mark, err := s.barrierLocal(ctx)
 	if err != nil {
 		return nil, err
 	}
-	return &fleetpb.BarrierResponse{Revision: revision}, nil
+	return &fleetpb.BarrierResponse{Revision: mark.Revision, Sum: mark.Sum}, nil
 }
 
 // Spread implements the Directory service.
--- a/internal/fleetview/doc.go
+++ b/internal/fleetview/doc.go
@@ -9,5 +9,6 @@
 // A confirmation states that a revision was the newest at some time after the router
 // sent the corresponding ping. The time since that ping is therefore an upper bound
 // on how stale the router's state is. It is measured by the boot clock, so that it
-// includes any suspension of the VM.
+// includes any suspension of the VM. It also names the sum of that revision's state. A
+// router whose state has another one is on another history, and fetches the state as a whole.
 package fleetview
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -110,6 +110,7 @@
 	lastListAt time.Duration
 	// lastFetchFrom is the link on which missing revisions were last requested.
 	lastFetchFrom *link
+	history       history
 }
 
 // New returns a View that does nothing until Run is called.
@@ -344,7 +345,7 @@
 	v.applyUpdate(l, u.FollowUpdate)
 	if u.Confirmed {
 		v.quorumConfirmedAt.Store(int64(clock.SinceBoot()))
-		if u.Newest < u.pingRevision && u.pingRevision <= v.state.Revision {
+		if u.Newest < u.pingRevision && u.pingRevision <= v.state.Revision || v.isOtherHistory(u) {
 			v.discardState(l, u.Newest)
 		} else {
 			v.recordConfirmation(u.Newest, u.pingSentAt)
@@ -465,20 +466,6 @@
 	return other
 }
 
-// discardState has the state fetched again, as a whole, after a quorum confirmed that the revision
-// held does not exist. What it holds is not what the directory has, and commands that follow would
-// be applied to it. The snapshot stays in use, without a confirmation, until the state arrives.
-func (v *View) discardState(l *link, confirmed uint64) {
-	v.opts.Log.Error("the directory confirmed a revision below the one held; fetching its state", "address", l.address, "confirmed", confirmed, "revision", v.state.Revision)
-	v.state = &publication.State{}
-	snapshot := *v.Snapshot()
-	snapshot.Revision = 0
-	v.snapshot.Store(&snapshot)
-	v.newestRevision, v.pendingRevision = confirmed, 0
-	v.lastFetchAt, v.lastFetchFrom = clock.SinceBoot(), l
-	l.requestFetch()
-}
-
 // applyUpdate installs the newer state that a message contains, either as a whole or
 // as commands that follow the current revision.
 func (v *View) applyUpdate(l *link, u *fleetpb.FollowUpdate) {
@@ -514,7 +501,7 @@
 		return
 	}
 	next := &Snapshot{Configuration: previous.Configuration, Revision: state.Revision, Evacuated: state.Evacuated, Quarantined: previous.nextQuarantines(state.Quarantined), Rollouts: state.Rollouts}
-	if c := state.Configuration; c != nil && (previous.Configuration == nil || c.Version > previous.Configuration.Version) {
+	if c := state.Configuration; c != nil && (previous.Configuration == nil || c.Version > previous.Configuration.Version || previous.Revision == 0 && c.Version == previous.Configuration.Version) {
 		config, err := v.opts.Decode(c.Document)
 		if err != nil {
 			v.opts.Log.Error("configuration is invalid; keeping the one in force", "version", c.Version, "revision", state.Revision, "error", err)
@@ -523,6 +510,7 @@
 		next.Configuration = config
 	}
 	v.state, v.lastFetchAt, v.lastFetchFrom = state, 0, nil
+	v.history.installedAt = clock.SinceBoot()
 	v.snapshot.Store(next)
 	v.opts.Fleet.SetPlaces(state.Places, time.Now())
 	v.opts.Fleet.SetEvacuated(next.Evacuated, next.coldTime, time.Now())
--- a/internal/fleetview/view_test.go
+++ b/internal/fleetview/view_test.go
@@ -89,6 +89,66 @@
 	}
 }
 
+// Guards against a router that goes on with a state of another history, since its revision is that of the
+// directory's, and misses an evacuation and a configuration.
+func TestAStateOfAnotherHistoryIsReplaced(t *testing.T) {
+	v, l := newView()
+	confirm := func(state *publication.State, sum uint64) {
+		v.onUpdate(l, update{FollowUpdate: &fleetpb.FollowUpdate{Pong: 1, Confirmed: true, Newest: state.Revision, NewestSum: sum, Revision: state.Revision}, pingSentAt: clock.SinceBoot(), pingRevision: v.Snapshot().Revision})
+	}
+	held, theirs := stateAt(5, 10, "10"), stateAt(5, 10, "11")
+	theirs.Evacuated = []string{"b"}
+	v.installState(held)
+	for _, sum := range []uint64{0, held.Sum()} { // 0 comes from processes of earlier releases.
+		if confirm(held, sum); l.takeFetchRequest() || v.Snapshot().Revision != 5 {
+			t.Errorf("sum %d: a state that the directory has is fetched again", sum)
+		}
+	}
+	confirmedAt := v.confirmedPingSentAt.Load()
+	confirm(theirs, theirs.Sum())
+	if !l.takeFetchRequest() || v.Snapshot().Revision != 0 || v.version() != 10 || v.confirmedPingSentAt.Load() != confirmedAt {
+		t.Errorf("revision %d, version %d, want the state fetched from revision 0, version 10 in force, and no confirmation", v.Snapshot().Revision, v.version())
+	}
+	before := clock.SinceBoot()
+	encoded, err := theirs.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	v.onUpdate(l, update{FollowUpdate: &fleetpb.FollowUpdate{State: encoded, Revision: 5}})
+	if s := v.Snapshot(); s.Revision != 5 || len(s.Evacuated) != 1 || v.version() != 11 {
+		t.Errorf("revision %d, evacuated %v, document %d, want those of the directory", s.Revision, s.Evacuated, v.version())
+	}
+	// The answer to a ping of before the state was replaced tells nothing of it.
+	v.onUpdate(l, update{FollowUpdate: &fleetpb.FollowUpdate{Pong: 1, Confirmed: true, Newest: 5, NewestSum: held.Sum(), Revision: 5}, pingSentAt: before, pingRevision: 5})
+	if confirm(theirs, theirs.Sum()); l.takeFetchRequest() || v.confirmedPingSentAt.Load() <= confirmedAt {
+		t.Error("the state is fetched again, or not confirmed, although it is that of the directory")
+	}
+}
+
+// Guards against routers that fetch the state again and again, and serve without a confirmation, since
+// a leader of another release computes other sums.
+func TestSumsThatNeverAgreeAreNotCompared(t *testing.T) {
+	v, l := newView()
+	fetched := 0
+	for revision := uint64(1); revision <= 20; revision++ {
+		state := stateAt(revision, 10, "10")
+		v.installState(state)
+		for range 3 {
+			v.onUpdate(l, update{FollowUpdate: &fleetpb.FollowUpdate{Pong: 1, Confirmed: true, Newest: revision, NewestSum: state.Sum() + 1, Revision: revision}, pingSentAt: clock.SinceBoot(), pingRevision: v.Snapshot().Revision})
+			if l.takeFetchRequest() {
+				fetched++
+				v.onUpdate(l, update{FollowUpdate: &fleetpb.FollowUpdate{State: encodedState(t, revision, 10, "10"), Revision: revision}})
+			}
+		}
+		if age, confirmed := v.ConfirmationAge(); !confirmed || age > time.Second {
+			t.Fatalf("revision %d is not confirmed", revision)
+		}
+	}
+	if fetched != 1 {
+		t.Errorf("the state was fetched %d times, want once", fetched)
+	}
+}
+
 // A configuration that cannot be decoded must not replace the one in force.
 func TestUnusableConfigurationIsNotInstalled(t *testing.T) {
 	v, _ := newView()
--- a/internal/publication/machine.go
+++ b/internal/publication/machine.go
@@ -30,7 +30,9 @@
 	recentCommands []*fleetpb.Command
 	recentBytes    int
 	// encoded caches the encoded state; nil until it is requested.
-	encoded           *fleetpb.State
+	encoded *fleetpb.State
+	// sum caches the state's sum; 0 until it is requested.
+	sum               uint64
 	evacuationChanges evacuationChanges
 }
 
@@ -90,7 +92,7 @@
 	next, err := m.state.Apply(cmd)
 	effective := next != m.state
 	if next.Revision != m.state.Revision {
-		m.encoded = nil
+		m.encoded, m.sum = nil, 0
 		m.retainCommand(cmd)
 		m.evacuationChanges.record(cmd, next.Revision)
 	}
@@ -150,7 +152,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	encoded.Departures = nil
-	m.state, m.encoded, m.recentCommands, m.recentBytes = state, encoded, nil, 0
+	m.state, m.encoded, m.sum, m.recentCommands, m.recentBytes = state, encoded, 0, nil, 0
 	m.evacuationChanges = evacuationChanges{unknownUntil: state.Revision}
 	return nil
 }
