--- a/internal/publication/machine.go
+++ b/internal/publication/machine.go
@@ -9,6 +9,7 @@
 
 	"github.com/kumquathollow/kumquathollow/api/fleetpb"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/inventory"
 )
 
 const (
@@ -30,8 +31,12 @@
 	recentCommands []*fleetpb.Command
 	recentBytes    int
 	// encoded caches the encoded state; nil until it is requested.
-	encoded           *fleetpb.State
+	encoded *fleetpb.State
+	// sum caches the state's sum; 0 until it is requested.
+	sum               uint64
 	evacuationChanges evacuationChanges
+	// forgotten are the departures that were dropped since TakeDepartures.
+	forgotten map[string]inventory.Departure
 }
 
 // New returns a Machine without a configuration.
@@ -87,10 +92,11 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.retainForgotten(cmd.GetDepart().GetForgotten())
 	next, err := m.state.Apply(cmd)
 	effective := next != m.state
 	if next.Revision != m.state.Revision {
-		m.encoded = nil
+		m.encoded, m.sum = nil, 0
 		m.retainCommand(cmd)
 		m.evacuationChanges.record(cmd, next.Revision)
 	}
@@ -150,7 +156,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	encoded.Departures = nil
-	m.state, m.encoded, m.recentCommands, m.recentBytes = state, encoded, nil, 0
+	m.state, m.encoded, m.sum, m.recentCommands, m.recentBytes = state, encoded, 0, nil, 0
 	m.evacuationChanges = evacuationChanges{unknownUntil: state.Revision}
 	return nil
 }
