--- a/internal/replication/applier.go
+++ b/internal/replication/applier.go
@@ -218,6 +218,8 @@
 	})
 	if errkind.Is(err, errkind.DiskFull) {
 		a.snapshotRetryAt = time.Now().Add(snapshotRetryDelay)
+		// A voter whose log has no room either applies nothing that would wake the applier.
+		time.AfterFunc(snapshotRetryDelay, a.signal)
 		a.g.opt.Log.Warn("snapshot not saved", "index", meta.Index, "retry-in", snapshotRetryDelay, "error", err)
 		return nil
 	}
