--- a/cmd/kqsoak/main.go
+++ b/cmd/kqsoak/main.go
@@ -27,6 +27,7 @@
 
 func main() {
 	dir, previous := "", ""
+	fullDisks, changeBytes := false, 3<<20
 	seed, seeds, seconds := uint64(1), 1, 15
 	directories, routers, servers, clients := 3, 4, 6, 24
 	flaggy.SetName("kqsoak")
@@ -41,6 +42,8 @@
 	flaggy.Int(&routers, "", "routers", "routers")
 	flaggy.Int(&servers, "", "servers", "backend servers")
 	flaggy.Int(&clients, "", "clients", "clients")
+	flaggy.Bool(&fullDisks, "", "full-disks", "only fills the disks of the directory processes, one after another")
+	flaggy.Int(&changeBytes, "", "change-bytes", "with --full-disks, size of the largest configuration")
 	directory := flaggy.NewSubcommand("directory")
 	directory.Description = "runs a directory process on a disk that misbehaves while $" + soak.DiskControlEnv + " says so"
 	router := flaggy.NewSubcommand("router")
@@ -63,8 +66,8 @@
 		})
 		return
 	}
-	if directories < 3 || routers < 1 || servers < 1 || clients < 1 || seeds < 1 || seconds < 1 {
-		fmt.Fprintln(os.Stderr, "kqsoak: at least 3 directories and 1 of each other are needed")
+	if directories < 3 || routers < 1 || servers < 1 || clients < 1 || changeBytes < 1<<10 || seeds < 1 || seconds < 1 {
+		fmt.Fprintln(os.Stderr, "kqsoak: at least 3 directories, 1 of each other and a change of 1 KB are needed")
 		os.Exit(errkind.ExitUsage)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
@@ -77,12 +80,16 @@
 	conf := soak.Config{
 		SoakBinary: self, Previous: previous,
 		FaultDuration: time.Duration(seconds) * time.Second, Directories: directories, Routers: routers, Servers: servers, Clients: clients,
-		Out: os.Stdout,
+		ChangeBytes: changeBytes, Out: os.Stdout,
 	}
 	failedSeeds := 0
 	for n := range uint64(seeds) {
 		conf.Seed = seed + n
-		if err := runSeed(ctx, conf, dir); err != nil {
+		run := runSeed
+		if fullDisks {
+			run = runFullDisks
+		}
+		if err := run(ctx, conf, dir); err != nil {
 			fmt.Fprintf(os.Stderr, "kqsoak: seed %d: %v\n", conf.Seed, err)
 			failedSeeds++
 		}
@@ -117,15 +124,8 @@
 // runSeed runs the test with conf.Seed. It returns an error if the test could not run
 // or if guarantees were violated.
 func runSeed(ctx context.Context, conf soak.Config, dir string) error {
-	keep := dir != ""
-	if !keep {
-		var err error
-		if dir, err = os.MkdirTemp("", "kqsoak-"); err != nil {
-			return err
-		}
-	}
-	conf.Dir = filepath.Join(dir, fmt.Sprint("seed-", conf.Seed))
-	if err := os.MkdirAll(conf.Dir, 0o700); err != nil {
+	remove, err := makeDir(&conf, dir)
+	if err != nil {
 		return err
 	}
 	r, err := soak.Run(ctx, conf)
@@ -134,14 +134,44 @@
 	}
 	fmt.Printf("seed %d: %d faults, %d served, %d refused, %d failed, %d streams resumed, %d rollouts ordered, %d departures, %d evacuations, version %d acknowledged, recovered after %s, %d violations\n",
 		conf.Seed, r.Faults, r.Served, r.Refused, r.Failed, r.Resumed, r.Rollouts, r.Departures, r.Evacuations, r.AcknowledgedVersion, r.RecoveryTime.Round(time.Millisecond), len(r.Violations))
-	for _, v := range r.Violations[:min(maxPrintedViolations, len(r.Violations))] {
-		fmt.Println("  broken:", v)
+	return conclude(conf, r.Violations, remove)
+}
+
+// runFullDisks is runSeed for the run that only fills disks.
+func runFullDisks(ctx context.Context, conf soak.Config, dir string) error {
+	remove, err := makeDir(&conf, dir)
+	if err != nil {
+		return err
 	}
-	if len(r.Violations) > 0 {
-		return fmt.Errorf("%d promises broken; logs in %s", len(r.Violations), conf.Dir)
+	r, err := soak.RunFullDisks(ctx, conf)
+	if err != nil {
+		return fmt.Errorf("%w; logs in %s", err, conf.Dir)
+	}
+	fmt.Printf("seed %d: %d directory processes, %d full disks, %d of %d changes acknowledged, %d attempts refused, slowest afterwards %s, %d violations\n",
+		conf.Seed, conf.Directories, r.Faults, r.Acknowledged, r.Changes, r.Refused, r.Slowest.Round(time.Millisecond), len(r.Violations))
+	return conclude(conf, r.Violations, remove)
+}
+
+// makeDir creates the folder of a seed in dir, or in a temporary folder that remove removes.
+func makeDir(conf *soak.Config, dir string) (remove func() error, err error) {
+	remove = func() error { return nil }
+	if dir == "" {
+		if dir, err = os.MkdirTemp("", "kqsoak-"); err != nil {
+			return nil, err
+		}
+		remove = func() error { return os.RemoveAll(dir) }
+	}
+	conf.Dir = filepath.Join(dir, fmt.Sprint("seed-", conf.Seed))
+	return remove, os.MkdirAll(conf.Dir, 0o700)
+}
+
+// conclude prints the violations. Without any it calls remove.
+func conclude(conf soak.Config, violations []string, remove func() error) error {
+	for _, v := range violations[:min(maxPrintedViolations, len(violations))] {
+		fmt.Println("  broken:", v)
 	}
-	if !keep {
-		return os.RemoveAll(dir)
+	if len(violations) > 0 {
+		return fmt.Errorf("%d promises broken; logs in %s", len(violations), conf.Dir)
 	}
-	return nil
+	return remove()
 }
--- a/internal/faultyfs/faultyfs.go
+++ b/internal/faultyfs/faultyfs.go
@@ -14,12 +14,13 @@
 	"github.com/cockroachdb/pebble/v2/vfs"
 )
 
-// Faults that a control file can contain: syncs block, syncs return EIO, or new files and
-// writes find no room.
+// Faults that a control file can contain: syncs block, syncs return EIO, new files and
+// writes find no room, or only writes find none, as on most disks.
 const (
-	Stalls = "stalls"
-	Fails  = "refuses"
-	Full   = "is full"
+	Stalls      = "stalls"
+	Fails       = "refuses"
+	Full        = "is full"
+	FullForData = "is full for data"
 )
 
 // stallPollInterval is how often a stalled sync reads the control file.
@@ -140,7 +141,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if fault != Full {
+	if fault != Full && fault != FullForData {
 		return f.File.Write(p)
 	}
 	n, err := f.File.Write(p[:len(p)/2])
--- a/internal/faultyfs/faultyfs_test.go
+++ b/internal/faultyfs/faultyfs_test.go
@@ -3,8 +3,10 @@
 import (
 	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"github.com/cockroachdb/pebble/v2/vfs"
 )
 
@@ -45,3 +47,24 @@
 		t.Errorf("dropped %d bytes (%v) after a sync by the next process, want none", dropped, err)
 	}
 }
+
+// Guards against a full disk that takes data.
+func TestAFullDiskTakesNoData(t *testing.T) {
+	for fault, creates := range map[string]bool{Full: false, FullForData: true} {
+		dir := t.TempDir()
+		fs := FS{FS: vfs.Default, ControlFile: filepath.Join(dir, "disk")}
+		open, err := fs.Create(filepath.Join(dir, "log-1"), vfs.WriteCategoryUnspecified)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(fs.ControlFile, []byte(fault), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if n, err := open.Write([]byte("abcd")); n != 2 || !errors.Is(err, syscall.ENOSPC) {
+			t.Errorf("%s: wrote %d bytes (%v), want 2 and no room", fault, n, err)
+		}
+		if _, err := fs.Create(filepath.Join(dir, "log-2"), vfs.WriteCategoryUnspecified); (err == nil) != creates {
+			t.Errorf("%s: a new file: %v, want that it is created: %v", fault, err, creates)
+		}
+	}
+}
