--- a/internal/replication/sim_test.go
+++ b/internal/replication/sim_test.go
@@ -90,6 +90,8 @@
 	lastCommand int
 	// writes counts the writes to disk of each process.
 	writes map[string]int
+	// managed is set if the leader changes the voters as in a directory.
+	managed bool
 }
 
 const simTick = 20 * time.Millisecond
@@ -324,6 +326,9 @@
 	s.inFlight = later
 	s.rng.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
 	s.reportTransfers()
+	if s.managed && s.rng.IntN(5) == 0 {
+		s.manageVoters()
+	}
 	for _, f := range due {
 		n := s.nodes[f.m.To]
 		if f.m.Type == pb.MessageType_SNAPSHOT {
