Tell a router who left when its session opens

Cause: a router that returns is told who left with the list of all servers or while that waits, both only once it has reported its load on the new session. Sessions that ended before that told it nothing of what it had missed.

Shown: TestARouterIsToldWhoLeftWhenItsSessionOpens; before, the router was told of none. The tests of internal/directory passed with -race.

--- a/internal/directory/catchup.go
+++ b/internal/directory/catchup.go
@@ -136,6 +136,10 @@
 		return
 	}
 	s.departuresSent = true
+	h.pushDepartures(s, departures)
+}
+
+func (h *hub) pushDepartures(s *session, departures func() ([]*fleetpb.Announcement, int)) {
 	leaving, size := departures()
 	if len(leaving) == 0 {
 		return
--- a/internal/directory/hub.go
+++ b/internal/directory/hub.go
@@ -304,11 +304,15 @@
 	}
 }
 
-// openSession adds a session. The router is sent the servers once it reports here.
+// openSession adds a session. The router is sent the servers that leave at once, since it may have
+// been without a session when they did, and all servers once it reports here.
 func (h *hub) openSession(s *session) {
 	h.sessions[s] = true
 	h.opened++
 	s.push(h.withStatus(h.membersUpdate()))
+	if h.leader != "" {
+		h.pushDepartures(s, h.departuresUpdate)
+	}
 }
 
 func (h *hub) closeSession(s *session) {
--- a/internal/directory/late_departures_test.go
+++ b/internal/directory/late_departures_test.go
@@ -241,3 +241,32 @@
 		}
 	}
 }
+
+// Guards against a router that goes on with servers that left while it had no session: it is told with the
+// list of all servers, which it gets once it has reported, and its sessions end before that where the
+// machine is overloaded.
+func TestARouterIsToldWhoLeftWhenItsSessionOpens(t *testing.T) {
+	h, _ := newTestHub()
+	for _, id := range []string{"left", "stays"} {
+		h.merge(serverAnnouncement(id, 1, inventory.Ready), false)
+	}
+	h.leave("left", 1)
+	told := func(s *session) (ids []string) {
+		for _, u := range drain(s) {
+			for _, a := range u.Announcements {
+				if a.State != fleetpb.ServerState_GONE {
+					t.Errorf("the router was told that %s is %s", a.Id, a.State)
+				}
+				ids = append(ids, a.Id)
+			}
+		}
+		return ids
+	}
+	if got := told(newSession(h, "r")); len(got) != 1 || got[0] != "left" {
+		t.Errorf("the router was told of %v, want the server that left", got)
+	}
+	h.groupChanged(h.members, "")
+	if got := told(newSession(h, "r")); len(got) != 0 {
+		t.Errorf("the router was told of %v while there is no leader, whose election needs the link", got)
+	}
+}
