Tell a router who left when its session opens, also without a leader

Cause: those processes had no leader, on that machine for seconds at a time, and without one routers are sent no list, since an election needs the link. Nor were they told who left.

Change: at the opening of a session they are told who left, up to 4 KB, also without a leader as long as the bandwidth for lists is not used up: 37.5 KB at once and 500 KB/s.

The tests of internal/directory passed with -race.

--- a/internal/directory/catchup.go
+++ b/internal/directory/catchup.go
@@ -92,9 +92,10 @@
 // now. Without a leader none is: no router serves before its configuration is confirmed,
 // and the election needs the VM and its link.
 func (h *hub) maySendBulk() bool {
-	if h.leader == "" {
-		return false
-	}
+	return h.leader != "" && h.hasBulkBandwidth()
+}
+
+func (h *hub) hasBulkBandwidth() bool {
 	now := h.now()
 	h.bulkBytes = min(bulkBurstBytes, h.bulkBytes+now.Sub(h.bulkBytesAt).Seconds()*bulkBytesPerSecond)
 	h.bulkBytesAt = now
--- a/internal/directory/hub.go
+++ b/internal/directory/hub.go
@@ -310,7 +310,8 @@
 	h.sessions[s] = true
 	h.opened++
 	s.push(h.withStatus(h.membersUpdate()))
-	if h.leader != "" {
+	// An election needs the link, and may take so long that the router would go on with these servers.
+	if h.leader != "" || h.hasBulkBandwidth() {
 		h.pushDepartures(s, h.departuresUpdate)
 	}
 }
