Blank lines after a stream's last event do not break it

Seen: a whole stream whose server wrote blank lines before its end was aborted.

Cause: they were taken for the beginning of an event that broke off.

Evidence: TestBlankLinesAfterTheLastEventBreakNoStream got "unexpected EOF" for each of three such ends before.

Change: an end with nothing but white space after the last event is the end.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -49,7 +49,7 @@
 		event, err := x.nextEvent(resp, br)
 		switch {
 		case err == nil:
-		case errors.Is(err, io.EOF) && len(event) == 0:
+		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(event)) == 0:
 			resp.MarkBodyRead()
 			if err := check.end(); err != nil && !x.believe(err) {
 				return x.wronglyContinued(picked, err)
