Do not end an event within a line that fills the buffer

Cause: a line is read in parts of 1,024 bytes. If it has a multiple of that before its newline, the newline came as a part of its own and was taken for the blank line that ends the event, one byte early.

Change: only a part that begins a line can be a blank one.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -104,16 +104,17 @@
 		}
 	}
 	var event []byte
-	for {
+	for atLineStart := true; ; {
 		line, err := br.ReadSlice('\n')
 		event = append(event, line...)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 		case err != nil:
 			return event, err
-		case len(bytes.TrimRight(line, "\r\n")) == 0 && len(bytes.TrimSpace(event)) > 0:
+		case atLineStart && len(bytes.TrimRight(line, "\r\n")) == 0 && len(bytes.TrimSpace(event)) > 0:
 			return event, nil
 		}
+		atLineStart = err == nil
 		if len(event) > maxEventBytes {
 			return event, errkind.New(errkind.StreamBroken, "a stream event exceeds the limit of %d bytes", maxEventBytes)
 		}
