Servers that know of nothing end no response that has events

Cause: the word of two servers counted within a response as well.

Evidence: TestServersThatKnowOfNothingEndNoResponse got events 1 to 3 as a whole stream before.

Change: such a response is aborted; its client, which can resume the stream itself, is told by two servers. Only what the servers wrote is passed on for whole.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -80,7 +80,7 @@
 	lastEventID string
 	// afterUnnumbered is set if events without an id were relayed after that one.
 	afterUnnumbered bool
-	// nothingLeft is set once a server has continued the stream without an event.
+	// nothingLeft is set once a server has said that nothing is left of the stream that the client resumes.
 	nothingLeft bool
 	lastPicked  *placement.PickResult
 	// counted is the attempt that runs, if the service has a running rollout.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -190,16 +190,16 @@
 	return attemptResult{sent: true, mayHaveRun: true, outcome: placement.Success}
 }
 
-// believe reports whether the stream counts as ended although a server continued it without an event:
-// another one has done so too, or none is left to ask for a client that has resumed the stream itself.
+// believe reports whether a client that has resumed a stream itself is told that nothing is left of it,
+// although the server wrote no event: another one has said so too, or none is left to ask.
 func (x *exchange) believe(err error) bool {
-	if !errors.Is(err, errNothingLeft) {
+	if x.eventsSent > 0 || !errors.Is(err, errNothingLeft) {
 		return false
 	}
 	agreed := x.nothingLeft
 	x.nothingLeft = true
 	mayAsk := x.sends < x.route.MaxAttempts && len(x.f.opts.Fleet.Servers(x.service.Name)) > 1
-	return agreed || x.eventsSent == 0 && !mayAsk
+	return agreed || !mayAsk
 }
 
 // wronglyContinued returns the result for a server that did not go on where the client's events end.
