Do not cut a resumed stream that ends with an event without an id

Callers saw: a stream that broke before its last event, which has no id (as "data: [DONE]"), was cut after that event, when the router or the client had resumed it. Every further resumption ended alike.

Cause: the check of continued streams counts a stream as ended without an event unless one of the events has a number.

Evidence: TestAResumedStreamMayEndWithAnEventWithoutAnID failed before, with "unexpected EOF" for both kinds of resumption.

Change: an event without a number that has data counts as an event. One that ends before the last event that the client has is still refused.

Measured: this test and those of wrong continuations pass (one run each).

--- a/internal/forward/continuity.go
+++ b/internal/forward/continuity.go
@@ -69,6 +69,8 @@
 	// read is the position of the server, and joined is set once an event was new.
 	read   position
 	joined bool
+	// unnumbered is set once an event without a number had data.
+	unnumbered bool
 }
 
 // isNew reports whether the client does not have the event yet. It returns an error if events are
@@ -76,6 +78,7 @@
 func (c *continuity) isNew(e streamEvent) (bool, error) {
 	at := positionAfter(e.id)
 	if !at.known {
+		c.unnumbered = c.unnumbered || e.hasData
 		return true, nil
 	}
 	previous := c.read
@@ -107,6 +110,8 @@
 		return nil
 	case c.read.known:
 		return errkind.New(errkind.StreamBroken, "the stream ended with event %d, before event %d", c.read.last, c.after.last)
+	case c.unnumbered:
+		return nil
 	}
 	return errNothingLeft
 }
