Do not resume a stream at the service of a route that took part of its path

Callers saw: nothing yet; found in review. A stream under /a/b/ that began when route /a/ had the path goes on at another service once a route /a/b/ is added.

Cause: the services that a path had before are kept only for routes that are changed or removed. The route /a/ stays as it was.

Evidence: TestAPathThatGetsARouteOfItsOwnKeepsItsFormerService failed before: a stream may have begun at ["other"], want ["other" "svc"].

Change: a new route whose paths an earlier one had counts as its successor there.

Measured: this test and TestAStreamIsNotResumedAtAnotherService pass (one run each).

--- a/internal/fleetview/former_services.go
+++ b/internal/fleetview/former_services.go
@@ -31,16 +31,33 @@
 		if !r.Resumable {
 			continue
 		}
-		successor := next.FindRoute(r.Host, r.Prefix)
-		for _, share := range r.Split {
-			if successor == nil || !hasService(successor, share.Service) {
-				former = append(former, formerService{host: strings.ToLower(r.Host), prefix: r.Prefix, service: share.Service, until: now.Add(r.Timeout)})
+		for prefix, successor := range s.successors(r, next) {
+			for _, share := range r.Split {
+				if successor == nil || !hasService(successor, share.Service) {
+					former = append(former, formerService{host: strings.ToLower(r.Host), prefix: prefix, service: share.Service, until: now.Add(r.Timeout)})
+				}
 			}
 		}
 	}
 	return former
 }
 
+// successors returns the routes of next that have the paths of a route, by prefix: the one in its place, nil
+// if there is none, and those that have a part of its paths.
+func (s *Snapshot) successors(r *catalog.Route, next *catalog.Set) map[string]*catalog.Route {
+	routes := map[string]*catalog.Route{r.Prefix: next.FindRoute(r.Host, r.Prefix)}
+	for i := range next.Routes {
+		n := &next.Routes[i]
+		if !strings.EqualFold(n.Host, r.Host) || !strings.HasPrefix(n.Prefix, r.Prefix) {
+			continue
+		}
+		if before := s.Configuration.FindRoute(n.Host, n.Prefix); before != nil && before.Prefix == r.Prefix {
+			routes[n.Prefix] = n
+		}
+	}
+	return routes
+}
+
 func hasService(r *catalog.Route, service string) bool {
 	return slices.ContainsFunc(r.Split, func(share catalog.Share) bool { return share.Service == service })
 }
