Tell a client that its stream has ended where only one server may say so

Callers saw: a client that has all events of its stream, but not its end, and resumes it, gets status 502 each time, if one server is left of the version that began the stream and others of a later version serve.

Cause: the router asks another server before it believes that nothing is left, and counts those that may not continue the stream, or were asked before.

Evidence: TestTheLastServerOfAVersionMayEndAClientsResumption failed before, 3 of 3 requests with status 502.

Change: only servers of the stream's version that were not asked yet count.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -51,7 +52,7 @@
 		case err == nil:
 		case errors.Is(err, io.EOF) && len(event) == 0:
 			resp.MarkBodyRead()
-			if err := check.end(); err != nil && !x.believe(err) {
+			if err := check.end(); err != nil && !x.believe(picked, err) {
 				return x.wronglyContinued(picked, err)
 			}
 			x.recordPace(events, firstEventAt)
@@ -191,14 +192,20 @@
 
 // believe reports whether the stream counts as ended although a server continued it without an event:
 // another one has done so too, or none is left to ask for a client that has resumed the stream itself.
-func (x *exchange) believe(err error) bool {
+func (x *exchange) believe(picked *placement.PickResult, err error) bool {
 	if !errors.Is(err, errNothingLeft) {
 		return false
 	}
 	agreed := x.nothingLeft
 	x.nothingLeft = true
-	mayAsk := x.sends < x.route.MaxAttempts && len(x.f.opts.Fleet.Servers(x.service.Name)) > 1
-	return agreed || x.eventsSent == 0 && !mayAsk
+	return agreed || x.eventsSent == 0 && !x.mayAskAnother(picked)
+}
+
+// mayAskAnother reports whether the stream may be continued at another server than the one that was picked.
+func (x *exchange) mayAskAnother(picked *placement.PickResult) bool {
+	return x.sends < x.route.MaxAttempts && slices.ContainsFunc(x.f.opts.Fleet.Servers(x.service.Name), func(s *placement.Server) bool {
+		return s.ID != picked.ID && !slices.Contains(x.excluded, s.ID) && (x.origin.Version == "" || s.Version == x.origin.Version)
+	})
 }
 
 // wronglyContinued returns the result for a server that did not go on where the client's events end.
