Do not count a server that has nothing left of a stream as failed

Callers saw: nothing yet; found in review. A server that rightly says of a stream that has ended that nothing is left counts as failed in placement and rollouts, and its request as one under which the server broke off: if the server ends then, as in a release, that counts as a crash caused by the request.

Cause: such an answer was handled like a connection that breaks.

Evidence: TestAServerWithNothingLeftOfAStreamHasNotFailed failed before.

Change: the answer is neutral, and the server has survived the request.

Measured: this test and those of resumptions pass (one run each, the former with -race).

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -211,7 +211,11 @@
 // wronglyContinued returns the result for a server that did not go on where the client's events end.
 func (x *exchange) wronglyContinued(picked *placement.PickResult, cause error) attemptResult {
 	x.f.opts.Metrics.Counter("forward.resumed.wrong").Inc(1)
-	return x.streamBroken(picked, cause)
+	res := x.streamBroken(picked, cause)
+	if errors.Is(cause, errNothingLeft) {
+		res.survived, res.outcome = true, placement.Neutral // Its response was whole.
+	}
+	return res
 }
 
 func (x *exchange) streamBroken(picked *placement.PickResult, cause error) attemptResult {
