--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -51,7 +52,7 @@
 		case err == nil:
 		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(event)) == 0:
 			resp.MarkBodyRead()
-			if err := check.end(); err != nil && !x.believe(err) {
+			if err := check.end(); err != nil && !x.believe(picked, err) {
 				return x.wronglyContinued(picked, err)
 			}
 			x.recordPace(events, firstEventAt)
@@ -192,20 +193,30 @@
 
 // believe reports whether a client that has resumed a stream itself is told that nothing is left of it,
 // although the server wrote no event: another one has said so too, or none is left to ask.
-func (x *exchange) believe(err error) bool {
+func (x *exchange) believe(picked *placement.PickResult, err error) bool {
 	if x.eventsSent > 0 || !errors.Is(err, errNothingLeft) {
 		return false
 	}
 	agreed := x.nothingLeft
 	x.nothingLeft = true
-	mayAsk := x.sends < x.route.MaxAttempts && len(x.f.opts.Fleet.Servers(x.service.Name)) > 1
-	return agreed || !mayAsk
+	return agreed || !x.mayAskAnother(picked)
+}
+
+// mayAskAnother reports whether the stream may be continued at another server than the one that was picked.
+func (x *exchange) mayAskAnother(picked *placement.PickResult) bool {
+	return x.sends < x.route.MaxAttempts && slices.ContainsFunc(x.f.opts.Fleet.Servers(x.service.Name), func(s *placement.Server) bool {
+		return s.ID != picked.ID && !slices.Contains(x.excluded, s.ID) && (x.origin.Version == "" || s.Version == x.origin.Version)
+	})
 }
 
 // wronglyContinued returns the result for a server that did not go on where the client's events end.
 func (x *exchange) wronglyContinued(picked *placement.PickResult, cause error) attemptResult {
 	x.f.opts.Metrics.Counter("forward.resumed.wrong").Inc(1)
-	return x.streamBroken(picked, cause)
+	res := x.streamBroken(picked, cause)
+	if errors.Is(cause, errNothingLeft) {
+		res.survived, res.outcome = true, placement.Neutral // Its response was whole.
+	}
+	return res
 }
 
 func (x *exchange) streamBroken(picked *placement.PickResult, cause error) attemptResult {
