Do not take numbers that a service leaves out for missing events

Found by the review, by a run on a scratch copy: after ids 1, 2, 3, 5, 6, 7, 9, 10 a resumption that goes on with 12 was refused, as most steps are 1. PROTOCOL.md speaks of increasing ids.

Change: ids count as consecutive while there are ten such steps for each other one.

TestNumberingFollowsMostOfTheEvents has that service now and failed before; its case of one odd step stands among 21, not among 5.

--- a/internal/forward/continuity.go
+++ b/internal/forward/continuity.go
@@ -23,9 +23,15 @@
 	}
 }
 
+// minConsecutiveRatio is how many consecutive steps there are at least for each other one of a service whose
+// events count as numbered consecutively. A faulty server makes some others.
+const minConsecutiveRatio = 10
+
 // isConsecutive reports whether numbers that are left out stand for missing events. That is assumed
 // until streams show otherwise.
-func (n *numbering) isConsecutive() bool { return n.consecutive.Load() >= n.other.Load() }
+func (n *numbering) isConsecutive() bool {
+	return n.consecutive.Load() >= minConsecutiveRatio*n.other.Load()
+}
 
 // position is the place in a stream up to which the client has its events.
 type position struct {
