--- a/internal/directory/peers_test.go
+++ b/internal/directory/peers_test.go
@@ -158,28 +158,25 @@
 			return false
 		}
 	}
-	for i, ok := range []bool{true, true, true} {
-		if closed() {
-			t.Fatalf("acknowledged after %d calls", i)
-		}
-		for _, c := range h.takeCall(h.peers[fmt.Sprint("d:", i+2)]).acks {
-			c.record(ok)
+	answer := func(answers ...bool) {
+		t.Helper()
+		for i, ok := range answers {
+			if closed() {
+				t.Fatalf("answers %v: acknowledged after %d calls", answers, i)
+			}
+			for _, c := range h.takeCall(h.peers[fmt.Sprint("d:", i+2)]).acks {
+				c.record(ok)
+			}
 		}
 	}
+	answer(true, true, true)
 	if !closed() {
 		t.Error("not acknowledged though four of five processes have the change")
 	}
 	// One that is lost leaves two processes without the change until the last one was tried.
 	h.merge(serverAnnouncement("z", 1, inventory.Draining), true)
 	acked = h.relayed.done
-	for i, ok := range []bool{true, false, true, true} {
-		if closed() {
-			t.Fatalf("with a process that is lost: acknowledged after %d calls", i)
-		}
-		for _, c := range h.takeCall(h.peers[fmt.Sprint("d:", i+2)]).acks {
-			c.record(ok)
-		}
-	}
+	answer(true, false, true, true)
 	if !closed() {
 		t.Error("not acknowledged though every other process was tried")
 	}
