Let another router try servers that this one could not reach

What callers saw: a resumable stream that was to go on through another router was cut, and a request was refused as not run, although the other router reached servers.

Cause: a handed-off request named the servers that it was not to be sent to. Those to which the first router could open no connection were among them. It hands off after two of them, so that with three servers the first stream that broke, or with two servers the first request, left the other router none. Its answer, no-backend, also kept other requests of the service from being handed off for 0.5 s.

Evidence: the logs of a run in which 1 of 9 resumable streams was cut: sent to s3, which broke; s2 and s1 refused the connection; the other router said "3 are ready, 0 of them usable". It is neither a lost error, a deadline nor a race of the test, which only counted the cut streams.

Change: only the servers to which the request was sent are named.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -64,7 +64,9 @@
 	// received is what another router told of the request that it handed off; nil for a
 	// client's own request.
 	received *handoff.Request
-	excluded []string
+	// excluded are the ids of the servers to which the request was sent, or that this router could
+	// not reach. sentTo are those of the former: another router may reach the others.
+	excluded, sentTo []string
 	// anyMayHaveRun is set once an attempt may have run.
 	anyMayHaveRun bool
 	// errorResponse is a backend server's own 5xx response. It is relayed if no
@@ -334,6 +336,9 @@
 		x.f.logFailedAttempt(x, picked, res)
 		x.checkCrash(picked, res)
 		x.excluded = append(x.excluded, picked.ID)
+		if res.sent {
+			x.sentTo = append(x.sentTo, picked.ID)
+		}
 	}
 	return res, nil
 }
--- a/internal/forward/handoff.go
+++ b/internal/forward/handoff.go
@@ -202,7 +202,7 @@
 	httpheader.CopyEndToEnd(header, x.r.Header, "")
 	req := handoff.EncodeRequest(x.r, header, x.body)
 	req.TimeoutMs = uint32(max(1, time.Until(x.deadline).Milliseconds()))
-	req.Revision, req.Sends, req.Excluded = x.view.Revision, uint32(x.sends), x.excluded
+	req.Revision, req.Sends, req.Excluded = x.view.Revision, uint32(x.sends), x.sentTo
 	req.LastEventId, req.OriginService, req.OriginVersion = x.lastEventID, x.origin.Service, x.origin.Version
 	return req
 }
