--- a/internal/handoff/handoff_test.go
+++ b/internal/handoff/handoff_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"google.golang.org/protobuf/proto"
 	"storj.io/drpc/drpcmux"
 
 	"github.com/kumquathollow/kumquathollow/api/handoffpb"
@@ -154,6 +155,29 @@
 	held.Wait()
 }
 
+// Guards against a request that is longer than a message may be: the other router ended the connection,
+// looked failed, and the request looked as if it had run.
+func TestARequestLongerThanAMessageHasNotRun(t *testing.T) {
+	var ran atomic.Int64
+	client, address, _ := startServer(t, func(w http.ResponseWriter, r *Request) (int, bool, error) {
+		ran.Add(1)
+		return ok(w, r)
+	})
+	req := newRequest()
+	req.Router, req.Body = client.Router, make([]byte, maxRequestBytes)
+	req.Body = req.Body[:2*maxRequestBytes-proto.Size(req)] // The message has maxRequestBytes.
+	if res := client.Do(t.Context(), address, req, ignoreParts); res.Err != nil || proto.Size(req) != maxRequestBytes || ran.Load() != 1 {
+		t.Errorf("a request of %d bytes, the longest allowed: %+v, %d ran", proto.Size(req), res, ran.Load())
+	}
+	req.Body = req.Body[:len(req.Body)+1]
+	if res := client.Do(t.Context(), address, req, ignoreParts); !errkind.Is(res.Err, errkind.Unreachable) || res.MayHaveRun || res.PeerFailed || res.Sends != 1 {
+		t.Errorf("a request of %d bytes: %+v, want unreachable, not run, and no failed router", proto.Size(req), res)
+	}
+	if res := client.Do(t.Context(), address, newRequest(), ignoreParts); res.Err != nil || ran.Load() != 2 {
+		t.Errorf("the next request: %+v, %d ran", res, ran.Load())
+	}
+}
+
 // Guards against headers that are not UTF-8, which no message can hold: they made a sound router
 // look failed, and the request look as if it had run.
 func TestHeadersThatAreNotUTF8FailNoRouter(t *testing.T) {
