Do not break off a stream that begins before its request is written

What callers saw: at routers of declared fleets, a stream that was cut after its first event, visibly, if the server had begun it before it had read the whole body.

Cause: the body was released with the first event. The transport then read ErrUnexpectedEOF from it and closed the connection, although the response went on: the error of the goroutine that writes was taken for that of the one that reads.

Change: a stream releases the body once the transport has read all of it, or once its connection is closed.

Ruled out beside it: a reset that passes for the end of a response. Responses without a length are refused, whole or not, and chunks and lengths show a cut.

--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -98,6 +98,9 @@
 // forwardChunk writes one chunk to the client.
 func (s *streamForwarder) forwardChunk(p []byte) error {
 	s.sendHeader()
+	if s.x.body.isSent() {
+		s.x.releaseBody() // Streams can be long, and no retry follows.
+	}
 	if s.offset == 0 {
 		s.result.FirstByte = time.Since(s.sentAt)
 	}
@@ -137,7 +140,6 @@
 	h.Set("Trailer", HeaderOutcome)
 	x.headerSent = true
 	x.w.WriteHeader(http.StatusOK)
-	x.releaseBody() // streams can be long, and no retry follows
 }
 
 func (s *streamForwarder) finish() error {
@@ -156,6 +158,9 @@
 // number of reconnections without a new byte is limited.
 func (s *streamForwarder) resume(cause error) error {
 	_ = s.resp.Body.Close()
+	if s.x.headerSent {
+		s.x.releaseBody() // The connection to which it was written is closed, and no retry follows.
+	}
 	for s.streamID != "" && s.reconnects < s.x.d.limits.MaxResumeAttempts {
 		if s.x.ctx.Err() != nil {
 			break
--- a/internal/dispatch/transport.go
+++ b/internal/dispatch/transport.go
@@ -86,19 +86,34 @@
 
 // requestBody is the body of a request that is being sent. It can be read again
 // from the start, since the gate lets only one connection begin to send. release
-// drops the data once the response has begun.
+// drops the data.
 type requestBody struct {
 	mu     sync.Mutex
 	data   []byte
 	length int
+	// read is how far the newest reader has come.
+	read int
 }
 
 func newRequestBody(data []byte) *requestBody { return &requestBody{data: data, length: len(data)} }
 
 // reader returns a reader that starts at the beginning of the body.
-func (b *requestBody) reader() (io.ReadCloser, error) { return &requestBodyReader{body: b}, nil }
+func (b *requestBody) reader() (io.ReadCloser, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.read = 0
+	return &requestBodyReader{body: b}, nil
+}
+
+// isSent reports whether the newest reader has come to the end of the body.
+func (b *requestBody) isSent() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.read >= b.length
+}
 
-// release drops the data. Later reads within the body fail.
+// release drops the data. Later reads within the body fail, and the transport then closes the
+// connection, also if its response goes on.
 func (b *requestBody) release() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -122,6 +137,7 @@
 	}
 	n := copy(p, r.body.data[r.offset:])
 	r.offset += n
+	r.body.read = r.offset
 	return n, nil
 }
 
