Tell failures of connections from their ends in one place

Cause: the check whether the end of a response without a length was the failure of its connection stood in the exchange with a backend server. The soak's proxies need it as well.

Change: connfailure.Conn wraps a connection; its Read answers the end with the failure that a write was told of, once the writes are stopped. internal/backend wraps what it dials; its exchange reads as before.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -14,6 +14,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/kumquathollow/kumquathollow/internal/connfailure"
 )
 
 const (
@@ -46,7 +48,10 @@
 	hasResponded bool
 }
 
-func newConn(raw net.Conn, pool *serverPool) *conn {
+// newConn wraps a connection. The end of a response without a length is that of its connection, which is
+// written to meanwhile, so that a failure must not pass for it.
+func newConn(dialed net.Conn, pool *serverPool) *conn {
+	raw := &connfailure.Conn{Conn: dialed}
 	head := &headLimiter{Reader: raw, onRead: pool.pool.recordHeard}
 	return &conn{Conn: raw, br: bufio.NewReaderSize(head, readBufferBytes), head: head, pool: pool}
 }
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -5,10 +5,8 @@
 	"context"
 	"io"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -41,7 +39,7 @@
 	pool      *Pool
 	conn      *conn
 	stopAbort func() bool
-	write     *requestWrite
+	written   <-chan error
 	bodyRead  bool
 }
 
@@ -75,7 +73,7 @@
 		return nil, err
 	}
 	resp := &Response{Opened: opened, pool: p, conn: c, stopAbort: c.abortOnDone(ctx)}
-	resp.write = c.writeRequest(r)
+	resp.written = c.writeRequest(r)
 	resp.Response, err = c.readResponse(r)
 	if err != nil {
 		resp.Response = nil
@@ -83,70 +81,28 @@
 		return nil, errkind.Wrap(err, errkind.BackendLost, "the connection to server %q failed before a response was received", t.ID)
 	}
 	c.updateIdleTimeout(resp.Header)
-	if !resp.Framed() && resp.Body != http.NoBody {
-		resp.Body = &closeDelimitedBody{ReadCloser: resp.Body, write: resp.write}
-	}
 	return resp, nil
 }
 
-// requestWrite is the write of a request. err is its result once done is closed.
-type requestWrite struct {
-	conn *conn
-	done chan struct{}
-	err  error
-}
-
 // writeRequest sends the request. A body over inlineBodyBytes is written
 // concurrently with reading the response, since a backend server may respond early
-// and read the rest of the body later.
-func (c *conn) writeRequest(r *Request) *requestWrite {
-	w := &requestWrite{conn: c, done: make(chan struct{})}
+// and read the rest of the body later. The channel receives the result.
+func (c *conn) writeRequest(r *Request) <-chan error {
+	done := make(chan error, 1)
 	head := encodeHeader(r)
 	if len(r.Body) <= inlineBodyBytes {
-		_, w.err = c.Conn.Write(append(head, r.Body...))
-		close(w.done)
-		return w
+		_, err := c.Conn.Write(append(head, r.Body...))
+		done <- err
+		return done
 	}
 	go func() {
-		defer close(w.done)
-		if _, w.err = c.Conn.Write(head); w.err == nil {
-			_, w.err = c.Conn.Write(r.Body)
+		_, err := c.Conn.Write(head)
+		if err == nil {
+			_, err = c.Conn.Write(r.Body)
 		}
+		done <- err
 	}()
-	return w
-}
-
-// stop ends the write and returns the error with which the connection failed before the server had
-// ended its side, or nil.
-func (w *requestWrite) stop() error {
-	if err := w.conn.SetWriteDeadline(time.Unix(1, 0)); err != nil {
-		return err
-	}
-	<-w.done
-	// The kernel reports EPIPE to a write after the server has ended its side.
-	if errors.Is(w.err, os.ErrDeadlineExceeded) || errors.Is(w.err, syscall.EPIPE) {
-		return nil
-	}
-	return w.err
-}
-
-// closeDelimitedBody is the body of a response that ends with its connection. The kernel reports
-// the failure of a connection to one call only: if that was the write of the request, a read finds
-// an end as if the server had ended the response.
-type closeDelimitedBody struct {
-	io.ReadCloser
-	write *requestWrite
-}
-
-// Read implements io.Reader.
-func (b *closeDelimitedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) {
-		if failure := b.write.stop(); failure != nil {
-			err = errors.Wrap(failure, "the connection failed before the end of the response")
-		}
-	}
-	return n, err
+	return done
 }
 
 var lineBreaks = strings.NewReplacer("\r", " ", "\n", " ", "\x00", " ")
@@ -293,15 +249,15 @@
 
 func (r *Response) requestWritten() bool {
 	select {
-	case <-r.write.done:
-		return r.write.err == nil
+	case err := <-r.written:
+		return err == nil
 	default:
 	}
 	t := time.NewTimer(pendingWriteTimeout)
 	defer t.Stop()
 	select {
-	case <-r.write.done:
-		return r.write.err == nil
+	case err := <-r.written:
+		return err == nil
 	case <-t.C:
 		return false
 	}
