Charge the heads of responses before they are kept

Callers saw: servers sent heads without end to many requests at once, and the router that had sent the requests ran out of memory; the requests of its other clients ended with it.

Cause: a head was limited to 256 KB by itself, whatever its lines, and was in no budget. Lines of 8 bytes with different names cost some 25 times their bytes as http.Header.

The first 32 KB of that are free: a usual head reserves nothing. Interim responses of one request share a reservation.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -12,7 +11,6 @@
 	"syscall"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -22,8 +20,6 @@
 	// defaultIdleTimeout is how long an idle connection is kept if the backend server
 	// sends no Keep-Alive timeout.
 	defaultIdleTimeout = 4 * time.Second
-	// maxHeadBytes limits the status line and the headers of a response.
-	maxHeadBytes = 256 << 10
 	// idleTimeoutFraction is the fraction of the backend server's idle timeout for
 	// which a connection is kept, so that the backend server does not close it while
 	// a request is on its way.
@@ -35,9 +31,9 @@
 // conn is one connection to a backend server.
 type conn struct {
 	net.Conn
-	// br reads from head, which limits the head of a response.
+	// br reads from head, which measures the head of a response.
 	br          *bufio.Reader
-	head        *headLimiter
+	head        *headReader
 	idleSince   time.Time
 	idleTimeout time.Duration
 	pool        *serverPool
@@ -47,43 +43,23 @@
 }
 
 func newConn(raw net.Conn, pool *serverPool) *conn {
-	head := &headLimiter{Reader: raw, onRead: pool.pool.recordHeard}
+	head := &headReader{Reader: raw, onRead: pool.pool.recordHeard}
 	return &conn{Conn: raw, br: bufio.NewReaderSize(head, readBufferBytes), head: head, pool: pool}
 }
 
-// headLimiter limits the bytes that are read while limited is set. It calls onRead after
-// each successful read.
-type headLimiter struct {
-	io.Reader
-	onRead    func()
-	limited   bool
-	remaining int
-}
-
-// Read implements io.Reader.
-func (l *headLimiter) Read(p []byte) (int, error) {
-	if l.limited {
-		if l.remaining <= 0 {
-			return 0, errHeadTooLong
-		}
-		p = p[:min(len(p), l.remaining)]
-	}
-	n, err := l.Reader.Read(p)
-	if l.limited {
-		l.remaining -= n
+// readHead reads the status line and the headers of a response.
+func (c *conn) readHead(req *http.Request, meter *headMeter) (*http.Response, error) {
+	meter.begin()
+	// A part of the head may have come with the response before.
+	buffered, err := c.br.Peek(c.br.Buffered())
+	if err == nil {
+		err = meter.add(buffered)
 	}
-	if n > 0 {
-		l.onRead()
+	if err != nil {
+		return nil, err
 	}
-	return n, err
-}
-
-var errHeadTooLong = errors.Newf("the head of the response is longer than %d bytes", maxHeadBytes)
-
-// readHead reads the status line and the headers of a response.
-func (c *conn) readHead(req *http.Request) (*http.Response, error) {
-	c.head.limited, c.head.remaining = true, maxHeadBytes
-	defer func() { c.head.limited = false }()
+	c.head.meter = meter
+	defer func() { c.head.meter = nil }()
 	return http.ReadResponse(c.br, req)
 }
 
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -31,6 +31,9 @@
 	// NonIdempotent requests may run only once, so they are not sent on connections
 	// that the backend server may be about to close.
 	NonIdempotent bool
+	// ReserveHead is called before the head of a response takes n more bytes of memory than a
+	// usual one. An error ends the exchange. nil means that the memory is not limited.
+	ReserveHead func(n int64) error
 }
 
 // Response is a response whose header has been read. Close must be called.
@@ -180,9 +183,9 @@
 // responses that name another request are discarded. A response that names none belongs to the
 // request only if it is the first on the connection: a server may repeat an earlier response.
 func (c *conn) readResponse(r *Request) (*http.Response, error) {
-	req := &http.Request{Method: r.Method}
+	req, meter := &http.Request{Method: r.Method}, &headMeter{reserve: r.ReserveHead}
 	for range maxResponses {
-		resp, err := c.readHead(req)
+		resp, err := c.readHead(req, meter)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -156,6 +156,7 @@
 		Method: x.r.Method, Target: target, Host: x.r.Host, Header: h, Body: x.body,
 		HasBody: x.r.ContentLength != 0 || x.r.Header.Get("Content-Length") != "",
 		ID:      x.requestInfo.ID, IDHeader: x.f.opts.Protocol.IDHeader(), NonIdempotent: !x.route.Idempotent(),
+		ReserveHead: x.reserveHead,
 	}
 }
 
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -36,14 +36,14 @@
 	workspace   *catalog.Workspace
 	body        []byte
 	bodyRead    bool
-	// reservedBytes is the memory reserved for the body, and reservedResponseBytes that for
-	// responses.
-	reservedBytes, reservedResponseBytes int64
-	ctx                                  context.Context
-	deadline                             time.Time
-	affinityKey                          uint64
-	prefixHashes                         []uint64
-	requestHash                          uint64
+	// reservedBytes is the memory reserved for the body, reservedResponseBytes that for
+	// responses, and reservedHeadBytes the part of it that is for their heads.
+	reservedBytes, reservedResponseBytes, reservedHeadBytes int64
+	ctx                                                     context.Context
+	deadline                                                time.Time
+	affinityKey                                             uint64
+	prefixHashes                                            []uint64
+	requestHash                                             uint64
 	// sharedTokens is the number of tokens in the shared parts of the prompt.
 	sharedTokens int
 	// fingerprint is equal for requests that repeat each other.
@@ -99,10 +99,7 @@
 	if err := x.checkStopping(); err != nil {
 		return err
 	}
-	defer func() {
-		x.f.requestBodies.release(x.reservedBytes)
-		x.f.responses.release(x.reservedResponseBytes)
-	}()
+	defer x.releaseMemory()
 	if err := x.readBody(); err != nil {
 		return err
 	}
--- a/internal/forward/memory.go
+++ b/internal/forward/memory.go
@@ -53,10 +53,27 @@
 	return nil
 }
 
+// reserveHead reserves memory for the head of a response as reserveResponse does. Unlike that,
+// it does not serve stream events: the head is kept beside them.
+func (x *exchange) reserveHead(n int64) error {
+	if err := x.reserveResponse(n); err != nil {
+		return err
+	}
+	x.reservedHeadBytes += n
+	return nil
+}
+
+// releaseMemory releases what the request has reserved.
+func (x *exchange) releaseMemory() {
+	x.f.requestBodies.release(x.reservedBytes)
+	x.f.responses.release(x.reservedResponseBytes)
+	x.reservedBytes, x.reservedResponseBytes, x.reservedHeadBytes = 0, 0, 0
+}
+
 // reserveEvent reserves memory for a stream event of n bytes. The memory serves later events
 // as well.
 func (x *exchange) reserveEvent(n int) error {
-	for int64(n) > x.reservedResponseBytes+eventReservation {
+	for int64(n) > x.reservedResponseBytes-x.reservedHeadBytes+eventReservation {
 		if err := x.reserveResponse(eventReservation); err != nil {
 			return err
 		}
