Reserve the memory of request bodies of unknown length as they grow

Callers saw: clients that send chunked bodies without end could end a router with the requests of all others.

Cause: 64 KB were reserved for a body of unknown length until it had been read whole, up to the limit of one body (4 MB), by buffers that grow by a quarter.

Change: the buffer doubles, and memory is reserved before it does; a body of known length, whose memory is reserved at once, gets one buffer of its size. What is reserved in the end is the size of the buffer.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -222,19 +221,13 @@
 	if x.r.ContentLength > limit {
 		return errkind.New(errkind.TooLarge, "the request body exceeds the limit of %d bytes", limit)
 	}
-	x.reservedBytes = min(limit, unknownLengthReservation)
-	if x.r.ContentLength >= 0 {
-		x.reservedBytes = x.r.ContentLength
-	}
-	if err := x.f.reserveBody(x.reservedBytes); err != nil {
-		x.reservedBytes = 0
-		return err
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	body, err := readReserved(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength, x.reserveBody, x.releaseBody)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return errkind.New(errkind.TooLarge, "the request body exceeds the limit of %d bytes", limit)
+	case errkind.Is(err, errkind.QueueFull):
+		return err
 	case err != nil && x.r.Context().Err() != nil:
 		return errkind.New(errkind.ClientGone, "the client closed its connection before its request was read")
 	case err != nil:
@@ -242,8 +235,6 @@
 	}
 	x.body, x.bodyRead = body, true
 	x.fingerprint = routing.NewFingerprint([]byte(x.r.Method), []byte(x.r.Host), []byte(x.r.URL.RequestURI()), []byte(x.caller()), x.body)
-	x.f.requestBodies.release(x.reservedBytes - int64(len(body)))
-	x.reservedBytes = int64(len(body))
 	return nil
 }
 
@@ -264,10 +255,6 @@
 	x.subjects = append(x.subjects, quarantine.RequestOf(x.service.Name, x.fingerprint))
 }
 
-// unknownLengthReservation is the memory reserved for a body of unknown length
-// until it has been read.
-const unknownLengthReservation = 64 << 10
-
 // defaultMaxBodyBytes limits a request body if the configuration has no limit.
 const defaultMaxBodyBytes = 4 << 20
 
--- a/internal/forward/memory.go
+++ b/internal/forward/memory.go
@@ -43,6 +43,20 @@
 	return nil
 }
 
+// reserveBody reserves memory for the request body until releaseBody or the end of the request.
+func (x *exchange) reserveBody(n int64) error {
+	if err := x.f.reserveBody(n); err != nil {
+		return err
+	}
+	x.reservedBytes += n
+	return nil
+}
+
+func (x *exchange) releaseBody(n int64) {
+	x.f.requestBodies.release(n)
+	x.reservedBytes -= n
+}
+
 // reserveResponse reserves memory for a response until the request ends. It fails with kind
 // backend-lost, since the request has run, if too much is reserved already.
 func (x *exchange) reserveResponse(n int64) error {
