--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -36,14 +35,14 @@
 	workspace   *catalog.Workspace
 	body        []byte
 	bodyRead    bool
-	// reservedBytes is the memory reserved for the body, and reservedResponseBytes that for
-	// responses.
-	reservedBytes, reservedResponseBytes int64
-	ctx                                  context.Context
-	deadline                             time.Time
-	affinityKey                          uint64
-	prefixHashes                         []uint64
-	requestHash                          uint64
+	// reservedBytes is the memory reserved for the body, reservedResponseBytes that for
+	// responses, and reservedHeadBytes the part of it that is for their heads.
+	reservedBytes, reservedResponseBytes, reservedHeadBytes int64
+	ctx                                                     context.Context
+	deadline                                                time.Time
+	affinityKey                                             uint64
+	prefixHashes                                            []uint64
+	requestHash                                             uint64
 	// sharedTokens is the number of tokens in the shared parts of the prompt.
 	sharedTokens int
 	// fingerprint is equal for requests that repeat each other.
@@ -101,10 +100,7 @@
 	if err := x.checkStopping(); err != nil {
 		return err
 	}
-	defer func() {
-		x.f.requestBodies.release(x.reservedBytes)
-		x.f.responses.release(x.reservedResponseBytes)
-	}()
+	defer x.releaseMemory()
 	if err := x.readBody(); err != nil {
 		return err
 	}
@@ -227,19 +223,13 @@
 	if x.r.ContentLength > limit {
 		return errkind.New(errkind.TooLarge, "the request body exceeds the limit of %d bytes", limit)
 	}
-	x.reservedBytes = min(limit, unknownLengthReservation)
-	if x.r.ContentLength >= 0 {
-		x.reservedBytes = x.r.ContentLength
-	}
-	if err := x.f.reserveBody(x.reservedBytes); err != nil {
-		x.reservedBytes = 0
-		return err
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	body, err := readReserved(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength, x.reserveBody, x.releaseBody)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return errkind.New(errkind.TooLarge, "the request body exceeds the limit of %d bytes", limit)
+	case errkind.Is(err, errkind.QueueFull):
+		return err
 	case err != nil && x.r.Context().Err() != nil:
 		return errkind.New(errkind.ClientGone, "the client closed its connection before its request was read")
 	case err != nil:
@@ -247,8 +237,6 @@
 	}
 	x.body, x.bodyRead = body, true
 	x.fingerprint = routing.NewFingerprint([]byte(x.r.Method), []byte(x.r.Host), []byte(x.r.URL.RequestURI()), []byte(x.caller()), x.body)
-	x.f.requestBodies.release(x.reservedBytes - int64(len(body)))
-	x.reservedBytes = int64(len(body))
 	return nil
 }
 
@@ -269,10 +257,6 @@
 	x.subjects = append(x.subjects, quarantine.RequestOf(x.service.Name, x.fingerprint))
 }
 
-// unknownLengthReservation is the memory reserved for a body of unknown length
-// until it has been read.
-const unknownLengthReservation = 64 << 10
-
 // defaultMaxBodyBytes limits a request body if the configuration has no limit.
 const defaultMaxBodyBytes = 4 << 20
 
