--- a/internal/httpguard/guard.go
+++ b/internal/httpguard/guard.go
@@ -29,6 +29,8 @@
 	// HeaderTimeout returns how long a request's header may take from its first byte; 0
 	// means no limit.
 	HeaderTimeout func() time.Duration
+
+	headers headerMemory
 }
 
 // Accept implements net.Listener.
@@ -37,7 +39,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, idleTimeout: l.IdleTimeout, headerTimeout: l.HeaderTimeout, readingHeader: true}, nil
+	return &conn{Conn: c, idleTimeout: l.IdleTimeout, headerTimeout: l.HeaderTimeout, headers: &l.headers, readingHeader: true}, nil
 }
 
 // maxHeaderBytes limits the bytes that are recorded of one header; a chunked
@@ -48,8 +50,11 @@
 type conn struct {
 	net.Conn
 	idleTimeout, headerTimeout func() time.Duration
+	headers                    *headerMemory
 
 	mu sync.Mutex
+	// reserved is the memory reserved for the current request's header.
+	reserved int64
 	// readingHeader is true from the end of a request to the end of the next
 	// request's header, or to maxHeaderBytes.
 	readingHeader bool
@@ -86,6 +91,9 @@
 		if d := c.headerTimeout(); first && c.readingHeader && d > 0 && err == nil {
 			err = c.SetReadDeadline(time.Now().Add(d)) // net/http lifts it after the header.
 		}
+		if refused := c.chargeHeader(); refused != nil {
+			return 0, refused
+		}
 	case n == 1 && len(p) == 1:
 		// While it serves a request, net/http reads one byte ahead to detect
 		// that the client has disconnected.
@@ -98,12 +106,21 @@
 // record the next request's header.
 func ConnState(nc net.Conn, s http.ConnState) {
 	c, ok := nc.(*conn)
-	if !ok || s != http.StateIdle {
+	if !ok || s != http.StateIdle && s != http.StateClosed && s != http.StateHijacked {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.headers.release(c.reserved)
+	c.reserved = 0
+	if s != http.StateIdle {
+		c.header = nil
+		return
+	}
 	c.idle, c.readingHeader = true, true
+	if cap(c.header) > freeHeaderCost {
+		c.header = nil // Idle connections keep little memory.
+	}
 	c.header = append(c.header[:0], c.readAhead...)
 	c.readAhead = c.readAhead[:0]
 }
