Limit what all calls without end take of a directory process and a router

Callers saw: operators' calls or heartbeats without end, many at once, could end a directory process, and bodies of unknown length a router.

Cause: at the operations address a head was limited to net/http's 1 MB each, and a configuration to 8 MB each; neither was in a budget. The budget of request bodies of routers, 64 MB, left no room for garbage beside that of responses in 184 MB.

Change: heads of calls have 8 KB at most. Routers buffer 48 MB of request bodies.

--- a/internal/directory/process.go
+++ b/internal/directory/process.go
@@ -193,8 +193,8 @@
 	ctx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	g, ctx := errgroup.WithContext(ctx)
-	operations := &http.Server{Handler: handler, ReadHeaderTimeout: adminTimeout, ReadTimeout: adminTimeout, IdleTimeout: operationsIdleTimeout, ConnContext: callerconn.Context}
-	admin := &http.Server{Handler: telemetry.AdminHandler(p.metrics, p.readiness), ReadHeaderTimeout: adminTimeout}
+	operations := &http.Server{Handler: handler, ReadHeaderTimeout: adminTimeout, ReadTimeout: adminTimeout, IdleTimeout: operationsIdleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: callerconn.Context}
+	admin := &http.Server{Handler: telemetry.AdminHandler(p.metrics, p.readiness), ReadHeaderTimeout: adminTimeout, MaxHeaderBytes: maxHeaderBytes}
 	g.Go(func() error {
 		select {
 		case <-callerCtx.Done():
--- a/internal/directory/settings.go
+++ b/internal/directory/settings.go
@@ -117,4 +117,7 @@
 	operationsIdleTimeout = 5 * time.Second
 	// adminTimeout limits reading a request at the admin and operations addresses.
 	adminTimeout = 5 * time.Second
+	// maxHeaderBytes limits the header of a request at these addresses; net/http reads 4 KB more.
+	// Calls have a few hundred bytes, and lines of a few bytes take 25 times as much memory.
+	maxHeaderBytes = 4 << 10
 )
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/kumquathollow/kumquathollow/internal/handoff"
 	"github.com/kumquathollow/kumquathollow/internal/httpguard"
 	"github.com/kumquathollow/kumquathollow/internal/httpheader"
+	"github.com/kumquathollow/kumquathollow/internal/memory"
 	"github.com/kumquathollow/kumquathollow/internal/placement"
 	"github.com/kumquathollow/kumquathollow/internal/quarantine"
 	"github.com/kumquathollow/kumquathollow/internal/rollout"
@@ -221,7 +222,7 @@
 	if x.r.ContentLength > limit {
 		return errkind.New(errkind.TooLarge, "the request body exceeds the limit of %d bytes", limit)
 	}
-	body, err := readReserved(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength, x.reserveBody, x.releaseBody)
+	body, err := memory.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength, x.reserveBody, x.releaseBody)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -19,6 +19,7 @@
 	"github.com/kumquathollow/kumquathollow/internal/eventlog"
 	"github.com/kumquathollow/kumquathollow/internal/fleetview"
 	"github.com/kumquathollow/kumquathollow/internal/handoff"
+	"github.com/kumquathollow/kumquathollow/internal/memory"
 	"github.com/kumquathollow/kumquathollow/internal/placement"
 	"github.com/kumquathollow/kumquathollow/internal/telemetry"
 )
@@ -49,7 +50,7 @@
 	inFlight           atomic.Int64
 	startedAt          time.Time
 	// requestBodies and responses are the memory of what is buffered.
-	requestBodies, responses memoryBudget
+	requestBodies, responses memory.Budget
 	crashes                  *crashDetector
 	prober                   *prober
 	peers                    *handoff.Peers
@@ -69,13 +70,13 @@
 // New returns a Forwarder.
 func New(opts Options) *Forwarder {
 	f := &Forwarder{opts: opts, startedAt: time.Now(), sampler: eventlog.NewSampler(logLinesPerSecond), retryBudgets: map[string]*retryBudget{}, roomQueues: map[string]*roomQueue{}, numberings: map[string]*numbering{}}
-	f.requestBodies.limit, f.responses.limit = maxBufferedBytes, maxBufferedResponseBytes
+	f.requestBodies.Limit, f.responses.Limit = maxBufferedBytes, maxBufferedResponseBytes
 	f.crashes = newCrashDetector(opts.Pool, f.reportCrash)
 	f.prober = newProber(opts.Fleet, opts.Pool)
 	f.peers = handoff.NewPeers()
 	opts.Metrics.Gauge("forward.in_flight", f.inFlight.Load)
-	opts.Metrics.Gauge("forward.body_bytes", f.requestBodies.used.Load)
-	opts.Metrics.Gauge("forward.response_bytes", f.responses.used.Load)
+	opts.Metrics.Gauge("forward.body_bytes", f.requestBodies.Used)
+	opts.Metrics.Gauge("forward.response_bytes", f.responses.Used)
 	return f
 }
 
--- a/internal/forward/forwarder_test.go
+++ b/internal/forward/forwarder_test.go
@@ -22,7 +22,7 @@
 	if err := f.reserveBody(body); !errkind.Is(err, errkind.QueueFull) {
 		t.Errorf("a body over the limit: %v", err)
 	}
-	f.requestBodies.release(body)
+	f.requestBodies.Release(body)
 	if err := f.reserveBody(body); err != nil {
 		t.Errorf("a body after another was released: %v", err)
 	}
--- a/internal/forward/memory.go
+++ b/internal/forward/memory.go
@@ -1,44 +1,26 @@
 package forward
 
 import (
-	"sync/atomic"
-
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 )
 
 const (
 	// maxBufferedBytes limits the memory of all buffered request bodies, and
-	// maxBufferedResponseBytes that of all buffered responses and stream events. They suit
-	// VMs with a few hundred MB of memory.
-	maxBufferedBytes         = 64 << 20
+	// maxBufferedResponseBytes that of all buffered responses, their heads and stream events. With
+	// 16 MB for request headers, and half as much again for garbage, they leave 40 MB of the
+	// smallest VM, which has 184.
+	maxBufferedBytes         = 48 << 20
 	maxBufferedResponseBytes = 32 << 20
 	// eventReservation is the memory that a stream reserves at a time for an event. Events
 	// up to this size need no reservation.
 	eventReservation = 64 << 10
 )
 
-// memoryBudget limits the memory that requests use together.
-type memoryBudget struct {
-	limit int64
-	used  atomic.Int64
-}
-
-// reserve reserves n bytes, and reports whether the budget allows that.
-func (b *memoryBudget) reserve(n int64) bool {
-	if b.used.Add(n) > b.limit {
-		b.used.Add(-n)
-		return false
-	}
-	return true
-}
-
-func (b *memoryBudget) release(n int64) { b.used.Add(-n) }
-
 // reserveBody reserves memory for a request body. It fails with kind queue-full if too much
 // is reserved already.
 func (f *Forwarder) reserveBody(n int64) error {
-	if !f.requestBodies.reserve(n) {
-		return errkind.New(errkind.QueueFull, "no memory for the request body: buffered bodies already take %d bytes", f.requestBodies.used.Load())
+	if !f.requestBodies.Reserve(n) {
+		return errkind.New(errkind.QueueFull, "no memory for the request body: buffered bodies already take %d bytes", f.requestBodies.Used())
 	}
 	return nil
 }
@@ -53,15 +35,15 @@
 }
 
 func (x *exchange) releaseBody(n int64) {
-	x.f.requestBodies.release(n)
+	x.f.requestBodies.Release(n)
 	x.reservedBytes -= n
 }
 
 // reserveResponse reserves memory for a response until the request ends. It fails with kind
 // backend-lost, since the request has run, if too much is reserved already.
 func (x *exchange) reserveResponse(n int64) error {
-	if !x.f.responses.reserve(n) {
-		return errkind.New(errkind.BackendLost, "no memory for the response: buffered responses already take %d bytes", x.f.responses.used.Load())
+	if !x.f.responses.Reserve(n) {
+		return errkind.New(errkind.BackendLost, "no memory for the response: buffered responses already take %d bytes", x.f.responses.Used())
 	}
 	x.reservedResponseBytes += n
 	return nil
@@ -79,8 +61,8 @@
 
 // releaseMemory releases what the request has reserved.
 func (x *exchange) releaseMemory() {
-	x.f.requestBodies.release(x.reservedBytes)
-	x.f.responses.release(x.reservedResponseBytes)
+	x.f.requestBodies.Release(x.reservedBytes)
+	x.f.responses.Release(x.reservedResponseBytes)
 	x.reservedBytes, x.reservedResponseBytes, x.reservedHeadBytes = 0, 0, 0
 }
 
--- a/internal/forward/memory_test.go
+++ b/internal/forward/memory_test.go
@@ -28,14 +28,14 @@
 	if want := maxBufferedResponseBytes / headBytes; granted != want {
 		t.Errorf("%d heads of %d bytes were granted memory, want %d", granted, headBytes, want)
 	}
-	if used := f.responses.used.Load(); used != int64(granted*headBytes) {
+	if used := f.responses.Used(); used != int64(granted*headBytes) {
 		t.Errorf("%d bytes are reserved for %d heads, want %d", used, granted, granted*headBytes)
 	}
 	for _, x := range all {
 		x.releaseMemory()
 		x.releaseMemory() // A second one changes nothing.
 	}
-	if used := f.responses.used.Load(); used != 0 {
+	if used := f.responses.Used(); used != 0 {
 		t.Errorf("%d bytes are reserved after all requests ended", used)
 	}
 }
@@ -52,12 +52,12 @@
 		if err := x.reserveEvent(event); err != nil {
 			t.Fatal(err)
 		}
-		if used, want := f.responses.used.Load(), int64(head+event-eventReservation); used != want {
+		if used, want := f.responses.Used(), int64(head+event-eventReservation); used != want {
 			t.Errorf("a head of %d bytes and an event of %d reserve %d, want %d", head, event, used, want)
 		}
 	}
 	x.releaseMemory()
-	if used := f.responses.used.Load(); used != 0 {
+	if used := f.responses.Used(); used != 0 {
 		t.Errorf("%d bytes are reserved after the request ended", used)
 	}
 }
--- a/internal/forward/requestbody_test.go
+++ b/internal/forward/requestbody_test.go
@@ -7,6 +7,7 @@
 	"testing/iotest"
 
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/memory"
 	"github.com/kumquathollow/kumquathollow/internal/telemetry"
 )
 
@@ -20,7 +21,7 @@
 	for i := range all {
 		x := &exchange{f: f}
 		all[i] = x
-		got, err := readReserved(iotest.DataErrReader(bytes.NewReader(body)), -1, x.reserveBody, x.releaseBody)
+		got, err := memory.ReadAll(iotest.DataErrReader(bytes.NewReader(body)), -1, x.reserveBody, x.releaseBody)
 		switch {
 		case err == nil:
 			read++
@@ -31,7 +32,7 @@
 		case !errkind.Is(err, errkind.QueueFull):
 			t.Fatal(err)
 		}
-		if used := f.requestBodies.used.Load(); used > maxBufferedBytes {
+		if used := f.requestBodies.Used(); used > maxBufferedBytes {
 			t.Fatalf("%d bytes are reserved, want at most %d", used, maxBufferedBytes)
 		}
 	}
@@ -41,7 +42,7 @@
 	for _, x := range all {
 		x.releaseMemory()
 	}
-	if used := f.requestBodies.used.Load(); used != 0 {
+	if used := f.requestBodies.Used(); used != 0 {
 		t.Errorf("%d bytes are reserved after all requests ended", used)
 	}
 }
@@ -49,14 +50,14 @@
 // Guards against bodies that are read wrongly or with another reservation than they need.
 func TestBodiesAreReadWithinTheirReservation(t *testing.T) {
 	f := New(Options{Metrics: telemetry.NewRegistry()})
-	for _, size := range []int{0, 1, initialBodyBytes - 1, initialBodyBytes, initialBodyBytes + 1, 70_000} {
+	for _, size := range []int{0, 1, 4<<10 - 1, 4 << 10, 4<<10 + 1, 70_000} {
 		for _, known := range []bool{true, false} {
 			body, length := strings.Repeat("x", size), int64(-1)
 			if known {
 				length = int64(size)
 			}
 			x := &exchange{f: f}
-			got, err := readReserved(iotest.OneByteReader(strings.NewReader(body)), length, x.reserveBody, x.releaseBody)
+			got, err := memory.ReadAll(iotest.OneByteReader(strings.NewReader(body)), length, x.reserveBody, x.releaseBody)
 			if err != nil || string(got) != body {
 				t.Errorf("%d bytes, length %d: read %d bytes, %v", size, length, len(got), err)
 			}
@@ -66,7 +67,7 @@
 			x.releaseMemory()
 		}
 	}
-	if used := f.requestBodies.used.Load(); used != 0 {
+	if used := f.requestBodies.Used(); used != 0 {
 		t.Errorf("%d bytes are reserved after all requests ended", used)
 	}
 }
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -14,7 +14,7 @@
 // the buffer up to its newline: a client does not take it, or joins it to the event that follows.
 func TestLinesOfAnyLengthEndNoEvent(t *testing.T) {
 	x := &exchange{f: &Forwarder{}, route: &catalog.Route{}}
-	x.f.responses.limit = maxBufferedResponseBytes
+	x.f.responses.Limit = maxBufferedResponseBytes
 	for _, newline := range []string{"\n", "\r\n"} {
 		for length := eventBufferBytes - 20; length < 3*eventBufferBytes+20; length++ {
 			event := func(id string) string {
--- a/internal/httpguard/guard.go
+++ b/internal/httpguard/guard.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/memory"
 )
 
 // Listener wraps the connections of a listener to record request headers and
@@ -30,7 +31,9 @@
 	// means no limit.
 	HeaderTimeout func() time.Duration
 
-	headers headerMemory
+	// headers is the memory of request headers.
+	headers   memory.Budget
+	limitOnce sync.Once
 }
 
 // Accept implements net.Listener.
@@ -39,6 +42,7 @@
 	if err != nil {
 		return nil, err
 	}
+	l.limitOnce.Do(func() { l.headers.Limit = maxHeaderMemory })
 	return &conn{Conn: c, idleTimeout: l.IdleTimeout, headerTimeout: l.HeaderTimeout, headers: &l.headers, readingHeader: true}, nil
 }
 
@@ -50,7 +54,7 @@
 type conn struct {
 	net.Conn
 	idleTimeout, headerTimeout func() time.Duration
-	headers                    *headerMemory
+	headers                    *memory.Budget
 
 	mu sync.Mutex
 	// reserved is the memory reserved for the current request's header.
@@ -111,7 +115,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.headers.release(c.reserved)
+	c.headers.Release(c.reserved)
 	c.reserved = 0
 	if s != http.StateIdle {
 		c.header = nil
--- a/internal/httpguard/headermemory.go
+++ b/internal/httpguard/headermemory.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"net"
-	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 )
@@ -29,19 +28,6 @@
 // tooManyLinesResponse is sent before the connection is closed.
 const tooManyLinesResponse = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
-// headerMemory limits the memory of request headers.
-type headerMemory struct{ used atomic.Int64 }
-
-func (m *headerMemory) reserve(n int64) bool {
-	if m.used.Add(n) > maxHeaderMemory {
-		m.used.Add(-n)
-		return false
-	}
-	return true
-}
-
-func (m *headerMemory) release(n int64) { m.used.Add(-n) }
-
 // headerLength returns the length of the header at the start of p, which may be followed by a
 // body, or len(p) if its end has not come. Lines may end with a line feed alone.
 func headerLength(p []byte) int {
@@ -71,7 +57,7 @@
 	if more <= 0 {
 		return nil
 	}
-	if !c.headers.reserve(more) {
+	if !c.headers.Reserve(more) {
 		return &net.OpError{Op: "read", Net: "tcp", Err: errNoMemory}
 	}
 	c.reserved += more
--- a/internal/httpguard/headermemory_test.go
+++ b/internal/httpguard/headermemory_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/kumquathollow/kumquathollow/internal/memory"
 )
 
 // Guards against clients that send headers of many lines, or many of them, until the router has no
@@ -18,6 +20,7 @@
 		headerBytes = 30 << 10
 	)
 	l := &Listener{HeaderTimeout: func() time.Duration { return 0 }, IdleTimeout: func() time.Duration { return 0 }}
+	l.headers.Limit = maxHeaderMemory
 	header := []byte("GET / HTTP/1.1\r\nX: " + strings.Repeat("x", headerBytes))
 	all, refused := make([]*conn, connections), 0
 	for i := range all {
@@ -29,7 +32,7 @@
 		if _, err := io.ReadFull(c, make([]byte, len(header))); err != nil {
 			refused++
 		}
-		if used := l.headers.used.Load(); used > maxHeaderMemory {
+		if used := l.headers.Used(); used > maxHeaderMemory {
 			t.Fatalf("%d bytes are reserved, want at most %d", used, maxHeaderMemory)
 		}
 	}
@@ -40,7 +43,7 @@
 		ConnState(c, []http.ConnState{http.StateIdle, http.StateClosed, http.StateHijacked}[i%3])
 		ConnState(c, http.StateClosed) // A second one changes nothing.
 	}
-	if used := l.headers.used.Load(); used != 0 {
+	if used := l.headers.Used(); used != 0 {
 		t.Errorf("%d bytes are reserved after all connections were closed", used)
 	}
 }
@@ -70,7 +73,7 @@
 		"returns that end no head": {"POST / HTTP/1.1\r\n\r\r\n" + header(maxHeaderLines, "\r\n"), true},
 	} {
 		client, server := net.Pipe()
-		c := &conn{Conn: server, idleTimeout: func() time.Duration { return 0 }, headerTimeout: func() time.Duration { return 0 }, headers: &headerMemory{}, readingHeader: true}
+		c := &conn{Conn: server, idleTimeout: func() time.Duration { return 0 }, headerTimeout: func() time.Duration { return 0 }, headers: &memory.Budget{Limit: maxHeaderMemory}, readingHeader: true}
 		answer := make(chan string, 1)
 		go func() {
 			_, _ = client.Write([]byte(tc.text))
--- a/internal/memory/read.go
+++ b/internal/memory/read.go
@@ -1,16 +1,14 @@
-package forward
+package memory
 
-import (
-	"io"
-)
+import "io"
 
-// initialBodyBytes is the buffer with which a request body of unknown length is read.
+// initialBodyBytes is the buffer with which a body of unknown length is read.
 const initialBodyBytes = 4 << 10
 
-// readReserved reads a body to its end. length is its length, or -1 if that is not known. reserve
+// ReadAll reads a body to its end. length is its length, or -1 if that is not known. reserve
 // is called before the memory in use grows by n bytes, and release when it shrinks. After an error
 // the caller releases what is left.
-func readReserved(body io.Reader, length int64, reserve func(n int64) error, release func(n int64)) ([]byte, error) {
+func ReadAll(body io.Reader, length int64, reserve func(n int64) error, release func(n int64)) ([]byte, error) {
 	if length == 0 {
 		return nil, nil
 	}
