Know the former services of a route from changes that came together

What callers saw: a stream of unknown origin went on at another service than the one that began it, pieces of two runs joined, at a router that started after the route had moved, or that was sent two changes at once.

Cause: a router compared only the configuration that it held with the newest one. The services that a route had between them, or before a router had any, were not known.

Change: from the commands that a router is sent it takes each configuration that it passes over, the last eight, and the services that routes had in them. They are never in force there.

TestAServiceBetweenTwoChangesThatCameTogetherIsKnown failed before.

--- a/internal/fleetview/former_services.go
+++ b/internal/fleetview/former_services.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/kumquathollow/kumquathollow/internal/catalog"
+	"github.com/kumquathollow/kumquathollow/internal/publication"
 )
 
 // formerService is a service that a route of resumable streams had before a change of the
@@ -42,6 +43,24 @@
 	return former
 }
 
+// maxPassed limits how many passed configurations are decoded, since that delays the newest one. At the
+// target, with a change every 17 s, it is those of two minutes.
+const maxPassed = 8
+
+// pass returns a snapshot of the last of the configurations that came after the held one, with the services
+// that routes had in any of them. They were never in force at this router, but at others.
+func (v *View) pass(held *Snapshot, passed []*publication.Configuration) *Snapshot {
+	for _, c := range passed[max(0, len(passed)-maxPassed):] {
+		config, err := v.opts.Decode(c.Document)
+		if err != nil {
+			v.opts.Log.Error("configuration is invalid; its services are not known", "version", c.Version, "error", err)
+			continue
+		}
+		held = &Snapshot{Configuration: config, former: held.formerServices(config, time.Now())}
+	}
+	return held
+}
+
 // successors returns the routes of next that have the paths of a route, by prefix: the one in its place, nil
 // if there is none, and those that have a part of its paths.
 func (s *Snapshot) successors(r *catalog.Route, next *catalog.Set) map[string]*catalog.Route {
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -472,22 +472,27 @@
 // as commands that follow the current revision.
 func (v *View) applyUpdate(l *link, u *fleetpb.FollowUpdate) {
 	next := v.state
+	var passed []*publication.Configuration
 	var err error
 	switch {
 	case u.State != nil:
 		next, err = publication.Decode(u.State)
 	case u.StepsFrom <= v.state.Revision && u.StepsFrom+uint64(len(u.Steps)) > v.state.Revision:
 		for _, cmd := range u.Steps[v.state.Revision-u.StepsFrom:] {
+			before := next.Configuration
 			if next, err = next.Apply(cmd); err != nil {
 				break
 			}
+			if before != v.state.Configuration && before != next.Configuration {
+				passed = append(passed, before)
+			}
 		}
 	}
 	if err != nil {
 		v.opts.Log.Error("newer state cannot be decoded; keeping the current one", "address", l.address, "revision", u.Revision, "held-revision", v.state.Revision, "error", err)
 		return
 	}
-	v.installState(next)
+	v.installState(next, passed...)
 	if u.State != nil {
 		// The process limits how many whole states it sends at once. Reporting the new
 		// revision now lets it send the next one.
@@ -496,8 +501,8 @@
 }
 
 // installState publishes a snapshot of a newer state, unless its configuration is
-// invalid.
-func (v *View) installState(state *publication.State) {
+// invalid. passed are the configurations that were in force between the held state and this one.
+func (v *View) installState(state *publication.State, passed ...*publication.Configuration) {
 	previous := v.Snapshot()
 	if state.Revision <= previous.Revision {
 		return
@@ -509,7 +514,8 @@
 			v.opts.Log.Error("configuration is invalid; keeping the one in force", "version", c.Version, "revision", state.Revision, "error", err)
 			return
 		}
-		next.Configuration, next.former = config, previous.formerServices(config, time.Now())
+		next.Configuration = config
+		next.former = v.pass(previous, passed).formerServices(config, time.Now())
 	}
 	v.state, v.lastFetchAt, v.lastFetchFrom = state, 0, nil
 	v.history.installedAt = clock.SinceBoot()
