Pass a new stream on as its server numbers it

What callers saw: events of a stream whose ids repeat or fall were left out, and the stream ended as whole (ORDER): of events with the ids 0, 0, 0 one arrived.

Cause: ids up to the last one were dropped in every response, as repetitions of a continuation, and not only where a server continues a stream.

Change: a response that continues nothing is passed on as it comes. An id that does not rise is no place in the stream: one that breaks after it is not resumed, as after an event without an id.

--- a/internal/forward/continuity.go
+++ b/internal/forward/continuity.go
@@ -88,7 +88,8 @@
 		return true, nil
 	}
 	previous := c.read
-	if c.joined && previous.known && at.last <= previous.last {
+	// A new stream is passed on as its server numbers it.
+	if c.after.known && c.joined && previous.known && at.last <= previous.last {
 		return false, nil
 	}
 	c.read = at
--- a/internal/forward/continuity_test.go
+++ b/internal/forward/continuity_test.go
@@ -77,3 +77,16 @@
 		t.Errorf("the next step: new %t, %v", isNew, err)
 	}
 }
+
+// Guards against events of a new stream that are lost since their service numbers them otherwise: with ids
+// that repeat or fall.
+func TestEventsOfANewStreamAreAllPassedOn(t *testing.T) {
+	for _, numbers := range [][]int{{0, 0, 0}, {1, 1, 2}, {5, 3, 4}} {
+		c := continuity{numbering: &numbering{}}
+		for i, n := range numbers {
+			if isNew, err := c.isNew(event(n)); !isNew || err != nil {
+				t.Errorf("event %d of %v: new %t, %v", i, numbers, isNew, err)
+			}
+		}
+	}
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -166,7 +166,9 @@
 	if err != nil {
 		return errkind.Wrap(err, errkind.ClientGone, "write a stream event to the client")
 	}
-	if event.id != "" {
+	// An id that does not rise is no place in the stream.
+	at, last := positionAfter(event.id), positionAfter(x.lastEventID)
+	if event.id != "" && !(at.known && last.known && at.last <= last.last) {
 		x.lastEventID, x.afterUnnumbered = event.id, false
 	} else if event.hasData {
 		x.afterUnnumbered = true
