Tell each read after a failure of the connection of it

The kernel reports a failure once. A read after the one that was told of a reset found an end, although Conn says that an end means that of the peer. No caller reads again after an error; the buffered readers above do not keep errors either.

Found by review: TestAReadAfterAFailedReadFailsToo failed before ('the second read was told EOF').

--- a/internal/connfailure/conn.go
+++ b/internal/connfailure/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -15,27 +16,34 @@
 // finds the end stops the writes, so that none of them is told of a failure later.
 type Conn struct {
 	net.Conn
-	// mu is held during a write. failure is the error with which the connection failed before the
-	// peer had ended its side, as a write was told of it.
-	mu      sync.Mutex
-	failure error
+	// writing is held during a write.
+	writing sync.Mutex
+	// failure is the error with which the connection failed before the peer had ended its side, as the
+	// first call was told of it.
+	failure atomic.Pointer[error]
+}
+
+// recordFailure records the error of a call unless it does not tell of a failure.
+func (c *Conn) recordFailure(err error) {
+	// The kernel reports EPIPE to a write after the peer has ended its side.
+	if err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, syscall.EPIPE) {
+		c.failure.CompareAndSwap(nil, &err)
+	}
 }
 
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.writing.Lock()
+	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
-	// The kernel reports EPIPE to a write after the peer has ended its side.
-	if err != nil && c.failure == nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, syscall.EPIPE) {
-		c.failure = err
-	}
+	c.recordFailure(err)
 	return n, err
 }
 
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.recordFailure(err)
 	if errors.Is(err, io.EOF) {
 		if failure := c.stopWrites(); failure != nil {
 			err = errors.Wrap(failure, "the connection failed before the peer ended it")
@@ -44,15 +52,18 @@
 	return n, err
 }
 
-// stopWrites ends the write in progress, makes later ones fail, and returns the failure that a write
-// was told of, if any.
+// stopWrites ends the write in progress, makes later ones fail, and returns the failure of which
+// a call was told, if any.
 func (c *Conn) stopWrites() error {
 	if err := c.SetWriteDeadline(time.Unix(1, 0)); err != nil {
 		return err
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.failure
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if failure := c.failure.Load(); failure != nil {
+		return *failure
+	}
+	return nil
 }
 
 // SyscallConn implements syscall.Conn.
--- a/internal/connfailure/conn_test.go
+++ b/internal/connfailure/conn_test.go
@@ -65,3 +65,36 @@
 		}
 	}
 }
+
+// Guards against a failure that a read was told of and that the next read takes for the end: the kernel
+// reports it once, and to writes after it as EPIPE.
+func TestAReadAfterAFailedReadFailsToo(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	dialed, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	peer, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &Conn{Conn: dialed}
+	defer func() { _ = c.Close() }()
+	_ = peer.(*net.TCPConn).SetLinger(0)
+	_ = peer.Close()
+	_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	b := make([]byte, 1)
+	if _, err := c.Read(b); err == nil || errors.Is(err, io.EOF) {
+		t.Fatalf("the first read: %v", err)
+	}
+	if _, err := c.Write(b); err == nil {
+		t.Fatal("a write succeeded")
+	}
+	if _, err := c.Read(b); err == nil || errors.Is(err, io.EOF) {
+		t.Errorf("the second read was told %v, want the failure of the connection", err)
+	}
+}
