Let servers read a long request late

What callers saw: a stream or answer whose server was alive, and read the rest of a long body only after it had begun to respond, was cut after about 1.75 s, and a request that its server read late failed with 502.

Cause: TCP_USER_TIMEOUT, 1.5 s, is there to notice servers that have disappeared. Linux applies it as well while the receive buffer of a server is full, although it acknowledges the probes. The writer is told ETIMEDOUT, and the reader finds an end. No fault of the server or the path is needed, a busy machine is enough.

Change: while a request with a body over 32 KB is on its way the connection has no such time-out. Keep-alive probes go on between packets. It is used again only if the server has taken all of the request: the next one waited behind the unread rest, and failed after 1.76 s. A path that dies while such a body is on its way is now noticed at the deadline of the request, or of the event.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/kumquathollow/kumquathollow/internal/connfailure"
+	"github.com/kumquathollow/kumquathollow/internal/rpc"
 )
 
 const (
@@ -78,22 +79,28 @@
 	return c.Conn.Close()
 }
 
-// reusable reports whether an idle connection is still open and has received no
-// bytes.
-func (c *conn) reusable() bool {
-	if c.br.Buffered() > 0 {
-		return false
-	}
+// socket returns the connection's socket, or nil if it has none.
+func (c *conn) socket() syscall.RawConn {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return false
+		return nil
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
+		return nil
+	}
+	return raw
+}
+
+// reusable reports whether an idle connection is still open and has received no
+// bytes.
+func (c *conn) reusable() bool {
+	raw := c.socket()
+	if c.br.Buffered() > 0 || raw == nil {
 		return false
 	}
 	nothingToRead := false
-	err = raw.Read(func(fd uintptr) bool {
+	err := raw.Read(func(fd uintptr) bool {
 		var peeked [1]byte
 		n, _, err := unix.Recvfrom(int(fd), peeked[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		nothingToRead = n < 0 && (err == unix.EAGAIN || err == unix.EWOULDBLOCK)
@@ -102,6 +109,32 @@
 	return err == nil && nothingToRead
 }
 
+// allowLateReader keeps the connection open while the backend server does not read, for a request
+// that its receive buffer may not hold. Between its packets keep-alive probes still find a server that
+// has disappeared.
+func (c *conn) allowLateReader() {
+	if raw := c.socket(); raw != nil {
+		// If it fails, the connection ends after rpc.UserTimeout, as others do.
+		_ = rpc.SetUserTimeout(raw, 0)
+	}
+}
+
+// forbidLateReader undoes allowLateReader. It reports false if the backend server has not taken all
+// that was sent, so that the connection cannot serve another request.
+func (c *conn) forbidLateReader() bool {
+	raw := c.socket()
+	if raw == nil || rpc.SetUserTimeout(raw, rpc.UserTimeout) != nil {
+		return false
+	}
+	unsent := -1
+	err := raw.Control(func(fd uintptr) {
+		if n, err := unix.IoctlGetInt(int(fd), unix.TIOCOUTQ); err == nil {
+			unsent = n
+		}
+	})
+	return err == nil && unsent == 0
+}
+
 // updateIdleTimeout sets the idle timeout from the Keep-Alive header of a response.
 func (c *conn) updateIdleTimeout(h http.Header) {
 	c.idleTimeout = defaultIdleTimeout
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -44,6 +44,8 @@
 	stopAbort func() bool
 	written   <-chan error
 	bodyRead  bool
+	// longBody is set if the request's body is longer than receiveBufferBytes.
+	longBody bool
 }
 
 // inlineBodyBytes is the body size up to which a request is written completely
@@ -51,6 +53,10 @@
 // early has room for at least that much, so the write does not block.
 const inlineBodyBytes = 2 << 10
 
+// receiveBufferBytes is the body size that a backend server's receive buffer holds in any case, so
+// that what was sent is acknowledged even if the server does not read.
+const receiveBufferBytes = 32 << 10
+
 // maxResponses limits how many responses are read in order to find the one that
 // names the request.
 const maxResponses = 4
@@ -76,6 +82,9 @@
 		return nil, err
 	}
 	resp := &Response{Opened: opened, pool: p, conn: c, stopAbort: c.abortOnDone(ctx)}
+	if resp.longBody = len(r.Body) > receiveBufferBytes; resp.longBody {
+		c.allowLateReader()
+	}
 	resp.written = c.writeRequest(r)
 	resp.Response, err = c.readResponse(r)
 	if err != nil {
@@ -243,7 +252,7 @@
 // server cancel the request.
 func (r *Response) Close() {
 	cancelled := !r.stopAbort()
-	if !r.bodyRead || cancelled || r.Response == nil || r.Response.Close || !r.Framed() || r.conn.br.Buffered() > 0 || !r.requestWritten() {
+	if !r.bodyRead || cancelled || r.Response == nil || r.Response.Close || !r.Framed() || r.conn.br.Buffered() > 0 || !r.requestWritten() || r.longBody && !r.conn.forbidLateReader() {
 		_ = r.conn.Close()
 		return
 	}
