Limit the memory of messages without end between processes of the fleet

Callers saw: a process that sends messages without end to a directory process or a router, on many connections, takes its memory: each message was limited to 32 MB.

Change: a listener for plain connections follows the frames of drpc. What messages that have not ended have beyond 64 KB each shares 32 MB, which is the largest message; a connection that finds none is closed. Messages that have ended do not count: their handlers have limits of their own. Connections with TLS are not limited. Processes that call others still take up to 32 MB from each that they call.

--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -56,7 +56,7 @@
 
 // Serve serves drpc calls on the listener until ctx ends.
 func Serve(ctx context.Context, l net.Listener, h drpc.Handler) error {
-	return drpcserver.NewWithOptions(h, drpcserver.Options{Manager: managerOptions()}).Serve(ctx, l)
+	return drpcserver.NewWithOptions(h, drpcserver.Options{Manager: managerOptions()}).Serve(ctx, newInboundListener(l))
 }
 
 // Dialer opens and pools connections to the processes of the fleet. It is safe for
