Test of recorded departures: wait until the process knows them

Seen once, at a load of 190: 'drains is ready, want draining' at a process that had restarted, after an announcement older than an acknowledged departure.

Cause, in the test: it asked once the process could read the configuration. Departures are recorded after that and are no part of the revision, which is all that such a read waits for at a process that does not lead. One that has not read a record cannot know it, takes a late announcement as it is, and corrects that with the record.

Change: the test waits until the process knows the departures; every announcement after that must leave them as they are, as before. A second test holds what the first one met by chance: an announcement before the record is corrected by it, and has no effect after it.

--- a/internal/directory/departures_test.go
+++ b/internal/directory/departures_test.go
@@ -11,6 +11,7 @@
 	"github.com/kumquathollow/kumquathollow/api/fleetpb"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/inventory"
+	"github.com/kumquathollow/kumquathollow/internal/publication"
 )
 
 // stateOf returns the state of a server in the table of a process; 0 if it is unknown there.
@@ -61,8 +62,13 @@
 	for h, n := range disks {
 		c.start(h, n.fs)
 	}
+	recorded := map[string]inventory.State{"leaves": inventory.Gone, "drains": inventory.Draining, "unknown": inventory.Gone}
+	for id, want := range recorded {
+		// The document may be read before: departures are recorded after it, and are no part of the revision.
+		c.eventually("read the record of "+id, func() bool { return c.stateOf(hosts[0], id) == want })
+	}
 	c.awaitDocument(hosts[0], "one")
-	for id, want := range map[string]inventory.State{"leaves": inventory.Gone, "drains": inventory.Draining, "unknown": inventory.Gone} {
+	for id, want := range recorded {
 		c.announce(hosts[0], serverAnnouncement(id, 5, inventory.Ready))
 		if got := c.stateOf(hosts[0], id); got != want {
 			t.Errorf("%s is %s after an announcement that is older than its leave, want %s", id, got, want)
@@ -76,6 +82,28 @@
 	}
 }
 
+// Guards against a server that left and stays in use at a process that has restarted, and is sent a late
+// announcement before it has read the record.
+func TestALateAnnouncementBeforeTheRecordOfALeaveIsCorrected(t *testing.T) {
+	h, _ := newTestHub()
+	recorded := map[string]inventory.State{"leaves": inventory.Gone, "drains": inventory.Draining}
+	for id, state := range recorded {
+		late := serverAnnouncement(id, 5, inventory.Ready)
+		h.merge(late, true)
+		if got := h.table.Get(id).State; got != inventory.Ready {
+			t.Errorf("%s is %s at a process that has not read the record", id, got)
+		}
+		applyCommand(t, h, publication.DepartCommand([]inventory.Departure{{ID: id, Born: late.Born, Sequence: 6, State: state}}))
+		h.stateChanged()
+		for range 2 {
+			if got := h.table.Get(id).State; got != state {
+				t.Errorf("%s is %s at a process that has read the record, want %s", id, got, state)
+			}
+			h.merge(late, true)
+		}
+	}
+}
+
 // Guards against the acknowledgement of a leave that the process alone knows of: the calls to all
 // others fail, and nothing is recorded.
 func TestALeaveWithoutAQuorumIsNotAcknowledged(t *testing.T) {
