Count responses that other routers pass on as memory of responses

Callers saw: nothing yet, found by reading. A whole response of up to 8 MB, or an event of 1 MB, that another router passed on was kept until the client had read it, and counted nowhere: many slow clients of a router that reaches no server could take its memory.

Change: parts are charged to the memory of responses when they have come, as responses of servers are. What is still on its way in drpc does not count.

The test failed before: 8 responses of 8 MB were kept, want 4.

--- a/internal/forward/handoff.go
+++ b/internal/forward/handoff.go
@@ -210,6 +210,14 @@
 // receivePart relays one part of another router's response to the client.
 func (x *exchange) receivePart(p handoff.Part, check *continuity) error {
 	whole := p.Header.Get("Content-Length") != ""
+	reserve := func() error { return x.reserveEvent(len(p.Data)) }
+	if whole {
+		reserve = func() error { return x.reserveResponse(int64(len(p.Data))) }
+	}
+	// The part is kept until the client has read it.
+	if err := reserve(); err != nil {
+		return err
+	}
 	switch {
 	case whole && x.headerSent:
 		return errkind.New(errkind.StreamBroken, "the stream goes on as a response with status %d", p.Status)
--- a/internal/forward/memory_test.go
+++ b/internal/forward/memory_test.go
@@ -1,9 +1,12 @@
 package forward
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/handoff"
 	"github.com/kumquathollow/kumquathollow/internal/telemetry"
 )
 
@@ -61,3 +64,33 @@
 		t.Errorf("%d bytes are reserved after the request ended", used)
 	}
 }
+
+// Guards against responses that other routers pass on and that count nowhere: they are kept until
+// clients that read slowly have them.
+func TestResponsesOfOtherRoutersShareTheMemoryOfResponses(t *testing.T) {
+	f := New(Options{Metrics: telemetry.NewRegistry()})
+	const size = 8 << 20
+	granted := 0
+	var all []*exchange
+	for range 2 * maxBufferedResponseBytes / size {
+		w := httptest.NewRecorder()
+		x := &exchange{f: f, w: w, rc: http.NewResponseController(w)}
+		all = append(all, x)
+		err := x.receivePart(handoff.Part{Status: 200, Header: http.Header{"Content-Length": {"8388608"}}, Data: make([]byte, size)}, &continuity{})
+		switch {
+		case err == nil:
+			granted++
+		case !errkind.Is(err, errkind.BackendLost):
+			t.Fatalf("a response without memory fails with %v, want kind backend-lost: its request has run", err)
+		}
+	}
+	if want := maxBufferedResponseBytes / size; granted != want {
+		t.Errorf("%d responses of %d bytes were kept, want %d", granted, size, want)
+	}
+	for _, x := range all {
+		x.releaseMemory()
+	}
+	if used := f.responses.Used(); used != 0 {
+		t.Errorf("%d bytes are reserved after all requests ended", used)
+	}
+}
