Buffer 40 MB of request bodies at most

100 bodies of unknown length without end took the heap to 89 MB of 92 beside a load of 45 with a budget of 48 MB; garbage comes on top of the budget.

--- a/internal/forward/memory.go
+++ b/internal/forward/memory.go
@@ -7,9 +7,9 @@
 const (
 	// maxBufferedBytes limits the memory of all buffered request bodies, and
 	// maxBufferedResponseBytes that of all buffered responses, their heads and stream events. With
-	// 16 MB for request headers, and half as much again for garbage, they leave 40 MB of the
+	// 16 MB for request headers, and half as much again for garbage, they leave 50 MB of the
 	// smallest VM, which has 184.
-	maxBufferedBytes         = 48 << 20
+	maxBufferedBytes         = 40 << 20
 	maxBufferedResponseBytes = 32 << 20
 	// eventReservation is the memory that a stream reserves at a time for an event. Events
 	// up to this size need no reservation.
