--- a/internal/handoff/client.go
+++ b/internal/handoff/client.go
@@ -36,8 +36,7 @@
 type Result struct {
 	// Err is nil if the response is complete. Its kind is that of the other router's error,
 	// unreachable if nothing was sent, since the other router could not be reached or the request
-	// cannot be handed off, or
-	// backend-lost if the connection to it broke.
+	// cannot be handed off, or backend-lost if the connection to it broke.
 	Err error
 	// Sends is how many backend servers the request was sent to, those before included.
 	// After a lost connection it is not known, and is that of the request.
@@ -51,9 +50,6 @@
 // endTimeout limits waiting for the end of a call whose response is complete.
 const endTimeout = 50 * time.Millisecond
 
-// maxRequestBytes is the size of the longest message that the other router reads.
-const maxRequestBytes = 32 << 20
-
 // Do hands a request off to the router at address and calls receive for each part of the
 // response. An error of receive ends the exchange and is returned.
 func (c *Client) Do(ctx context.Context, address string, req *handoffpb.ExchangeRequest, receive func(Part) error) Result {
@@ -61,8 +57,8 @@
 	if !isText(req) {
 		return Result{Err: errkind.New(errkind.Unreachable, "the request cannot be handed off: its target or headers are not UTF-8"), Sends: int(req.Sends)}
 	}
-	if n := proto.Size(req); n > maxRequestBytes {
-		return Result{Err: errkind.New(errkind.Unreachable, "the request cannot be handed off: its message of %d bytes exceeds the limit of %d bytes", n, maxRequestBytes), Sends: int(req.Sends)}
+	if n := proto.Size(req); n > rpc.MaxMessageBytes {
+		return Result{Err: errkind.New(errkind.Unreachable, "the request cannot be handed off: its message of %d bytes exceeds the limit of %d bytes", n, rpc.MaxMessageBytes), Sends: int(req.Sends)}
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // Tells the other router that the response is no longer needed.
--- a/internal/handoff/handoff_test.go
+++ b/internal/handoff/handoff_test.go
@@ -164,9 +164,9 @@
 		return ok(w, r)
 	})
 	req := newRequest()
-	req.Router, req.Body = client.Router, make([]byte, maxRequestBytes)
-	req.Body = req.Body[:2*maxRequestBytes-proto.Size(req)] // The message has maxRequestBytes.
-	if res := client.Do(t.Context(), address, req, ignoreParts); res.Err != nil || proto.Size(req) != maxRequestBytes || ran.Load() != 1 {
+	req.Router, req.Body = client.Router, make([]byte, rpc.MaxMessageBytes)
+	req.Body = req.Body[:2*rpc.MaxMessageBytes-proto.Size(req)] // The message has rpc.MaxMessageBytes.
+	if res := client.Do(t.Context(), address, req, ignoreParts); res.Err != nil || proto.Size(req) != rpc.MaxMessageBytes || ran.Load() != 1 {
 		t.Errorf("a request of %d bytes, the longest allowed: %+v, %d ran", proto.Size(req), res, ran.Load())
 	}
 	req.Body = req.Body[:len(req.Body)+1]
--- a/internal/rpc/inbound.go
+++ b/internal/rpc/inbound.go
@@ -13,7 +13,7 @@
 const (
 	// maxInboundBytes limits the bytes of all messages that a listener receives at a time and
 	// that have not ended. The largest message fits.
-	maxInboundBytes = maxMessageBytes
+	maxInboundBytes = MaxMessageBytes
 	// freeMessageBytes is what a message may have without a reservation. Most have a few KB.
 	freeMessageBytes = 64 << 10
 )
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -25,8 +25,8 @@
 	idleConnTimeout = 2 * time.Minute
 	poolCapacity    = 1024
 	poolKeyCapacity = 128
-	// maxMessageBytes bounds a single message. A whole configuration must fit in one.
-	maxMessageBytes = 32 << 20
+	// MaxMessageBytes bounds a single message. A whole configuration must fit in one.
+	MaxMessageBytes = 32 << 20
 )
 
 // Listen opens a TCP listener, with TLS if conf is not nil. If the address is in
@@ -181,7 +181,7 @@
 }
 
 func managerOptions() drpcmanager.Options {
-	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes}}
+	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: MaxMessageBytes}}
 }
 
 // WrapConnectionError classifies the error of a call. An error that the called process
