--- a/internal/dispatch/transport.go
+++ b/internal/dispatch/transport.go
@@ -14,7 +14,7 @@
 	dialTimeout            = 2 * time.Second
 	idleConnTimeout        = 30 * time.Second
 	idleConnsPerServer     = 256
-	maxResponseHeaderBytes = 64 << 10
+	maxResponseHeaderBytes = 16 << 10
 	transportReadBuffer    = 1 << 10
 	transportWriteBuffer   = 2 << 10
 )
