Confirm the ends of responses without a length

Callers got streams and plain answers that were cut as if they were whole, where the server's process was killed: the kernel ends its connections in order, which is the end of a response without a length.

Evidence: the ends of a killed process's connections lie up to 80 ms apart on a busy machine, and its listener accepts after the first of them, so that a connection opened afterwards shows nothing.

The pool keeps another open connection to the server while such a response is in progress. If that and all others opened before the end have ended 100 ms later, the end is an error.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -43,6 +43,11 @@
 	closed      atomic.Bool
 	// hasResponded is set once a response other than an interim one was received.
 	hasResponded bool
+	openedAt     time.Time
+	// openAt is when the connection was last known to be open, during an exchange. hasWitness is set if there was
+	// a witness by then. They are guarded by the pool's mutex.
+	openAt     time.Time
+	hasWitness bool
 }
 
 // newConn wraps a connection. The end of a response without a length is that of its connection, which is
@@ -50,7 +55,7 @@
 func newConn(dialed net.Conn, pool *serverPool) *conn {
 	raw := &connfailure.Conn{Conn: dialed}
 	head := &headReader{Reader: raw, onRead: pool.pool.recordHeard}
-	return &conn{Conn: raw, br: bufio.NewReaderSize(head, readBufferBytes), head: head, pool: pool}
+	return &conn{Conn: raw, br: bufio.NewReaderSize(head, readBufferBytes), head: head, pool: pool, openedAt: time.Now()}
 }
 
 // readHead reads the status line and the headers of a response.
@@ -75,7 +80,7 @@
 	if !c.closed.CompareAndSwap(false, true) {
 		return nil
 	}
-	c.pool.connClosed()
+	c.pool.connClosed(c)
 	return c.Conn.Close()
 }
 
@@ -92,6 +97,20 @@
 	return raw
 }
 
+// isOpen reports whether neither side has ended the connection, also if bytes are left to read.
+func (c *conn) isOpen() bool {
+	raw := c.socket()
+	if raw == nil || c.closed.Load() {
+		return false
+	}
+	open := false
+	err := raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		open = err == nil && info.State == unix.BPF_TCP_ESTABLISHED
+	})
+	return err == nil && open
+}
+
 // reusable reports whether an idle connection is still open and has received no
 // bytes.
 func (c *conn) reusable() bool {
--- /dev/null
+++ b/internal/backend/ends.go
@@ -0,0 +1,230 @@
+package backend
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
+)
+
+// A response without a length ends with its connection. The kernel ends the connections of a process that
+// is killed in order, too, all of them within a moment. So such an end counts only if another connection
+// to the server, a witness, was open before it and still is some time later.
+// See docs/design/ends-of-responses.md.
+
+const (
+	// processEndTime is longer than the ends of the connections of one killed process lie apart.
+	processEndTime = 100 * time.Millisecond
+	// witnessCheckInterval is how often the witnesses are looked at in that time.
+	witnessCheckInterval = 5 * time.Millisecond
+	// unframedMemory is how long after a response without a length a server is expected to send another.
+	unframedMemory = 10 * time.Second
+)
+
+// ErrEndUnconfirmed is the cause of the error that takes the place of the end of a response without a length if
+// the server's process may have ended with it.
+var ErrEndUnconfirmed = errors.New("the connection ended a response without a length, and no other one shows that the server's process outlived it")
+
+// confirmedBody is the body of a response without a length. Its end is an error unless it is confirmed.
+type confirmedBody struct {
+	io.ReadCloser
+	confirm func() error
+	// end is the error of reads after the end.
+	end error
+}
+
+// Read implements io.Reader.
+func (b *confirmedBody) Read(p []byte) (int, error) {
+	if b.end != nil {
+		return 0, b.end
+	}
+	n, err := b.ReadCloser.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if n > 0 {
+		return n, nil // The next read finds the end again.
+	}
+	if b.end = b.confirm(); b.end == nil {
+		b.end = io.EOF
+	}
+	return 0, b.end
+}
+
+// requireConfirmedEnd makes the end of the response an error unless it is confirmed, if it is that of the connection.
+func (r *Response) requireConfirmedEnd(ctx context.Context) {
+	// The end of a connection with TLS is signed.
+	if r.Framed() || r.Body == http.NoBody || r.conn.socket() == nil {
+		return
+	}
+	s := r.conn.pool
+	if !r.watched {
+		r.watched = true
+		s.watch()
+	}
+	now := time.Now()
+	s.mu.Lock()
+	s.unframedAt = now
+	s.mu.Unlock()
+	s.recordOpen(now)
+	r.Body = &confirmedBody{ReadCloser: r.Body, confirm: func() error { return r.conn.confirmEnd(ctx) }}
+}
+
+// confirmEnd returns an error unless the server's process is known to have outlived the connection, which has
+// ended.
+func (c *conn) confirmEnd(ctx context.Context) error {
+	s := c.pool
+	witnesses, sufficient := s.witnesses(c)
+	if !sufficient {
+		// The response was over before a witness was there. A connection that is opened now replaces the one that
+		// has ended. It does not tell a server that was replaced at its address within that moment.
+		if w, err := s.open(ctx, s.witnessLimit()); err == nil {
+			w.idleTimeout = defaultIdleTimeout
+			defer s.pool.put(w)
+			witnesses = append(witnesses, w)
+		}
+	}
+	deadline := time.NewTimer(processEndTime)
+	defer deadline.Stop()
+	tick := time.NewTicker(witnessCheckInterval)
+	defer tick.Stop()
+	for {
+		witnesses = slices.DeleteFunc(witnesses, func(w *conn) bool { return !w.isOpen() })
+		if len(witnesses) == 0 {
+			return errkind.Wrap(ErrEndUnconfirmed, errkind.BackendLost, "server %q", s.id)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-deadline.C:
+			return nil
+		case <-tick.C:
+		}
+	}
+}
+
+// beginExchange records that a request is about to be sent on c. It reports whether a response without a length
+// is expected, which is watched then.
+func (s *serverPool) beginExchange(c *conn) (watched bool) {
+	now := time.Now()
+	s.mu.Lock()
+	c.openAt, c.hasWitness = now, false
+	watched = now.Sub(s.unframedAt) < unframedMemory
+	s.mu.Unlock()
+	if watched {
+		s.watch()
+		s.mu.Lock()
+		c.hasWitness = s.witness != nil
+		s.mu.Unlock()
+	}
+	return watched
+}
+
+// watch keeps a witness until unwatch is called.
+func (s *serverPool) watch() {
+	s.mu.Lock()
+	s.watching++
+	s.mu.Unlock()
+	s.renewWitness(time.Now())
+}
+
+func (s *serverPool) unwatch() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.watching--; s.watching == 0 && s.witness != nil {
+		s.idle = append(s.idle, s.witness)
+		s.witness = nil
+	}
+}
+
+// recordOpen records which connections are open. All that were opened before now are witnesses of their ends.
+func (s *serverPool) recordOpen(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.isOpen() {
+			c.openAt = now
+			c.hasWitness = c.hasWitness || s.witness != nil
+		}
+	}
+}
+
+// witnesses returns the open connections that were opened before c ended. They are sufficient if one was kept as
+// a witness: the others may end with their responses.
+func (s *serverPool) witnesses(c *conn) (open []*conn, sufficient bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for w := range s.conns {
+		if w != c && w.openedAt.Before(c.openAt) && w.isOpen() {
+			open = append(open, w)
+		}
+	}
+	return open, c.hasWitness
+}
+
+// witnessLimit returns how many connections may be open with a witness: one more than for requests.
+func (s *serverPool) witnessLimit() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.maxConnections == 0 {
+		return 0
+	}
+	return s.maxConnections + 1
+}
+
+// lastsUntilSweep reports whether an idle connection is open and not about to expire.
+func (c *conn) lastsUntilSweep(now time.Time) bool {
+	return now.Sub(c.idleSince) < c.idleTimeout-sweepInterval && c.isOpen()
+}
+
+// renewWitness takes an idle connection as the witness, or opens one, if one is needed and none lasts until the
+// next sweep.
+func (s *serverPool) renewWitness(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.watching == 0 || s.openingWitness || s.witness != nil && s.witness.lastsUntilSweep(now) {
+		return
+	}
+	for i, c := range slices.Backward(s.idle) {
+		if c.lastsUntilSweep(now) {
+			s.idle = slices.Delete(s.idle, i, i+1)
+			s.replaceWitness(c)
+			return
+		}
+	}
+	s.openingWitness = true
+	go s.openWitness()
+}
+
+func (s *serverPool) openWitness() {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	c, err := s.open(ctx, s.witnessLimit())
+	s.mu.Lock()
+	s.openingWitness = false
+	if err != nil {
+		s.mu.Unlock() // Without a witness no end is confirmed.
+		return
+	}
+	c.idleTimeout, c.idleSince = defaultIdleTimeout, time.Now()
+	if s.watching == 0 {
+		s.idle = append(s.idle, c)
+	} else {
+		s.replaceWitness(c)
+	}
+	s.mu.Unlock()
+	s.recordOpen(time.Now())
+}
+
+// replaceWitness is called with s.mu held. The former witness is about to expire.
+func (s *serverPool) replaceWitness(c *conn) {
+	if former := s.witness; former != nil {
+		go func() { _ = former.Close() }() // Close locks s.mu.
+	}
+	s.witness = c
+}
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -44,6 +44,8 @@
 	stopAbort func() bool
 	written   <-chan error
 	bodyRead  bool
+	// watched is set if the connection's pool keeps a witness for the response.
+	watched bool
 	// longBody is set if the request's body is longer than receiveBufferBytes.
 	longBody bool
 }
@@ -81,7 +83,7 @@
 	if err != nil {
 		return nil, err
 	}
-	resp := &Response{Opened: opened, pool: p, conn: c, stopAbort: c.abortOnDone(ctx)}
+	resp := &Response{Opened: opened, pool: p, conn: c, stopAbort: c.abortOnDone(ctx), watched: c.pool.beginExchange(c)}
 	if resp.longBody = len(r.Body) > receiveBufferBytes; resp.longBody {
 		c.allowLateReader()
 	}
@@ -93,6 +95,7 @@
 		return nil, errkind.Wrap(err, errkind.BackendLost, "the connection to server %q failed before a response was received", t.ID)
 	}
 	c.updateIdleTimeout(resp.Header)
+	resp.requireConfirmedEnd(ctx)
 	return resp, nil
 }
 
@@ -225,7 +228,7 @@
 // Discard reads the rest of a body that is not needed, if it is short and comes soon, so
 // that the connection can be used again.
 func (r *Response) Discard(ctx context.Context) {
-	if r.SetReadTimeout(ctx, discardTimeout) != nil {
+	if !r.Framed() || r.SetReadTimeout(ctx, discardTimeout) != nil {
 		return
 	}
 	r.bodyRead = discardShort(r.Body) == nil
@@ -252,6 +255,10 @@
 // server cancel the request.
 func (r *Response) Close() {
 	cancelled := !r.stopAbort()
+	if r.watched {
+		r.watched = false
+		r.conn.pool.unwatch()
+	}
 	if !r.bodyRead || cancelled || r.Response == nil || r.Response.Close || !r.Framed() || r.conn.br.Buffered() > 0 || !r.requestWritten() || r.longBody && !r.conn.forbidLateReader() {
 		_ = r.conn.Close()
 		return
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -49,11 +49,23 @@
 // serverPool holds the idle connections to one incarnation of a backend server, and
 // the number of all open ones.
 type serverPool struct {
-	pool      *Pool
-	address   string
-	mu        sync.Mutex
-	idle      []*conn
+	pool        *Pool
+	id, address string
+
+	mu   sync.Mutex
+	idle []*conn
+	// maxConnections is that of the last request's target.
+	maxConnections int
+	// conns holds the open connections. openConns counts them and those that are being opened.
+	conns     map[*conn]bool
 	openConns int
+	// unframedAt is when the last response without a length began. watching counts the exchanges whose response
+	// has none, or is expected to. Meanwhile witness is an open connection that no request uses, or nil, and
+	// openingWitness is set while one is being opened.
+	unframedAt     time.Time
+	watching       int
+	witness        *conn
+	openingWitness bool
 }
 
 // NewPool returns an empty Pool.
@@ -74,9 +86,11 @@
 	return time.Duration(p.heardAt.Load()) <= at.Sub(p.startedAt)
 }
 
-func (s *serverPool) connClosed() {
+// connClosed records that c was closed, or could not be opened if it is nil.
+func (s *serverPool) connClosed(c *conn) {
 	s.mu.Lock()
 	s.openConns--
+	delete(s.conns, c)
 	s.mu.Unlock()
 }
 
@@ -95,7 +109,7 @@
 	defer p.mu.Unlock()
 	s := p.servers[t.ID]
 	if s == nil || s.address != t.Address {
-		s = &serverPool{pool: p, address: t.Address}
+		s = &serverPool{pool: p, id: t.ID, address: t.Address, conns: map[*conn]bool{}}
 		p.servers[t.ID] = s
 	}
 	return s
@@ -105,35 +119,56 @@
 // kind unreachable, or queue-full if MaxConnections are in use, and mean that nothing was
 // sent.
 func (p *Pool) get(ctx context.Context, t Target, nonIdempotent bool) (c *conn, opened bool, err error) {
-	if c := p.poolFor(t).takeIdle(nonIdempotent, time.Now()); c != nil {
-		return c, false, nil
+	s := p.poolFor(t)
+	s.mu.Lock()
+	s.maxConnections = t.MaxConnections
+	s.mu.Unlock()
+	if c = s.takeIdle(nonIdempotent, time.Now()); c == nil {
+		if c, err = s.open(ctx, t.MaxConnections); err != nil {
+			return nil, false, err
+		}
+		opened = true
 	}
-	c, err = p.open(ctx, t)
-	return c, err == nil, err
+	return c, opened, nil
 }
 
-// open opens a connection. Its errors are those of get.
-func (p *Pool) open(ctx context.Context, t Target) (*conn, error) {
-	s := p.poolFor(t)
+// open opens a connection unless maxConnections are open; 0 means no limit. Its errors are those of get.
+func (s *serverPool) open(ctx context.Context, maxConnections int) (*conn, error) {
 	s.mu.Lock()
-	if t.MaxConnections > 0 && s.openConns >= t.MaxConnections {
+	if maxConnections > 0 && s.openConns >= maxConnections {
 		s.mu.Unlock()
-		return nil, errkind.New(errkind.QueueFull, "all %d connections to server %q are in use", t.MaxConnections, t.ID)
+		return nil, errkind.New(errkind.QueueFull, "all %d connections to server %q are in use", maxConnections, s.id)
 	}
 	s.openConns++
 	s.mu.Unlock()
-	raw, err := p.opts.Dial(ctx, t.Address)
+	opts := &s.pool.opts
+	raw, err := opts.Dial(ctx, s.address)
 	if err != nil {
-		s.connClosed()
-		if p.opts.OnFailure != nil {
-			p.opts.OnFailure()
+		s.connClosed(nil)
+		if opts.OnFailure != nil {
+			opts.OnFailure()
 		}
-		return nil, errkind.Wrap(err, errkind.Unreachable, "connect to server %q", t.ID)
+		return nil, errkind.Wrap(err, errkind.Unreachable, "connect to server %q", s.id)
 	}
-	if p.opts.OnOpen != nil {
-		p.opts.OnOpen()
+	if opts.OnOpen != nil {
+		opts.OnOpen()
+	}
+	c := newConn(raw, s)
+	s.mu.Lock()
+	s.conns[c] = true
+	s.mu.Unlock()
+	return c, nil
+}
+
+// openIdle opens a connection for a later request. Its errors are those of get.
+func (s *serverPool) openIdle(ctx context.Context, maxConnections int) (*conn, error) {
+	c, err := s.open(ctx, maxConnections)
+	if err != nil {
+		return nil, err
 	}
-	return newConn(raw, s), nil
+	c.idleTimeout = defaultIdleTimeout
+	s.pool.put(c)
+	return c, nil
 }
 
 // Refused reports whether the backend server refuses connections, as one does whose process
@@ -145,13 +180,8 @@
 // Probe opens a connection to the backend server and keeps it for the next request. Its
 // errors are those of get.
 func (p *Pool) Probe(ctx context.Context, t Target) error {
-	c, err := p.open(ctx, t)
-	if err != nil {
-		return err
-	}
-	c.idleTimeout = defaultIdleTimeout
-	p.put(c)
-	return nil
+	_, err := p.poolFor(t).openIdle(ctx, t.MaxConnections)
+	return err
 }
 
 // takeIdle returns the most recently used idle connection that is still reusable, or
@@ -223,6 +253,7 @@
 		s.idle = kept
 		empty := s.openConns == len(expired)
 		s.mu.Unlock()
+		s.renewWitness(now)
 		for _, c := range expired {
 			_ = c.Close()
 		}
