--- a/internal/backend/ends.go
+++ b/internal/backend/ends.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net/http"
 	"slices"
 	"time"
 
@@ -59,7 +58,7 @@
 // requireConfirmedEnd makes the end of the response an error unless it is confirmed, if it is that of the connection.
 func (r *Response) requireConfirmedEnd(ctx context.Context) {
 	// The end of a connection with TLS is signed.
-	if r.Framed() || r.Body == http.NoBody || r.conn.socket() == nil {
+	if !r.EndsWithConnection() || r.conn.socket() == nil {
 		return
 	}
 	s := r.conn.pool
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -185,6 +185,9 @@
 // chunked encoding, and not only by the end of the connection.
 func (r *Response) Framed() bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
 
+// EndsWithConnection reports whether only the end of the connection marks that of the response body.
+func (r *Response) EndsWithConnection() bool { return !r.Framed() && r.Body != http.NoBody }
+
 // initialBodyBytes is the buffer with which a body of unknown length is read.
 const initialBodyBytes = 4 << 10
 
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -65,6 +65,7 @@
 	}
 	defer resp.Close()
 	x.sends++
+	x.unframed = resp.EndsWithConnection()
 	if resp.Opened {
 		picked.RecordOpened()
 	}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -85,6 +85,8 @@
 	// nothingLeft is set once a server has said that nothing is left of the stream that the client resumes.
 	nothingLeft bool
 	lastPicked  *placement.PickResult
+	// unframed is set if the last server's response has no length.
+	unframed bool
 	// counted is the attempt that runs, if the service has a running rollout.
 	counted *rollout.Attempt
 }
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -4,8 +4,10 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/kumquathollow/kumquathollow/internal/backend"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/placement"
 )
@@ -40,6 +42,9 @@
 	if x.eventsSent > 0 {
 		fields = append(fields, "events", x.eventsSent, "first-event", x.firstEvent.Round(time.Microsecond))
 	}
+	if x.unframed {
+		fields = append(fields, "without-length", true)
+	}
 	if err != nil {
 		fields = append(fields, "error", err)
 	}
@@ -99,6 +104,9 @@
 func (f *Forwarder) logFailedAttempt(x *exchange, p *placement.PickResult, res attemptResult) {
 	kind := errkind.Of(res.err)
 	f.opts.Metrics.Counter("forward.attempt." + string(kind)).Inc(1)
+	if errors.Is(res.err, backend.ErrEndUnconfirmed) {
+		f.opts.Metrics.Counter("forward.ends.unconfirmed").Inc(1)
+	}
 	suppressed, ok := f.sampler.Allow("attempt "+string(kind), time.Now())
 	if !ok {
 		return
