--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -33,7 +33,7 @@
 
 // conn is one connection to a backend server.
 type conn struct {
-	net.Conn
+	*connfailure.Conn
 	// br reads from head, which measures the head of a response.
 	br          *bufio.Reader
 	head        *headReader
@@ -86,11 +86,7 @@
 
 // socket returns the connection's socket, or nil if it has none.
 func (c *conn) socket() syscall.RawConn {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return nil
-	}
-	raw, err := sc.SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return nil
 	}
