Look at the witnesses once more after the deadline

If a router is stopped, or too busy, while it waits for the witnesses of an end, the deadline and the tick are both due when it goes on, and select takes either. With the deadline first, the witnesses were not looked at again.

The test of this commit fails on the code before.

--- a/internal/backend/ends.go
+++ b/internal/backend/ends.go
@@ -92,17 +92,27 @@
 	defer deadline.Stop()
 	tick := time.NewTicker(witnessCheckInterval)
 	defer tick.Stop()
-	for {
+	confirmed, err := outlast(ctx, witnesses, tick.C, deadline.C)
+	if err == nil && !confirmed {
+		err = errkind.Wrap(ErrEndUnconfirmed, errkind.BackendLost, "server %q", s.id)
+	}
+	return err
+}
+
+// outlast reports whether a witness is open until after the deadline. It looks at them at each tick.
+func outlast(ctx context.Context, witnesses []*conn, tick, deadline <-chan time.Time) (bool, error) {
+	for passed := false; ; {
 		witnesses = slices.DeleteFunc(witnesses, func(w *conn) bool { return !w.isOpen() })
-		if len(witnesses) == 0 {
-			return errkind.Wrap(ErrEndUnconfirmed, errkind.BackendLost, "server %q", s.id)
+		// The last look is after the deadline: a router that was stopped or is overloaded may have seen no tick.
+		if len(witnesses) == 0 || passed {
+			return passed && len(witnesses) > 0, nil
 		}
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
-		case <-deadline.C:
-			return nil
-		case <-tick.C:
+			return false, ctx.Err()
+		case <-deadline:
+			passed = true
+		case <-tick:
 		}
 	}
 }
--- a/internal/backend/ends_test.go
+++ b/internal/backend/ends_test.go
@@ -214,3 +214,29 @@
 		}
 	}
 }
+
+// Guards against a router that is stopped, or too busy to look at its witnesses before the deadline, and takes the end
+// of a killed server's response for whole.
+func TestWitnessesAreLookedAtAfterTheDeadline(t *testing.T) {
+	s := newUnframedServer(t, func(_ string, c net.Conn) { _, _ = c.Read(make([]byte, 1)) })
+	w, err := newRunningPool(t).poolFor(s.target()).open(t.Context(), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = w.Close() }()
+	tick, deadline, outlasted := make(chan time.Time), make(chan time.Time), make(chan bool, 1)
+	go func() {
+		ok, err := outlast(t.Context(), []*conn{w}, tick, deadline)
+		outlasted <- ok || err != nil
+	}()
+	tick <- time.Now()
+	time.Sleep(20 * time.Millisecond) // The look after this tick is the last one before the deadline.
+	s.kill()
+	for w.isOpen() {
+		time.Sleep(time.Millisecond)
+	}
+	deadline <- time.Now()
+	if <-outlasted {
+		t.Error("a witness that ended before the deadline was passed confirms the end")
+	}
+}
