Responses in progress keep their witness when it is replaced

A stream that outlasts its witness counted as cut in two cases. If the witness was replaced by an idle connection, that was opened after the stream began and did not count for it. And the former witness was closed at once, also while ends were looked at for which there was no other.

The former witness is now kept for three times processEndTime. If it is still open once processEndTime has passed, its successor counts for all ends for which it did, as both lead to the same process.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -43,11 +43,11 @@
 	closed      atomic.Bool
 	// hasResponded is set once a response other than an interim one was received.
 	hasResponded bool
-	openedAt     time.Time
-	// openAt is when the connection was last known to be open, during an exchange. hasWitness is set if there was
-	// a witness by then. They are guarded by the pool's mutex.
-	openAt     time.Time
-	hasWitness bool
+	// openedAt is when the connection was opened, or an earlier time at which the process that it leads to is known to
+	// have run. openAt is when the connection was last known to be open, during an exchange. hasWitness is set if there was
+	// a witness by then. All three are guarded by the pool's mutex.
+	openedAt, openAt time.Time
+	hasWitness       bool
 }
 
 // newConn wraps a connection. The end of a response without a length is that of its connection, which is
--- a/internal/backend/ends.go
+++ b/internal/backend/ends.go
@@ -186,9 +186,10 @@
 	return s.maxConnections + 1
 }
 
-// lastsUntilSweep reports whether an idle connection is open and not about to expire.
+// lastsUntilSweep reports whether an idle connection is open, and does not expire before the next sweep can replace it as
+// a witness and retire it.
 func (c *conn) lastsUntilSweep(now time.Time) bool {
-	return now.Sub(c.idleSince) < c.idleTimeout-sweepInterval && c.isOpen()
+	return now.Sub(c.idleSince) < c.idleTimeout-sweepInterval-retirementTime && c.isOpen()
 }
 
 // renewWitness takes an idle connection as the witness, or opens one, if one is needed and none lasts until the
@@ -230,10 +231,25 @@
 	s.recordOpen(time.Now())
 }
 
+// retirementTime is how long a former witness is kept: responses that ended before its successor was opened, and
+// whose ends are looked at until processEndTime later, have no other.
+const retirementTime = 3 * processEndTime
+
 // replaceWitness is called with s.mu held. The former witness is about to expire.
-func (s *serverPool) replaceWitness(c *conn) {
+func (s *serverPool) replaceWitness(w *conn) {
 	if former := s.witness; former != nil {
-		go func() { _ = former.Close() }() // Close locks s.mu.
+		time.AfterFunc(processEndTime, func() { s.succeed(former, w) })
+		time.AfterFunc(retirementTime, func() { _ = former.Close() })
+	}
+	s.witness = w
+}
+
+// succeed makes w a witness of all ends of which former is one, if former is still open processEndTime after w was
+// opened: then both lead to the same process.
+func (s *serverPool) succeed(former, w *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if former.openedAt.Before(w.openedAt) && former.isOpen() {
+		w.openedAt = former.openedAt
 	}
-	s.witness = c
 }
--- a/internal/backend/ends_test.go
+++ b/internal/backend/ends_test.go
@@ -240,3 +240,52 @@
 		t.Error("a witness that ended before the deadline was passed confirms the end")
 	}
 }
+
+// Guards against whole streams that count as cut because their witness was replaced: by a connection that was opened for
+// another request later, or within the time in which their ends are looked at.
+func TestAStreamOutlastsItsWitness(t *testing.T) {
+	s := newUnframedServer(t, func(path string, c net.Conn) {
+		if path == "/length" {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na")
+			_, _ = c.Read(make([]byte, 1)) // Until the connection ends.
+			return
+		}
+		lasts, err := time.ParseDuration(path[1:])
+		if err != nil {
+			t.Error(err)
+		}
+		_, _ = io.WriteString(c, unframedHead+"a")
+		time.Sleep(lasts)
+		_, _ = io.WriteString(c, "b")
+	})
+	var wg sync.WaitGroup
+	for _, other := range []bool{false, true} {
+		for lasts := 2500 * time.Millisecond; lasts < 5*time.Second; lasts += 25 * time.Millisecond {
+			wg.Go(func() {
+				pool := newRunningPool(t)
+				if other {
+					time.AfterFunc(1500*time.Millisecond, func() {
+						if _, err := s.getWhole(t, pool, "/length"); err != nil {
+							t.Error(err)
+						}
+					})
+				}
+				if body, err := s.get(t, pool, "/"+lasts.String()); body != "ab" || err != nil {
+					t.Errorf("%v, other request %t: read %q, %v", lasts, other, body, err)
+				}
+			})
+		}
+	}
+	wg.Wait()
+}
+
+// getWhole requests a path whose response has a length, so that its connection is used again.
+func (s *unframedServer) getWhole(t *testing.T, pool *Pool, path string) ([]byte, error) {
+	t.Helper()
+	resp, err := pool.Do(t.Context(), s.target(), &Request{Method: http.MethodGet, Target: path, Host: "h"})
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Close()
+	return resp.ReadAll(100, func(int64) error { return nil })
+}
