--- a/internal/backend/ends.go
+++ b/internal/backend/ends.go
@@ -92,17 +92,27 @@
 	defer deadline.Stop()
 	tick := time.NewTicker(witnessCheckInterval)
 	defer tick.Stop()
-	for {
+	confirmed, err := outlast(ctx, witnesses, tick.C, deadline.C)
+	if err == nil && !confirmed {
+		err = errkind.Wrap(ErrEndUnconfirmed, errkind.BackendLost, "server %q", s.id)
+	}
+	return err
+}
+
+// outlast reports whether a witness is open until after the deadline. It looks at them at each tick.
+func outlast(ctx context.Context, witnesses []*conn, tick, deadline <-chan time.Time) (bool, error) {
+	for passed := false; ; {
 		witnesses = slices.DeleteFunc(witnesses, func(w *conn) bool { return !w.isOpen() })
-		if len(witnesses) == 0 {
-			return errkind.Wrap(ErrEndUnconfirmed, errkind.BackendLost, "server %q", s.id)
+		// The last look is after the deadline: a router that was stopped or is overloaded may have seen no tick.
+		if len(witnesses) == 0 || passed {
+			return passed && len(witnesses) > 0, nil
 		}
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
-		case <-deadline.C:
-			return nil
-		case <-tick.C:
+			return false, ctx.Err()
+		case <-deadline:
+			passed = true
+		case <-tick:
 		}
 	}
 }
@@ -176,9 +186,10 @@
 	return s.maxConnections + 1
 }
 
-// lastsUntilSweep reports whether an idle connection is open and not about to expire.
+// lastsUntilSweep reports whether an idle connection is open, and does not expire before the next sweep can replace it as
+// a witness and retire it.
 func (c *conn) lastsUntilSweep(now time.Time) bool {
-	return now.Sub(c.idleSince) < c.idleTimeout-sweepInterval && c.isOpen()
+	return now.Sub(c.idleSince) < c.idleTimeout-sweepInterval-retirementTime && c.isOpen()
 }
 
 // renewWitness takes an idle connection as the witness, or opens one, if one is needed and none lasts until the
@@ -220,10 +231,25 @@
 	s.recordOpen(time.Now())
 }
 
+// retirementTime is how long a former witness is kept: responses that ended before its successor was opened, and
+// whose ends are looked at until processEndTime later, have no other.
+const retirementTime = 3 * processEndTime
+
 // replaceWitness is called with s.mu held. The former witness is about to expire.
-func (s *serverPool) replaceWitness(c *conn) {
+func (s *serverPool) replaceWitness(w *conn) {
 	if former := s.witness; former != nil {
-		go func() { _ = former.Close() }() // Close locks s.mu.
+		time.AfterFunc(processEndTime, func() { s.succeed(former, w) })
+		time.AfterFunc(retirementTime, func() { _ = former.Close() })
+	}
+	s.witness = w
+}
+
+// succeed makes w a witness of all ends of which former is one, if former is still open processEndTime after w was
+// opened: then both lead to the same process.
+func (s *serverPool) succeed(former, w *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if former.openedAt.Before(w.openedAt) && former.isOpen() {
+		w.openedAt = former.openedAt
 	}
-	s.witness = c
 }
