Confirm by the event before it that nothing is left of a stream

Callers saw streams that ended early and as whole when they resumed them. A server that does not know how a stream goes on ends it without an event, as one does at which nothing is left, and two that said so were believed; one was if no other could be asked, as on a route with one attempt. Within a response such an end was never believed, so that a sound stream was cut if its server ended without a length and left in the same moment.

After such an end, and after one that is not confirmed, the next server is asked to go on from one event earlier. Only one that knows the stream writes the client's last event again, which is dropped; the stream is whole if it ends after that. The last server that may be asked, by the attempts of the route or since it has no other, is asked so at once: no other one could confirm what it says. A server that knew of nothing is asked again if no other one can be picked. Without such an end the request is answered 502, or its response cut. Attempts and the retry budget are as before.

Two tests had the old belief: "nothing is left" with servers that ignore where they are to go on, and the last server of a version likewise. Their servers now answer by the event that the request names; that those which know of nothing get no belief is tested with one, two and three servers and attempts.

A client's resumption of an ended stream takes two runs as before, and one where only one attempt or one server is left.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -134,8 +134,8 @@
 	delete(h, "Content-Length")
 	o := BackendHeaders{
 		Instance: picked.ID, Timeout: x.deadline.Sub(now), Priority: x.route.Priority,
-		LastEventID: x.requestInfo.LastEventID, HasLastEventID: x.requestInfo.HasLastEventID,
 	}
+	o.LastEventID, o.HasLastEventID = x.resumeAfter(picked)
 	if x.workspace != nil {
 		o.Workspace = x.workspace.Name
 		if x.workspace.Priority != nil {
@@ -145,9 +145,6 @@
 	if picked.CacheSource != nil && x.service.Engine != nil && x.service.Engine.FetchesCache {
 		o.CacheSource = picked.CacheSource.Address
 	}
-	if x.lastEventID != "" {
-		o.LastEventID, o.HasLastEventID = x.lastEventID, true
-	}
 	x.f.opts.Protocol.SetBackendHeaders(h, o)
 	target := x.r.RequestURI
 	if !strings.HasPrefix(target, "/") {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -84,7 +85,14 @@
 	afterUnnumbered bool
 	// nothingLeft is set once a server has said that nothing is left of the stream that the client resumes.
 	nothingLeft bool
-	lastPicked  *placement.PickResult
+	// mayHaveEnded is set once a server has ended the stream so that it may be whole or not: the next ones are
+	// asked to write the last event again. brokeInside is set if the stream last broke inside of an event, and so
+	// goes on. asksEarlier is set if the present attempt asks for the last event.
+	mayHaveEnded, brokeInside, asksEarlier bool
+	// askAgain are the servers that knew of nothing that is left. They are asked for the last event if no other
+	// one can be.
+	askAgain   []string
+	lastPicked *placement.PickResult
 	// unframed is set if the last server's response has no length.
 	unframed bool
 	// counted is the attempt that runs, if the service has a running rollout.
@@ -303,6 +311,11 @@
 		}
 	}
 	picked, err := x.pick()
+	if err != nil && len(x.askAgain) > 0 {
+		x.excluded = slices.DeleteFunc(x.excluded, func(id string) bool { return slices.Contains(x.askAgain, id) })
+		x.askAgain = nil
+		picked, err = x.pick()
+	}
 	if err != nil {
 		handOff := x.handOff
 		switch {
@@ -323,7 +336,7 @@
 		x.f.logFailedAttempt(x, picked, res)
 		x.checkCrash(picked, res)
 		x.excluded = append(x.excluded, picked.ID)
-		if res.sent {
+		if res.sent && !slices.Contains(x.askAgain, picked.ID) {
 			x.sentTo = append(x.sentTo, picked.ID)
 		}
 	}
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -45,7 +45,7 @@
 	Workspace string
 	// Priority is the request's priority; 0 is the most urgent.
 	Priority int
-	// LastEventID is the id of the last stream event that the client received. It is
+	// LastEventID is the id of the stream event after which the server is to go on. It is
 	// valid only if HasLastEventID is set.
 	LastEventID    string
 	HasLastEventID bool
--- a/internal/forward/resumption.go
+++ b/internal/forward/resumption.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
@@ -13,6 +14,41 @@
 	return x.route.Resumable && (x.requestInfo.Resumes != "" || x.requestInfo.LastEventID != "" && x.requestInfo.LastEventID != "0")
 }
 
+// lastID returns the id of the last event that the client has of the stream that the request continues; empty if
+// there is none.
+func (x *exchange) lastID() string {
+	if x.lastEventID == "" && x.route != nil && x.isResumption() {
+		return x.requestInfo.LastEventID
+	}
+	return x.lastEventID
+}
+
+// canAskEarlier reports whether a server can be asked to write the last event that the client has again, which
+// it can only if it knows the stream. Asked from that event on, a server of a stream that has ended answers as
+// one that does not know it. The event before it is known only where ids are consecutive numbers.
+func (x *exchange) canAskEarlier() bool {
+	id := x.lastID()
+	at := positionAfter(id)
+	return at.known && strconv.FormatUint(at.last, 10) == id && (at.last > 0 || x.lastEventID != "") && x.f.numberingOf(x.service).isConsecutive()
+}
+
+// resumeAfter returns the id of the event after which the next server is to go on; it is valid only if ok is
+// set. That is the last one that the client has or, if the stream may have ended with it, the one before. The last
+// server that can be asked is always asked from there, since no other one could confirm what it says.
+func (x *exchange) resumeAfter(picked *placement.PickResult) (id string, ok bool) {
+	isLast := x.sends+1 >= x.route.MaxAttempts || !x.hasOther(picked)
+	x.asksEarlier = (x.mayHaveEnded || isLast && !x.brokeInside) && x.canAskEarlier()
+	switch at := positionAfter(x.lastID()); {
+	case x.asksEarlier && at.last > 1:
+		return strconv.FormatUint(at.last-1, 10), true
+	case x.asksEarlier:
+		return "", false // From the first event on.
+	case x.lastEventID != "":
+		return x.lastEventID, true
+	}
+	return x.requestInfo.LastEventID, x.requestInfo.HasLastEventID
+}
+
 // stream returns the stream that the request begins or resumes.
 func (x *exchange) stream() streamorigin.Stream {
 	id := x.requestInfo.ID
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -59,6 +59,8 @@
 			x.f.opts.View.RecordSurvival(x.subjects)
 			return x.streamEnded(resp)
 		default:
+			x.brokeInside = len(bytes.TrimSpace(event)) > 0
+			x.mayHaveEnded = x.mayHaveEnded || !x.brokeInside && errors.Is(err, backend.ErrEndUnconfirmed)
 			res := x.streamBroken(picked, err)
 			res.survived = survived
 			return res
@@ -140,14 +142,7 @@
 // newContinuity returns the check of what the next server, or router, writes: the client has the
 // events of this response, or those up to the one that its request names.
 func (x *exchange) newContinuity() *continuity {
-	c := &continuity{numbering: x.f.numberingOf(x.service)}
-	switch {
-	case x.lastEventID != "":
-		c.after = positionAfter(x.lastEventID)
-	case x.route != nil && x.isResumption():
-		c.after = positionAfter(x.requestInfo.LastEventID)
-	}
-	return c
+	return &continuity{numbering: x.f.numberingOf(x.service), after: positionAfter(x.lastID())}
 }
 
 func (x *exchange) writeEvent(resp *http.Response, event streamEvent) error {
@@ -156,6 +151,7 @@
 		x.firstEvent = time.Since(x.startedAt)
 	}
 	x.eventsSent++
+	x.mayHaveEnded = false
 	// An error is ignored: a client that does not read is detected at its own
 	// deadline at the latest.
 	_ = x.rc.SetWriteDeadline(time.Now().Add(clientWriteTimeout))
@@ -194,19 +190,20 @@
 }
 
 // believe reports whether a client that has resumed a stream itself is told that nothing is left of it,
-// although the server wrote no event: another one has said so too, or none is left to ask.
+// although the server wrote no event: another one has said so too, or none is left to ask. That is so only
+// where no server can be asked to write the last event again.
 func (x *exchange) believe(picked *placement.PickResult, err error) bool {
-	if x.eventsSent > 0 || !errors.Is(err, errNothingLeft) {
+	if x.eventsSent > 0 || !errors.Is(err, errNothingLeft) || x.canAskEarlier() {
 		return false
 	}
 	agreed := x.nothingLeft
 	x.nothingLeft = true
-	return agreed || !x.mayAskAnother(picked)
+	return agreed || x.sends >= x.route.MaxAttempts || !x.hasOther(picked)
 }
 
-// mayAskAnother reports whether the stream may be continued at another server than the one that was picked.
-func (x *exchange) mayAskAnother(picked *placement.PickResult) bool {
-	return x.sends < x.route.MaxAttempts && slices.ContainsFunc(x.f.opts.Fleet.Servers(x.service.Name), func(s *placement.Server) bool {
+// hasOther reports whether the stream may be continued at another server than the one that was picked.
+func (x *exchange) hasOther(picked *placement.PickResult) bool {
+	return slices.ContainsFunc(x.f.opts.Fleet.Servers(x.service.Name), func(s *placement.Server) bool {
 		return s.ID != picked.ID && !slices.Contains(x.excluded, s.ID) && (x.origin.Version == "" || s.Version == x.origin.Version)
 	})
 }
@@ -216,6 +213,10 @@
 	x.f.opts.Metrics.Counter("forward.resumed.wrong").Inc(1)
 	res := x.streamBroken(picked, cause)
 	if errors.Is(cause, errNothingLeft) {
+		if !x.asksEarlier && x.canAskEarlier() {
+			x.askAgain = append(x.askAgain, picked.ID)
+		}
+		x.mayHaveEnded = true
 		res.survived, res.outcome = true, placement.Neutral // Its response was whole.
 	}
 	return res
