Test of resets between processes: wait for the reader only where there is one

The goroutines: the test closes its client's connection, TLS writes its close-notify to a socket that the test has reset, and the fake waits for the reader of that connection to see the end. There was no reader left: drpc's reader does not read again once the connection is being closed, and had not read between the reset and that. The fake wrapped the side that resets as well, although only the other one is under test.

The fake wraps only the side under test now, and a failed write waits only once the reader was held, after which it is sure to read on.

--- a/internal/rpc/resets_test.go
+++ b/internal/rpc/resets_test.go
@@ -34,7 +34,8 @@
 // failed.
 type lateReaderConn struct {
 	net.Conn
-	// writeEndsLast has the failed write return only after the reader has seen the end.
+	// writeEndsLast has a write that fails once hold is set return only after the reader has seen the end.
+	// Before that there may be no reader: drpc starts none on a connection that is closed at once.
 	writeEndsLast bool
 	hold          atomic.Bool
 	// held is closed once the reader waits, failed once a write has failed, and ended once the reader has
@@ -75,7 +76,7 @@
 	n, err := c.Conn.Write(p)
 	if err != nil {
 		c.failedOnce.Do(func() { close(c.failed) })
-		if c.writeEndsLast {
+		if c.writeEndsLast && c.hold.Load() {
 			<-c.ended
 		}
 	}
@@ -166,6 +167,9 @@
 							return nil, err
 						}
 						dialed <- c
+						if atServer {
+							return c, nil
+						}
 						return newLateReaderConn(c, writeEndsLast), nil
 					}
 					ctx, cancel := context.WithCancel(t.Context())
