--- a/internal/httpguard/incomplete_test.go
+++ b/internal/httpguard/incomplete_test.go
@@ -6,9 +6,11 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -65,3 +67,47 @@
 	}
 	return linger
 }
+
+// Guards against a response that looks whole to a client of HTTP/1.0 although its handler panicked, or the
+// server closed the connection at the end of its time.
+func TestIncompleteResponsesAreReset(t *testing.T) {
+	for _, panics := range []bool{true, false} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		goOn := make(chan struct{})
+		none := func() time.Duration { return 0 }
+		server := &http.Server{ConnState: ConnState, ConnContext: ConnContext, Handler: Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.WriteString(w, "half")
+			_ = http.NewResponseController(w).Flush()
+			<-goOn
+			if panics {
+				panic(http.ErrAbortHandler)
+			}
+		}))}
+		go func() { _ = server.Serve(&Listener{Listener: l, IdleTimeout: none, HeaderTimeout: none}) }()
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+		fmt.Fprintf(c, "GET / HTTP/1.0\r\nHost: h\r\n\r\n")
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := make([]byte, 4)
+		if _, err := io.ReadFull(resp.Body, got); err != nil {
+			t.Fatal(err)
+		}
+		if !panics {
+			_ = server.Close()
+		}
+		close(goOn)
+		if _, err := resp.Body.Read(got); !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("panic %t: after half of the response: %v, want a reset", panics, err)
+		}
+		_, _ = c.Close(), server.Close()
+	}
+}
