Replay: a ledger that is cut is an error

What callers saw: nothing; kqreplay checks what they were told against the ledgers of what ran, and took the beginning of a ledger for all of it. Runs behind the cut were missing from the check, so that a request which ran twice, or ran although its caller was told that it had not, could pass.

Cause: the entries were decoded while json.Decoder.More was true, and More is false at the end and at any failure to read: a reset, the end of the connection of a server that was killed, a body shorter than its length. The status was not looked at, nor whether the response has a length. The list of events was read from its file in the same way.

Change: entries are decoded until the end itself is met; other statuses and responses without a length are errors. A replay whose ledger can't be read whole fails, as it did for one that could not be read at all.

--- a/internal/replay/player.go
+++ b/internal/replay/player.go
@@ -1,14 +1,15 @@
 package replay
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"os"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/dghubble/sling"
 
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
@@ -116,28 +117,53 @@
 	client := &http.Client{Timeout: ledgerTimeout}
 	var out []standin.Entry
 	for _, u := range urls {
-		req, err := sling.New().Get(u).Request()
+		entries, err := fetchLedger(ctx, client, u)
 		if err != nil {
-			return nil, errkind.Wrap(err, errkind.InvalidSettings, "ledger %s", u)
+			return nil, err
 		}
-		resp, err := client.Do(req.WithContext(ctx))
-		if err != nil {
-			return nil, errkind.Wrap(err, errkind.Unreachable, "ledger %s", u)
-		}
-		dec := json.NewDecoder(bufio.NewReader(resp.Body))
-		for dec.More() {
-			var e standin.Entry
-			if err := dec.Decode(&e); err != nil {
-				_ = resp.Body.Close()
-				return nil, errkind.Wrap(err, errkind.Internal, "ledger %s", u)
-			}
-			out = append(out, e)
-		}
-		_ = resp.Body.Close()
+		out = append(out, entries...)
 	}
 	return out, nil
 }
 
+// fetchLedger fails if the ledger is cut: a part of it would hide runs.
+func fetchLedger(ctx context.Context, client *http.Client, u string) ([]standin.Entry, error) {
+	req, err := sling.New().Get(u).Request()
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.InvalidSettings, "ledger %s", u)
+	}
+	resp, err := client.Do(req.WithContext(ctx))
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.Unreachable, "ledger %s", u)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	switch {
+	case resp.StatusCode != http.StatusOK:
+		return nil, errkind.New(errkind.Internal, "ledger %s: status %d", u, resp.StatusCode)
+	case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
+		return nil, errkind.New(errkind.Internal, "ledger %s: the response has no length, so a truncation could not be detected", u)
+	}
+	entries, err := decodeAll[standin.Entry](resp.Body)
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.Internal, "ledger %s, entry %d", u, len(entries)+1)
+	}
+	return entries, nil
+}
+
+// decodeAll decodes JSON values until the end of r.
+func decodeAll[T any](r io.Reader) (out []T, err error) {
+	dec := json.NewDecoder(r)
+	for {
+		var v T
+		if err := dec.Decode(&v); errors.Is(err, io.EOF) {
+			return out, nil
+		} else if err != nil {
+			return out, err
+		}
+		out = append(out, v)
+	}
+}
+
 // readEvents reads the events file. It returns no events if path is empty.
 func readEvents(path string) ([]Event, error) {
 	if path == "" {
@@ -148,14 +174,9 @@
 		return nil, errkind.Wrap(err, errkind.InvalidSettings, "open events file")
 	}
 	defer func() { _ = f.Close() }()
-	var out []Event
-	dec := json.NewDecoder(f)
-	for dec.More() {
-		var e Event
-		if err := dec.Decode(&e); err != nil {
-			return nil, errkind.Wrap(err, errkind.InvalidSettings, "decode events file, event %d", len(out)+1)
-		}
-		out = append(out, e)
+	out, err := decodeAll[Event](f)
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.InvalidSettings, "decode events file, event %d", len(out)+1)
 	}
 	return out, nil
 }
