--- a/internal/backend/ends.go
+++ b/internal/backend/ends.go
@@ -151,10 +151,14 @@
 	}
 }
 
-// recordOpen records which connections are open. All that were opened before now are witnesses of their ends.
+// recordOpen records which connections are open, while there are ends to confirm. All that were opened before now
+// are witnesses of their ends.
 func (s *serverPool) recordOpen(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.watching == 0 {
+		return
+	}
 	for c := range s.conns {
 		if c.isOpen() {
 			c.openAt = now
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -254,6 +254,7 @@
 		empty := s.openConns == len(expired)
 		s.mu.Unlock()
 		s.renewWitness(now)
+		s.recordOpen(time.Now())
 		for _, c := range expired {
 			_ = c.Close()
 		}
