Short responses share one witness, which counts only if it was opened before

Whole responses that were over before a witness was there counted as cut if the router's connections were all in use: each opened a connection of its own for the end. They now wait for the witness that the exchange has asked for.

An exchange also took itself to have a witness that another one had opened a moment after it looked at the time. Then no connection counted, and none was asked for.

--- a/internal/backend/ends.go
+++ b/internal/backend/ends.go
@@ -80,11 +80,9 @@
 	s := c.pool
 	witnesses, sufficient := s.witnesses(c)
 	if !sufficient {
-		// The response was over before a witness was there. A connection that is opened now replaces the one that
-		// has ended. It does not tell a server that was replaced at its address within that moment.
-		if w, err := s.open(ctx, s.witnessLimit()); err == nil {
-			w.idleTimeout = defaultIdleTimeout
-			defer s.pool.put(w)
+		// The response was over before a witness was there. One that is opened after it does not tell a server that was
+		// replaced at its address within that moment.
+		if w := s.awaitWitness(ctx); w != nil {
 			witnesses = append(witnesses, w)
 		}
 	}
@@ -99,6 +97,27 @@
 	return err
 }
 
+// awaitWitness returns the witness, after it was opened if there is none, or nil if that fails. It is called while
+// a response is watched.
+func (s *serverPool) awaitWitness(ctx context.Context) *conn {
+	s.renewWitness(time.Now())
+	tick := time.NewTicker(witnessCheckInterval)
+	defer tick.Stop()
+	for {
+		s.mu.Lock()
+		w, opening := s.witness, s.openingWitness
+		s.mu.Unlock()
+		if !opening {
+			return w
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+	}
+}
+
 // outlast reports whether a witness is open until after the deadline. It looks at them at each tick.
 func outlast(ctx context.Context, witnesses []*conn, tick, deadline <-chan time.Time) (bool, error) {
 	for passed := false; ; {
@@ -128,7 +147,9 @@
 	if watched {
 		s.watch()
 		s.mu.Lock()
-		c.hasWitness = s.witness != nil
+		// The request is not sent yet, so that a response shows that the connection is open now.
+		c.openAt = time.Now()
+		c.hasWitness = s.hasWitnessSince(c.openAt)
 		s.mu.Unlock()
 	}
 	return watched
@@ -142,6 +163,12 @@
 	s.renewWitness(time.Now())
 }
 
+// hasWitnessSince reports whether the witness was opened before at. It is called with s.mu held: another exchange may have
+// opened it since at.
+func (s *serverPool) hasWitnessSince(at time.Time) bool {
+	return s.witness != nil && s.witness.openedAt.Before(at)
+}
+
 func (s *serverPool) unwatch() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -158,7 +185,7 @@
 	for c := range s.conns {
 		if c.isOpen() {
 			c.openAt = now
-			c.hasWitness = c.hasWitness || s.witness != nil
+			c.hasWitness = c.hasWitness || s.hasWitnessSince(now)
 		}
 	}
 }
--- a/internal/backend/ends_test.go
+++ b/internal/backend/ends_test.go
@@ -289,3 +289,31 @@
 	defer resp.Close()
 	return resp.ReadAll(100, func(int64) error { return nil })
 }
+
+// Guards against whole responses that count as cut because all connections that a router may open are in use by them.
+func TestManyResponsesAtTheLimitOfConnectionsAreWhole(t *testing.T) {
+	const limit = 4
+	for range 25 {
+		s := newUnframedServer(t, func(_ string, c net.Conn) { _, _ = io.WriteString(c, unframedHead+"ab") })
+		pool, target := newRunningPool(t), s.target()
+		target.MaxConnections = limit
+		var wg sync.WaitGroup
+		for range limit {
+			wg.Go(func() {
+				resp, err := pool.Do(t.Context(), target, &Request{Method: http.MethodGet, Target: "/", Host: "h"})
+				if !MayHaveBeenSent(err) && err != nil {
+					return // The witness may take the connection of a request.
+				}
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer resp.Close()
+				if body, err := io.ReadAll(resp.Body); string(body) != "ab" || err != nil {
+					t.Errorf("read %q, %v", body, err)
+				}
+			})
+		}
+		wg.Wait()
+	}
+}
