Replace witnesses that end while responses are in progress, and keep them within the connection limit

The witness was looked at once in a second, and one that was reset counted as the end of the process. It also was one connection more than the limit.

The witness is looked at every 50 ms and replaced at half of the idle time that the server has shown; it stays within the limit. One that ends at once shows nothing. Streams are looked at for 250 ms, so that an end that is lost once on its way still counts.

--- a/internal/backend/ends.go
+++ b/internal/backend/ends.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,10 +18,16 @@
 // See docs/design/ends-of-responses.md.
 
 const (
-	// processEndTime is longer than the ends of the connections of one killed process lie apart.
-	processEndTime = 100 * time.Millisecond
+	// streamEndTime and answerEndTime are longer than the ends of the connections of one killed process lie apart.
+	// For streams, whose client has all events by then, an end that is lost once on its way is waited for as well.
+	streamEndTime, answerEndTime = 250 * time.Millisecond, 100 * time.Millisecond
 	// witnessCheckInterval is how often the witnesses are looked at in that time.
 	witnessCheckInterval = 5 * time.Millisecond
+	// witnessGuardInterval is how often the witness is looked at while responses are in progress.
+	witnessGuardInterval = 50 * time.Millisecond
+	// minWitnessLife is the least time that a server leaves an idle connection open. If one ends sooner, the server
+	// has no room for it, and the next one is opened after witnessPause.
+	minWitnessLife, witnessPause = 300 * time.Millisecond, time.Second
 	// unframedMemory is how long after a response without a length a server is expected to send another.
 	unframedMemory = 10 * time.Second
 )
@@ -57,7 +64,7 @@
 
 // requireConfirmedEnd makes the end of the response an error unless it is confirmed, if it is that of the connection.
 func (r *Response) requireConfirmedEnd(ctx context.Context) {
-	// The end of a connection with TLS is signed.
+	// Only of a socket the kernel tells whether it has ended.
 	if !r.EndsWithConnection() || r.conn.socket() == nil {
 		return
 	}
@@ -71,13 +78,18 @@
 	s.unframedAt = now
 	s.mu.Unlock()
 	s.recordOpen(now)
-	r.Body = &confirmedBody{ReadCloser: r.Body, confirm: func() error { return r.conn.confirmEnd(ctx) }}
+	within := answerEndTime
+	if strings.HasPrefix(r.Header.Get("Content-Type"), "text/event-stream") {
+		within = streamEndTime
+	}
+	r.Body = &confirmedBody{ReadCloser: r.Body, confirm: func() error { return r.conn.confirmEnd(ctx, within) }}
 }
 
-// confirmEnd returns an error unless the server's process is known to have outlived the connection, which has
-// ended.
-func (c *conn) confirmEnd(ctx context.Context) error {
+// confirmEnd closes the connection, which has ended, and returns an error unless the server's process is known to
+// have outlived it by the given time.
+func (c *conn) confirmEnd(ctx context.Context, within time.Duration) error {
 	s := c.pool
+	_ = c.Close() // The server has room for another connection now.
 	witnesses, sufficient := s.witnesses(c)
 	if !sufficient {
 		// The response was over before a witness was there. One that is opened after it does not tell a server that was
@@ -86,7 +98,7 @@
 			witnesses = append(witnesses, w)
 		}
 	}
-	deadline := time.NewTimer(processEndTime)
+	deadline := time.NewTimer(within)
 	defer deadline.Stop()
 	tick := time.NewTicker(witnessCheckInterval)
 	defer tick.Stop()
@@ -100,7 +112,11 @@
 // awaitWitness returns the witness, after it was opened if there is none, or nil if that fails. It is called while
 // a response is watched.
 func (s *serverPool) awaitWitness(ctx context.Context) *conn {
-	s.renewWitness(time.Now())
+	now := time.Now()
+	s.mu.Lock()
+	s.noWitnessUntil = now
+	s.mu.Unlock()
+	s.renewWitness(now)
 	tick := time.NewTicker(witnessCheckInterval)
 	defer tick.Stop()
 	for {
@@ -159,10 +175,59 @@
 func (s *serverPool) watch() {
 	s.mu.Lock()
 	s.watching++
+	if !s.guarding {
+		s.guarding = true
+		go s.guardWitness()
+	}
 	s.mu.Unlock()
 	s.renewWitness(time.Now())
 }
 
+// guardWitness replaces the witness before it expires, or once it has ended, until no response is watched.
+func (s *serverPool) guardWitness() {
+	tick := time.NewTicker(witnessGuardInterval)
+	defer tick.Stop()
+	for now := range tick.C {
+		s.mu.Lock()
+		if s.watching == 0 {
+			s.guarding = false
+			s.mu.Unlock()
+			return
+		}
+		if s.witness != nil && !s.witness.isOpen() {
+			s.witnessEnded(now)
+		}
+		former := s.witness
+		s.mu.Unlock()
+		s.renewWitness(now)
+		s.mu.Lock()
+		replaced := s.witness != former
+		s.mu.Unlock()
+		if replaced {
+			s.recordOpen(time.Now())
+		}
+	}
+}
+
+// witnessEnded is called with s.mu held. Either the process has ended, or it has closed the witness as idle, or has no room
+// for it.
+func (s *serverPool) witnessEnded(now time.Time) {
+	ended := s.witness
+	s.witness = nil
+	go func() { _ = ended.Close() }() // Close locks s.mu.
+	lived := now.Sub(ended.idleSince)
+	if lived >= minWitnessLife {
+		s.witnessLife = lived
+		return
+	}
+	s.noWitnessUntil = now.Add(witnessPause)
+	for c := range s.conns {
+		if c.isOpen() {
+			c.hasWitness = false // It shows nothing of the process of c.
+		}
+	}
+}
+
 // hasWitnessSince reports whether the witness was opened before at. It is called with s.mu held: another exchange may have
 // opened it since at.
 func (s *serverPool) hasWitnessSince(at time.Time) bool {
@@ -207,37 +272,43 @@
 	return open, c.hasWitness
 }
 
-// witnessLimit returns how many connections may be open with a witness: one more than for requests.
+// witnessLimit returns how many connections may be open with a witness: no more than for requests, but two at least.
 func (s *serverPool) witnessLimit() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.maxConnections == 0 {
 		return 0
 	}
-	return s.maxConnections + 1
+	return max(2, s.maxConnections)
 }
 
-// lastsUntilSweep reports whether an idle connection is open, and does not expire before the next sweep can replace it as
-// a witness and retire it.
-func (c *conn) lastsUntilSweep(now time.Time) bool {
-	return now.Sub(c.idleSince) < c.idleTimeout-sweepInterval-retirementTime && c.isOpen()
+// isLastingWitness reports whether an idle connection is open and less than half of the time old after which the
+// server closes it. It is called with s.mu held.
+func (s *serverPool) isLastingWitness(c *conn, now time.Time) bool {
+	life := c.idleTimeout
+	if s.witnessLife > 0 {
+		life = min(life, s.witnessLife)
+	}
+	return now.Sub(c.idleSince) < life/2 && c.isOpen()
 }
 
-// renewWitness takes an idle connection as the witness, or opens one, if one is needed and none lasts until the
-// next sweep.
+// renewWitness takes an idle connection as the witness, or opens one, if one is needed and there is none that lasts.
 func (s *serverPool) renewWitness(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.watching == 0 || s.openingWitness || s.witness != nil && s.witness.lastsUntilSweep(now) {
+	if s.watching == 0 || s.openingWitness || s.witness != nil && s.isLastingWitness(s.witness, now) {
 		return
 	}
 	for i, c := range slices.Backward(s.idle) {
-		if c.lastsUntilSweep(now) {
+		if s.isLastingWitness(c, now) {
 			s.idle = slices.Delete(s.idle, i, i+1)
 			s.replaceWitness(c)
 			return
 		}
 	}
+	if now.Before(s.noWitnessUntil) {
+		return
+	}
 	s.openingWitness = true
 	go s.openWitness()
 }
@@ -249,7 +320,7 @@
 	s.mu.Lock()
 	s.openingWitness = false
 	if err != nil {
-		s.mu.Unlock() // Without a witness no end is confirmed.
+		s.mu.Unlock() // Other responses in progress may show as much.
 		return
 	}
 	c.idleTimeout, c.idleSince = defaultIdleTimeout, time.Now()
@@ -262,20 +333,24 @@
 	s.recordOpen(time.Now())
 }
 
-// retirementTime is how long a former witness is kept: responses that ended before its successor was opened, and
-// whose ends are looked at until processEndTime later, have no other.
-const retirementTime = 3 * processEndTime
+// retirementTime is how long a former witness is kept from requests: responses that ended before its successor was
+// opened, and whose ends are looked at until streamEndTime later, have no other.
+const retirementTime = 2 * streamEndTime
 
-// replaceWitness is called with s.mu held. The former witness is about to expire.
+// replaceWitness is called with s.mu held.
 func (s *serverPool) replaceWitness(w *conn) {
 	if former := s.witness; former != nil {
-		time.AfterFunc(processEndTime, func() { s.succeed(former, w) })
-		time.AfterFunc(retirementTime, func() { _ = former.Close() })
+		time.AfterFunc(streamEndTime, func() { s.succeed(former, w) })
+		time.AfterFunc(retirementTime, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.idle = append(s.idle, former)
+		})
 	}
 	s.witness = w
 }
 
-// succeed makes w a witness of all ends of which former is one, if former is still open processEndTime after w was
+// succeed makes w a witness of all ends of which former is one, if former is still open streamEndTime after w was
 // opened: then both lead to the same process.
 func (s *serverPool) succeed(former, w *conn) {
 	s.mu.Lock()
--- a/internal/backend/ends_test.go
+++ b/internal/backend/ends_test.go
@@ -317,3 +317,67 @@
 		wg.Wait()
 	}
 }
+
+// Guards against whole responses that count as cut since their server closes idle connections soon, or takes few
+// connections and resets others.
+func TestServersThatCloseWitnessesSoonAreWatched(t *testing.T) {
+	const idle = time.Second
+	for _, limit := range []int64{0, 2} {
+		var open atomic.Int64
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = l.Close() }()
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				if limit > 0 && open.Load() >= limit {
+					_ = c.(*net.TCPConn).SetLinger(0)
+					_ = c.Close()
+					continue
+				}
+				open.Add(1)
+				go func() {
+					defer open.Add(-1)
+					defer func() { _ = c.Close() }()
+					_ = c.SetReadDeadline(time.Now().Add(idle))
+					r, err := http.ReadRequest(bufio.NewReader(c))
+					if err != nil {
+						return
+					}
+					lasts, _ := time.ParseDuration(r.URL.Path[1:])
+					_, _ = io.WriteString(c, unframedHead+"a")
+					time.Sleep(lasts)
+					_, _ = io.WriteString(c, "b")
+				}()
+			}
+		}()
+		s := &unframedServer{listener: l}
+		pool := newRunningPool(t)
+		if _, err := s.get(t, pool, "/1.5s"); err != nil { // The first shows for how long.
+			t.Errorf("limit %d, the first response: %v", limit, err)
+		}
+		var wg sync.WaitGroup
+		for i := range 40 {
+			if limit > 0 && i >= 8 {
+				break
+			}
+			get := func() {
+				lasts := time.Duration(50*i) * time.Millisecond
+				if body, err := s.get(t, pool, "/"+lasts.String()); body != "ab" || err != nil {
+					t.Errorf("limit %d, %v: read %q, %v", limit, lasts, body, err)
+				}
+			}
+			if limit > 0 {
+				get()
+			} else {
+				wg.Go(get)
+			}
+		}
+		wg.Wait()
+	}
+}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -66,6 +66,11 @@
 	watching       int
 	witness        *conn
 	openingWitness bool
+	// guarding is set while guardWitness runs. witnessLife is after how long the server closed an idle connection
+	// last, or 0. No witness is opened until noWitnessUntil.
+	guarding       bool
+	witnessLife    time.Duration
+	noWitnessUntil time.Time
 }
 
 // NewPool returns an empty Pool.
@@ -251,10 +256,8 @@
 		}
 		clear(s.idle[len(kept):])
 		s.idle = kept
-		empty := s.openConns == len(expired)
+		empty := s.openConns == len(expired) && !s.openingWitness
 		s.mu.Unlock()
-		s.renewWitness(now)
-		s.recordOpen(time.Now())
 		for _, c := range expired {
 			_ = c.Close()
 		}
