soak: Kill server processes while they answer

The soak's backend servers were goroutines behind proxies, so that none of them ended as a killed process does: its kernel closes all connections in order.

kqsoak server runs one backend server as a process, to which routers connect directly. It answers without a length, in chunks and with a length, slowly enough that responses are open at a kill, and writes a record of each run to a pipe before the first byte of the response, so that the ledger has all runs. The report has a line on kills.

--- a/cmd/kqsoak/main.go
+++ b/cmd/kqsoak/main.go
@@ -1,7 +1,7 @@
 // Command kqsoak injects faults into a fleet of kqplatform processes on loopback and
 // checks the guarantees of the system. Its exit code is not 0 if one was violated. Its
 // subcommands directory and router run such a process on a disk, or with a path to the backend
-// servers, that injects faults on demand.
+// servers, that injects faults on demand; server runs a backend server.
 package main
 
 import (
@@ -55,6 +55,9 @@
 	router.Description = "runs a router whose path to the servers is cut as $" + soak.PathControlEnv + " says"
 	flaggy.AttachSubcommand(directory, 1)
 	flaggy.AttachSubcommand(router, 1)
+	server := flaggy.NewSubcommand("server")
+	server.Description = "runs a backend server as $" + soak.ServerEnv + " says, until its input ends"
+	flaggy.AttachSubcommand(server, 1)
 	flaggy.Parse()
 	switch {
 	case directory.Used:
@@ -70,6 +73,9 @@
 			return platform.RunRouter(path, toServers.Dial, stop, nil, out)
 		})
 		return
+	case server.Used:
+		runServer()
+		return
 	}
 	if directories < 3 || routers < 1 || servers < 1 || clients < 1 || changeBytes < 1<<10 || seeds < 1 || seconds < 1 {
 		fmt.Fprintln(os.Stderr, "kqsoak: at least 3 directories, 1 of each other and a change of 1 KB are needed")
@@ -81,15 +87,16 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
+	executable, err := os.Executable()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "kqsoak:", err)
+		os.Exit(errkind.ExitFailed)
+	}
 	if processes == "" {
-		var err error
-		if processes, err = os.Executable(); err != nil {
-			fmt.Fprintln(os.Stderr, "kqsoak:", err)
-			os.Exit(errkind.ExitFailed)
-		}
+		processes = executable
 	}
 	conf := soak.Config{
-		SoakBinary: processes, Previous: previous,
+		SoakBinary: processes, ServerBinary: executable, Previous: previous,
 		FaultDuration: time.Duration(seconds) * time.Second, Directories: directories, Routers: routers, Servers: servers, Clients: clients,
 		ChangeBytes: changeBytes, Out: os.Stdout, Release: release,
 	}
@@ -129,6 +136,16 @@
 	}
 }
 
+func runServer() {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM)
+	signal.Ignore(syscall.SIGINT) // The parent ends it.
+	if err := soak.RunServer(os.Stdin, os.Stdout, stop); err != nil {
+		fmt.Fprintln(os.Stderr, "kqsoak:", err)
+		os.Exit(errkind.ExitFailed)
+	}
+}
+
 // maxPrintedViolations limits how many violations are printed for each seed.
 const maxPrintedViolations = 20
 
@@ -147,6 +164,7 @@
 		conf.Seed, r.Faults, r.Served, r.Refused, r.Failed, r.Rollouts, r.Departures, r.Evacuations, r.AcknowledgedVersion, r.RecoveryTime.Round(time.Millisecond), len(r.Violations))
 	fmt.Printf("  streams: %s\n", r.Streams)
 	fmt.Printf("  responses: %s\n", r.Deliveries)
+	fmt.Printf("  kills: %s\n", r.Kills)
 	return conclude(conf, r.Violations, remove)
 }
 
