Have another router confirm the end of a stream that it continues

Callers whose router hands their requests off saw a resumed stream end early and as whole: the other router ends it without an event if two servers knew of nothing, and what it says was believed for a client's own resumption. The other router may have the release before, so its check cannot be relied on.

A router now asks the other one to go on from one event earlier where numbers are consecutive, and drops that event; the stream is whole if it ends after it. One of the release before relays the event, since it counts as new to it. A request that one of the release before hands off names the client's last event; the router that takes it over confirms the end at servers itself. The event 0 stands for the beginning.

The header comes with the first event of the other router, which may be one that the client has. It is kept now: the release before panicked on the next event, since it had no status. The header of a stream without an event is sent once its end is confirmed, so that the client is answered 502 otherwise.

--- a/internal/forward/earlier_test.go
+++ b/internal/forward/earlier_test.go
@@ -76,6 +76,50 @@
 
 func text(id string) string { return "id: " + id + "\ndata: piece\n\n" }
 
+// Guards against a router of the release before that ends a stream as whole since two servers knew of nothing
+// that was left: another router is always asked for the last event again.
+func TestARouterOfTheReleaseBeforeDoesNotEndAStream(t *testing.T) {
+	for name, tc := range map[string]struct {
+		last   string
+		events []string
+		// asked is the event after which the other router is to go on, relayed what the client is sent.
+		asked, relayed string
+		whole          bool
+	}{
+		"nothing":                 {"3", nil, "2", "", false},
+		"nothing after the first": {"1", nil, "0", "", false},
+		"the last event again":    {"3", []string{text("3")}, "2", "", true},
+		"the first event again":   {"1", []string{text("1")}, "0", "", true},
+		"goes on":                 {"3", []string{text("3"), text("4")}, "2", text("4"), true},
+		"an earlier event":        {"3", []string{text("2")}, "2", "", false},
+		"a later event":           {"3", []string{text("5")}, "2", "", false},
+	} {
+		for _, within := range []bool{false, true} {
+			peers := &fakeRouter{events: tc.events}
+			x, w := newResumption(t, peers, tc.last, within)
+			res, ok := x.handOff()
+			if !within && (tc.whole || tc.relayed != "") != x.headerSent {
+				t.Errorf("%s: a header was sent: %t", name, x.headerSent)
+			}
+			if !ok || (res.err == nil) != tc.whole || w.Body.String() != tc.relayed {
+				t.Errorf("%s, within one response %t: handed off %t, error %v, relayed %q, want %q, whole: %t", name, within, ok, res.err, w.Body, tc.relayed, tc.whole)
+			}
+			if peers.asked != tc.asked {
+				t.Errorf("%s, within one response %t: the other router was asked for what follows event %q, want %q", name, within, peers.asked, tc.asked)
+			}
+		}
+	}
+}
+
+// Guards against a refusal of a client's resumption, relayed from another router, that is cut since no event came.
+func TestAResponseThatIsNoStreamIsRelayedForAResumption(t *testing.T) {
+	peers := &fakeRouter{plain: "no such stream"}
+	x, w := newResumption(t, peers, "3", false)
+	if res, ok := x.handOff(); !ok || res.err != nil || w.Body.String() != peers.plain {
+		t.Errorf("handed off %t, error %v, relayed %q", ok, res.err, w.Body)
+	}
+}
+
 // Guards against asking for an event that may not exist: only where ids are consecutive numbers is the one before
 // the last known.
 func TestTheEventBeforeIsAskedForOnlyIfItIsKnown(t *testing.T) {
--- a/internal/forward/handoff.go
+++ b/internal/forward/handoff.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -136,19 +137,27 @@
 	}
 	x.handedOffTo = append(x.handedOffTo, address)
 	x.f.opts.Metrics.Counter("forward.handoff.handed_off").Inc(1)
+	// The other router may have the release before, which believes that nothing is left if two servers say so. So it
+	// is always asked for the last event.
+	x.asksEarlier = x.canAskEarlier()
 	sentAt, check := time.Now(), x.newContinuity()
+	var head handoff.Part
 	res := peers.Do(x.ctx, address, x.handoffRequest(), func(p handoff.Part) error {
 		if p.Header != nil {
 			x.recordRemoteNotice(p, sentAt)
+			head = p
 		}
+		p.Status, p.Header = head.Status, head.Header // The first part may be an event that the client has.
 		return x.receivePart(p, check)
 	})
 	x.f.peers.Done(address, res.PeerFailed, time.Now())
-	if res.Err == nil {
-		// Routers of earlier releases do not check it.
-		if err := check.end(); !errors.Is(err, errNothingLeft) || x.eventsSent > 0 {
+	if res.Err == nil && head.Header != nil && !isWhole(head) {
+		if err := check.end(); !errors.Is(err, errNothingLeft) || x.eventsSent > 0 || x.asksEarlier {
 			res.Err = err
 		}
+		if res.Err == nil {
+			x.writeHeader(&http.Response{StatusCode: head.Status, Header: head.Header})
+		}
 	}
 	out := x.handoffResult(res)
 	if out.err != nil {
@@ -204,12 +213,18 @@
 	req.TimeoutMs = uint32(max(1, time.Until(x.deadline).Milliseconds()))
 	req.Revision, req.Sends, req.Excluded = x.view.Revision, uint32(x.sends), x.sentTo
 	req.LastEventId, req.OriginService, req.OriginVersion = x.lastEventID, x.origin.Service, x.origin.Version
+	if x.asksEarlier {
+		req.LastEventId = strconv.FormatUint(max(1, positionAfter(x.lastID()).last)-1, 10)
+	}
 	return req
 }
 
+// isWhole reports whether the part is a response that is no stream.
+func isWhole(p handoff.Part) bool { return p.Header.Get("Content-Length") != "" }
+
 // receivePart relays one part of another router's response to the client.
 func (x *exchange) receivePart(p handoff.Part, check *continuity) error {
-	whole := p.Header.Get("Content-Length") != ""
+	whole := isWhole(p)
 	reserve := func() error { return x.reserveEvent(len(p.Data)) }
 	if whole {
 		reserve = func() error { return x.reserveResponse(int64(len(p.Data))) }
@@ -224,8 +239,7 @@
 	case whole:
 		return x.writeResponse(&bufferedResponse{status: p.Status, header: p.Header, body: p.Data})
 	case len(p.Data) == 0:
-		x.writeHeader(&http.Response{StatusCode: p.Status, Header: p.Header})
-		return nil
+		return nil // The header of a stream without an event is sent once that is known to have ended.
 	}
 	event := parseEvent(p.Data)
 	if isNew, err := check.isNew(event); err != nil || !isNew {
