Do not believe one server that nothing is left where ids are no numbers

A stream whose ids are no numbers ended as whole, for a client that resumed it and within a response, as soon as one server knew of nothing that was left: the check of the end looked at numbers only.

Such an end is now treated as with numbers that are not consecutive: another server is asked, a client is told so if a second one says the same or none can be asked, and a response that has events is cut. The event before the last is not known there, so that it can't be asked for.

--- a/internal/forward/continuity.go
+++ b/internal/forward/continuity.go
@@ -38,12 +38,14 @@
 	// last is the number of the last event; valid if known is set.
 	last  uint64
 	known bool
+	// named is set if there is an event with an id, which may be no number.
+	named bool
 }
 
 // positionAfter returns the position after the event with an id.
 func positionAfter(id string) position {
 	n, err := strconv.ParseUint(id, 10, 64)
-	return position{last: n, known: err == nil}
+	return position{last: n, known: err == nil, named: id != ""}
 }
 
 // streamEvent is one event of a stream.
@@ -113,7 +115,7 @@
 // client has, and errNothingLeft if it wrote none at all.
 func (c *continuity) end() error {
 	switch {
-	case c.joined || !c.after.known || c.read.known && c.read.last == c.after.last:
+	case c.joined || !c.after.named || c.read.known && c.read.last == c.after.last:
 		return nil
 	case c.read.known:
 		return errkind.New(errkind.StreamBroken, "the stream ended with event %d, before event %d", c.read.last, c.after.last)
