Do not pass events without an id on again that come before the last one

A server that goes on too early, or is asked for the last event again, also writes events without an id that stand between those with one. They were passed on, so that a client got them twice, although the events with an id around them were dropped.

Until the server has written the client's last event, events without an id are dropped. If that one does not come and the next one does, it is not known whether the client has them, and the server counts as one that goes on wrongly.

--- a/internal/forward/continuity.go
+++ b/internal/forward/continuity.go
@@ -74,11 +74,16 @@
 	numbering *numbering
 	// after is the position at which the server is to go on; not known for a new stream.
 	after position
+	// fromEarlier is set if the server was asked to go on one event earlier, to write the last one that the
+	// client has again.
+	fromEarlier bool
 	// read is the position of the server, and joined is set once an event was new.
 	read   position
 	joined bool
-	// unnumbered is set once an event without a number had data.
+	// unnumbered is set once a new event without a number had data.
 	unnumbered bool
+	// skipped is set once an event with data and without a number was dropped.
+	skipped bool
 }
 
 // isNew reports whether the client does not have the event yet. It returns an error if events are
@@ -86,6 +91,10 @@
 func (c *continuity) isNew(e streamEvent) (bool, error) {
 	at := positionAfter(e.id)
 	if !at.known {
+		if c.isBehind() {
+			c.skipped = c.skipped || e.hasData
+			return false, nil
+		}
 		c.unnumbered = c.unnumbered || e.hasData
 		return true, nil
 	}
@@ -100,6 +109,9 @@
 		return false, nil
 	case c.joined && previous.known:
 		c.numbering.record(previous.last, at.last)
+	case c.skipped && !c.joined && !(previous.known && previous.last == c.after.last):
+		// Whether the client has what was dropped is known only if its last event came after that.
+		return false, errkind.New(errkind.StreamBroken, "event %d follows an event without an id, and event %d does not come before it", at.last, c.after.last)
 	case !c.joined && c.after.known && at.last != c.after.last+1 && c.numbering.isConsecutive():
 		return false, errkind.New(errkind.StreamBroken, "event %d follows event %d", at.last, c.after.last)
 	}
@@ -107,6 +119,14 @@
 	return true, nil
 }
 
+// isBehind reports whether the server is still to write events that the client has.
+func (c *continuity) isBehind() bool {
+	if !c.after.known || c.joined {
+		return false
+	}
+	return c.read.known && c.read.last < c.after.last || c.fromEarlier && !c.read.known
+}
+
 // errNothingLeft means that a server ended the continuation of a stream without an event. The stream had
 // ended before it broke, or the server does not know how it goes on.
 var errNothingLeft = errkind.New(errkind.StreamBroken, "the stream ended without an event after the last one that the client has")
--- a/internal/forward/continuity_test.go
+++ b/internal/forward/continuity_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 )
 
@@ -17,7 +18,7 @@
 		for attempt := 0; attempt < 4; attempt++ {
 			c := continuity{numbering: numbering}
 			if has > 0 {
-				c.after = positionAfter(fmt.Sprint(has))
+				c.after, c.fromEarlier = positionAfter(fmt.Sprint(has)), rng.IntN(2) == 0
 			}
 			// The server writes some consecutive events, often not those asked for.
 			from, count, whole := has+1, rng.IntN(5), rng.IntN(2) == 0
@@ -90,3 +91,41 @@
 		}
 	}
 }
+
+// Guards against events without an id that a client is sent twice: a server that writes the last event again writes
+// what comes before it again, too.
+func TestEventsWithoutAnIDBeforeTheLastOneAreNotPassedOnAgain(t *testing.T) {
+	const unnumbered = "data: x\n\n"
+	for name, tc := range map[string]struct {
+		fromEarlier bool
+		texts, want string
+		// whole is set if the stream ends as whole, broken if an event is missing.
+		whole, broken bool
+	}{
+		"the last one again":          {true, unnumbered + text("3") + unnumbered, unnumbered, true, false},
+		"from the first event":        {false, text("1") + unnumbered + text("3") + unnumbered + text("4"), unnumbered + text("4"), true, false},
+		"goes on":                     {false, unnumbered + text("4"), unnumbered + text("4"), true, false},
+		"no event with an id":         {false, unnumbered, unnumbered, true, false},
+		"no event with an id, again":  {true, unnumbered, "", false, false},
+		"an earlier one, then none":   {true, text("2") + unnumbered, "", false, false},
+		"nothing but a comment again": {true, ": still there\n\n", "", false, false},
+		"the last one is left out":    {true, unnumbered + text("4"), "", false, true},
+		"it is left out later":        {false, text("2") + unnumbered + text("4"), "", false, true},
+	} {
+		c := continuity{numbering: &numbering{}, after: positionAfter("3"), fromEarlier: tc.fromEarlier}
+		got, broken := "", false
+		for _, e := range strings.SplitAfter(tc.texts, "\n\n") {
+			if e == "" {
+				continue
+			}
+			isNew, err := c.isNew(parseEvent([]byte(e)))
+			broken = broken || err != nil
+			if isNew {
+				got += e
+			}
+		}
+		if whole := !broken && c.end() == nil; broken != tc.broken || got != tc.want || whole != tc.whole {
+			t.Errorf("%s: passed on %q, whole %t, broken %t, want %q, %t, %t", name, got, whole, broken, tc.want, tc.whole, tc.broken)
+		}
+	}
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -142,7 +142,7 @@
 // newContinuity returns the check of what the next server, or router, writes: the client has the
 // events of this response, or those up to the one that its request names.
 func (x *exchange) newContinuity() *continuity {
-	return &continuity{numbering: x.f.numberingOf(x.service), after: positionAfter(x.lastID())}
+	return &continuity{numbering: x.f.numberingOf(x.service), after: positionAfter(x.lastID()), fromEarlier: x.asksEarlier}
 }
 
 func (x *exchange) writeEvent(resp *http.Response, event streamEvent) error {
