Calls with TLS: the end of a connection is no end of a stream

Cause: crypto/tls reports the end of a connection without a close-notify, as a killed process leaves it, as io.EOF if it comes between two records. That was kept as the cause of later failures, and a receive that met "use of closed network connection" returned the cause, io.EOF. With the generated clients the first send meets it, which is an error anyway.

Change: such an end is kept as io.ErrUnexpectedEOF, and a receive passes on the io.EOF of the stream itself.

--- a/internal/rpc/cause.go
+++ b/internal/rpc/cause.go
@@ -21,7 +21,12 @@
 func (c *failureConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if err != nil {
-		c.failure.CompareAndSwap(nil, &err)
+		failure := err
+		if errors.Is(err, io.EOF) {
+			// TLS reports the end of a connection at the end of a record as one in order, signed or not.
+			failure = errors.Wrap(io.ErrUnexpectedEOF, "the connection ended")
+		}
+		c.failure.CompareAndSwap(nil, &failure)
 	}
 	return n, err
 }
@@ -66,7 +71,11 @@
 	return s.raw.cause(s.Stream.MsgSend(m, enc))
 }
 
-// MsgRecv implements drpc.Stream.
+// MsgRecv implements drpc.Stream. It returns io.EOF only if the other side has ended the stream.
 func (s causeStream) MsgRecv(m drpc.Message, enc drpc.Encoding) error {
-	return s.raw.cause(s.Stream.MsgRecv(m, enc))
+	err := s.Stream.MsgRecv(m, enc)
+	if errors.Is(err, io.EOF) {
+		return err // The connection may have ended after that.
+	}
+	return s.raw.cause(err)
 }
