Handed-off requests: test that a plain answer is complete only once the other router says so

The router that took a request over may be killed after the answer and before the message that ends it; the kernel then ends the connection in order. Streams that end so after any byte were tested, plain answers were not.

--- a/internal/handoff/cut_test.go
+++ b/internal/handoff/cut_test.go
@@ -102,6 +102,45 @@
 	}
 }
 
+// Guards against a plain answer that was handed off and counts as complete, or as not run, although the process of the
+// other router was killed before it said so: the kernel ends its connection in order, after any byte.
+func TestAPlainAnswerThatIsCutAtAnyByteIsNotComplete(t *testing.T) {
+	const text = "the whole answer"
+	var ran atomic.Int64
+	_, address, _ := startServer(t, func(w http.ResponseWriter, r *Request) (int, bool, error) {
+		ran.Add(1)
+		r.Server = func() (string, int64) { return "s", 7 }
+		w.Header().Set("Content-Length", fmt.Sprint(len(text)))
+		w.WriteHeader(http.StatusOK)
+		_, err := io.WriteString(w, text)
+		return r.Sends + 1, true, err
+	})
+	cut, whole := 0, false
+	for limit := int64(0); !whole && limit < 1000; limit++ {
+		path := startCutPath(t, address, limit, false)
+		dialer := rpc.NewFleetDialer()
+		before, body := ran.Load(), ""
+		res := (&Client{Router: "r", Dialer: dialer}).Do(t.Context(), path, newRequest(), func(p Part) error {
+			body += string(p.Data)
+			return nil
+		})
+		_ = dialer.Close()
+		switch {
+		case res.Err == nil && body != text:
+			t.Fatalf("cut after %d bytes: complete with %q", limit, body)
+		case res.Err == nil:
+			whole = true
+		case !res.MayHaveRun && ran.Load() > before:
+			t.Errorf("cut after %d bytes: %v, said not to have run although it has", limit, res.Err)
+		default:
+			cut++
+		}
+	}
+	if cut < len(text) || !whole {
+		t.Errorf("%d cuts were seen, whole after them: %t", cut, whole)
+	}
+}
+
 // Guards against responses that are cut or fail because one part is long: an event of 1 MiB, a
 // response of 8 MiB.
 func TestLongPartsArriveWhole(t *testing.T) {
