--- a/internal/trace/record.go
+++ b/internal/trace/record.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/standin"
@@ -125,9 +126,11 @@
 	dec := json.NewDecoder(bufio.NewReader(r))
 	dec.DisallowUnknownFields()
 	var out []Record
-	for dec.More() {
+	for {
 		var rec Record
-		if err := dec.Decode(&rec); err != nil {
+		if err := dec.Decode(&rec); errors.Is(err, io.EOF) {
+			return out, nil
+		} else if err != nil {
 			return nil, errkind.Wrap(err, errkind.BadRequest, "trace record %d", len(out)+1)
 		}
 		if n := len(out); n > 0 && rec.AtMs < out[n-1].AtMs {
@@ -135,7 +138,6 @@
 		}
 		out = append(out, rec)
 	}
-	return out, nil
 }
 
 // ReadFile reads the records from a file.
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"io"
 	"reflect"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/kumquathollow/kumquathollow/internal/standin"
@@ -115,3 +117,18 @@
 		}
 	}
 }
+
+// Guards against a trace that cannot be read to its end and is replayed as if its beginning were all of it.
+func TestATraceThatCannotBeReadIsAnError(t *testing.T) {
+	var text bytes.Buffer
+	if err := Write(&text, Generate(Profiles()["maracas"], 1)[:3]); err != nil {
+		t.Fatal(err)
+	}
+	records := bytes.SplitAfter(text.Bytes(), []byte("\n"))
+	if _, err := Read(io.MultiReader(bytes.NewReader(records[0]), iotest.ErrReader(io.ErrClosedPipe))); err == nil {
+		t.Error("a trace that fails after its first record was read as whole")
+	}
+	if got, err := Read(&text); err != nil || len(got) != 3 {
+		t.Errorf("%d records, %v, want 3", len(got), err)
+	}
+}
