Look for other servers only where a stream is resumed

Each request, of any route, looked through the servers of its service for another one before it was sent, though only a resumption needs that. It is looked for last now, and not at all without an id. Found by review; not measured.

--- a/internal/forward/resumption.go
+++ b/internal/forward/resumption.go
@@ -28,6 +28,9 @@
 // one that does not know it. The event before it is known only where ids are consecutive numbers.
 func (x *exchange) canAskEarlier() bool {
 	id := x.lastID()
+	if id == "" {
+		return false
+	}
 	at := positionAfter(id)
 	return at.known && strconv.FormatUint(at.last, 10) == id && (at.last > 0 || x.lastEventID != "") && x.f.numberingOf(x.service).isConsecutive()
 }
@@ -36,8 +39,8 @@
 // set. That is the last one that the client has or, if the stream may have ended with it, the one before. The last
 // server that can be asked is always asked from there, since no other one could confirm what it says.
 func (x *exchange) resumeAfter(picked *placement.PickResult) (id string, ok bool) {
-	isLast := x.sends+1 >= x.route.MaxAttempts || !x.hasOther(picked)
-	x.asksEarlier = (x.mayHaveEnded || isLast && !x.brokeInside) && x.canAskEarlier()
+	isLast := func() bool { return x.sends+1 >= x.route.MaxAttempts || !x.hasOther(picked) }
+	x.asksEarlier = x.canAskEarlier() && (x.mayHaveEnded || !x.brokeInside && isLast())
 	switch at := positionAfter(x.lastID()); {
 	case x.asksEarlier && at.last > 1:
 		return strconv.FormatUint(at.last-1, 10), true
