Do not take a later process for the server of a response that was read late

The router was paused for 1.6 s, in which the server was killed and another process took its address and id; it read head, event and end at once, opened a connection since it had no witness, and took the new process for the old one.

A connection that is opened after the end counts only if the end came within the last 100 ms, by the kernel's time of the last packet, and no later incarnation is known at the server's id or address. The new test fails without either.

A witness that was being opened when a response ended could meet the limit of connections, to which that response still counted; it is opened once more then.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -93,18 +93,37 @@
 	return raw
 }
 
-// isOpen reports whether neither side has ended the connection, also if bytes are left to read.
-func (c *conn) isOpen() bool {
+// tcpInfo returns what the kernel knows of the connection, or nil if that cannot be asked.
+func (c *conn) tcpInfo() *unix.TCPInfo {
 	raw := c.socket()
 	if raw == nil || c.closed.Load() {
-		return false
+		return nil
 	}
-	open := false
+	var info *unix.TCPInfo
 	err := raw.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		open = err == nil && info.State == unix.BPF_TCP_ESTABLISHED
+		if got, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			info = got
+		}
 	})
-	return err == nil && open
+	if err != nil {
+		return nil
+	}
+	return info
+}
+
+// isOpen reports whether neither side has ended the connection, also if bytes are left to read.
+func (c *conn) isOpen() bool {
+	info := c.tcpInfo()
+	return info != nil && info.State == unix.BPF_TCP_ESTABLISHED
+}
+
+// sinceReceived returns how long ago the last packet was received, which was the end if the connection has ended.
+func (c *conn) sinceReceived() time.Duration {
+	info := c.tcpInfo()
+	if info == nil {
+		return 0
+	}
+	return time.Duration(info.Last_ack_recv) * time.Millisecond
 }
 
 // reusable reports whether an idle connection is still open and has received no
--- a/internal/backend/ends.go
+++ b/internal/backend/ends.go
@@ -28,6 +28,9 @@
 	// minWitnessLife is the least time that a server leaves an idle connection open. If one ends sooner, the server
 	// has no room for it, and the next one is opened after witnessPause.
 	minWitnessLife, witnessPause = 300 * time.Millisecond, time.Second
+	// maxLateRead is how long after its end a response may be read for a connection that is opened then to show
+	// anything: a router that was stopped, or is overloaded, may find another process at the address.
+	maxLateRead = 100 * time.Millisecond
 	// unframedMemory is how long after a response without a length a server is expected to send another.
 	unframedMemory = 10 * time.Second
 )
@@ -89,9 +92,10 @@
 // have outlived it by the given time.
 func (c *conn) confirmEnd(ctx context.Context, within time.Duration) error {
 	s := c.pool
+	isLate := c.sinceReceived() > maxLateRead
 	_ = c.Close() // The server has room for another connection now.
 	witnesses, sufficient := s.witnesses(c)
-	if !sufficient {
+	if !sufficient && !isLate {
 		// The response was over before a witness was there. One that is opened after it does not tell a server that was
 		// replaced at its address within that moment.
 		if w := s.awaitWitness(ctx); w != nil {
@@ -103,6 +107,9 @@
 	tick := time.NewTicker(witnessCheckInterval)
 	defer tick.Stop()
 	confirmed, err := outlast(ctx, witnesses, tick.C, deadline.C)
+	if !sufficient && s.pool.opts.IsReplaced != nil {
+		confirmed = confirmed && !s.pool.opts.IsReplaced(Target{ID: s.id, Address: s.address})
+	}
 	if err == nil && !confirmed {
 		err = errkind.Wrap(ErrEndUnconfirmed, errkind.BackendLost, "server %q", s.id)
 	}
@@ -112,26 +119,32 @@
 // awaitWitness returns the witness, after it was opened if there is none, or nil if that fails. It is called while
 // a response is watched.
 func (s *serverPool) awaitWitness(ctx context.Context) *conn {
-	now := time.Now()
 	s.mu.Lock()
-	s.noWitnessUntil = now
+	s.noWitnessUntil = time.Time{}
 	s.mu.Unlock()
-	s.renewWitness(now)
 	tick := time.NewTicker(witnessCheckInterval)
 	defer tick.Stop()
-	for {
-		s.mu.Lock()
-		w, opening := s.witness, s.openingWitness
-		s.mu.Unlock()
-		if !opening {
-			return w
-		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
+	// One that was being opened may have met the limit of connections, which the response counted towards.
+	for range 2 {
+		s.renewWitness(time.Now())
+		for {
+			s.mu.Lock()
+			w, opening := s.witness, s.openingWitness
+			s.mu.Unlock()
+			if w != nil && w.isOpen() {
+				return w
+			}
+			if !opening {
+				break
+			}
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-tick.C:
+			}
 		}
 	}
+	return nil
 }
 
 // outlast reports whether a witness is open until after the deadline. It looks at them at each tick.
--- a/internal/backend/ends_test.go
+++ b/internal/backend/ends_test.go
@@ -381,3 +381,40 @@
 		wg.Wait()
 	}
 }
+
+// Guards against an answer that was over at once, is read late, since the router was stopped, and passes for whole
+// although its server ended with it: another process has the address by then, or is known to.
+func TestAnAnswerThatIsReadLateNeedsAWitness(t *testing.T) {
+	for name, tc := range map[string]struct {
+		late            time.Duration
+		replaced, sound bool
+	}{
+		"read at once":              {0, false, true},
+		"read late":                 {3 * maxLateRead, false, false},
+		"known to have a successor": {0, true, false},
+	} {
+		s := newUnframedServer(t, func(_ string, c net.Conn) { _, _ = io.WriteString(c, unframedHead+"part") })
+		pool := newRunningPool(t)
+		pool.opts.IsReplaced = func(got Target) bool { return tc.replaced && got == s.target() }
+		resp, err := pool.Do(t.Context(), s.target(), &Request{Method: http.MethodGet, Target: "/", Host: "h"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		first := resp.conn
+		if tc.late > 0 {
+			for first.isOpen() {
+				time.Sleep(time.Millisecond)
+			}
+			// No witness was there when the answer ended.
+			pool.poolFor(s.target()).mu.Lock()
+			first.hasWitness, first.openAt = false, first.openedAt
+			pool.poolFor(s.target()).mu.Unlock()
+			time.Sleep(tc.late)
+		}
+		_, err = io.ReadAll(resp.Body)
+		resp.Close()
+		if tc.sound != (err == nil) || err != nil && !errors.Is(err, ErrEndUnconfirmed) {
+			t.Errorf("%s: %v, want a whole answer: %t", name, err, tc.sound)
+		}
+	}
+}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -42,6 +42,9 @@
 	// OnOpen is called for each connection that is opened, and OnFailure for each that could
 	// not be; nil if nothing is to be called.
 	OnOpen, OnFailure func()
+	// IsReplaced reports whether a later incarnation is known at the id or address of a target; nil if nothing
+	// is known of incarnations.
+	IsReplaced func(t Target) bool
 	// Dial opens connections; nil means TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -120,7 +120,10 @@
 		Decode: adapter.Decode, Fleet: r.fleet, Log: log.Named("fleet"), HandoffAddress: r.handoffAddress,
 	})
 	opened, failed := r.metrics.Counter("backend.connections_opened"), r.metrics.Counter("backend.connections_failed")
-	r.pool = backend.NewPool(backend.Options{OnOpen: func() { opened.Inc(1) }, OnFailure: func() { failed.Inc(1) }, Dial: adapter.DialServer})
+	r.pool = backend.NewPool(backend.Options{
+		OnOpen: func() { opened.Inc(1) }, OnFailure: func() { failed.Inc(1) }, Dial: adapter.DialServer,
+		IsReplaced: func(t backend.Target) bool { return forward.IsReplaced(r.fleet, t) },
+	})
 	r.metrics.Gauge("backend.cut_off", func() int64 {
 		if r.fleet.CutOff() {
 			return 1
--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/kumquathollow/kumquathollow/internal/backend"
@@ -82,3 +83,10 @@
 func serverTarget(s *placement.Server) backend.Target {
 	return backend.Target{ID: s.ID + "/" + strconv.FormatInt(s.Born, 10), Address: s.Address}
 }
+
+// IsReplaced reports whether the fleet knows a later incarnation at the id or address of a target of this package.
+func IsReplaced(fleet *placement.Fleet, t backend.Target) bool {
+	i := strings.LastIndexByte(t.ID, '/')
+	born, err := strconv.ParseInt(t.ID[i+1:], 10, 64)
+	return err == nil && fleet.HasLaterIncarnation(t.ID[:max(0, i)], t.Address, born)
+}
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -85,6 +85,16 @@
 
 func (l *peerLoads) forServer(s *Server) int { return l.inFlight[uint32(s.hash)] }
 
+// HasLaterIncarnation reports whether a server is known that was born later and has the id or the address.
+func (f *Fleet) HasLaterIncarnation(id, address string, born int64) (found bool) {
+	for _, p := range *f.pools.Load() {
+		p.forEachServer(func(s *Server) {
+			found = found || s.Born > born && (s.ID == id || s.Address == address)
+		})
+	}
+	return found
+}
+
 // NewFleet returns an empty Fleet for the named router in the data centre.
 func NewFleet(router, dataCentre string, bounds Bounds) *Fleet {
 	f := &Fleet{routerHash: routing.Hash(router), dataCentre: dataCentre, bounds: bounds, byID: map[string]*Server{}, departed: map[incarnation]*notices{}, replacedVersions: map[serviceVersion]time.Time{}, refusals: map[string]*serviceRefusals{}, rankings: map[string]*ranking{}}
