--- a/internal/dispatch/cut_test.go
+++ b/internal/dispatch/cut_test.go
@@ -13,9 +13,9 @@
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 )
 
-// startCutEngine returns the address of a server that answers calls with the first limit bytes of the response and then
-// ends its connection in order, as the kernel does for a killed process. limit and response may change between calls.
-// Requests for the rest of a stream get the first restLimit bytes of rest.
+// cutEngine is a server that answers calls with the first limit bytes of the response and then ends its connection in
+// order, as the kernel does for a killed process. limit and response may change between calls. Requests for the rest of
+// a stream get the first restLimit bytes of rest.
 type cutEngine struct {
 	address string
 
