Decode JSON values to the end in one place

trace.Read and the replay's ledgers and events decoded values until the end of their input in the same way, which had to be mended in both.

--- a/internal/replay/player.go
+++ b/internal/replay/player.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"os"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/dghubble/sling"
 
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
@@ -143,27 +141,13 @@
 	case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
 		return nil, errkind.New(errkind.Internal, "ledger %s: the response has no length, so a truncation could not be detected", u)
 	}
-	entries, err := decodeAll[standin.Entry](resp.Body)
+	entries, err := trace.DecodeLines[standin.Entry](json.NewDecoder(resp.Body))
 	if err != nil {
 		return nil, errkind.Wrap(err, errkind.Internal, "ledger %s, entry %d", u, len(entries)+1)
 	}
 	return entries, nil
 }
 
-// decodeAll decodes JSON values until the end of r.
-func decodeAll[T any](r io.Reader) (out []T, err error) {
-	dec := json.NewDecoder(r)
-	for {
-		var v T
-		if err := dec.Decode(&v); errors.Is(err, io.EOF) {
-			return out, nil
-		} else if err != nil {
-			return out, err
-		}
-		out = append(out, v)
-	}
-}
-
 // readEvents reads the events file. It returns no events if path is empty.
 func readEvents(path string) ([]Event, error) {
 	if path == "" {
@@ -174,7 +158,7 @@
 		return nil, errkind.Wrap(err, errkind.InvalidSettings, "open events file")
 	}
 	defer func() { _ = f.Close() }()
-	out, err := decodeAll[Event](f)
+	out, err := trace.DecodeLines[Event](json.NewDecoder(f))
 	if err != nil {
 		return nil, errkind.Wrap(err, errkind.InvalidSettings, "decode events file, event %d", len(out)+1)
 	}
--- a/internal/trace/record.go
+++ b/internal/trace/record.go
@@ -125,18 +125,29 @@
 func Read(r io.Reader) ([]Record, error) {
 	dec := json.NewDecoder(bufio.NewReader(r))
 	dec.DisallowUnknownFields()
-	var out []Record
+	out, err := DecodeLines[Record](dec)
+	for n := 1; n < len(out); n++ {
+		if out[n].AtMs < out[n-1].AtMs {
+			return nil, errkind.New(errkind.BadRequest, "trace record %d is out of order: it is earlier than the previous record", n+1)
+		}
+	}
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.BadRequest, "trace record %d", len(out)+1)
+	}
+	return out, nil
+}
+
+// DecodeLines decodes JSON values until the end of the decoder's input. An end inside of a value, and a
+// failure to read, are errors, with which the values before are returned.
+func DecodeLines[T any](dec *json.Decoder) (out []T, err error) {
 	for {
-		var rec Record
-		if err := dec.Decode(&rec); errors.Is(err, io.EOF) {
+		var v T
+		if err := dec.Decode(&v); errors.Is(err, io.EOF) {
 			return out, nil
 		} else if err != nil {
-			return nil, errkind.Wrap(err, errkind.BadRequest, "trace record %d", len(out)+1)
-		}
-		if n := len(out); n > 0 && rec.AtMs < out[n-1].AtMs {
-			return nil, errkind.New(errkind.BadRequest, "trace record %d is out of order: it is earlier than the previous record", n+1)
+			return out, err
 		}
-		out = append(out, rec)
+		out = append(out, v)
 	}
 }
 
