--- a/internal/dispatch/early_test.go
+++ b/internal/dispatch/early_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/kumquathollow/kumquathollow/internal/config"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/httpheader"
 )
 
 // blockingBodyBytes is more than the socket buffers of both ends hold.
@@ -38,7 +39,7 @@
 			return
 		}
 		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: %s\r\nTransfer-Encoding: chunked\r\n%s: %s\r\n\r\n9\r\ndata: 1\n\n\r\n",
-			eventStreamType, HeaderAttempt, req.Header.Get(HeaderAttempt))
+			httpheader.EventStream, HeaderAttempt, req.Header.Get(HeaderAttempt))
 		time.Sleep(100 * time.Millisecond) // The router relays the event meanwhile.
 		got, err := io.ReadAll(req.Body)
 		if err == nil && string(got) != body {
@@ -68,7 +69,7 @@
 	goOn := make(chan struct{})
 	rig := newRig(t, backend(t, func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
-		w.Header().Set("Content-Type", eventStreamType)
+		w.Header().Set("Content-Type", httpheader.EventStream)
 		_, _ = io.WriteString(w, "data: 1\n\n")
 		w.(http.Flusher).Flush()
 		<-goOn
@@ -97,7 +98,7 @@
 				return
 			}
 			_, _ = io.Copy(io.Discard, req.Body)
-			head := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: %s\r\n%s: %s\r\n", eventStreamType, HeaderAttempt, req.Header.Get(HeaderAttempt))
+			head := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: %s\r\n%s: %s\r\n", httpheader.EventStream, HeaderAttempt, req.Header.Get(HeaderAttempt))
 			if rest, ok := strings.CutPrefix(req.URL.Path, "/v1/streams/"); ok {
 				fmt.Fprintf(conn, "%s%s: %s\r\n\r\ndata: 2\n\n", head, HeaderStream, rest)
 				return
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -20,7 +19,6 @@
 	streamBufferBytes = 1 << 10
 	resumeBackoff     = 50 * time.Millisecond
 	maxResumeBackoff  = time.Second
-	eventStreamType   = "text/event-stream"
 )
 
 var eventEnd = []byte("\n\n")
@@ -28,7 +26,7 @@
 var streamBuffers = sync.Pool{New: func() any { b := make([]byte, streamBufferBytes); return &b }}
 
 func isEventStream(resp *http.Response) bool {
-	return resp.StatusCode == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), eventStreamType)
+	return resp.StatusCode == http.StatusOK && httpheader.IsEventStream(resp.Header)
 }
 
 // streamForwarder relays a server's stream to the client.
--- a/internal/dispatch/stream_test.go
+++ b/internal/dispatch/stream_test.go
@@ -11,6 +11,7 @@
 	"testing"
 
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/httpheader"
 )
 
 func TestStreamIsContinuedByteForByte(t *testing.T) {
@@ -118,7 +119,7 @@
 		address := backend(t, func(w http.ResponseWriter, r *http.Request) {
 			w.Header().Set(HeaderStream, r.Header.Get(HeaderRequestID))
 			if r.Method != http.MethodGet {
-				w.Header().Set("Content-Type", eventStreamType)
+				w.Header().Set("Content-Type", httpheader.EventStream)
 				_, _ = io.WriteString(w, "data: half\n\n")
 				w.(http.Flusher).Flush()
 				panic(http.ErrAbortHandler)
@@ -128,7 +129,7 @@
 				w.Header().Set(HeaderStream, "other")
 			}
 			if answer.stream {
-				w.Header().Set("Content-Type", eventStreamType)
+				w.Header().Set("Content-Type", httpheader.EventStream)
 			}
 			w.WriteHeader(answer.status)
 			if answer.status != http.StatusNoContent {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -87,9 +87,9 @@
 		return x.invalidResponse("the successful response of server %q does not name the request or is not signed", picked.ID)
 	case impliesNotExecuted(resp.StatusCode):
 		return x.invalidResponse("server %q responded with status %d but did not state that it did not run the request", picked.ID, resp.StatusCode)
-	case x.lastEventID != "" && (resp.StatusCode != http.StatusOK || !isEventStream(resp.Header)):
+	case x.lastEventID != "" && (resp.StatusCode != http.StatusOK || !httpheader.IsEventStream(resp.Header)):
 		return x.streamNotContinued(picked, resp)
-	case resp.StatusCode < 300 && isEventStream(resp.Header):
+	case resp.StatusCode < 300 && httpheader.IsEventStream(resp.Header):
 		return x.forwardStream(picked, resp)
 	}
 	return x.forwardResponse(picked, resp, info)
@@ -116,10 +116,6 @@
 	return context.WithTimeout(x.ctx, min(remaining, max(minAttemptTimeout, attemptTimeoutFactor*x.route.Target)))
 }
 
-func isEventStream(h http.Header) bool {
-	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
-}
-
 func (x *exchange) backendTarget(picked *placement.PickResult) backend.Target {
 	target := serverTarget(picked.Server)
 	if n := x.service.MaxConnections; n > 0 {
--- a/internal/httpheader/httpheader.go
+++ b/internal/httpheader/httpheader.go
@@ -69,3 +69,11 @@
 	}
 	return n + 2
 }
+
+// EventStream is the media type of a stream of server-sent events.
+const EventStream = "text/event-stream"
+
+// IsEventStream reports whether a response with the header is a stream of server-sent events.
+func IsEventStream(h http.Header) bool {
+	return strings.HasPrefix(h.Get("Content-Type"), EventStream)
+}
