--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -44,10 +44,10 @@
 	// hasResponded is set once a response other than an interim one was received.
 	hasResponded bool
 	// openedAt is when the connection was opened, or an earlier time at which the process that it leads to is known to
-	// have run. openAt is when the connection was last known to be open, during an exchange. hasWitness is set if there was
+	// have run. seenOpenAt is when the connection was last known to be open, during an exchange. hasWitness is set if there was
 	// a witness by then. All three are guarded by the pool's mutex.
-	openedAt, openAt time.Time
-	hasWitness       bool
+	openedAt, seenOpenAt time.Time
+	hasWitness           bool
 }
 
 // newConn wraps a connection. The end of a response without a length is that of its connection, which is
--- a/internal/backend/ends_test.go
+++ b/internal/backend/ends_test.go
@@ -72,7 +72,7 @@
 }
 
 func (s *unframedServer) target() Target {
-	return Target{ID: "s/1", Address: s.listener.Addr().String()}
+	return Target{ID: "s", Born: 1, Address: s.listener.Addr().String()}
 }
 
 // newRunningPool returns a pool whose sweeps run until the test ends.
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -29,7 +29,7 @@
 // Pool is a pool of connections to backend servers.
 type Pool struct {
 	mu      sync.Mutex
-	servers map[string]*serverPool
+	servers map[incarnation]*serverPool
 	opts    Options
 	// startedAt is when the pool was made, and heardAt when a byte was last received from any
 	// server, as the time since then.
@@ -52,8 +52,9 @@
 // serverPool holds the idle connections to one incarnation of a backend server, and
 // the number of all open ones.
 type serverPool struct {
-	pool        *Pool
-	id, address string
+	pool *Pool
+	incarnation
+	address string
 
 	mu   sync.Mutex
 	idle []*conn
@@ -84,7 +85,7 @@
 			return dialer.DialContext(ctx, "tcp", address)
 		}
 	}
-	return &Pool{servers: map[string]*serverPool{}, opts: opts, startedAt: time.Now()}
+	return &Pool{servers: map[incarnation]*serverPool{}, opts: opts, startedAt: time.Now()}
 }
 
 func (p *Pool) recordHeard() { p.heardAt.Store(int64(time.Since(p.startedAt))) }
@@ -102,10 +103,17 @@
 	s.mu.Unlock()
 }
 
+// incarnation names one incarnation of a backend server: a server may start again under its id.
+type incarnation struct {
+	id   string
+	born int64
+}
+
 // Target is one incarnation of a backend server.
 type Target struct {
-	// ID distinguishes incarnations at the same address.
+	// ID is the server's id, and Born the start of the incarnation in Unix milliseconds.
 	ID      string
+	Born    int64
 	Address string
 	// MaxConnections limits this router's connections to the backend server; 0 means
 	// no limit.
@@ -115,10 +123,11 @@
 func (p *Pool) poolFor(t Target) *serverPool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.servers[t.ID]
+	key := incarnation{t.ID, t.Born}
+	s := p.servers[key]
 	if s == nil || s.address != t.Address {
-		s = &serverPool{pool: p, id: t.ID, address: t.Address, conns: map[*conn]bool{}}
-		p.servers[t.ID] = s
+		s = &serverPool{pool: p, incarnation: key, address: t.Address, conns: map[*conn]bool{}}
+		p.servers[key] = s
 	}
 	return s
 }
@@ -128,9 +137,6 @@
 // sent.
 func (p *Pool) get(ctx context.Context, t Target, nonIdempotent bool) (c *conn, opened bool, err error) {
 	s := p.poolFor(t)
-	s.mu.Lock()
-	s.maxConnections = t.MaxConnections
-	s.mu.Unlock()
 	if c = s.takeIdle(nonIdempotent, time.Now()); c == nil {
 		if c, err = s.open(ctx, t.MaxConnections); err != nil {
 			return nil, false, err
@@ -246,7 +252,7 @@
 func (p *Pool) closeExpired(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for id, s := range p.servers {
+	for key, s := range p.servers {
 		s.mu.Lock()
 		var expired []*conn
 		kept := s.idle[:0]
@@ -265,7 +271,7 @@
 			_ = c.Close()
 		}
 		if empty && len(kept) == 0 {
-			delete(p.servers, id)
+			delete(p.servers, key)
 		}
 	}
 }
--- a/internal/backend/witnesses_test.go
+++ b/internal/backend/witnesses_test.go
@@ -205,7 +205,7 @@
 			}
 			// No witness was there when the answer ended.
 			pool.poolFor(s.target()).mu.Lock()
-			first.hasWitness, first.openAt = false, first.openedAt
+			first.hasWitness, first.seenOpenAt = false, first.openedAt
 			pool.poolFor(s.target()).mu.Unlock()
 			time.Sleep(tc.late)
 		}
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -122,7 +122,7 @@
 	opened, failed := r.metrics.Counter("backend.connections_opened"), r.metrics.Counter("backend.connections_failed")
 	r.pool = backend.NewPool(backend.Options{
 		OnOpen: func() { opened.Inc(1) }, OnFailure: func() { failed.Inc(1) }, Dial: adapter.DialServer,
-		IsReplaced: func(t backend.Target) bool { return forward.IsReplaced(r.fleet, t) },
+		IsReplaced: func(t backend.Target) bool { return r.fleet.HasLaterIncarnation(t.ID, t.Address, t.Born) },
 	})
 	r.metrics.Gauge("backend.cut_off", func() int64 {
 		if r.fleet.CutOff() {
--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/kumquathollow/kumquathollow/internal/backend"
@@ -81,12 +79,5 @@
 
 // serverTarget returns the target for connections to a server, without a limit of their number.
 func serverTarget(s *placement.Server) backend.Target {
-	return backend.Target{ID: s.ID + "/" + strconv.FormatInt(s.Born, 10), Address: s.Address}
-}
-
-// IsReplaced reports whether the fleet knows a later incarnation at the id or address of a target of this package.
-func IsReplaced(fleet *placement.Fleet, t backend.Target) bool {
-	i := strings.LastIndexByte(t.ID, '/')
-	born, err := strconv.ParseInt(t.ID[i+1:], 10, 64)
-	return err == nil && fleet.HasLaterIncarnation(t.ID[:max(0, i)], t.Address, born)
+	return backend.Target{ID: s.ID, Born: s.Born, Address: s.Address}
 }
