Responses that their server stops at its deadline are not whole

Callers saw streams and answers that ended as whole before their last piece, as late as their deadline.

Cause: a server stops work at the time that it was sent, and may end its response in sound framing. The router counts the same time from nearly the same instant, and tells the server whole milliseconds only, so that the server's end comes before the router's own deadline.

Change: internal/deadline knows when the server may stop at the earliest: its time-out after the instant before the request is written, less 5 ms and a thousandth for rounding and fast clocks. From then on the end of a body without a Content-Length is an error of kind backend-timeout. A stream is cut, or answered 504 before its first event; a plain response is answered 504; no other server is asked. It is counted (forward.ends.at_deadline), and the line of a request says what the server was told and what was left.

--- /dev/null
+++ b/internal/backend/deadline_ends_test.go
@@ -0,0 +1,65 @@
+package backend
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/kumquathollow/kumquathollow/internal/deadline"
+)
+
+// Guards against responses that their server stops at its deadline and that pass for whole, and against whole ones that
+// end before it, or whose length is known, and do not.
+func TestAResponseThatEndsAtItsServersDeadlineIsNotWhole(t *testing.T) {
+	const timeout, early = 700 * time.Millisecond, 330 * time.Millisecond
+	s := newUnframedServer(t, func(path string, c net.Conn) {
+		lasts := timeout
+		if strings.HasSuffix(path, "/early") {
+			lasts -= early
+		}
+		switch stop := time.Now().Add(lasts); {
+		case strings.HasPrefix(path, "/chunked"):
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n")
+			time.Sleep(time.Until(stop))
+			_, _ = io.WriteString(c, "0\r\n\r\n")
+		case strings.HasPrefix(path, "/length"):
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 4\r\n\r\npar")
+			time.Sleep(time.Until(stop))
+			_, _ = io.WriteString(c, "t")
+		default:
+			_, _ = io.WriteString(c, unframedHead+"part")
+			time.Sleep(time.Until(stop))
+		}
+	})
+	pool := newRunningPool(t)
+	var wg sync.WaitGroup
+	for path, whole := range map[string]bool{
+		"/chunked": false, "/unframed": false, "/length": true,
+		"/chunked/early": true, "/unframed/early": true, "/length/early": true,
+	} {
+		for range 10 {
+			wg.Go(func() {
+				ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+				defer cancel()
+				resp, err := pool.Do(ctx, s.target(), &Request{Method: http.MethodGet, Target: path, Host: "h", Timeout: timeout})
+				if err != nil {
+					t.Errorf("%s: %v", path, err)
+					return
+				}
+				defer resp.Close()
+				body, err := resp.ReadAll(100, func(int64) error { return nil })
+				if whole && (err != nil || string(body) != "part") || !whole && !errors.Is(err, deadline.ErrEnd) {
+					t.Errorf("%s: read %q, %v, want whole %t", path, body, err, whole)
+				}
+			})
+		}
+	}
+	wg.Wait()
+}
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/kumquathollow/kumquathollow/internal/deadline"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 )
 
@@ -29,6 +30,8 @@
 	// NonIdempotent requests may run only once, so they are not sent on connections
 	// that the backend server may be about to close.
 	NonIdempotent bool
+	// Timeout is how long the server may work on the request, as its headers say; 0 if they say nothing.
+	Timeout time.Duration
 	// ReserveHead is called before the head of a response takes n more bytes of memory than a
 	// usual one. An error ends the exchange. nil means that the memory is not limited.
 	ReserveHead func(n int64) error
@@ -37,6 +40,9 @@
 // Response is a response whose header has been read. Close must be called.
 type Response struct {
 	*http.Response
+	// Deadline is that of the server. The end of a body without a Content-Length is an error of cause deadline.ErrEnd
+	// if the server may have stopped work there.
+	Deadline deadline.Server
 	// Opened is set if a connection was opened for the request.
 	Opened    bool
 	pool      *Pool
@@ -87,6 +93,7 @@
 	if resp.longBody = len(r.Body) > receiveBufferBytes; resp.longBody {
 		c.allowLateReader()
 	}
+	resp.Deadline = deadline.NewServer(time.Now(), r.Timeout)
 	resp.written = c.writeRequest(r)
 	resp.Response, err = c.readResponse(r)
 	if err != nil {
@@ -95,6 +102,9 @@
 		return nil, errkind.Wrap(err, errkind.BackendLost, "the connection to server %q failed before a response was received", t.ID)
 	}
 	c.updateIdleTimeout(resp.Header)
+	if resp.Body != http.NoBody {
+		resp.Body = resp.Deadline.Body(resp.Body, resp.ContentLength)
+	}
 	resp.requireConfirmedEnd(ctx)
 	return resp, nil
 }
@@ -212,6 +222,8 @@
 		case errors.Is(err, io.EOF):
 			r.bodyRead = true
 			return body, nil
+		case errors.Is(err, deadline.ErrEnd):
+			return nil, err
 		case err != nil:
 			return nil, errkind.Wrap(err, errkind.BackendLost, "reading the response body failed after %d bytes", len(body))
 		case int64(len(body)) > limit:
--- /dev/null
+++ b/internal/deadline/deadline.go
@@ -0,0 +1,86 @@
+// Package deadline tells the end of a response that a server has completed from that of one that it has
+// stopped at the deadline that its request named. Both may be framed alike: see docs/design/deadline-ends.md.
+package deadline
+
+import (
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
+)
+
+const (
+	// earlyTime is how much too early a server may stop: it may count whole milliseconds, of its clock or of the
+	// time that is left.
+	earlyTime = 5 * time.Millisecond
+	// clockRatio times the deadline is how much earlier a server stops whose clock gains one part in clockRatio on
+	// the router's. Clocks that are disciplined gain at most half of that.
+	clockRatio = 1000
+)
+
+// ErrEnd is the cause of the error that takes the place of the end of a response at its server's deadline.
+var ErrEnd = errors.New("the server ended the response at the deadline that it was sent, where it stops work, so that the response may lack its end")
+
+// Server is the deadline that a request names to its server. The zero value is none.
+type Server struct {
+	sentAt  time.Time
+	timeout time.Duration
+}
+
+// NewServer returns the deadline of a server that was told a time-out. sentAt is before the first byte of the
+// request was sent, so that the server does not stop sooner than timeout after it.
+func NewServer(sentAt time.Time, timeout time.Duration) Server {
+	return Server{sentAt: sentAt, timeout: timeout}
+}
+
+// Timeout returns the time-out that the server was told; 0 if none.
+func (s Server) Timeout() time.Duration { return s.timeout }
+
+// Left returns how much of the time-out is left at now, or less: the server has received the request later than it
+// was sent.
+func (s Server) Left(now time.Time) time.Duration { return s.sentAt.Add(s.timeout).Sub(now) }
+
+// CheckEnd returns an error if a response that ended at endedAt, and whose framing does not tell its length, may have been
+// stopped.
+func (s Server) CheckEnd(endedAt time.Time) error {
+	if s.timeout <= 0 || s.Left(endedAt) > earlyTime+s.timeout/clockRatio {
+		return nil
+	}
+	return errkind.Wrap(ErrEnd, errkind.BackendTimeout, "the response ended %s after its request with a time-out of %s", endedAt.Sub(s.sentAt).Round(time.Millisecond), s.timeout)
+}
+
+// Body returns a body that fails instead of ending if the server may have stopped it. length is that of the response,
+// as in net/http: of one whose length is known, the end shows.
+func (s Server) Body(body io.ReadCloser, length int64) io.ReadCloser {
+	if s.timeout <= 0 || length >= 0 {
+		return body
+	}
+	return &checkedBody{ReadCloser: body, server: s}
+}
+
+type checkedBody struct {
+	io.ReadCloser
+	server Server
+	// end is the error of reads after the end.
+	end error
+}
+
+// Read implements io.Reader.
+func (b *checkedBody) Read(p []byte) (int, error) {
+	if b.end != nil {
+		return 0, b.end
+	}
+	n, err := b.ReadCloser.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if b.end = b.server.CheckEnd(time.Now()); b.end == nil {
+		b.end = io.EOF
+	}
+	if n > 0 {
+		return n, nil
+	}
+	return 0, b.end
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -7,7 +7,10 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/kumquathollow/kumquathollow/internal/backend"
+	"github.com/kumquathollow/kumquathollow/internal/deadline"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/httpheader"
 	"github.com/kumquathollow/kumquathollow/internal/placement"
@@ -65,7 +68,7 @@
 	}
 	defer resp.Close()
 	x.sends++
-	x.unframed = resp.EndsWithConnection()
+	x.unframed, x.serverDeadline = resp.EndsWithConnection(), resp.Deadline
 	if resp.Opened {
 		picked.RecordOpened()
 	}
@@ -133,7 +136,7 @@
 	httpheader.CopyEndToEnd(h, x.r.Header, "")
 	delete(h, "Content-Length")
 	o := BackendHeaders{
-		Instance: picked.ID, Timeout: x.deadline.Sub(now), Priority: x.route.Priority,
+		Instance: picked.ID, Timeout: max(time.Millisecond, x.deadline.Sub(now).Truncate(time.Millisecond)), Priority: x.route.Priority,
 	}
 	o.LastEventID, o.HasLastEventID = x.resumeAfter(picked)
 	if x.workspace != nil {
@@ -153,7 +156,7 @@
 	return &backend.Request{
 		Method: x.r.Method, Target: target, Host: x.r.Host, Header: h, Body: x.body,
 		HasBody: x.r.ContentLength != 0 || x.r.Header.Get("Content-Length") != "",
-		ID:      x.requestInfo.ID, IDHeader: x.f.opts.Protocol.IDHeader(), NonIdempotent: !x.route.Idempotent(),
+		ID:      x.requestInfo.ID, IDHeader: x.f.opts.Protocol.IDHeader(), NonIdempotent: !x.route.Idempotent(), Timeout: o.Timeout,
 		ReserveHead: x.reserveHead,
 	}
 }
@@ -255,7 +258,7 @@
 func (x *exchange) forwardResponse(picked *placement.PickResult, resp *backend.Response, info ResponseInfo) attemptResult {
 	body, err := resp.ReadAll(maxResponseBytes, x.reserveResponse)
 	if err != nil {
-		return attemptResult{err: err, sent: true, mayHaveRun: true, retryable: true, outcome: placement.Failure}
+		return attemptResult{err: err, sent: true, mayHaveRun: true, retryable: !errors.Is(err, deadline.ErrEnd), outcome: placement.Failure}
 	}
 	if !resp.Framed() && !info.Signed {
 		return x.invalidResponse("the response of server %q has neither a length nor a signature", picked.ID)
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/kumquathollow/kumquathollow/internal/catalog"
+	"github.com/kumquathollow/kumquathollow/internal/deadline"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/fleetview"
 	"github.com/kumquathollow/kumquathollow/internal/handoff"
@@ -95,6 +96,8 @@
 	lastPicked *placement.PickResult
 	// unframed is set if the last server's response has no length.
 	unframed bool
+	// serverDeadline is that of the last server that responded.
+	serverDeadline deadline.Server
 	// counted is the attempt that runs, if the service has a running rollout.
 	counted *rollout.Attempt
 }
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -8,6 +8,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/kumquathollow/kumquathollow/internal/backend"
+	"github.com/kumquathollow/kumquathollow/internal/deadline"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/placement"
 )
@@ -45,6 +46,9 @@
 	if x.unframed {
 		fields = append(fields, "without-length", true)
 	}
+	if timeout := x.serverDeadline.Timeout(); timeout > 0 {
+		fields = append(fields, "server-timeout", timeout, "server-left", x.serverDeadline.Left(time.Now()).Round(time.Microsecond))
+	}
 	if err != nil {
 		fields = append(fields, "error", err)
 	}
@@ -107,6 +111,7 @@
 	if errors.Is(res.err, backend.ErrEndUnconfirmed) {
 		f.opts.Metrics.Counter("forward.ends.unconfirmed").Inc(1)
 	}
+	f.countEnd(res.err)
 	suppressed, ok := f.sampler.Allow("attempt "+string(kind), time.Now())
 	if !ok {
 		return
@@ -116,10 +121,18 @@
 		"left", time.Until(x.deadline).Round(time.Millisecond), "error", res.err, "left-out", suppressed)
 }
 
+// countEnd counts an end of a response that its server may have stopped at its deadline.
+func (f *Forwarder) countEnd(err error) {
+	if errors.Is(err, deadline.ErrEnd) {
+		f.opts.Metrics.Counter("forward.ends.at_deadline").Inc(1)
+	}
+}
+
 // logFailedHandoff counts and logs that another router did not produce the client's response.
 func (f *Forwarder) logFailedHandoff(x *exchange, address string, res attemptResult) {
 	kind := errkind.Of(res.err)
 	f.opts.Metrics.Counter("forward.handoff." + string(kind)).Inc(1)
+	f.countEnd(res.err)
 	suppressed, ok := f.sampler.Allow("handoff "+string(kind), time.Now())
 	if !ok {
 		return
--- a/internal/forward/protocol.go
+++ b/internal/forward/protocol.go
@@ -39,7 +39,7 @@
 	// Instance is the id of the only backend server incarnation that may run the
 	// request.
 	Instance string
-	// Timeout is how long the backend server may work on the request.
+	// Timeout is how long the backend server may work on the request, in whole milliseconds.
 	Timeout time.Duration
 	// Workspace is the workspace that owns the client's API key, or empty.
 	Workspace string
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -13,6 +13,7 @@
 
 	"github.com/kumquathollow/kumquathollow/internal/backend"
 	"github.com/kumquathollow/kumquathollow/internal/catalog"
+	"github.com/kumquathollow/kumquathollow/internal/deadline"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/httpheader"
 	"github.com/kumquathollow/kumquathollow/internal/placement"
@@ -225,6 +226,9 @@
 func (x *exchange) streamBroken(picked *placement.PickResult, cause error) attemptResult {
 	res := attemptResult{sent: true, mayHaveRun: true, retryable: true, outcome: placement.Failure}
 	switch {
+	case errors.Is(cause, deadline.ErrEnd):
+		res.err = errkind.Wrap(cause, errkind.BackendTimeout, "server %q ended the stream after %d events", picked.ID, x.eventsSent)
+		res.retryable = false // No time is left.
 	case errors.Is(x.ctx.Err(), context.DeadlineExceeded):
 		res.err = errkind.Wrap(cause, errkind.BackendTimeout, "the deadline passed after %d stream events; the last attempt was at server %q", x.eventsSent, picked.ID)
 	case x.ctx.Err() != nil:
