Handed-off responses that end at the deadline are not whole

Change: the router that handed the request off applies the same rule to the time-out that it told the other router. A whole answer is checked too, as nothing tells whether its server sent a length.

--- a/internal/forward/handoff.go
+++ b/internal/forward/handoff.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/kumquathollow/kumquathollow/api/handoffpb"
+	"github.com/kumquathollow/kumquathollow/internal/deadline"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/handoff"
 	"github.com/kumquathollow/kumquathollow/internal/httpheader"
@@ -140,12 +141,21 @@
 	// The other router may have the release before, which believes that nothing is left if two servers say so. So it
 	// is always asked for the last event.
 	x.asksEarlier = x.canAskEarlier()
-	sentAt, check := time.Now(), x.newContinuity()
+	check := x.newContinuity()
 	var head handoff.Part
-	res := peers.Do(x.ctx, address, x.handoffRequest(), func(p handoff.Part) error {
+	req, sentAt := x.handoffRequest(), time.Now()
+	// The other router may have the release before, to which a server's stop at its deadline is an end. That is no
+	// sooner than its time-out after the request to it.
+	server := deadline.NewServer(sentAt, time.Duration(req.TimeoutMs)*time.Millisecond)
+	res := peers.Do(x.ctx, address, req, func(p handoff.Part) error {
 		if p.Header != nil {
 			x.recordRemoteNotice(p, sentAt)
 			head = p
+			if isWhole(p) {
+				if err := server.CheckEnd(time.Now()); err != nil {
+					return err
+				}
+			}
 		}
 		p.Status, p.Header = head.Status, head.Header // The first part may be an event that the client has.
 		return x.receivePart(p, check)
@@ -155,6 +165,9 @@
 		if err := check.end(); !errors.Is(err, errNothingLeft) || x.eventsSent > 0 || x.asksEarlier {
 			res.Err = err
 		}
+		if res.Err == nil {
+			res.Err = server.CheckEnd(res.EndedAt)
+		}
 		if res.Err == nil {
 			x.writeHeader(&http.Response{StatusCode: head.Status, Header: head.Header})
 		}
--- a/internal/handoff/client.go
+++ b/internal/handoff/client.go
@@ -43,6 +43,8 @@
 	Sends int
 	// MayHaveRun is set unless it is known that no backend server ran the request.
 	MayHaveRun bool
+	// EndedAt is when the other router told that the response is complete; zero if it did not.
+	EndedAt time.Time
 	// PeerFailed is set if the router itself, and not a backend server, is the cause.
 	PeerFailed bool
 }
@@ -80,11 +82,12 @@
 		case resp.Failure != nil:
 			return failureResult(resp.Failure, address)
 		case resp.Complete:
+			endedAt := time.Now()
 			// The end of the call lets the connection be used again.
 			timer := time.AfterFunc(endTimeout, cancel)
 			defer timer.Stop()
 			_, _ = stream.Recv() // It has no more messages; an error only costs the connection.
-			return Result{Sends: int(req.Sends) + 1, MayHaveRun: true}
+			return Result{Sends: int(req.Sends) + 1, MayHaveRun: true, EndedAt: endedAt}
 		}
 		part := Part{Status: int(resp.Status), Data: resp.Data}
 		if resp.Status != 0 {
