Declared fleets: responses that end at their server's deadline are not whole

Callers of declared fleets saw what callers of the platform saw: a stream or an answer in chunks that its server stopped at X-Kq-Deadline-Ms was told to be completed, and that of a request with an idempotency key was recorded so.

A stream that the server has continued for its router ends at the deadline of its run as well.

Change: the same rule (internal/deadline), from the instant at which the first byte of the request was about to be sent. No other server is asked, and a stream is not continued. Counted as dispatch.ends_at_deadline.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -6,10 +6,12 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/kumquathollow/kumquathollow/internal/deadline"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 )
 
@@ -23,7 +25,11 @@
 	// startExpired is set if the permit's start window had passed when the first
 	// byte was about to be sent.
 	startExpired bool
-	result       RunResult
+	// serverTimeout is how long the server may work, as it was told; 0 if it was told nothing. startedAt is when the
+	// first byte was about to be sent.
+	serverTimeout time.Duration
+	startedAt     atomic.Pointer[time.Time]
+	result        RunResult
 }
 
 func newAttempt(x *exchange, p Permit) *attempt {
@@ -39,9 +45,18 @@
 // whether it may be sent.
 func (r *attempt) tryStart() bool {
 	r.startExpired = r.permit.Start() != nil
+	now := time.Now()
+	r.startedAt.Store(&now)
 	return !r.startExpired
 }
 
+// checkEnd makes the end of a response an error if the server may have stopped work there.
+func (r *attempt) checkEnd(resp *http.Response) {
+	if at := r.startedAt.Load(); at != nil && resp.Body != http.NoBody {
+		resp.Body = deadline.NewServer(*at, r.serverTimeout).Body(resp.Body, resp.ContentLength)
+	}
+}
+
 func (r *attempt) execute() attemptResult {
 	r.sentAt = time.Now()
 	r.result.Outcome = errkind.Unknown
@@ -53,6 +68,7 @@
 	if err != nil {
 		return r.transportFailure(err)
 	}
+	r.checkEnd(resp)
 	defer func() { _ = resp.Body.Close() }()
 	return r.handleResponse(resp)
 }
@@ -66,7 +82,8 @@
 	h[HeaderAttempt] = []string{r.attemptID}
 	h[HeaderWorkspace] = []string{x.q.workspace}
 	h[HeaderPriority] = []string{strconv.Itoa(int(x.q.route.priority))}
-	h[HeaderDeadline] = []string{strconv.FormatInt(max(1, time.Until(x.deadline).Milliseconds()), 10)}
+	r.serverTimeout = max(time.Millisecond, time.Until(x.deadline).Truncate(time.Millisecond))
+	h[HeaderDeadline] = []string{strconv.FormatInt(r.serverTimeout.Milliseconds(), 10)}
 	if x.claim != nil {
 		h[HeaderFence] = []string{strconv.FormatUint(x.claim.fence, 10)}
 	}
@@ -107,6 +124,9 @@
 // may have begun.
 func (r *attempt) connectionLostError(err error) error {
 	switch {
+	case errors.Is(err, deadline.ErrEnd):
+		r.x.d.metrics.endsAtDeadline.Inc(1)
+		return errkind.Wrap(err, errkind.BackendTimeout, "the deadline passed while the request ran")
 	case errors.Is(r.x.ctx.Err(), context.DeadlineExceeded):
 		return errkind.New(errkind.BackendTimeout, "the deadline passed while the request ran")
 	case r.x.ctx.Err() != nil:
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -19,6 +19,7 @@
 	resumedStreams      metrics.Counter
 	mismatchedResponses metrics.Counter
 	replayedResponses   metrics.Counter
+	endsAtDeadline      metrics.Counter
 	duration            metrics.Histogram
 	permitWait          metrics.Histogram
 }
@@ -32,6 +33,7 @@
 		retries:             reg.Counter("dispatch.retries"),
 		resumedStreams:      reg.Counter("dispatch.streams_resumed"),
 		mismatchedResponses: reg.Counter("dispatch.answers_crossed"),
+		endsAtDeadline:      reg.Counter("dispatch.ends_at_deadline"),
 		replayedResponses:   reg.Counter("dispatch.answers_replayed"),
 		duration:            reg.Histogram("dispatch.duration_us"),
 		permitWait:          reg.Histogram("dispatch.permit_wait_us"),
--- a/internal/dispatch/response.go
+++ b/internal/dispatch/response.go
@@ -7,6 +7,9 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"github.com/kumquathollow/kumquathollow/internal/deadline"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/httpheader"
 )
@@ -40,7 +43,7 @@
 }
 
 func (r *attempt) truncatedResult(err error) attemptResult {
-	return attemptResult{err: r.connectionLostError(err), mayHaveRun: true, retryable: true}
+	return attemptResult{err: r.connectionLostError(err), mayHaveRun: true, retryable: !errors.Is(err, deadline.ErrEnd)}
 }
 
 // isRetryableStatus reports whether the status of a complete response means that
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -12,6 +12,9 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"github.com/kumquathollow/kumquathollow/internal/deadline"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/httpheader"
 )
@@ -61,7 +64,7 @@
 	if errkind.Is(err, errkind.ClientGone) || errkind.Is(err, errkind.BackendTimeout) {
 		s.cancel()
 	}
-	return attemptResult{err: err, mayHaveRun: true, retryable: true}
+	return attemptResult{err: err, mayHaveRun: true, retryable: !errors.Is(err, deadline.ErrEnd)}
 }
 
 // cancel ends the run at the server, so that its slot is free when the permit is
@@ -87,6 +90,8 @@
 		case err == nil:
 		case err == io.EOF:
 			return s.finish()
+		case errors.Is(err, deadline.ErrEnd):
+			return s.connectionLostError(err) // No time is left.
 		default:
 			if err := s.resume(err); err != nil {
 				return err
@@ -192,6 +197,7 @@
 		return nil, false
 	}
 	if continuesStream(resp, s.streamID, s.attemptID) {
+		s.checkEnd(resp)
 		return resp, false
 	}
 	drainBody(resp.Body)
