Take a run whose ids do not rise for broken at its server

Callers saw streams end as whole in which events came twice or a number went back: a server that writes 1 to 4 and then 4 to 8, 1 to 8 twice, or 1 to 6 and then 3 to 8 in a first run. In continuations such numbers were dropped and the rest was passed on, which may join two runs.

Cause: a response that continues nothing was passed on as its server numbers it, and after the seam numbers that do not rise were left out. The platform promises increasing ids, so such an id shows that what follows is not this run.

Now the stream is taken for broken at that server: nothing from the id on is passed on, another server goes on after the last event that was, within attempts and retry budget, else the response is cut. An id that is no number and comes twice in a row, or is that of the client's last event, counts likewise; after numbers it is no place to resume at, since it cannot be compared with what follows. The rule of writeEvent for ids that do not rise is gone, since none gets there. The same check holds for what another router relays, also one of the release before.

--- a/internal/forward/continuity.go
+++ b/internal/forward/continuity.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"strconv"
 	"sync/atomic"
 
@@ -38,14 +39,14 @@
 	// last is the number of the last event; valid if known is set.
 	last  uint64
 	known bool
-	// named is set if there is an event with an id, which may be no number.
-	named bool
+	// id is the id of that event, which may be no number; empty if there is none.
+	id string
 }
 
 // positionAfter returns the position after the event with an id.
 func positionAfter(id string) position {
 	n, err := strconv.ParseUint(id, 10, 64)
-	return position{last: n, known: err == nil, named: id != ""}
+	return position{last: n, known: err == nil, id: id}
 }
 
 // streamEvent is one event of a stream.
@@ -69,7 +70,10 @@
 	return e
 }
 
-// continuity checks that what one server writes follows the events that the client has.
+// errNotRising means that a server wrote an event whose id does not rise: it repeats events, or joins two runs.
+var errNotRising = errkind.New(errkind.StreamBroken, "the ids of events do not rise")
+
+// continuity checks that what one server writes follows the events that the client has, and rises.
 type continuity struct {
 	numbering *numbering
 	// after is the position at which the server is to go on; not known for a new stream.
@@ -80,28 +84,50 @@
 	// read is the position of the server, and joined is set once an event was new.
 	read   position
 	joined bool
+	// lastID is the id of the server's last event with an id.
+	lastID string
 	// unnumbered is set once a new event without a number had data.
 	unnumbered bool
 	// skipped is set once an event with data and without a number was dropped.
 	skipped bool
+	// server is the id of the server that writes. observe, if set, is called with the ids of two events that
+	// followed each other there and do not rise.
+	server  string
+	observe func(id, previous string)
+}
+
+// notRising returns the error for an event whose id does not rise.
+func (c *continuity) notRising(id, previous string) error {
+	if c.observe != nil {
+		c.observe(id, previous)
+	}
+	return errkind.Wrap(errNotRising, errkind.StreamBroken, "event %q follows event %q", limitID(id), limitID(previous))
 }
 
 // isNew reports whether the client does not have the event yet. It returns an error if events are
-// missing before it.
+// missing before it, or its id does not rise.
 func (c *continuity) isNew(e streamEvent) (bool, error) {
 	at := positionAfter(e.id)
+	previousID := c.lastID
+	if e.id != "" {
+		c.lastID = e.id
+	}
 	if !at.known {
 		if c.isBehind() {
 			c.skipped = c.skipped || e.hasData
 			return false, nil
 		}
+		// Ids that are no numbers have no order, but one that comes twice in a row, or is that of the client's
+		// last event, does not rise.
+		if e.id != "" && (e.id == previousID || e.id == c.after.id) {
+			return false, c.notRising(e.id, cmp.Or(previousID, c.after.id))
+		}
 		c.unnumbered = c.unnumbered || e.hasData
 		return true, nil
 	}
 	previous := c.read
-	// A new stream is passed on as its server numbers it.
-	if c.after.known && c.joined && previous.known && at.last <= previous.last {
-		return false, nil
+	if c.joined && previous.known && at.last <= previous.last {
+		return false, c.notRising(e.id, previous.id)
 	}
 	c.read = at
 	switch {
@@ -135,7 +161,7 @@
 // client has, and errNothingLeft if it wrote none at all.
 func (c *continuity) end() error {
 	switch {
-	case c.joined || !c.after.named || c.read.known && c.read.last == c.after.last:
+	case c.joined || c.after.id == "" || c.read.known && c.read.last == c.after.last:
 		return nil
 	case c.read.known:
 		return errkind.New(errkind.StreamBroken, "the stream ended with event %d, before event %d", c.read.last, c.after.last)
--- a/internal/forward/earlier_test.go
+++ b/internal/forward/earlier_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/kumquathollow/kumquathollow/api/handoffpb"
@@ -74,6 +75,24 @@
 	return x, w
 }
 
+// Guards against events that come twice, or runs that are joined, in what a router of the release before relays: it
+// passes first runs on as they are numbered.
+func TestARouterOfTheReleaseBeforeRelaysNoRunThatGoesBack(t *testing.T) {
+	for name, ids := range map[string][]string{"repeats": {"1", "2", "2", "3"}, "goes back": {"1", "2", "1", "2", "3"}, "twice whole": {"1", "2", "1", "2"}} {
+		for _, resumable := range []bool{false, true} {
+			peers := &fakeRouter{}
+			for _, id := range ids {
+				peers.events = append(peers.events, text(id))
+			}
+			x, w := newResumption(t, peers, "", false)
+			x.route.Resumable, x.requestInfo.HasLastEventID = resumable, false
+			if res, ok := x.handOff(); !ok || !errors.Is(res.err, errNotRising) || w.Body.String() != text("1")+text("2") {
+				t.Errorf("%s, resumable %t: handed off %t, error %v, relayed %q", name, resumable, ok, res.err, w.Body)
+			}
+		}
+	}
+}
+
 func text(id string) string { return "id: " + id + "\ndata: piece\n\n" }
 
 // Guards against a router of the release before that ends a stream as whole since two servers knew of nothing
--- a/internal/forward/handoff.go
+++ b/internal/forward/handoff.go
@@ -145,7 +145,7 @@
 	res := peers.Do(x.ctx, address, x.handoffRequest(), func(p handoff.Part) error {
 		if p.Header != nil {
 			x.recordRemoteNotice(p, sentAt)
-			head = p
+			head, check.server = p, p.Server
 		}
 		p.Status, p.Header = head.Status, head.Header // The first part may be an event that the client has.
 		return x.receivePart(p, check)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -43,6 +43,7 @@
 	br := bufio.NewReaderSize(resp.Body, eventBufferBytes)
 	survived, firstEventAt := false, time.Time{}
 	check := x.newContinuity()
+	check.server = picked.ID
 	if x.lastEventID != "" {
 		x.f.opts.Metrics.Counter("forward.resumed.in_response").Inc(1)
 	}
@@ -142,7 +143,9 @@
 // newContinuity returns the check of what the next server, or router, writes: the client has the
 // events of this response, or those up to the one that its request names.
 func (x *exchange) newContinuity() *continuity {
-	return &continuity{numbering: x.f.numberingOf(x.service), after: positionAfter(x.lastID()), fromEarlier: x.asksEarlier}
+	c := &continuity{numbering: x.f.numberingOf(x.service), after: positionAfter(x.lastID()), fromEarlier: x.asksEarlier}
+	c.observe = func(id, previous string) { x.recordNotRising(c.server, id, previous) }
+	return c
 }
 
 func (x *exchange) writeEvent(resp *http.Response, event streamEvent) error {
@@ -162,9 +165,8 @@
 	if err != nil {
 		return errkind.Wrap(err, errkind.ClientGone, "write a stream event to the client")
 	}
-	// An id that does not rise is no place in the stream.
-	at, last := positionAfter(event.id), positionAfter(x.lastEventID)
-	if event.id != "" && !(at.known && last.known && at.last <= last.last) {
+	// After numbers, an id that is none is no place in the stream: it cannot be compared with what follows.
+	if event.id != "" && (positionAfter(event.id).known || !positionAfter(x.lastEventID).known) {
 		x.lastEventID, x.afterUnnumbered = event.id, false
 	} else if event.hasData {
 		x.afterUnnumbered = true
@@ -208,10 +210,16 @@
 	})
 }
 
-// wronglyContinued returns the result for a server that did not go on where the client's events end.
+// wronglyContinued returns the result for a server that did not go on where the client's events end, or whose
+// ids do not rise.
 func (x *exchange) wronglyContinued(picked *placement.PickResult, cause error) attemptResult {
-	x.f.opts.Metrics.Counter("forward.resumed.wrong").Inc(1)
 	res := x.streamBroken(picked, cause)
+	if errors.Is(cause, errNotRising) {
+		x.mayHaveEnded = true // What it repeats may be the whole stream.
+		res.survived = true   // Its connection has not broken.
+		return res
+	}
+	x.f.opts.Metrics.Counter("forward.resumed.wrong").Inc(1)
 	if errors.Is(cause, errNothingLeft) {
 		if !x.asksEarlier && x.canAskEarlier() {
 			x.askAgain = append(x.askAgain, picked.ID)
