Let the evidence on a service's numbering age

Callers of a service whose new version numbers its events otherwise had their resumptions refused, for a tenth as long again as the service had run at that router: the counts of steps had no bound. After 1,000,000 consecutive steps it took 100,001 other ones.

The counts are halved at 4,096 steps. The new test, which failed before with that figure, now asks for 409 steps at most, and passes; a service that numbers consecutively again is taken for that after 8,192 at most.

--- a/internal/forward/continuity.go
+++ b/internal/forward/continuity.go
@@ -4,34 +4,47 @@
 	"bytes"
 	"cmp"
 	"strconv"
-	"sync/atomic"
+	"sync"
 
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 )
 
+const (
+	// minConsecutiveRatio is how many consecutive steps there are at least for each other one of a service whose
+	// events count as numbered consecutively. A faulty server makes some others.
+	minConsecutiveRatio = 10
+	// maxCountedSteps is the number of steps at which the counts are halved, so that those of a service that
+	// numbers its events otherwise from now on decide after a tenth as many at most.
+	maxCountedSteps = 4096
+)
+
 // numbering records whether a service numbers the events of its streams consecutively. It is safe
 // for concurrent use.
 type numbering struct {
-	consecutive, other atomic.Int64
+	mu                 sync.Mutex
+	consecutive, other int
 }
 
 // record counts two numbers that followed each other in what one server wrote.
 func (n *numbering) record(previous, next uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.consecutive+n.other >= maxCountedSteps {
+		n.consecutive, n.other = n.consecutive/2, n.other/2
+	}
 	if next == previous+1 {
-		n.consecutive.Add(1)
+		n.consecutive++
 	} else {
-		n.other.Add(1)
+		n.other++
 	}
 }
 
-// minConsecutiveRatio is how many consecutive steps there are at least for each other one of a service whose
-// events count as numbered consecutively. A faulty server makes some others.
-const minConsecutiveRatio = 10
-
 // isConsecutive reports whether numbers that are left out stand for missing events. That is assumed
 // until streams show otherwise.
 func (n *numbering) isConsecutive() bool {
-	return n.consecutive.Load() >= minConsecutiveRatio*n.other.Load()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.consecutive >= minConsecutiveRatio*n.other
 }
 
 // position is the place in a stream up to which the client has its events.
--- a/internal/forward/continuity_test.go
+++ b/internal/forward/continuity_test.go
@@ -91,6 +91,28 @@
 	}
 }
 
+// Guards against resumptions that are refused for as long again as a service has run, since a new version of it
+// numbers its events otherwise: steps of long ago count no more.
+func TestAServiceThatNumbersOtherwiseIsSoonBelieved(t *testing.T) {
+	n := &numbering{}
+	for i := range uint64(1_000_000) {
+		n.record(i, i+1)
+	}
+	steps := 0
+	for ; n.isConsecutive() && steps < 1_000_000; steps++ {
+		n.record(5, 10)
+	}
+	if steps == 1 || steps > maxCountedSteps/minConsecutiveRatio {
+		t.Errorf("believed after %d steps, want %d at most", steps, maxCountedSteps/minConsecutiveRatio)
+	}
+	for steps = 0; !n.isConsecutive() && steps < 1_000_000; steps++ {
+		n.record(1, 2)
+	}
+	if steps > 2*maxCountedSteps {
+		t.Errorf("consecutive again after %d steps, want %d at most", steps, 2*maxCountedSteps)
+	}
+}
+
 // Guards against events that come twice, and runs that are joined, where the ids that one server writes do not
 // rise: in a first run, after the seam of a continuation, and where ids are no numbers.
 func TestARunWhoseIDsDoNotRiseIsBroken(t *testing.T) {
