--- a/internal/forward/continuity_test.go
+++ b/internal/forward/continuity_test.go
@@ -120,13 +120,31 @@
 		after, ids, want string
 		broken           bool
 	}{
-		{"", "0 0 0", "0", true}, {"", "1 1 2", "1", true}, {"", "5 3 4", "5", true}, {"", "7 007", "7", true},
-		{"", "1 2 3 4 4 5", "1 2 3 4", true}, {"", "1 2 3 1 2 3", "1 2 3", true}, {"", "1 2 3 4 2 3 4 5", "1 2 3 4", true},
-		{"", "1 - 1", "1 -", true}, {"", "1 x 1", "1 x", true}, {"", "a a", "a", true}, {"", "a - a", "a -", true},
-		{"3", "4 5 5 6", "4 5", true}, {"3", "4 5 4 5 6", "4 5", true}, {"3", "1 2 3 4 3 4 5", "4", true}, {"3", "4 1 2 3 4 5", "4", true},
-		{"c", "c d", "", true}, {"c", "d c", "d", true}, {"c", "1 2 2", "1 2", true},
-		{"", "0 1 2", "0 1 2", false}, {"", "7 14 21", "7 14 21", false}, {"", "1 - 2 - -", "1 - 2 - -", false}, {"", "a b a", "a b a", false},
-		{"3", "1 2 3 2 3 4 5", "4 5", false}, {"3", "3 3", "", false}, {"c", "d e", "d e", false},
+		{"", "0 0 0", "0", true},
+		{"", "1 1 2", "1", true},
+		{"", "5 3 4", "5", true},
+		{"", "7 007", "7", true},
+		{"", "1 2 3 4 4 5", "1 2 3 4", true},
+		{"", "1 2 3 1 2 3", "1 2 3", true},
+		{"", "1 2 3 4 2 3 4 5", "1 2 3 4", true},
+		{"", "1 - 1", "1 -", true},
+		{"", "1 x 1", "1 x", true},
+		{"", "a a", "a", true},
+		{"", "a - a", "a -", true},
+		{"3", "4 5 5 6", "4 5", true},
+		{"3", "4 5 4 5 6", "4 5", true},
+		{"3", "1 2 3 4 3 4 5", "4", true},
+		{"3", "4 1 2 3 4 5", "4", true},
+		{"c", "c d", "", true},
+		{"c", "d c", "d", true},
+		{"c", "1 2 2", "1 2", true},
+		{"", "0 1 2", "0 1 2", false},
+		{"", "7 14 21", "7 14 21", false},
+		{"", "1 - 2 - -", "1 - 2 - -", false},
+		{"", "a b a", "a b a", false},
+		{"3", "1 2 3 2 3 4 5", "4 5", false},
+		{"3", "3 3", "", false},
+		{"c", "d e", "d e", false},
 	} {
 		c, passedOn, broken := continuity{numbering: &numbering{}, after: positionAfter(tc.after)}, []string{}, false
 		for _, id := range strings.Fields(tc.ids) {
