--- a/internal/forward/handoff.go
+++ b/internal/forward/handoff.go
@@ -150,7 +150,7 @@
 	res := peers.Do(x.ctx, address, req, func(p handoff.Part) error {
 		if p.Header != nil {
 			x.recordRemoteNotice(p, sentAt)
-			head = p
+			head, check.server = p, p.Server
 			if isWhole(p) {
 				if err := server.CheckEnd(time.Now()); err != nil {
 					return err
