Do not pass on an event without an id that comes before those the client has

Clients could get an event without an id twice: a server that was asked to go on after event 3 and wrote such an event, then 1 to 3 again and 4, had it passed on between 3 and 4, though it comes before 1. By the platform's page all events have ids, so this concerns faulty servers.

Once a number that the client has follows an event without one that was passed on, the stream is taken for broken there. Two new cases of the table failed before ('before the first event', 'before the last one': whole with the event in the wrong place). The table's loop stops at the first error now, as the router does; in the former cases nothing follows an error.

--- a/internal/forward/continuity.go
+++ b/internal/forward/continuity.go
@@ -144,6 +144,9 @@
 	}
 	c.read = at
 	switch {
+	case c.after.known && at.last <= c.after.last && c.unnumbered:
+		// The event without an id that was passed on comes before one that the client has, so it has that too.
+		return false, c.notRising(e.id, c.after.id)
 	case c.after.known && at.last <= c.after.last:
 		return false, nil
 	case c.joined && previous.known:
--- a/internal/forward/continuity_test.go
+++ b/internal/forward/continuity_test.go
@@ -183,6 +183,8 @@
 		"an earlier one, then none":   {true, text("2") + unnumbered, "", false, false},
 		"nothing but a comment again": {true, ": still there\n\n", "", false, false},
 		"the last one is left out":    {true, unnumbered + text("4"), "", false, true},
+		"before the first event":      {false, unnumbered + text("1") + text("2") + text("3") + text("4"), unnumbered, false, true},
+		"before the last one":         {false, unnumbered + text("3") + text("4"), unnumbered, false, true},
 		"it is left out later":        {false, text("2") + unnumbered + text("4"), "", false, true},
 	} {
 		c := continuity{numbering: &numbering{}, after: positionAfter("3"), fromEarlier: tc.fromEarlier}
@@ -192,7 +194,9 @@
 				continue
 			}
 			isNew, err := c.isNew(parseEvent([]byte(e)))
-			broken = broken || err != nil
+			if broken = err != nil; broken {
+				break
+			}
 			if isNew {
 				got += e
 			}
