Count and log runs that skip ids or begin late

Operators could not tell whether a server leaves events of a run out. Where a service has shown that it numbers consecutively from 1 on (100 steps, or first runs, and ten for each other one), a step or a start that differs counts as forward.streams.skipping or forward.streams.beginning_late, with the sampled line 'irregular ids' (request, server, event, the one before), which also replaces 'ids do not rise'. Starts are counted like steps, with the same halving, so that a service that numbers otherwise is soon reported no more.

--- a/internal/forward/continuity.go
+++ b/internal/forward/continuity.go
@@ -13,30 +13,57 @@
 	// minConsecutiveRatio is how many consecutive steps there are at least for each other one of a service whose
 	// events count as numbered consecutively. A faulty server makes some others.
 	minConsecutiveRatio = 10
-	// maxCountedSteps is the number of steps at which the counts are halved, so that those of a service that
+	// maxCounted is the number of steps at which the counts are halved, so that those of a service that
 	// numbers its events otherwise from now on decide after a tenth as many at most.
-	maxCountedSteps = 4096
+	maxCounted = 4096
+	// minShown is from how many consecutive steps, or streams that begin with event 1, on others of a service
+	// are reported.
+	minShown = 100
 )
 
-// numbering records whether a service numbers the events of its streams consecutively. It is safe
+// tally counts what is consecutive and what is not.
+type tally struct{ consecutive, other int }
+
+func (t *tally) record(isConsecutive bool) {
+	if t.consecutive+t.other >= maxCounted {
+		t.consecutive, t.other = t.consecutive/2, t.other/2
+	}
+	if isConsecutive {
+		t.consecutive++
+	} else {
+		t.other++
+	}
+}
+
+// isConsecutive reports whether at least so many were consecutive, and by far the most.
+func (t *tally) isConsecutive(atLeast int) bool {
+	return t.consecutive >= max(atLeast, minConsecutiveRatio*t.other)
+}
+
+// numbering records whether a service numbers the events of its streams consecutively, from 1 on. It is safe
 // for concurrent use.
 type numbering struct {
-	mu                 sync.Mutex
-	consecutive, other int
+	mu            sync.Mutex
+	steps, starts tally
 }
 
-// record counts two numbers that followed each other in what one server wrote.
-func (n *numbering) record(previous, next uint64) {
+// record counts two numbers that followed each other in what one server wrote. It reports whether the step is
+// odd: not consecutive, though the service has shown that its steps are.
+func (n *numbering) record(previous, next uint64) (isOdd bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.consecutive+n.other >= maxCountedSteps {
-		n.consecutive, n.other = n.consecutive/2, n.other/2
-	}
-	if next == previous+1 {
-		n.consecutive++
-	} else {
-		n.other++
-	}
+	isOdd = next != previous+1 && n.steps.isConsecutive(minShown)
+	n.steps.record(next == previous+1)
+	return isOdd
+}
+
+// recordStart counts the first number of a stream, and reports whether it is odd likewise.
+func (n *numbering) recordStart(first uint64) (isOdd bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	isOdd = first > 1 && n.starts.isConsecutive(minShown)
+	n.starts.record(first <= 1)
+	return isOdd
 }
 
 // isConsecutive reports whether numbers that are left out stand for missing events. That is assumed
@@ -44,7 +71,7 @@
 func (n *numbering) isConsecutive() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.consecutive >= minConsecutiveRatio*n.other
+	return n.steps.isConsecutive(0)
 }
 
 // position is the place in a stream up to which the client has its events.
@@ -91,6 +118,8 @@
 	numbering *numbering
 	// after is the position at which the server is to go on; not known for a new stream.
 	after position
+	// isFirst is set if the server was not asked to go on.
+	isFirst bool
 	// fromEarlier is set if the server was asked to go on one event earlier, to write the last one that the
 	// client has again.
 	fromEarlier bool
@@ -103,17 +132,32 @@
 	unnumbered bool
 	// skipped is set once an event with data and without a number was dropped.
 	skipped bool
-	// server is the id of the server that writes. observe, if set, is called with the ids of two events that
-	// followed each other there and do not rise.
+	// server is the id of the server that writes. observe, if set, is called with an irregularity and the ids of the
+	// two events that followed each other there.
 	server  string
-	observe func(id, previous string)
+	observe func(what irregularity, id, previous string)
 }
 
-// notRising returns the error for an event whose id does not rise.
-func (c *continuity) notRising(id, previous string) error {
+// irregularity is what is irregular in the ids that one server writes.
+type irregularity string
+
+const (
+	idsDoNotRise irregularity = "not_rising"
+	// idsSkip and idsBeginLate are reported of services that have shown that they number consecutively, from 1 on.
+	// Such events are passed on: only rising ids are promised.
+	idsSkip      irregularity = "skipping"
+	idsBeginLate irregularity = "beginning_late"
+)
+
+func (c *continuity) report(what irregularity, id, previous string) {
 	if c.observe != nil {
-		c.observe(id, previous)
+		c.observe(what, id, previous)
 	}
+}
+
+// notRising returns the error for an event whose id does not rise.
+func (c *continuity) notRising(id, previous string) error {
+	c.report(idsDoNotRise, id, previous)
 	return errkind.Wrap(errNotRising, errkind.StreamBroken, "event %q follows event %q", limitID(id), limitID(previous))
 }
 
@@ -150,7 +194,13 @@
 	case c.after.known && at.last <= c.after.last:
 		return false, nil
 	case c.joined && previous.known:
-		c.numbering.record(previous.last, at.last)
+		if c.numbering.record(previous.last, at.last) {
+			c.report(idsSkip, e.id, previous.id)
+		}
+	case c.isFirst && !c.joined:
+		if c.numbering.recordStart(at.last) {
+			c.report(idsBeginLate, e.id, "")
+		}
 	case c.skipped && !c.joined && !(previous.known && previous.last == c.after.last):
 		// Whether the client has what was dropped is known only if its last event came after that.
 		return false, errkind.New(errkind.StreamBroken, "event %d follows an event without an id, and event %d does not come before it", at.last, c.after.last)
--- a/internal/forward/continuity_test.go
+++ b/internal/forward/continuity_test.go
@@ -102,14 +102,14 @@
 	for ; n.isConsecutive() && steps < 1_000_000; steps++ {
 		n.record(5, 10)
 	}
-	if steps == 1 || steps > maxCountedSteps/minConsecutiveRatio {
-		t.Errorf("believed after %d steps, want %d at most", steps, maxCountedSteps/minConsecutiveRatio)
+	if steps == 1 || steps > maxCounted/minConsecutiveRatio {
+		t.Errorf("believed after %d steps, want %d at most", steps, maxCounted/minConsecutiveRatio)
 	}
 	for steps = 0; !n.isConsecutive() && steps < 1_000_000; steps++ {
 		n.record(1, 2)
 	}
-	if steps > 2*maxCountedSteps {
-		t.Errorf("consecutive again after %d steps, want %d at most", steps, 2*maxCountedSteps)
+	if steps > 2*maxCounted {
+		t.Errorf("consecutive again after %d steps, want %d at most", steps, 2*maxCounted)
 	}
 }
 
@@ -165,6 +165,35 @@
 	}
 }
 
+// Guards against irregular ids that operators cannot tell, and against lines about services that number
+// otherwise, or of which too little is known; a stream is not cut for them.
+func TestIrregularIDsAreReported(t *testing.T) {
+	for _, tc := range []struct {
+		consecutive, other int
+		first              bool
+		ids, want          string
+	}{
+		{1000, 50, true, "1 2 5 6", "skipping 5 2"},
+		{1000, 50, true, "3 4", "beginning_late 3 "},
+		{1000, 50, true, "1 2 2", "not_rising 2 2"},
+		{1000, 50, true, "0 1 2", ""},
+		{1000, 50, false, "3 4", ""},
+		{0, 0, true, "3 5 7", ""},
+		{1000, 200, true, "3 5 7", ""},
+	} {
+		c, got := continuity{numbering: &numbering{steps: tally{tc.consecutive, tc.other}, starts: tally{tc.consecutive, tc.other}}, isFirst: tc.first}, ""
+		c.observe = func(what irregularity, id, previous string) { got += fmt.Sprint(what, " ", id, " ", previous) }
+		for _, id := range strings.Fields(tc.ids) {
+			if _, err := c.isNew(streamEvent{id: id, hasData: true}); (err != nil) != strings.HasPrefix(got, string(idsDoNotRise)) {
+				t.Errorf("%+v: %v", tc, err)
+			}
+		}
+		if got != tc.want {
+			t.Errorf("%+v: reported %q", tc, got)
+		}
+	}
+}
+
 // Guards against events without an id that a client is sent twice: a server that writes the last event again writes
 // what comes before it again, too.
 func TestEventsWithoutAnIDBeforeTheLastOneAreNotPassedOnAgain(t *testing.T) {
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -128,21 +128,21 @@
 		"after", time.Since(x.startedAt).Round(time.Microsecond), "left", time.Until(x.deadline).Round(time.Millisecond), "error", res.err, "left-out", suppressed)
 }
 
-// recordNotRising counts and logs that a server, maybe behind another router, wrote an event whose id does not rise.
-func (x *exchange) recordNotRising(server, id, previous string) {
-	x.f.opts.Metrics.Counter("forward.streams.not_rising").Inc(1)
-	suppressed, ok := x.f.sampler.Allow("ids do not rise", time.Now())
+// recordIrregularity counts and logs what is irregular in the ids that a server, maybe behind another router, wrote.
+func (x *exchange) recordIrregularity(what irregularity, server, id, previous string) {
+	x.f.opts.Metrics.Counter("forward.streams." + string(what)).Inc(1)
+	suppressed, ok := x.f.sampler.Allow("ids "+string(what), time.Now())
 	if !ok {
 		return
 	}
-	fields := []any{"request", x.requestInfo.ID, "server", server, "event", limitID(id), "after", limitID(previous), "events", x.eventsSent, "left-out", suppressed}
+	fields := []any{"ids", what, "request", x.requestInfo.ID, "server", server, "event", limitID(id), "after", limitID(previous), "events", x.eventsSent, "left-out", suppressed}
 	if x.route != nil {
 		fields = append(fields, "route", x.route.Name)
 	}
 	if len(x.handedOffTo) > 0 {
 		fields = append(fields, "handed-off-to", x.handedOffTo)
 	}
-	x.f.opts.Log.Warn("ids do not rise", fields...)
+	x.f.opts.Log.Warn("irregular ids", fields...)
 }
 
 // maxLoggedIDBytes limits an event's id in a log line or error, since servers choose it.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -144,7 +144,8 @@
 // events of this response, or those up to the one that its request names.
 func (x *exchange) newContinuity() *continuity {
 	c := &continuity{numbering: x.f.numberingOf(x.service), after: positionAfter(x.lastID()), fromEarlier: x.asksEarlier}
-	c.observe = func(id, previous string) { x.recordNotRising(c.server, id, previous) }
+	c.isFirst = c.after.id == "" && !x.requestInfo.HasLastEventID
+	c.observe = func(what irregularity, id, previous string) { x.recordIrregularity(what, c.server, id, previous) }
 	return c
 }
 
