Keep streams whose server repeats an id without data

Since a stream was cut whose server keeps its connection with 'id: 3' and no data after event 3. That is no event in text/event-stream, so that none comes twice. It is dropped now, as after the seam before; one with a lower id still breaks the run, and so does any repeated id with data.

--- a/internal/forward/continuity.go
+++ b/internal/forward/continuity.go
@@ -155,10 +155,14 @@
 	}
 }
 
-// notRising returns the error for an event whose id does not rise.
-func (c *continuity) notRising(id, previous string) error {
-	c.report(idsDoNotRise, id, previous)
-	return errkind.Wrap(errNotRising, errkind.StreamBroken, "event %q follows event %q", limitID(id), limitID(previous))
+// notRising returns the error for an event whose id does not rise. There is none if it has no data and the id before:
+// that is no event to clients, but keeps their connection.
+func (c *continuity) notRising(e streamEvent, previous string) error {
+	if !e.hasData && e.id == previous {
+		return nil
+	}
+	c.report(idsDoNotRise, e.id, previous)
+	return errkind.Wrap(errNotRising, errkind.StreamBroken, "event %q follows event %q", limitID(e.id), limitID(previous))
 }
 
 // isNew reports whether the client does not have the event yet. It returns an error if events are
@@ -177,20 +181,20 @@
 		// Ids that are no numbers have no order, but one that comes twice in a row, or is that of the client's
 		// last event, does not rise.
 		if e.id != "" && (e.id == previousID || e.id == c.after.id) {
-			return false, c.notRising(e.id, cmp.Or(previousID, c.after.id))
+			return false, c.notRising(e, cmp.Or(previousID, c.after.id))
 		}
 		c.unnumbered = c.unnumbered || e.hasData
 		return true, nil
 	}
 	previous := c.read
 	if c.joined && previous.known && at.last <= previous.last {
-		return false, c.notRising(e.id, previous.id)
+		return false, c.notRising(e, previous.id)
 	}
 	c.read = at
 	switch {
 	case c.after.known && at.last <= c.after.last && c.unnumbered:
 		// The event without an id that was passed on comes before one that the client has, so it has that too.
-		return false, c.notRising(e.id, c.after.id)
+		return false, c.notRising(e, c.after.id)
 	case c.after.known && at.last <= c.after.last:
 		return false, nil
 	case c.joined && previous.known:
