--- a/internal/forward/continuity_test.go
+++ b/internal/forward/continuity_test.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 )
 
-func event(n int) streamEvent { return streamEvent{id: fmt.Sprint(n)} }
+func event(n int) streamEvent { return streamEvent{id: fmt.Sprint(n), hasData: true} }
 
 // Guards against a response joined from several servers that lacks an event, has one twice, or ends
 // as whole before an event that a server had.
@@ -102,19 +102,20 @@
 	for ; n.isConsecutive() && steps < 1_000_000; steps++ {
 		n.record(5, 10)
 	}
-	if steps == 1 || steps > maxCountedSteps/minConsecutiveRatio {
-		t.Errorf("believed after %d steps, want %d at most", steps, maxCountedSteps/minConsecutiveRatio)
+	if steps == 1 || steps > maxCounted/minConsecutiveRatio {
+		t.Errorf("believed after %d steps, want %d at most", steps, maxCounted/minConsecutiveRatio)
 	}
 	for steps = 0; !n.isConsecutive() && steps < 1_000_000; steps++ {
 		n.record(1, 2)
 	}
-	if steps > 2*maxCountedSteps {
-		t.Errorf("consecutive again after %d steps, want %d at most", steps, 2*maxCountedSteps)
+	if steps > 2*maxCounted {
+		t.Errorf("consecutive again after %d steps, want %d at most", steps, 2*maxCounted)
 	}
 }
 
 // Guards against events that come twice, and runs that are joined, where the ids that one server writes do not
-// rise: in a first run, after the seam of a continuation, and where ids are no numbers.
+// rise: in a first run, after the seam of a continuation, and where ids are no numbers. A dot marks what has no data,
+// which keeps a connection with the id before, and is no event.
 func TestARunWhoseIDsDoNotRiseIsBroken(t *testing.T) {
 	for _, tc := range []struct {
 		after, ids, want string
@@ -138,7 +139,12 @@
 		{"c", "c d", "", true},
 		{"c", "d c", "d", true},
 		{"c", "1 2 2", "1 2", true},
+		{"", "1 2 1. 3", "1 2", true},
 		{"", "0 1 2", "0 1 2", false},
+		{"", "1 2. 2. 3", "1 2. 3", false},
+		{"", "1 2 2. 3", "1 2 3", false},
+		{"", "a a. b", "a b", false},
+		{"3", "4 4. 5", "4 5", false},
 		{"", "7 14 21", "7 14 21", false},
 		{"", "1 - 2 - -", "1 - 2 - -", false},
 		{"", "a b a", "a b a", false},
@@ -148,7 +154,7 @@
 	} {
 		c, passedOn, broken := continuity{numbering: &numbering{}, after: positionAfter(tc.after)}, []string{}, false
 		for _, id := range strings.Fields(tc.ids) {
-			isNew, err := c.isNew(streamEvent{id: strings.TrimPrefix(id, "-"), hasData: true})
+			isNew, err := c.isNew(streamEvent{id: strings.Trim(id, "-."), hasData: !strings.HasSuffix(id, ".")})
 			if broken = err != nil; broken {
 				if !errors.Is(err, errNotRising) {
 					t.Errorf("after %q, %s: %v", tc.after, tc.ids, err)
@@ -165,6 +171,35 @@
 	}
 }
 
+// Guards against irregular ids that operators cannot tell, and against lines about services that number
+// otherwise, or of which too little is known; a stream is not cut for them.
+func TestIrregularIDsAreReported(t *testing.T) {
+	for _, tc := range []struct {
+		consecutive, other int
+		first              bool
+		ids, want          string
+	}{
+		{1000, 50, true, "1 2 5 6", "skipping 5 2"},
+		{1000, 50, true, "3 4", "beginning_late 3 "},
+		{1000, 50, true, "1 2 2", "not_rising 2 2"},
+		{1000, 50, true, "0 1 2", ""},
+		{1000, 50, false, "3 4", ""},
+		{0, 0, true, "3 5 7", ""},
+		{1000, 200, true, "3 5 7", ""},
+	} {
+		c, got := continuity{numbering: &numbering{steps: tally{tc.consecutive, tc.other}, starts: tally{tc.consecutive, tc.other}}, isFirst: tc.first}, ""
+		c.observe = func(what irregularity, id, previous string) { got += fmt.Sprint(what, " ", id, " ", previous) }
+		for _, id := range strings.Fields(tc.ids) {
+			if _, err := c.isNew(streamEvent{id: id, hasData: true}); (err != nil) != strings.HasPrefix(got, string(idsDoNotRise)) {
+				t.Errorf("%+v: %v", tc, err)
+			}
+		}
+		if got != tc.want {
+			t.Errorf("%+v: reported %q", tc, got)
+		}
+	}
+}
+
 // Guards against events without an id that a client is sent twice: a server that writes the last event again writes
 // what comes before it again, too.
 func TestEventsWithoutAnIDBeforeTheLastOneAreNotPassedOnAgain(t *testing.T) {
@@ -183,6 +218,8 @@
 		"an earlier one, then none":   {true, text("2") + unnumbered, "", false, false},
 		"nothing but a comment again": {true, ": still there\n\n", "", false, false},
 		"the last one is left out":    {true, unnumbered + text("4"), "", false, true},
+		"before the first event":      {false, unnumbered + text("1") + text("2") + text("3") + text("4"), unnumbered, false, true},
+		"before the last one":         {false, unnumbered + text("3") + text("4"), unnumbered, false, true},
 		"it is left out later":        {false, text("2") + unnumbered + text("4"), "", false, true},
 	} {
 		c := continuity{numbering: &numbering{}, after: positionAfter("3"), fromEarlier: tc.fromEarlier}
@@ -192,7 +229,9 @@
 				continue
 			}
 			isNew, err := c.isNew(parseEvent([]byte(e)))
-			broken = broken || err != nil
+			if broken = err != nil; broken {
+				break
+			}
 			if isNew {
 				got += e
 			}
