--- a/internal/forward/rollout.go
+++ b/internal/forward/rollout.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/kumquathollow/kumquathollow/internal/deadline"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/placement"
 	"github.com/kumquathollow/kumquathollow/internal/rollout"
@@ -44,7 +45,7 @@
 		a.End(rollout.Neutral, now)
 	case res.outcome == placement.Failure:
 		a.End(rollout.Failed, now)
-		if errors.Is(res.err, os.ErrDeadlineExceeded) {
+		if errors.Is(res.err, os.ErrDeadlineExceeded) || errors.Is(res.err, deadline.ErrEnd) {
 			a.RecordFirst(now, x.route.Target)
 		}
 	default:
--- a/internal/handoff/handoff_test.go
+++ b/internal/handoff/handoff_test.go
@@ -114,7 +114,7 @@
 	})
 	var parts []Part
 	res := client.Do(t.Context(), address, newRequest(), func(p Part) error { parts = append(parts, p); return nil })
-	if res.Err != nil || len(parts) != 1 || parts[0].Status != http.StatusOK || string(parts[0].Data) != "body" || parts[0].Server != "s" || parts[0].Born != 7 {
+	if res.Err != nil || res.EndedAt.IsZero() || len(parts) != 1 || parts[0].Status != http.StatusOK || string(parts[0].Data) != "body" || parts[0].Server != "s" || parts[0].Born != 7 {
 		t.Errorf("result %+v, parts %+v", res, parts)
 	}
 }
