Confirm an end before the deadline although that passes meanwhile

Callers saw a whole response without a length cut, or answered 504, if it ended less than 250 ms (a plain answer: 100 ms) before the deadline of the client or of the route: its end was confirmed for that long, and the confirmation failed once the deadline passed.

Cause: the confirmation ended with the context of the request, whose deadline is that of the response, which had come by then.

Now it goes on after the deadline, for 250 ms at most from the end, unless the client has gone.

--- a/internal/backend/deadline_ends_test.go
+++ b/internal/backend/deadline_ends_test.go
@@ -15,6 +15,33 @@
 	"github.com/kumquathollow/kumquathollow/internal/deadline"
 )
 
+// Guards against whole responses without a length that are cut since their deadline passes while their end is
+// confirmed, and against a confirmation that goes on without its client.
+func TestAnEndShortlyBeforeTheDeadlineIsConfirmedAfterIt(t *testing.T) {
+	for _, cancelled := range []bool{false, true} {
+		s := newUnframedServer(t, func(_ string, c net.Conn) {
+			_, _ = io.WriteString(c, unframedHead+"part")
+			time.Sleep(200 * time.Millisecond)
+		})
+		pool := newRunningPool(t)
+		timed, release := context.WithTimeout(t.Context(), 200*time.Millisecond+answerEndTime/2)
+		defer release()
+		ctx, cancel := context.WithCancel(timed)
+		defer cancel()
+		resp, err := pool.Do(ctx, s.target(), &Request{Method: http.MethodGet, Target: "/", Host: "h"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Close()
+		if cancelled {
+			time.AfterFunc(200*time.Millisecond+answerEndTime/4, cancel)
+		}
+		if body, err := io.ReadAll(resp.Body); string(body) != "part" || (err != nil) != cancelled {
+			t.Errorf("client gone %t: read %q, %v", cancelled, body, err)
+		}
+	}
+}
+
 // Guards against responses that their server stops at its deadline and that pass for whole, and against whole ones that
 // end before it, or whose length is known, and do not.
 func TestAResponseThatEndsAtItsServersDeadlineIsNotWhole(t *testing.T) {
--- a/internal/backend/ends.go
+++ b/internal/backend/ends.go
@@ -147,8 +147,10 @@
 	return nil
 }
 
-// outlast reports whether a witness is open until after the deadline. It looks at them at each tick.
+// outlast reports whether a witness is open until after the deadline. It looks at them at each tick. That may go on after
+// the deadline of ctx: the response has ended before it.
 func outlast(ctx context.Context, witnesses []*conn, tick, deadline <-chan time.Time) (bool, error) {
+	done := ctx.Done()
 	for passed := false; ; {
 		witnesses = slices.DeleteFunc(witnesses, func(w *conn) bool { return !w.isOpen() })
 		// The last look is after the deadline: a router that was stopped or is overloaded may have seen no tick.
@@ -156,8 +158,11 @@
 			return passed && len(witnesses) > 0, nil
 		}
 		select {
-		case <-ctx.Done():
-			return false, ctx.Err()
+		case <-done:
+			if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+				return false, ctx.Err()
+			}
+			done = nil
 		case <-deadline:
 			passed = true
 		case <-tick:
