Do not take a process that was connected late for the server of a response

The router's own keep-alive probe, a second after the last data, is answered by the kernel of the process that has ended, and counts as one. And the check came before the new connection was opened, which may take its time.

Now the age of the last data counts once a probe may have been answered, an end of which the kernel tells nothing is late, and the new connection has to be open within 100 ms of the end.

Two new cases of TestAnAnswerThatIsReadLateNeedsAWitness failed before: read after a probe, connected late.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -117,11 +118,18 @@
 	return info != nil && info.State == unix.BPF_TCP_ESTABLISHED
 }
 
-// sinceReceived returns how long ago the last packet was received, which was the end if the connection has ended.
-func (c *conn) sinceReceived() time.Duration {
+// probedAfter is how long after the last data a peer may have answered a keep-alive probe, by the kernel's coarse clock.
+const probedAfter = rpc.KeepAliveIdle - 100*time.Millisecond
+
+// sinceEnded returns how long ago the connection, which has ended, did so, or more. The end is the last packet, unless
+// the kernel of the peer has answered a keep-alive probe since.
+func (c *conn) sinceEnded() time.Duration {
 	info := c.tcpInfo()
 	if info == nil {
-		return 0
+		return math.MaxInt64
+	}
+	if data := time.Duration(info.Last_data_recv) * time.Millisecond; data >= probedAfter {
+		return data
 	}
 	return time.Duration(info.Last_ack_recv) * time.Millisecond
 }
--- a/internal/backend/ends.go
+++ b/internal/backend/ends.go
@@ -28,7 +28,7 @@
 	// minWitnessLife is the least time that a server leaves an idle connection open. If one ends sooner, the server
 	// has no room for it, and the next one is opened after witnessPause.
 	minWitnessLife, witnessPause = 300 * time.Millisecond, time.Second
-	// maxLateRead is how long after its end a response may be read for a connection that is opened then to show
+	// maxLateRead is how long after its end a response may be read, and a connection be opened then, for that to show
 	// anything: a router that was stopped, or is overloaded, may find another process at the address.
 	maxLateRead = 100 * time.Millisecond
 	// unframedMemory is how long after a response without a length a server is expected to send another.
@@ -92,13 +92,13 @@
 // have outlived it by the given time.
 func (c *conn) confirmEnd(ctx context.Context, within time.Duration) error {
 	s := c.pool
-	isLate := c.sinceReceived() > maxLateRead
+	lateAt := time.Now().Add(maxLateRead - c.sinceEnded())
 	_ = c.Close() // The server has room for another connection now.
 	witnesses, sufficient := s.witnesses(c)
-	if !sufficient && !isLate {
+	if !sufficient && time.Now().Before(lateAt) {
 		// The response was over before a witness was there. One that is opened after it does not tell a server that was
 		// replaced at its address within that moment.
-		if w := s.awaitWitness(ctx); w != nil {
+		if w := s.awaitWitness(ctx); w != nil && s.isOpenedBefore(w, lateAt) {
 			witnesses = append(witnesses, w)
 		}
 	}
@@ -169,3 +169,9 @@
 		}
 	}
 }
+
+func (s *serverPool) isOpenedBefore(w *conn, at time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return w.openedAt.Before(at)
+}
--- a/internal/backend/witnesses_test.go
+++ b/internal/backend/witnesses_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +12,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/kumquathollow/kumquathollow/internal/rpc"
 )
 
 // Guards against a router that is stopped, or too busy to look at its witnesses before the deadline, and takes the end
@@ -184,16 +187,26 @@
 // although its server ended with it: another process has the address by then, or is known to.
 func TestAnAnswerThatIsReadLateNeedsAWitness(t *testing.T) {
 	for name, tc := range map[string]struct {
-		late            time.Duration
+		late, dial      time.Duration
 		replaced, sound bool
 	}{
-		"read at once":              {0, false, true},
-		"read late":                 {3 * maxLateRead, false, false},
-		"known to have a successor": {0, true, false},
+		"read at once":              {0, 0, false, true},
+		"read late":                 {3 * maxLateRead, 0, false, false},
+		"read after a probe":        {rpc.KeepAliveIdle + maxLateRead/2, 0, false, false},
+		"connected late":            {0, 3 * maxLateRead / 2, false, false},
+		"known to have a successor": {0, 0, true, false},
 	} {
 		s := newUnframedServer(t, func(_ string, c net.Conn) { _, _ = io.WriteString(c, unframedHead+"part") })
 		pool := newRunningPool(t)
 		pool.opts.IsReplaced = func(got Target) bool { return tc.replaced && got == s.target() }
+		var dials atomic.Int64
+		dial := pool.opts.Dial
+		pool.opts.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			if dials.Add(1) > 1 {
+				time.Sleep(tc.dial)
+			}
+			return dial(ctx, address)
+		}
 		resp, err := pool.Do(t.Context(), s.target(), &Request{Method: http.MethodGet, Target: "/", Host: "h"})
 		if err != nil {
 			t.Fatal(err)
--- a/internal/rpc/socket.go
+++ b/internal/rpc/socket.go
@@ -14,8 +14,8 @@
 	// peer that acknowledges but does not read, once its receive buffer is full.
 	UserTimeout = 1500 * time.Millisecond
 	// Keep-alive probes detect a peer that disappeared without closing the
-	// connection.
-	keepAliveIdle     = time.Second
+	// connection. The first one is sent KeepAliveIdle after the last data.
+	KeepAliveIdle     = time.Second
 	keepAliveInterval = 500 * time.Millisecond
 	keepAliveCount    = 3
 )
@@ -26,7 +26,7 @@
 	return &net.Dialer{
 		Timeout: timeout,
 		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+			Enable: true, Idle: KeepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
 		Control: func(_, _ string, raw syscall.RawConn) error { return SetUserTimeout(raw, UserTimeout) },
 	}
