--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -8,10 +8,12 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"github.com/kumquathollow/kumquathollow/internal/deadline"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/httpheader"
 )
@@ -20,7 +22,6 @@
 	streamBufferBytes = 1 << 10
 	resumeBackoff     = 50 * time.Millisecond
 	maxResumeBackoff  = time.Second
-	eventStreamType   = "text/event-stream"
 )
 
 var eventEnd = []byte("\n\n")
@@ -28,7 +29,7 @@
 var streamBuffers = sync.Pool{New: func() any { b := make([]byte, streamBufferBytes); return &b }}
 
 func isEventStream(resp *http.Response) bool {
-	return resp.StatusCode == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), eventStreamType)
+	return resp.StatusCode == http.StatusOK && httpheader.IsEventStream(resp.Header)
 }
 
 // streamForwarder relays a server's stream to the client.
@@ -61,7 +62,7 @@
 	if errkind.Is(err, errkind.ClientGone) || errkind.Is(err, errkind.BackendTimeout) {
 		s.cancel()
 	}
-	return attemptResult{err: err, mayHaveRun: true, retryable: true}
+	return attemptResult{err: err, mayHaveRun: true, retryable: !errors.Is(err, deadline.ErrEnd)}
 }
 
 // cancel ends the run at the server, so that its slot is free when the permit is
@@ -87,6 +88,8 @@
 		case err == nil:
 		case err == io.EOF:
 			return s.finish()
+		case errors.Is(err, deadline.ErrEnd):
+			return s.connectionLostError(err) // No time is left.
 		default:
 			if err := s.resume(err); err != nil {
 				return err
@@ -192,6 +195,7 @@
 		return nil, false
 	}
 	if continuesStream(resp, s.streamID, s.attemptID) {
+		s.checkEnd(resp)
 		return resp, false
 	}
 	drainBody(resp.Body)
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -7,7 +7,10 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/kumquathollow/kumquathollow/internal/backend"
+	"github.com/kumquathollow/kumquathollow/internal/deadline"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/httpheader"
 	"github.com/kumquathollow/kumquathollow/internal/placement"
@@ -65,7 +68,7 @@
 	}
 	defer resp.Close()
 	x.sends++
-	x.unframed = resp.EndsWithConnection()
+	x.unframed, x.serverDeadline = resp.EndsWithConnection(), resp.Deadline
 	if resp.Opened {
 		picked.RecordOpened()
 	}
@@ -87,9 +90,9 @@
 		return x.invalidResponse("the successful response of server %q does not name the request or is not signed", picked.ID)
 	case impliesNotExecuted(resp.StatusCode):
 		return x.invalidResponse("server %q responded with status %d but did not state that it did not run the request", picked.ID, resp.StatusCode)
-	case x.lastEventID != "" && (resp.StatusCode != http.StatusOK || !isEventStream(resp.Header)):
+	case x.lastEventID != "" && (resp.StatusCode != http.StatusOK || !httpheader.IsEventStream(resp.Header)):
 		return x.streamNotContinued(picked, resp)
-	case resp.StatusCode < 300 && isEventStream(resp.Header):
+	case resp.StatusCode < 300 && httpheader.IsEventStream(resp.Header):
 		return x.forwardStream(picked, resp)
 	}
 	return x.forwardResponse(picked, resp, info)
@@ -116,10 +119,6 @@
 	return context.WithTimeout(x.ctx, min(remaining, max(minAttemptTimeout, attemptTimeoutFactor*x.route.Target)))
 }
 
-func isEventStream(h http.Header) bool {
-	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
-}
-
 func (x *exchange) backendTarget(picked *placement.PickResult) backend.Target {
 	target := serverTarget(picked.Server)
 	if n := x.service.MaxConnections; n > 0 {
@@ -133,7 +132,7 @@
 	httpheader.CopyEndToEnd(h, x.r.Header, "")
 	delete(h, "Content-Length")
 	o := BackendHeaders{
-		Instance: picked.ID, Timeout: x.deadline.Sub(now), Priority: x.route.Priority,
+		Instance: picked.ID, Timeout: max(time.Millisecond, x.deadline.Sub(now).Truncate(time.Millisecond)), Priority: x.route.Priority,
 	}
 	o.LastEventID, o.HasLastEventID = x.resumeAfter(picked)
 	if x.workspace != nil {
@@ -153,7 +152,7 @@
 	return &backend.Request{
 		Method: x.r.Method, Target: target, Host: x.r.Host, Header: h, Body: x.body,
 		HasBody: x.r.ContentLength != 0 || x.r.Header.Get("Content-Length") != "",
-		ID:      x.requestInfo.ID, IDHeader: x.f.opts.Protocol.IDHeader(), NonIdempotent: !x.route.Idempotent(),
+		ID:      x.requestInfo.ID, IDHeader: x.f.opts.Protocol.IDHeader(), NonIdempotent: !x.route.Idempotent(), Timeout: o.Timeout,
 		ReserveHead: x.reserveHead,
 	}
 }
@@ -255,7 +254,7 @@
 func (x *exchange) forwardResponse(picked *placement.PickResult, resp *backend.Response, info ResponseInfo) attemptResult {
 	body, err := resp.ReadAll(maxResponseBytes, x.reserveResponse)
 	if err != nil {
-		return attemptResult{err: err, sent: true, mayHaveRun: true, retryable: true, outcome: placement.Failure}
+		return attemptResult{err: err, sent: true, mayHaveRun: true, retryable: !errors.Is(err, deadline.ErrEnd), outcome: placement.Failure}
 	}
 	if !resp.Framed() && !info.Signed {
 		return x.invalidResponse("the response of server %q has neither a length nor a signature", picked.ID)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -13,6 +13,7 @@
 
 	"github.com/kumquathollow/kumquathollow/internal/backend"
 	"github.com/kumquathollow/kumquathollow/internal/catalog"
+	"github.com/kumquathollow/kumquathollow/internal/deadline"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/httpheader"
 	"github.com/kumquathollow/kumquathollow/internal/placement"
@@ -43,6 +44,7 @@
 	br := bufio.NewReaderSize(resp.Body, eventBufferBytes)
 	survived, firstEventAt := false, time.Time{}
 	check := x.newContinuity()
+	check.server = picked.ID
 	if x.lastEventID != "" {
 		x.f.opts.Metrics.Counter("forward.resumed.in_response").Inc(1)
 	}
@@ -142,7 +144,10 @@
 // newContinuity returns the check of what the next server, or router, writes: the client has the
 // events of this response, or those up to the one that its request names.
 func (x *exchange) newContinuity() *continuity {
-	return &continuity{numbering: x.f.numberingOf(x.service), after: positionAfter(x.lastID()), fromEarlier: x.asksEarlier}
+	c := &continuity{numbering: x.f.numberingOf(x.service), after: positionAfter(x.lastID()), fromEarlier: x.asksEarlier}
+	c.isFirst = c.after.id == "" && !x.requestInfo.HasLastEventID
+	c.observe = func(what irregularity, id, previous string) { x.recordIrregularity(what, c.server, id, previous) }
+	return c
 }
 
 func (x *exchange) writeEvent(resp *http.Response, event streamEvent) error {
@@ -162,9 +167,8 @@
 	if err != nil {
 		return errkind.Wrap(err, errkind.ClientGone, "write a stream event to the client")
 	}
-	// An id that does not rise is no place in the stream.
-	at, last := positionAfter(event.id), positionAfter(x.lastEventID)
-	if event.id != "" && !(at.known && last.known && at.last <= last.last) {
+	// After numbers, an id that is none is no place in the stream: it cannot be compared with what follows.
+	if event.id != "" && (positionAfter(event.id).known || !positionAfter(x.lastEventID).known) {
 		x.lastEventID, x.afterUnnumbered = event.id, false
 	} else if event.hasData {
 		x.afterUnnumbered = true
@@ -208,10 +212,16 @@
 	})
 }
 
-// wronglyContinued returns the result for a server that did not go on where the client's events end.
+// wronglyContinued returns the result for a server that did not go on where the client's events end, or whose
+// ids do not rise.
 func (x *exchange) wronglyContinued(picked *placement.PickResult, cause error) attemptResult {
-	x.f.opts.Metrics.Counter("forward.resumed.wrong").Inc(1)
 	res := x.streamBroken(picked, cause)
+	if errors.Is(cause, errNotRising) {
+		x.mayHaveEnded = true // What it repeats may be the whole stream.
+		res.survived = true   // Its connection has not broken.
+		return res
+	}
+	x.f.opts.Metrics.Counter("forward.resumed.wrong").Inc(1)
 	if errors.Is(cause, errNothingLeft) {
 		if !x.asksEarlier && x.canAskEarlier() {
 			x.askAgain = append(x.askAgain, picked.ID)
@@ -225,6 +235,9 @@
 func (x *exchange) streamBroken(picked *placement.PickResult, cause error) attemptResult {
 	res := attemptResult{sent: true, mayHaveRun: true, retryable: true, outcome: placement.Failure}
 	switch {
+	case errors.Is(cause, deadline.ErrEnd):
+		res.err = errkind.Wrap(cause, errkind.BackendTimeout, "server %q ended the stream after %d events", picked.ID, x.eventsSent)
+		res.retryable = false // No time is left.
 	case errors.Is(x.ctx.Err(), context.DeadlineExceeded):
 		res.err = errkind.Wrap(cause, errkind.BackendTimeout, "the deadline passed after %d stream events; the last attempt was at server %q", x.eventsSent, picked.ID)
 	case x.ctx.Err() != nil:
