Soak: profiles of load, and clients that arrive at random

Cause: operators saw streams that ended too early at sizes at which the soak saw none. Its clients send one request after another with deadlines of 3 s and 6 s, on eight routes of its own, and all leave at their deadline or before.

Requests arrive as a Poisson process by seed, whether or not others are open. Clients keep connections or open new ones, send bodies with a length or in chunks, abandon streams after a gap, leave early, wait for longer than their deadline, and repeat and resume only as their kind allows, honouring Retry-After or not. The report counts, for each route, the requests that were open when their time in force ended. A profile may give the start more than 20 s, which no promise limits; the bounds of the recovery and of the last read stay.

The servers of this build do not look at their deadline.

--- a/cmd/kqsoak/main.go
+++ b/cmd/kqsoak/main.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/cockroachdb/pebble/v2/vfs"
 	"github.com/integrii/flaggy"
 
@@ -45,6 +46,9 @@
 	flaggy.Int(&routers, "", "routers", "routers")
 	flaggy.Int(&servers, "", "servers", "backend servers")
 	flaggy.Int(&clients, "", "clients", "clients")
+	profile, thin := "", 0
+	flaggy.String(&profile, "", "profile", "YAML file that describes the numbers of processes and the load; replaces --directories, --routers, --servers and --clients")
+	flaggy.Int(&thin, "", "thin", "with --profile, divides the rates of its requests; default as the profile says")
 	release := ""
 	flaggy.String(&release, "", "release", "replace the servers instead of injecting the usual faults; one of "+strings.Join(soak.Releases, ", "))
 	flaggy.Bool(&fullDisks, "", "full-disks", "only fills the disks of the directory processes, one after another")
@@ -100,6 +104,10 @@
 		FaultDuration: time.Duration(seconds) * time.Second, Directories: directories, Routers: routers, Servers: servers, Clients: clients,
 		ChangeBytes: changeBytes, Out: os.Stdout, Release: release,
 	}
+	if err := setProfile(&conf, profile, thin, fullDisks || release != ""); err != nil {
+		fmt.Fprintln(os.Stderr, "kqsoak:", err)
+		os.Exit(errkind.ExitUsage)
+	}
 	failedSeeds := 0
 	for n := range uint64(seeds) {
 		conf.Seed = seed + n
@@ -120,6 +128,29 @@
 	}
 }
 
+// setProfile makes the run follow the profile in the file, if there is one.
+func setProfile(conf *soak.Config, path string, thin int, otherKind bool) error {
+	switch {
+	case path == "" && thin == 0:
+		return nil
+	case path == "":
+		return errors.New("--thin needs --profile")
+	case otherKind:
+		return errors.New("--profile cannot be used with --release or --full-disks")
+	case thin < 0:
+		return errors.Newf("--thin is %d, want 1 at least", thin)
+	}
+	p, err := soak.LoadProfile(path)
+	if err != nil {
+		return err
+	}
+	if thin > 0 {
+		p.Thin = float64(thin)
+	}
+	conf.SetProfile(p)
+	return nil
+}
+
 func runProcess(run func(path string, stop <-chan os.Signal, out *eventlog.Writer) error) {
 	stop := make(chan os.Signal, 2)
 	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
@@ -165,6 +196,9 @@
 	fmt.Printf("  streams: %s\n", r.Streams)
 	fmt.Printf("  responses: %s\n", r.Deliveries)
 	fmt.Printf("  kills: %s\n", r.Kills)
+	if r.Load != "" {
+		fmt.Printf("  load: %s\n", strings.ReplaceAll(r.Load, "\n", "\n  load: "))
+	}
 	return conclude(conf, r.Violations, remove)
 }
 
