Do not believe a length that a server states at its deadline

Callers got an empty stream as whole, with the log line outcome=answered, server-left=-4.4ms: its server had stopped it at the deadline before the first event. Also plain answers of which a part was written.

Cause: the length of a response was taken for a statement that was made before. A framework states it when the response ends, of what was not flushed until then (net/http does so up to 2 KB).

Now a length counts only if the head came before the deadline, by the same margin as ends do. Error responses with a length are passed on.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -40,8 +40,8 @@
 // Response is a response whose header has been read. Close must be called.
 type Response struct {
 	*http.Response
-	// Deadline is that of the server. The end of a body without a Content-Length is an error of cause deadline.ErrEnd
-	// if the server may have stopped work there.
+	// Deadline is that of the server. The end of a body whose length was not told before it is an error of cause
+	// deadline.ErrEnd if the server may have stopped work there.
 	Deadline deadline.Server
 	// Opened is set if a connection was opened for the request.
 	Opened    bool
@@ -102,9 +102,7 @@
 		return nil, errkind.Wrap(err, errkind.BackendLost, "the connection to server %q failed before a response was received", t.ID)
 	}
 	c.updateIdleTimeout(resp.Header)
-	if resp.Body != http.NoBody {
-		resp.Body = resp.Deadline.Body(resp.Body, resp.ContentLength)
-	}
+	resp.Deadline.CheckBody(resp.Response, time.Now())
 	resp.requireConfirmedEnd(ctx)
 	return resp, nil
 }
--- a/internal/deadline/deadline.go
+++ b/internal/deadline/deadline.go
@@ -4,6 +4,7 @@
 
 import (
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -42,7 +43,7 @@
 // was sent.
 func (s Server) Left(now time.Time) time.Duration { return s.sentAt.Add(s.timeout).Sub(now) }
 
-// CheckEnd returns an error if a response that ended at endedAt, and whose framing does not tell its length, may have been
+// CheckEnd returns an error if a response that ended at endedAt, and whose length was not told before, may have been
 // stopped.
 func (s Server) CheckEnd(endedAt time.Time) error {
 	if s.timeout <= 0 || s.Left(endedAt) > earlyTime+s.timeout/clockRatio {
@@ -51,13 +52,14 @@
 	return errkind.Wrap(ErrEnd, errkind.BackendTimeout, "the response ended %s after its request with a time-out of %s", endedAt.Sub(s.sentAt).Round(time.Millisecond), s.timeout)
 }
 
-// Body returns a body that fails instead of ending if the server may have stopped it. length is that of the response,
-// as in net/http: of one whose length is known, the end shows.
-func (s Server) Body(body io.ReadCloser, length int64) io.ReadCloser {
-	if s.timeout <= 0 || length >= 0 {
-		return body
+// CheckBody makes the body of a response fail instead of ending if the server may have stopped it. begunAt is when the
+// head was received. A length that was told before the deadline shows where the body ends; one that is told
+// after it may be that of what the server had until then. An error response is what the server says of its stop.
+func (s Server) CheckBody(resp *http.Response, begunAt time.Time) {
+	isLengthKnown := resp.ContentLength >= 0 && (resp.StatusCode >= 300 || s.CheckEnd(begunAt) == nil)
+	if s.timeout > 0 && !isLengthKnown {
+		resp.Body = &checkedBody{ReadCloser: resp.Body, server: s}
 	}
-	return &checkedBody{ReadCloser: body, server: s}
 }
 
 type checkedBody struct {
--- a/internal/deadline/deadline_test.go
+++ b/internal/deadline/deadline_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -31,9 +32,12 @@
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			server := NewServer(time.Now(), tc.timeout)
-			for length, framed := range map[int64]bool{-1: false, 4: true} {
+			for _, length := range []int64{-1, 4} {
 				// The end comes with the last bytes, and a reader asks for it again later.
-				body := server.Body(io.NopCloser(iotest.DataErrReader(strings.NewReader("text"))), length)
+				resp := &http.Response{StatusCode: http.StatusOK, ContentLength: length, Body: io.NopCloser(iotest.DataErrReader(strings.NewReader("text")))}
+				framed := length >= 0 && tc.timeout != time.Millisecond // All of that counts as the deadline.
+				server.CheckBody(resp, time.Now())
+				body := resp.Body
 				if framed {
 					time.Sleep(time.Until(server.sentAt.Add(time.Hour)))
 				} else {
@@ -57,3 +61,28 @@
 		})
 	}
 }
+
+// Guards against a server that stops before it has written anything, or all, and whose framework states the length of
+// what there is: the length that comes at the deadline says nothing. An error response is passed on.
+func TestALengthThatIsToldAtTheDeadlineIsNotBelieved(t *testing.T) {
+	now := time.Now()
+	server := NewServer(now, 3*time.Second)
+	for _, tc := range []struct {
+		status     int
+		begunAfter time.Duration
+		whole      bool
+	}{
+		{http.StatusOK, 2991 * time.Millisecond, true},
+		{http.StatusOK, 2992 * time.Millisecond, false},
+		{http.StatusGatewayTimeout, 3 * time.Second, true},
+	} {
+		for _, text := range []string{"", "part"} {
+			resp := &http.Response{StatusCode: tc.status, ContentLength: int64(len(text)), Body: io.NopCloser(strings.NewReader(text))}
+			server.sentAt = now.Add(-tc.begunAfter)
+			server.CheckBody(resp, now)
+			if _, err := io.ReadAll(resp.Body); err == nil != tc.whole || err != nil && !errors.Is(err, ErrEnd) {
+				t.Errorf("status %d after %s, %q: %v, want whole %t", tc.status, tc.begunAfter, text, err, tc.whole)
+			}
+		}
+	}
+}
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -52,8 +52,8 @@
 
 // checkEnd makes the end of a response an error if the server may have stopped work there.
 func (r *attempt) checkEnd(resp *http.Response) {
-	if at := r.startedAt.Load(); at != nil && resp.Body != http.NoBody {
-		resp.Body = deadline.NewServer(*at, r.serverTimeout).Body(resp.Body, resp.ContentLength)
+	if at := r.startedAt.Load(); at != nil {
+		deadline.NewServer(*at, r.serverTimeout).CheckBody(resp, time.Now())
 	}
 }
 
