Do not confirm an end at a server that refuses new connections

Callers got streams and plain answers without a length cut, as if they were whole, whose server ended its connections one by one: one of the connections that are looked at outlived the end by 250 ms (100 ms for a plain answer) and confirmed it.

Cause: the look takes as long as the ends of a killed process lie apart; a process that ends by itself may take longer.

Now a connection is opened at the same time, which serves the next request in place of the one that has ended. A server that refuses it may be ending.

--- a/internal/backend/ends.go
+++ b/internal/backend/ends.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -106,11 +108,16 @@
 	if at, ok := ctx.Deadline(); ok {
 		within = min(within, time.Until(at)+maxTimePastDeadline)
 	}
+	var refused atomic.Bool
+	if sufficient {
+		go func() { refused.Store(s.isRefused()) }()
+	}
 	deadline := time.NewTimer(within)
 	defer deadline.Stop()
 	tick := time.NewTicker(witnessCheckInterval)
 	defer tick.Stop()
 	confirmed, err := outlast(ctx, witnesses, tick.C, deadline.C)
+	confirmed = confirmed && !refused.Load()
 	if !sufficient && s.pool.opts.IsReplaced != nil {
 		confirmed = confirmed && !s.pool.opts.IsReplaced(Target{ID: s.id, Born: s.born, Address: s.address})
 	}
@@ -120,6 +127,15 @@
 	return err
 }
 
+// isRefused reports whether the server accepts no connection any more: its process may be ending, and end its
+// connections one after another. One that it accepts is kept for the next request, in place of the one that has ended.
+func (s *serverPool) isRefused() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	_, err := s.openIdle(ctx, s.witnessLimit())
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // awaitWitness returns the witness, after it was opened if there is none, or nil if that fails. It is called while
 // a response is watched.
 func (s *serverPool) awaitWitness(ctx context.Context) *conn {
--- a/internal/backend/ends_test.go
+++ b/internal/backend/ends_test.go
@@ -56,6 +56,17 @@
 	return s
 }
 
+// endOneByOne closes the listener, and then the connections, each some time after the one before.
+func (s *unframedServer) endOneByOne(pause time.Duration) {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.Close()
+		time.Sleep(pause)
+	}
+}
+
 // endConnections ends all connections in order, as the kernel does for a killed process.
 func (s *unframedServer) endConnections() {
 	s.mu.Lock()
@@ -101,9 +112,14 @@
 }
 
 // Guards against responses without a length that are cut by the end of the server's process and pass for whole,
-// also if another process takes the address at once.
+// also if another process takes the address at once, or if it ends its connections one by one over longer than an
+// end is looked at.
 func TestAResponseIsNotWholeIfItsServerEndsWithIt(t *testing.T) {
-	for _, replaced := range []bool{false, true} {
+	for name, end := range map[string]func(s *unframedServer){
+		"killed":     (*unframedServer).kill,
+		"replaced":   (*unframedServer).endConnections,
+		"one by one": func(s *unframedServer) { s.endOneByOne(4 * streamEndTime / 20) },
+	} {
 		begun := make(chan struct{}, 100)
 		s := newUnframedServer(t, func(path string, c net.Conn) {
 			_, _ = io.WriteString(c, unframedHead+"part")
@@ -115,7 +131,7 @@
 		for range 20 {
 			wg.Go(func() {
 				if body, err := s.get(t, pool, "/"); !errors.Is(err, ErrEndUnconfirmed) {
-					t.Errorf("replaced %t: read %q, %v, want an end that is not confirmed", replaced, body, err)
+					t.Errorf("%s: read %q, %v, want an end that is not confirmed", name, body, err)
 				}
 			})
 		}
@@ -123,11 +139,7 @@
 			<-begun
 		}
 		time.Sleep(200 * time.Millisecond) // A response that lasts has a witness.
-		if replaced {
-			s.endConnections()
-		} else {
-			s.kill()
-		}
+		end(s)
 		wg.Wait()
 	}
 }
