Responses that may have no body are not checked for their server's deadline

HEAD requests and statuses 204 and 304 were answered 502 in declared fleets: wrapped the body of each response whose length is not known, also where there is none, which then counted as a response without framing. At routers of the platform such a response would have waited for its connection to end.

--- a/internal/deadline/deadline.go
+++ b/internal/deadline/deadline.go
@@ -56,6 +56,9 @@
 // head was received. A length that was told before the deadline shows where the body ends; one that is told
 // after it may be that of what the server had until then. An error response is what the server says of its stop.
 func (s Server) CheckBody(resp *http.Response, begunAt time.Time) {
+	if resp.ContentLength < 0 && resp.Body == http.NoBody {
+		return // Its request or status allows none.
+	}
 	isLengthKnown := resp.ContentLength >= 0 && (resp.StatusCode >= 300 || s.CheckEnd(begunAt) == nil)
 	if s.timeout > 0 && !isLengthKnown {
 		resp.Body = &checkedBody{ReadCloser: resp.Body, server: s}
--- a/internal/deadline/deadline_test.go
+++ b/internal/deadline/deadline_test.go
@@ -62,6 +62,15 @@
 	}
 }
 
+// Guards against responses without a body, whose request or status allows none, that count as cut or as ended by their
+// connection.
+func TestAResponseThatMayHaveNoBodyIsNotChecked(t *testing.T) {
+	resp := &http.Response{StatusCode: http.StatusNoContent, ContentLength: -1, Body: http.NoBody}
+	if NewServer(time.Now().Add(-time.Hour), time.Second).CheckBody(resp, time.Now()); resp.Body != http.NoBody {
+		t.Error("a response without a body got one")
+	}
+}
+
 // Guards against a server that stops before it has written anything, or all, and whose framework states the length of
 // what there is: the length that comes at the deadline says nothing. An error response is passed on.
 func TestALengthThatIsToldAtTheDeadlineIsNotBelieved(t *testing.T) {
