--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"io"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -32,3 +33,27 @@
 		}
 	}
 }
+
+// Guards against a stream that is resumed after an id that is no number among numbers: what another server writes after
+// it cannot be told from what the client has.
+func TestAnIDThatIsNoNumberIsNoPlaceAmongNumbers(t *testing.T) {
+	for _, tc := range []struct {
+		ids, last string
+		resumable bool
+	}{
+		{"1 2", "2", true},
+		{"a b", "b", true},
+		{"1 2 x", "2", false},
+		{"1 x 3", "3", true},
+	} {
+		x, _ := newResumption(t, &fakeRouter{}, "", false)
+		for _, id := range strings.Fields(tc.ids) {
+			if err := x.writeEvent(&http.Response{StatusCode: http.StatusOK, Header: http.Header{}}, parseEvent([]byte(text(id)))); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if got := x.canRetry(attemptResult{mayHaveRun: true}); x.lastEventID != tc.last || got != tc.resumable {
+			t.Errorf("%s: resumes after %q: %t, want after %q: %t", tc.ids, x.lastEventID, got, tc.last, tc.resumable)
+		}
+	}
+}
--- a/internal/handoff/handoff_test.go
+++ b/internal/handoff/handoff_test.go
@@ -106,7 +106,9 @@
 }
 
 func TestARequestAndItsResponseArriveWhole(t *testing.T) {
+	var handled time.Time
 	client, address, _ := startServer(t, func(w http.ResponseWriter, r *Request) (int, bool, error) {
+		defer func() { handled = time.Now() }()
 		if r.Method != http.MethodPost || r.URL.Path != "/x" || r.URL.RawQuery != "y=1" || r.RequestURI != "/x?y=1" || r.Host != "h" || r.ContentLength != 1 || r.Header.Get("Content-Length") != "1" || r.Timeout != 5*time.Second {
 			t.Errorf("the request arrived as %+v", r.Request)
 		}
@@ -114,7 +116,7 @@
 	})
 	var parts []Part
 	res := client.Do(t.Context(), address, newRequest(), func(p Part) error { parts = append(parts, p); return nil })
-	if res.Err != nil || res.EndedAt.IsZero() || len(parts) != 1 || parts[0].Status != http.StatusOK || string(parts[0].Data) != "body" || parts[0].Server != "s" || parts[0].Born != 7 {
+	if res.Err != nil || res.EndedAt.Before(handled) || len(parts) != 1 || parts[0].Status != http.StatusOK || string(parts[0].Data) != "body" || parts[0].Server != "s" || parts[0].Born != 7 {
 		t.Errorf("result %+v, parts %+v", res, parts)
 	}
 }
