One function rounds the time that servers are told

forward, its handed-off requests and dispatch each rounded the time that is left down to whole milliseconds, one at least; ends at the deadline are judged by that figure, so that it must be one. No change of behaviour.

--- a/internal/deadline/deadline.go
+++ b/internal/deadline/deadline.go
@@ -36,6 +36,11 @@
 	return Server{sentAt: sentAt, timeout: timeout}
 }
 
+// TimeoutFor returns the time-out to tell a server for the time that is left: whole milliseconds, and one at least.
+func TimeoutFor(left time.Duration) time.Duration {
+	return max(time.Millisecond, left.Truncate(time.Millisecond))
+}
+
 // Timeout returns the time-out that the server was told; 0 if none.
 func (s Server) Timeout() time.Duration { return s.timeout }
 
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -82,7 +82,7 @@
 	h[HeaderAttempt] = []string{r.attemptID}
 	h[HeaderWorkspace] = []string{x.q.workspace}
 	h[HeaderPriority] = []string{strconv.Itoa(int(x.q.route.priority))}
-	r.serverTimeout = max(time.Millisecond, time.Until(x.deadline).Truncate(time.Millisecond))
+	r.serverTimeout = deadline.TimeoutFor(time.Until(x.deadline))
 	h[HeaderDeadline] = []string{strconv.FormatInt(r.serverTimeout.Milliseconds(), 10)}
 	if x.claim != nil {
 		h[HeaderFence] = []string{strconv.FormatUint(x.claim.fence, 10)}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -132,7 +132,7 @@
 	httpheader.CopyEndToEnd(h, x.r.Header, "")
 	delete(h, "Content-Length")
 	o := BackendHeaders{
-		Instance: picked.ID, Timeout: max(time.Millisecond, x.deadline.Sub(now).Truncate(time.Millisecond)), Priority: x.route.Priority,
+		Instance: picked.ID, Timeout: deadline.TimeoutFor(x.deadline.Sub(now)), Priority: x.route.Priority,
 	}
 	o.LastEventID, o.HasLastEventID = x.resumeAfter(picked)
 	if x.workspace != nil {
--- a/internal/forward/handoff.go
+++ b/internal/forward/handoff.go
@@ -223,7 +223,7 @@
 	header := make(http.Header, len(x.r.Header))
 	httpheader.CopyEndToEnd(header, x.r.Header, "")
 	req := handoff.EncodeRequest(x.r, header, x.body)
-	req.TimeoutMs = uint32(max(1, time.Until(x.deadline).Milliseconds()))
+	req.TimeoutMs = uint32(deadline.TimeoutFor(time.Until(x.deadline)).Milliseconds())
 	req.Revision, req.Sends, req.Excluded = x.view.Revision, uint32(x.sends), x.sentTo
 	req.LastEventId, req.OriginService, req.OriginVersion = x.lastEventID, x.origin.Service, x.origin.Version
 	if x.asksEarlier {
