Pool of connections: note once when a request finds its connection open

No change of behaviour: backend, deadline, forward, dispatch and handoff pass with the race detector.

--- a/internal/backend/ends.go
+++ b/internal/backend/ends.go
@@ -192,9 +192,3 @@
 		}
 	}
 }
-
-func (s *serverPool) isOpenedBefore(w *conn, at time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return w.openedAt.Before(at)
-}
--- a/internal/backend/witness.go
+++ b/internal/backend/witness.go
@@ -11,20 +11,17 @@
 // beginExchange records that a request is about to be sent on c, within maxConnections. It reports whether a
 // response without a length is expected, which is watched then.
 func (s *serverPool) beginExchange(c *conn, maxConnections int) (watched bool) {
-	now := time.Now()
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.maxConnections = maxConnections
-	c.seenOpenAt, c.hasWitness = now, false
-	watched = now.Sub(s.unframedAt) < unframedMemory
-	s.mu.Unlock()
-	if watched {
-		s.watch()
-		s.mu.Lock()
-		// The request is not sent yet, so that a response shows that the connection is open now.
-		c.seenOpenAt = time.Now()
-		c.hasWitness = s.hasWitnessSince(c.seenOpenAt)
+	if watched = time.Since(s.unframedAt) < unframedMemory; watched {
 		s.mu.Unlock()
+		s.watch() // It locks s.mu.
+		s.mu.Lock()
 	}
+	// The request is not sent yet, so that a response shows that the connection is open now.
+	c.seenOpenAt = time.Now()
+	c.hasWitness = watched && s.hasWitnessSince(c.seenOpenAt)
 	return watched
 }
 
@@ -86,6 +83,13 @@
 	return s.witness != nil && s.witness.openedAt.Before(at)
 }
 
+// isOpenedBefore reports whether w was opened before at.
+func (s *serverPool) isOpenedBefore(w *conn, at time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return w.openedAt.Before(at)
+}
+
 func (s *serverPool) unwatch() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
