Planned stops: end the listener at once when no connection waits

Callers saw a reset instead of an answer or a refused connection, if they opened a connection while a router that stops closed its listener (found on the trace of 'status 0 ... connection reset by peer', TestARouterThatStopsTakesNoRequestThatItWouldCut, seen once; that it was this is not shown).

Cause: net.Listener.Close ends the socket only once the goroutine that accepts has run. Until then the kernel takes connections, and resets them at the end.

Change: the look for waiting connections and the end of the listener are two calls of the kernel in a row. Serve, which both kinds of routers share now, knows the error that the goroutine gets then.

What is left lies between the two calls; a socket filter would leave none, but the kernel of this machine refuses one ('operation not supported').

The test dials at the moment of Close; on the code before the connection is opened.

--- a/internal/drain/shutdown.go
+++ b/internal/drain/shutdown.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -20,12 +21,22 @@
 	acceptCheckInterval = time.Millisecond
 )
 
+// Serve serves until the server or its listener is closed, or Shutdown is called.
+func Serve(server *http.Server, listener net.Listener) error {
+	err := server.Serve(listener)
+	// The kernel refuses to accept with EINVAL once Shutdown has ended the listener.
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) || errors.Is(err, syscall.EINVAL) {
+		return nil
+	}
+	return err
+}
+
 // Shutdown lets a server accept the connections that are open, which the kernel would reset, closes
 // its listener, lets the requests on the last connections arrive, and
 // shuts the server down. http.Server.Shutdown alone would close a connection without an answer if
-// its request arrived after the call. Serve then returns an error that wraps net.ErrClosed.
+// its request arrived after the call.
 func Shutdown(ctx context.Context, server *http.Server, listener net.Listener) error {
-	for end := time.Now().Add(maxAcceptTime); hasConnections(listener) && time.Now().Before(end) && ctx.Err() == nil; {
+	for end := time.Now().Add(maxAcceptTime); !endIfIdle(listener) && time.Now().Before(end) && ctx.Err() == nil; {
 		time.Sleep(acceptCheckInterval)
 	}
 	_ = listener.Close() // It is closed once more by the server.
@@ -36,20 +47,25 @@
 	return server.Shutdown(ctx)
 }
 
-// hasConnections reports whether connections wait to be accepted.
-func hasConnections(listener net.Listener) bool {
+// endIfIdle ends the listener unless connections wait to be accepted. It reports whether it has nothing to wait for, which it
+// does not know of listeners other than sockets.
+//
+// Close would let the kernel take, and then reset, connections until the goroutine that accepts them has run.
+func endIfIdle(listener net.Listener) bool {
 	l, ok := listener.(syscall.Conn)
 	if !ok {
-		return false
+		return true
 	}
 	raw, err := l.SyscallConn()
 	if err != nil {
-		return false
+		return true
 	}
-	waiting := false
+	ended := false
 	err = raw.Control(func(fd uintptr) {
 		n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
-		waiting = err == nil && n > 0
+		if ended = err != nil || n == 0; ended {
+			_ = unix.Shutdown(int(fd), unix.SHUT_RDWR) // The listener is closed next in any case.
+		}
 	})
-	return err == nil && waiting
+	return ended || err != nil
 }
--- a/internal/drain/shutdown_test.go
+++ b/internal/drain/shutdown_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -54,3 +55,41 @@
 	}
 	wg.Wait()
 }
+
+// dialingListener notes whether a connection can be opened at the moment of its Close.
+type dialingListener struct {
+	*net.TCPListener
+	opened atomic.Bool
+}
+
+func (l *dialingListener) Close() error {
+	if c, err := net.Dial("tcp", l.Addr().String()); err == nil {
+		l.opened.Store(true)
+		_ = c.Close()
+	}
+	return l.TCPListener.Close()
+}
+
+// Guards against connections that the kernel takes, and resets with their requests, between the decision to close the
+// listener and its end.
+func TestNoConnectionIsOpenedOnceTheListenerIsToClose(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &dialingListener{TCPListener: inner.(*net.TCPListener)}
+	server := &http.Server{Handler: http.NotFoundHandler()}
+	ended := make(chan error, 1)
+	go func() { ended <- Serve(server, inner) }()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	if err := Shutdown(ctx, server, l); err != nil {
+		t.Error(err)
+	}
+	if err := <-ended; err != nil {
+		t.Errorf("the server ended with %v", err)
+	}
+	if l.opened.Load() {
+		t.Error("a connection was opened while the listener was being closed")
+	}
+}
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -196,12 +196,7 @@
 		if s.listener == nil {
 			continue
 		}
-		g.Go(func() error {
-			if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-				return err
-			}
-			return nil
-		})
+		g.Go(func() error { return drain.Serve(s.server, s.listener) })
 	}
 	g.Go(func() error { return r.view.Run(ctx) })
 	g.Go(func() error { return r.pool.Run(ctx) })
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
 	"storj.io/drpc/drpcmux"
@@ -18,6 +17,7 @@
 	"github.com/kumquathollow/kumquathollow/internal/config"
 	"github.com/kumquathollow/kumquathollow/internal/dispatch"
 	"github.com/kumquathollow/kumquathollow/internal/distribution"
+	"github.com/kumquathollow/kumquathollow/internal/drain"
 	"github.com/kumquathollow/kumquathollow/internal/grantor"
 	"github.com/kumquathollow/kumquathollow/internal/keys"
 	"github.com/kumquathollow/kumquathollow/internal/membership"
@@ -251,12 +251,7 @@
 		server   *http.Server
 		listener net.Listener
 	}{{r.callerServer, r.callers}, {r.announceServer, r.announce}, {r.adminServer, r.admin}} {
-		g.Go(func() error {
-			if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-				return err
-			}
-			return nil
-		})
+		g.Go(func() error { return drain.Serve(s.server, s.listener) })
 	}
 	return nil
 }
