A stream that is resumed through another router is not whole if its server stops it at the deadline

What callers saw: a client of a declared fleet that lost its router and resumed its stream through another one (`/v1/resume/`) got a stream as whole that its server had stopped at the deadline of the run, in sound framing.

Cause: the second router does not know the deadline of the run. It believed any end in sound framing.

Change: the request id names the earliest instant at which the server may stop, in the 32 characters that were 16 random bytes in hexadecimal: 24 bytes in base 64, of them 16 random. Routers of the release before take such ids, and believe ends as before. The second router applies the rule of deadline-ends.md to that instant, less a second for the difference of the two wall clocks. An end that may be a stop, or any end if the id names no instant (release before) or one that no route's deadline explains (clocks differ), is one only if the server says that the attempt is completed (`GET /v1/attempts/{id}`, as for claims). Weighed with the other ways in docs/design/deadline-ends.md.

Cost: a resumed stream that ends in the last second, and whose server keeps no attempts, is cut although whole.

--- a/internal/deadline/deadline.go
+++ b/internal/deadline/deadline.go
@@ -24,10 +24,17 @@
 // ErrEnd is the cause of the error that takes the place of the end of a response at its server's deadline.
 var ErrEnd = errors.New("the server ended the response at the deadline that it was sent, where it stops work, so that the response may lack its end")
 
+// clockTolerance is how much the wall clocks of two VMs may differ.
+const clockTolerance = time.Second
+
 // Server is the deadline that a request names to its server. The zero value is none.
 type Server struct {
 	sentAt  time.Time
 	timeout time.Duration
+	// isElsewhere is set if another router has sent the request. stopsAt is the earliest instant at which the server may
+	// stop by the clock of that router; zero if it is not known.
+	isElsewhere bool
+	stopsAt     time.Time
 }
 
 // NewServer returns the deadline of a server that was told a time-out. sentAt is before the first byte of the
@@ -36,6 +43,16 @@
 	return Server{sentAt: sentAt, timeout: timeout}
 }
 
+// ServerOfOtherRouter returns the deadline of a server to which another router has sent the request, before now, and
+// which does not stop sooner than stopsAt by the clock of that router. Zero means that this is not known, so that any end
+// may be a stop, and so does a time that is further ahead than the longest time-out: the clocks differ then.
+func ServerOfOtherRouter(stopsAt time.Time, longest time.Duration, now time.Time) Server {
+	if stopsAt.Sub(now) > longest+clockTolerance {
+		stopsAt = time.Time{}
+	}
+	return Server{isElsewhere: true, stopsAt: stopsAt}
+}
+
 // TimeoutFor returns the time-out to tell a server for the time that is left: whole milliseconds, and one at least.
 func TimeoutFor(left time.Duration) time.Duration {
 	return max(time.Millisecond, left.Truncate(time.Millisecond))
@@ -48,10 +65,20 @@
 // was sent.
 func (s Server) Left(now time.Time) time.Duration { return s.sentAt.Add(s.timeout).Sub(now) }
 
+// StopsAt returns the earliest instant at which the server may stop.
+func (s Server) StopsAt() time.Time {
+	return s.sentAt.Add(s.timeout - earlyTime - s.timeout/clockRatio)
+}
+
 // CheckEnd returns an error if a response that ended at endedAt, and whose length was not told before, may have been
 // stopped.
 func (s Server) CheckEnd(endedAt time.Time) error {
-	if s.timeout <= 0 || s.Left(endedAt) > earlyTime+s.timeout/clockRatio {
+	switch {
+	case s.isElsewhere && s.stopsAt.IsZero():
+		return errkind.Wrap(ErrEnd, errkind.BackendTimeout, "the response ended, and its server's deadline is not known to this router")
+	case s.isElsewhere && !endedAt.Add(clockTolerance).Before(s.stopsAt):
+		return errkind.Wrap(ErrEnd, errkind.BackendTimeout, "the response ended %s before the server's deadline by the clock of another router, which may differ by %s", s.stopsAt.Sub(endedAt).Round(time.Millisecond), clockTolerance)
+	case s.isElsewhere || s.timeout <= 0 || endedAt.Before(s.StopsAt()):
 		return nil
 	}
 	return errkind.Wrap(ErrEnd, errkind.BackendTimeout, "the response ended %s after its request with a time-out of %s", endedAt.Sub(s.sentAt).Round(time.Millisecond), s.timeout)
@@ -65,7 +92,7 @@
 		return // Its request or status allows none.
 	}
 	isLengthKnown := resp.ContentLength >= 0 && (resp.StatusCode >= 300 || s.CheckEnd(begunAt) == nil)
-	if s.timeout > 0 && !isLengthKnown {
+	if (s.timeout > 0 || s.isElsewhere) && !isLengthKnown {
 		resp.Body = &checkedBody{ReadCloser: resp.Body, server: s}
 	}
 }
--- a/internal/deadline/deadline_test.go
+++ b/internal/deadline/deadline_test.go
@@ -95,3 +95,36 @@
 		}
 	}
 }
+
+// Guards against the end of a stream that another router has begun and that counts as whole although the server may have
+// stopped it by that router's clock, and against a deadline that is believed although the clocks differ.
+func TestAnEndAtTheDeadlineThatAnotherRouterToldIsNoEnd(t *testing.T) {
+	now := time.UnixMilli(1_800_000_000_000)
+	for _, tc := range []struct {
+		// stopsIn is when the server may stop, seen from the resumption; unknown stands for none.
+		stopsIn, endsAfter time.Duration
+		unknown, whole     bool
+	}{
+		{stopsIn: 5 * time.Second, endsAfter: 5*time.Second - clockTolerance - time.Millisecond, whole: true},
+		{stopsIn: 5 * time.Second, endsAfter: 5*time.Second - clockTolerance},
+		{stopsIn: 5 * time.Second, endsAfter: time.Minute},
+		{stopsIn: -5 * time.Second},
+		{stopsIn: 20*time.Second + clockTolerance, whole: true},
+		{stopsIn: 20*time.Second + clockTolerance + time.Millisecond},
+		{unknown: true},
+	} {
+		stopsAt := now.Add(tc.stopsIn)
+		if tc.unknown {
+			stopsAt = time.Time{}
+		}
+		server := ServerOfOtherRouter(stopsAt, 20*time.Second, now)
+		if err := server.CheckEnd(now.Add(tc.endsAfter)); err == nil != tc.whole || err != nil && !errors.Is(err, ErrEnd) {
+			t.Errorf("%+v: %v", tc, err)
+		}
+		resp := &http.Response{StatusCode: http.StatusOK, ContentLength: -1, Body: io.NopCloser(strings.NewReader("text"))}
+		server.CheckBody(resp, now)
+		if _, checked := resp.Body.(*checkedBody); !checked {
+			t.Errorf("%+v: the end is not checked", tc)
+		}
+	}
+}
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -29,7 +29,9 @@
 	// first byte was about to be sent.
 	serverTimeout time.Duration
 	startedAt     atomic.Pointer[time.Time]
-	result        RunResult
+	// resumed is the server's deadline if another router has sent the request.
+	resumed *deadline.Server
+	result  RunResult
 }
 
 func newAttempt(x *exchange, p Permit) *attempt {
@@ -52,7 +54,9 @@
 
 // checkEnd makes the end of a response an error if the server may have stopped work there.
 func (r *attempt) checkEnd(resp *http.Response) {
-	if at := r.startedAt.Load(); at != nil {
+	if r.resumed != nil {
+		r.resumed.CheckBody(resp, time.Now())
+	} else if at := r.startedAt.Load(); at != nil {
 		deadline.NewServer(*at, r.serverTimeout).CheckBody(resp, time.Now())
 	}
 }
--- a/internal/dispatch/claim.go
+++ b/internal/dispatch/claim.go
@@ -39,7 +39,6 @@
 	var cancel context.CancelFunc
 	x.ctx, cancel = context.WithTimeout(context.WithoutCancel(r.Context()), route.deadline)
 	defer cancel()
-	x.deadline = x.startedAt.Add(route.deadline)
 
 	granted, err := x.acquireClaim()
 	if err != nil || !granted {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/kumquathollow/kumquathollow/internal/config"
+	"github.com/kumquathollow/kumquathollow/internal/deadline"
 	"github.com/kumquathollow/kumquathollow/internal/drain"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 )
@@ -144,9 +145,8 @@
 	if x.q, err = mapRequest(set, route, r, body, x.baseID); err != nil {
 		return err
 	}
-	if x.q.workspace != r.Header.Get(HeaderWorkspace) {
-		x.baseID = newBaseID(x.q.workspace) // the workspace is named in the body
-	}
+	x.deadline = x.startedAt.Add(route.deadline)
+	x.baseID = newBaseIDWithDeadline(x.q.workspace, deadline.NewServer(x.startedAt, route.deadline).StopsAt())
 	x.body = newRequestBody(x.q.body)
 	if err := d.checkStopping(route); err != nil {
 		return err
@@ -158,7 +158,6 @@
 	var cancel context.CancelFunc
 	x.ctx, cancel = context.WithTimeout(r.Context(), route.deadline)
 	defer cancel()
-	x.deadline = x.startedAt.Add(route.deadline)
 	return x.runAttempts()
 }
 
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/kumquathollow/kumquathollow/internal/config"
+	"github.com/kumquathollow/kumquathollow/internal/deadline"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 )
 
@@ -62,6 +63,8 @@
 	}
 	a := newAttempt(x, permit)
 	a.sentAt = time.Now()
+	server := deadline.ServerOfOtherRouter(ref.stopsAt, longestDeadline(x.q.route.service), time.Now())
+	a.resumed = &server
 	a.result.Outcome = errkind.Unknown
 	defer func() {
 		a.result.Duration = time.Since(a.sentAt)
@@ -77,5 +80,30 @@
 		return errkind.New(errkind.StreamGone, "the server no longer keeps the stream")
 	}
 	d.metrics.resumedStreams.Inc(1)
+	a.checkEnd(resp)
 	return a.forwardStream(resp, offset).err
 }
+
+// longestDeadline returns the longest deadline of the service's routes.
+func longestDeadline(svc *config.Service) (longest time.Duration) {
+	for i := range svc.Routes {
+		longest = max(longest, durationOrDefault(svc.Routes[i].Deadline, defaultDeadline))
+	}
+	return longest
+}
+
+// isCompleted asks the server whether the run of a resumed stream, which has ended when the server may have stopped it,
+// was completed. Which attempt ran there is not known to this router.
+func (r *attempt) isCompleted() bool {
+	x := r.x
+	for i := 1; i <= x.q.policy.maxAttempts && x.ctx.Err() == nil; i++ {
+		switch state, _ := x.d.backendClient.attemptState(r.permit.Address(), x.baseID+"-"+strconv.Itoa(i)); state {
+		case AttemptCompleted:
+			return true
+		case AttemptUnknown: // It may have run under the next one.
+		default:
+			return false
+		}
+	}
+	return false
+}
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -89,6 +89,9 @@
 		case err == io.EOF:
 			return s.finish()
 		case errors.Is(err, deadline.ErrEnd):
+			if s.resumed != nil && s.isCompleted() {
+				return s.finish()
+			}
 			return s.connectionLostError(err) // No time is left.
 		default:
 			if err := s.resume(err); err != nil {
