Handed-off responses without a length that end shortly before the deadline are whole

What callers saw: a response without a length that a router relayed from another one was cut, or answered 504, if it ended less than 250 ms (a plain answer: 100 ms) before the deadline, though it was whole.

Cause: the end of such a response is confirmed until up to 200 ms after the deadline (backend.confirmEnd), but the call between the routers ended with the deadline, and the confirmation with the call. An answer that came nevertheless would have been judged by the time at which it came.

Change: the router that took the request over says when it begins to confirm an end (`confirming`, a new field of ExchangeResponse), and with an empty message if the attempt fails after that. The first router keeps the call for 240 ms after the deadline at most while an end is being confirmed, judges the end by the time of the word, and otherwise ends the call with the deadline, and with the client at any time. So no server is asked after the deadline that was not before: keeping each call for longer would let a router that was stopped send requests after it. Servers are told the same time-outs as before.

--- a/internal/backend/ends.go
+++ b/internal/backend/ends.go
@@ -29,8 +29,8 @@
 	// minWitnessLife is the least time that a server leaves an idle connection open. If one ends sooner, the server
 	// has no room for it, and the next one is opened after witnessPause.
 	minWitnessLife, witnessPause = 300 * time.Millisecond, time.Second
-	// maxTimePastDeadline is how long after the deadline of its request an end that came before it is looked at.
-	maxTimePastDeadline = 200 * time.Millisecond
+	// MaxTimePastDeadline is how long after the deadline of its request an end that came before it is looked at.
+	MaxTimePastDeadline = 200 * time.Millisecond
 	// maxLateRead is how long after its end a response may be read, and a connection be opened then, for that to show
 	// anything: a router that was stopped, or is overloaded, may find another process at the address.
 	maxLateRead = 100 * time.Millisecond
@@ -69,7 +69,8 @@
 }
 
 // requireConfirmedEnd makes the end of the response an error unless it is confirmed, if it is that of the connection.
-func (r *Response) requireConfirmedEnd(ctx context.Context) {
+// onConfirm is called before that, unless it is nil.
+func (r *Response) requireConfirmedEnd(ctx context.Context, onConfirm func()) {
 	// Only of a socket the kernel tells whether it has ended.
 	if !r.EndsWithConnection() || r.conn.socket() == nil {
 		return
@@ -88,7 +89,12 @@
 	if httpheader.IsEventStream(r.Header) {
 		within = streamEndTime
 	}
-	r.Body = &confirmedBody{ReadCloser: r.Body, confirm: func() error { return r.conn.confirmEnd(ctx, within) }}
+	r.Body = &confirmedBody{ReadCloser: r.Body, confirm: func() error {
+		if onConfirm != nil {
+			onConfirm()
+		}
+		return r.conn.confirmEnd(ctx, within)
+	}}
 }
 
 // confirmEnd closes the connection, which has ended, and returns an error unless the server's process is known to
@@ -106,7 +112,7 @@
 		}
 	}
 	if at, ok := ctx.Deadline(); ok {
-		within = min(within, time.Until(at)+maxTimePastDeadline)
+		within = min(within, time.Until(at)+MaxTimePastDeadline)
 	}
 	var refused atomic.Bool
 	if sufficient {
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -35,6 +35,9 @@
 	// ReserveHead is called before the head of a response takes n more bytes of memory than a
 	// usual one. An error ends the exchange. nil means that the memory is not limited.
 	ReserveHead func(n int64) error
+	// OnConfirm, if not nil, is called before the end of a response without a length is confirmed, by the goroutine that
+	// reads the body. The response ended before its server's deadline.
+	OnConfirm func()
 }
 
 // Response is a response whose header has been read. Close must be called.
@@ -103,7 +106,7 @@
 	}
 	c.updateIdleTimeout(resp.Header)
 	resp.Deadline.CheckBody(resp.Response, time.Now())
-	resp.requireConfirmedEnd(ctx)
+	resp.requireConfirmedEnd(ctx, r.OnConfirm)
 	return resp, nil
 }
 
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -45,6 +45,9 @@
 	defer silence.Stop()
 	x.counted = x.f.opts.View.BeginAttempt(x.service.Name, x.route.Name, picked.Version, picked.ID, sentAt)
 	res := x.send(picked, sentAt)
+	if res.err != nil {
+		x.reportConfirming(false)
+	}
 	latency := time.Since(sentAt)
 	if x.firstEvent > 0 {
 		latency = x.startedAt.Add(x.firstEvent).Sub(sentAt)
@@ -153,7 +156,7 @@
 		Method: x.r.Method, Target: target, Host: x.r.Host, Header: h, Body: x.body,
 		HasBody: x.r.ContentLength != 0 || x.r.Header.Get("Content-Length") != "",
 		ID:      x.requestInfo.ID, IDHeader: x.f.opts.Protocol.IDHeader(), NonIdempotent: !x.route.Idempotent(), Timeout: o.Timeout,
-		ReserveHead: x.reserveHead,
+		ReserveHead: x.reserveHead, OnConfirm: func() { x.reportConfirming(true) },
 	}
 }
 
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -66,6 +66,8 @@
 	// received is what another router told of the request that it handed off; nil for a
 	// client's own request.
 	received *handoff.Request
+	// confirming is set while that router keeps its call beyond the deadline, since the end of the response is confirmed.
+	confirming bool
 	// excluded are the ids of the servers to which the request was sent, or that this router could
 	// not reach. sentTo are those of the former: another router may reach the others.
 	excluded, sentTo []string
--- a/internal/forward/handoff.go
+++ b/internal/forward/handoff.go
@@ -147,12 +147,21 @@
 	// The other router may have the release before, to which a server's stop at its deadline is an end. That is no
 	// sooner than its time-out after the request to it.
 	server := deadline.NewServer(sentAt, time.Duration(req.TimeoutMs)*time.Millisecond)
-	res := peers.Do(x.ctx, address, req, func(p handoff.Part) error {
-		if p.Header != nil {
+	call := x.newHandoffCall()
+	defer call.close()
+	res := peers.Do(call.ctx, address, req, func(p handoff.Part) error {
+		switch {
+		case p.Confirming:
+			call.setConfirming(time.Now())
+			return nil
+		case p.IsEmpty():
+			call.setConfirming(time.Time{})
+			return nil
+		case p.Header != nil:
 			x.recordRemoteNotice(p, sentAt)
 			head, check.server = p, p.Server
 			if isWhole(p) {
-				if err := server.CheckEnd(time.Now()); err != nil {
+				if err := server.CheckEnd(call.endedAt(time.Now())); err != nil {
 					return err
 				}
 			}
@@ -166,7 +175,7 @@
 			res.Err = err
 		}
 		if res.Err == nil {
-			res.Err = server.CheckEnd(res.EndedAt)
+			res.Err = server.CheckEnd(call.endedAt(res.EndedAt))
 		}
 		if res.Err == nil {
 			x.writeHeader(&http.Response{StatusCode: head.Status, Header: head.Header})
--- a/internal/handoff/client.go
+++ b/internal/handoff/client.go
@@ -30,8 +30,14 @@
 	// set together with Header.
 	Server string
 	Born   int64
+	// Confirming is set in a part of its own once the response has ended in time and the other router confirms the end,
+	// which may last until shortly after the deadline. A part without anything says that it has not ended after all.
+	Confirming bool
 }
 
+// IsEmpty reports whether the part holds nothing.
+func (p Part) IsEmpty() bool { return p.Header == nil && len(p.Data) == 0 && !p.Confirming }
+
 // Result is how an exchange with another router ended.
 type Result struct {
 	// Err is nil if the response is complete. Its kind is that of the other router's error,
@@ -89,7 +95,7 @@
 			_, _ = stream.Recv() // It has no more messages; an error only costs the connection.
 			return Result{Sends: int(req.Sends) + 1, MayHaveRun: true, EndedAt: endedAt}
 		}
-		part := Part{Status: int(resp.Status), Data: resp.Data}
+		part := Part{Status: int(resp.Status), Data: resp.Data, Confirming: resp.Confirming}
 		if resp.Status != 0 {
 			part.Header, part.Server, part.Born = decodeHeaders(resp.Headers), resp.Server, resp.Born
 		}
--- a/internal/handoff/handoff_test.go
+++ b/internal/handoff/handoff_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -201,3 +202,31 @@
 		t.Errorf("the next request: %+v", res)
 	}
 }
+
+// Guards against a router that does not hear that the end of a response is confirmed, or that it has not ended after all:
+// it would end the call at the deadline, or keep it.
+func TestTheOtherRouterTellsThatAnEndIsConfirmed(t *testing.T) {
+	client, address, _ := startServer(t, func(w http.ResponseWriter, r *Request) (int, bool, error) {
+		for _, confirming := range []bool{true, false, true} {
+			if err := r.ReportConfirming(confirming); err != nil {
+				return 0, true, err
+			}
+		}
+		return ok(w, r)
+	})
+	var got []string
+	res := client.Do(t.Context(), address, newRequest(), func(p Part) error {
+		switch {
+		case p.Confirming:
+			got = append(got, "confirming")
+		case p.IsEmpty():
+			got = append(got, "not ended")
+		default:
+			got = append(got, string(p.Data))
+		}
+		return nil
+	})
+	if want := []string{"confirming", "not ended", "confirming", "body"}; res.Err != nil || !slices.Equal(got, want) {
+		t.Errorf("%+v, parts %q, want %q", res, got, want)
+	}
+}
--- a/internal/handoff/server.go
+++ b/internal/handoff/server.go
@@ -44,6 +44,9 @@
 	// Server returns the id and the incarnation of the backend server whose response is being
 	// written. The Handler sets it.
 	Server func() (id string, born int64)
+	// ReportConfirming tells the other router that the response has ended and its end is being confirmed, or that it has
+	// not ended after all.
+	ReportConfirming func(confirming bool) error
 }
 
 // Handler handles a request and writes the response. If it returns an error, the response is
@@ -79,6 +82,9 @@
 	if err != nil {
 		return refuse(stream, req, err)
 	}
+	r.ReportConfirming = func(confirming bool) error {
+		return stream.Send(&handoffpb.ExchangeResponse{Confirming: confirming})
+	}
 	w := &responseWriter{stream: stream, request: r, header: http.Header{}}
 	sends, mayHaveRun, err := s.handle(w, r)
 	if err != nil {
