Handed-off requests: try a router that is slow to accept once more

Callers of a router that reaches no server were refused (503 no-backend) although another router served 23 others of them at that moment.

Cause: a connection to the only router that reaches the servers was not accepted within 400 ms ('peerfailed req416 ... 788 ms unreachable: dial ... i/o timeout', with 23 requests in flight there), and each router was tried once.

Change: if there is no other router, one that did not accept in time is tried once more while other requests are in flight there. One that refuses the connection, or at which nothing is in flight, is not: it may have ended.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -63,6 +63,8 @@
 	sends, failedDials, unreachable int
 	// handedOffTo are the addresses of the routers to which the request was handed off.
 	handedOffTo []string
+	// slowPeer is the last one if it did not accept the connection in time.
+	slowPeer string
 	// received is what another router told of the request that it handed off; nil for a
 	// client's own request.
 	received *handoff.Request
--- a/internal/forward/handoff.go
+++ b/internal/forward/handoff.go
@@ -133,6 +133,9 @@
 	}
 	peers := x.f.opts.Handoff
 	address := x.f.peers.Choose(peers.Addresses(), x.handedOffTo, routing.Hash(x.requestInfo.ID), time.Now())
+	if address == "" && x.slowPeer != "" && x.f.peers.ChooseAgain(x.slowPeer, peers.Addresses()) {
+		address = x.slowPeer
+	}
 	if address == "" {
 		return attemptResult{}, false
 	}
@@ -170,6 +173,9 @@
 		return x.receivePart(p, check)
 	})
 	x.f.peers.Done(address, res.PeerFailed, time.Now())
+	if x.slowPeer = ""; res.TimedOut {
+		x.slowPeer = address
+	}
 	if res.Err == nil && head.Header != nil && !isWhole(head) {
 		if err := check.end(); !errors.Is(err, errNothingLeft) || x.eventsSent > 0 || x.asksEarlier {
 			res.Err = err
--- a/internal/handoff/client.go
+++ b/internal/handoff/client.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 	"unicode/utf8"
 
+	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/kumquathollow/kumquathollow/api/handoffpb"
@@ -53,6 +55,8 @@
 	EndedAt time.Time
 	// PeerFailed is set if the router itself, and not a backend server, is the cause.
 	PeerFailed bool
+	// TimedOut is set if no connection to the router could be opened in time.
+	TimedOut bool
 }
 
 // endTimeout limits waiting for the end of a call whose response is complete.
@@ -74,7 +78,8 @@
 	defer func() { _ = conn.Close() }()
 	stream, err := handoffpb.NewDRPCHandoffClient(conn).Exchange(ctx, req)
 	if errkind.Is(err, errkind.Unreachable) {
-		return Result{Err: err, Sends: int(req.Sends), PeerFailed: true}
+		var timeout net.Error
+		return Result{Err: err, Sends: int(req.Sends), PeerFailed: true, TimedOut: errors.As(err, &timeout) && timeout.Timeout()}
 	}
 	if err != nil {
 		return lost(ctx, err, address, req)
--- a/internal/handoff/handoff_test.go
+++ b/internal/handoff/handoff_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -230,3 +232,18 @@
 		t.Errorf("%+v, parts %q, want %q", res, got, want)
 	}
 }
+
+// Guards against a router that is slow to accept and counts as one that has ended, or the reverse.
+func TestOnlyAConnectionThatIsNotAcceptedInTimeTimesOut(t *testing.T) {
+	for name, tc := range map[string]struct {
+		err      error
+		timedOut bool
+	}{"in time": {os.ErrDeadlineExceeded, true}, "refused": {syscall.ECONNREFUSED, false}} {
+		dialer := rpc.NewFleetDialer()
+		dialer.Dial = func(context.Context, string) (net.Conn, error) { return nil, &net.OpError{Op: "dial", Err: tc.err} }
+		res := (&Client{Router: "r", Dialer: dialer}).Do(t.Context(), "h:1", newRequest(), func(Part) error { return nil })
+		if !res.PeerFailed || res.MayHaveRun || res.TimedOut != tc.timedOut {
+			t.Errorf("%s: %+v, want timed out %t", name, res, tc.timedOut)
+		}
+	}
+}
--- a/internal/handoff/peers.go
+++ b/internal/handoff/peers.go
@@ -64,6 +64,20 @@
 	return chosen
 }
 
+// ChooseAgain reports whether a request may be handed off once more to a router to which no connection could be opened in
+// time: it is still a candidate, and other requests of this router are in flight there, so that it may only be busy. The
+// request counts as in flight until Done then.
+func (p *Peers) ChooseAgain(address string, candidates []string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.states[address]
+	if s == nil || s.inFlight == 0 || !slices.Contains(candidates, address) {
+		return false
+	}
+	s.inFlight++
+	return true
+}
+
 // Available reports whether a candidate is usable.
 func (p *Peers) Available(candidates []string, now time.Time) bool {
 	p.mu.Lock()
