Do not confirm an end without a witness at a server that refuses connections

Callers got responses without a length cut, as if they were whole, from a server that ended its connections one by one, if no witness had been kept for them: the limit of connections left no room for one, or the server had ended it within 0.3 s. Then another response in progress vouched for the server.

Cause: asks whether the server still accepts connections only where a witness was kept. In the other case one is opened after the end, and that it was refused was taken for no room.

Evidence: TestAResponseWithoutAWitnessIsNotWholeIfItsServerRefusesConnections failed 5 of 5: the cut response was whole.

Now the server is asked in each case, unless it has accepted a connection after the end.

--- a/internal/backend/ends.go
+++ b/internal/backend/ends.go
@@ -101,21 +101,24 @@
 // have outlived it by the given time.
 func (c *conn) confirmEnd(ctx context.Context, within time.Duration) error {
 	s := c.pool
-	lateAt := time.Now().Add(maxLateRead - c.sinceEnded())
+	endedAt := time.Now().Add(-c.sinceEnded())
+	lateAt := endedAt.Add(maxLateRead)
 	_ = c.Close() // The server has room for another connection now.
 	witnesses, sufficient := s.witnesses(c)
+	hasAccepted := false
 	if !sufficient && time.Now().Before(lateAt) {
 		// The response was over before a witness was there. One that is opened after it does not tell a server that was
 		// replaced at its address within that moment.
 		if w := s.awaitWitness(ctx); w != nil && s.isOpenedBefore(w, lateAt) {
 			witnesses = append(witnesses, w)
+			hasAccepted = !s.isOpenedBefore(w, endedAt)
 		}
 	}
 	if at, ok := ctx.Deadline(); ok {
 		within = min(within, time.Until(at)+MaxTimePastDeadline)
 	}
 	var refused atomic.Bool
-	if sufficient {
+	if !hasAccepted {
 		go func() { refused.Store(s.isRefused()) }()
 	}
 	deadline := time.NewTimer(within)
--- a/internal/backend/ends_test.go
+++ b/internal/backend/ends_test.go
@@ -226,3 +226,51 @@
 		}
 	}
 }
+
+// Guards against a response that passes for whole since the server's limit of connections left no room for a witness: another
+// response vouches for a server that has closed its listener and ends its connections one by one.
+func TestAResponseWithoutAWitnessIsNotWholeIfItsServerRefusesConnections(t *testing.T) {
+	for _, refuses := range []bool{false, true} {
+		begun, goOn := make(chan struct{}), map[string]chan struct{}{"/first": make(chan struct{}), "/second": make(chan struct{})}
+		answer := make(chan struct{})
+		s := newUnframedServer(t, func(path string, c net.Conn) {
+			begun <- struct{}{}
+			<-answer // Both connections are open by then, so that none is left for a witness.
+			_, _ = io.WriteString(c, unframedHead+"part")
+			<-goOn[path]
+		})
+		pool, target := newRunningPool(t), s.target()
+		target.MaxConnections = 2
+		bodies := map[string]io.Reader{}
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		for path := range goOn {
+			wg.Go(func() {
+				resp, err := pool.Do(t.Context(), target, &Request{Method: http.MethodGet, Target: path, Host: "h"})
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				t.Cleanup(resp.Close)
+				mu.Lock()
+				defer mu.Unlock()
+				bodies[path] = resp.Body
+			})
+		}
+		<-begun
+		<-begun
+		close(answer)
+		wg.Wait()
+		if t.Failed() {
+			return
+		}
+		if refuses {
+			_ = s.listener.Close()
+		}
+		close(goOn["/first"])
+		if body, err := io.ReadAll(bodies["/first"]); string(body) != "part" || errors.Is(err, ErrEndUnconfirmed) != refuses || !refuses && err != nil {
+			t.Errorf("refuses connections %t: read %q, %v", refuses, body, err)
+		}
+		close(goOn["/second"])
+	}
+}
