--- a/internal/deadline/deadline_test.go
+++ b/internal/deadline/deadline_test.go
@@ -62,6 +62,18 @@
 	}
 }
 
+// Guards against servers that are told more time than is left, or none, which would mean that there is no deadline.
+func TestServersAreToldNoMoreTimeThanIsLeft(t *testing.T) {
+	for left, want := range map[time.Duration]time.Duration{
+		2*time.Second + 999*time.Microsecond: 2 * time.Second, time.Millisecond: time.Millisecond,
+		999 * time.Microsecond: time.Millisecond, 0: time.Millisecond, -time.Hour: time.Millisecond,
+	} {
+		if got := TimeoutFor(left); got != want {
+			t.Errorf("%s left: a time-out of %s, want %s", left, got, want)
+		}
+	}
+}
+
 // Guards against responses without a body, whose request or status allows none, that count as cut or as ended by their
 // connection.
 func TestAResponseThatMayHaveNoBodyIsNotChecked(t *testing.T) {
--- a/internal/dispatch/deadline_ends_test.go
+++ b/internal/dispatch/deadline_ends_test.go
@@ -10,7 +10,13 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/iotest"
 	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/kumquathollow/kumquathollow/internal/deadline"
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
 )
 
 // Guards against streams and answers that their server stops at its deadline, in sound framing, and that pass for whole,
@@ -54,6 +60,9 @@
 			stop(w, at, "data: part\n\n")
 		case "long answer":
 			stop(w, at, strings.Repeat("x", 2*maxBufferedResponse))
+		case "buffered stream", "buffered answer": // The length is known once the response is over.
+			time.Sleep(time.Until(at))
+			_, _ = io.WriteString(w, "data: part\n\n")
 		default: // Also a stream without an event.
 			stop(w, at, "")
 		}
@@ -61,7 +70,7 @@
 	rig := newRig(t, address)
 	for _, path := range []string{"/v1/chat/completions", "/v1/entries/confirm"} {
 		rig.d.table(rig.d.opts.Config()).find("POST", path).deadline = timeout
-		for _, form := range []string{"stream", "empty stream", "resumed stream", "answer", "long answer"} {
+		for _, form := range []string{"stream", "empty stream", "resumed stream", "answer", "long answer", "buffered stream", "buffered answer"} {
 			for _, ends := range []string{"early", "at the deadline"} {
 				t.Run(fmt.Sprintf("%s, %s, ends %s", path, form, ends), func(t *testing.T) {
 					t.Parallel()
@@ -94,3 +103,20 @@
 		}
 	}
 }
+
+// Guards against another run of a request that has no time left: its server has ended the response at its deadline.
+func TestAnEndAtTheDeadlineIsNotAskedForAgain(t *testing.T) {
+	atDeadline := deadline.NewServer(time.Now(), time.Second).CheckEnd(time.Now().Add(time.Second))
+	for _, end := range []error{atDeadline, io.ErrUnexpectedEOF} {
+		r := &attempt{x: &exchange{d: newRig(t, "127.0.0.1:1").d, ctx: t.Context()}}
+		body := func() *http.Response {
+			return &http.Response{StatusCode: http.StatusOK, ContentLength: -1, TransferEncoding: []string{"chunked"}, Body: io.NopCloser(iotest.ErrReader(end))}
+		}
+		for form, res := range map[string]attemptResult{"stream": r.forwardStream(body(), 0), "answer": r.forwardResponse(body())} {
+			isEnd := errors.Is(end, deadline.ErrEnd)
+			if res.retryable == isEnd || !res.mayHaveRun || errkind.Is(res.err, errkind.BackendTimeout) != isEnd {
+				t.Errorf("%s, %v: %v, retryable %t, may have run %t", form, end, res.err, res.retryable, res.mayHaveRun)
+			}
+		}
+	}
+}
--- a/internal/forward/deadline_ends_test.go
+++ b/internal/forward/deadline_ends_test.go
@@ -65,3 +65,16 @@
 		}
 	}
 }
+
+// Guards against a response that counts as one without a deadline, since less than a millisecond was left when its request
+// was handed off.
+func TestAResponseThatIsHandedOffAtItsDeadlineIsNotWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		peer := &believingRouter{fakeRouter: fakeRouter{events: []string{text("4")}}}
+		x, _ := newResumption(t, &peer.fakeRouter, "", false)
+		x.f.opts.Handoff, x.requestInfo.HasLastEventID, x.deadline = peer, false, time.Now()
+		if res, ok := x.handOff(); !ok || !errors.Is(res.err, deadline.ErrEnd) {
+			t.Errorf("handed off %t, %v, want an end at the deadline", ok, res.err)
+		}
+	})
+}
