Find the ids of events whose lines end with CR alone

Clients could get a run that goes back as whole, or have a stream resumed at a wrong place, from a server that ends lines with CR, as event streams may: a line was what ends with LF, so that of "id: 1<CR>data: a" the id was "1<CR>data: a", which is no number and is not checked to rise; it was also sent as Last-Event-ID. Several events that are separated by CR CR passed for one.

No server is known to write so; found by reading the format.

Now lines end with LF, CRLF or CR. Where CR CR would separate events inside of a text, the stream is taken for broken. TestAStreamWhoseIDsDoNotRiseIsCut (two forms more) and TestLinesThatEndWithCRHaveTheirIDs failed before; they and the tests of resumed and unusual streams in platform pass, and internal/forward.

--- a/internal/forward/continuity.go
+++ b/internal/forward/continuity.go
@@ -96,12 +96,30 @@
 	id string
 	// hasData is set unless the event consists of comments and other fields only.
 	hasData bool
+	// isSeveral is set if clients that end lines at CR alone, too, find more than one event in the text.
+	isSeveral bool
 }
 
-// parseEvent returns the event of a text, which ends with an empty line.
+// parseEvent returns the event of a text, which ends with an empty line. A line may end with CR alone.
 func parseEvent(text []byte) streamEvent {
 	e := streamEvent{text: text}
-	for line := range bytes.Lines(text) {
+	begun, ended := false, false
+	for rest := text; len(rest) > 0; {
+		n := bytes.IndexAny(rest, "\r\n")
+		if n < 0 {
+			n = len(rest)
+		}
+		line := rest[:n]
+		rest = rest[n:]
+		if bytes.HasPrefix(rest, []byte("\r\n")) {
+			rest = rest[1:]
+		}
+		rest = rest[min(1, len(rest)):]
+		if len(line) == 0 {
+			ended = begun
+			continue
+		}
+		begun, e.isSeveral = true, e.isSeveral || ended
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			e.id = string(bytes.TrimSpace(id))
 		}
@@ -110,6 +128,9 @@
 	return e
 }
 
+// errSeveralEvents means that what is one event by its lines that end with LF has empty lines that end with CR alone.
+var errSeveralEvents = errkind.New(errkind.StreamBroken, "an empty line that ends with CR alone is not supported as the end of an event")
+
 // errNotRising means that a server wrote an event whose id does not rise: it repeats events, or joins two runs.
 var errNotRising = errkind.New(errkind.StreamBroken, "the ids of events do not rise")
 
@@ -168,6 +189,9 @@
 // isNew reports whether the client does not have the event yet. It returns an error if events are
 // missing before it, or its id does not rise.
 func (c *continuity) isNew(e streamEvent) (bool, error) {
+	if e.isSeveral {
+		return false, errSeveralEvents // Not all ids would be checked.
+	}
 	at := positionAfter(e.id)
 	previousID := c.lastID
 	if e.id != "" {
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net/http"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -57,3 +58,26 @@
 		}
 	}
 }
+
+// Guards against ids that are not seen since their lines end with CR alone, so that events come twice, or a stream is resumed
+// at another place; and against several events that pass for one.
+func TestLinesThatEndWithCRHaveTheirIDs(t *testing.T) {
+	for text, want := range map[string]streamEvent{
+		"id: 4\rdata: a\r\n\r\n":            {id: "4", hasData: true},
+		"data: a\rid: 4\n\n":                {id: "4", hasData: true},
+		": c\rid: 4\r\n\n":                  {id: "4"},
+		"\n\r\nid: 4\r\ndata: a\r\n\r\n":    {id: "4", hasData: true},
+		"id: 4\ndata: a\n\r\n":              {id: "4", hasData: true},
+		"id: 4\rdata: a\r\rid: 5\rdata\n\n": {id: "5", hasData: true, isSeveral: true},
+		"id: 4\n\rid: 5\n\n":                {id: "5", isSeveral: true},
+	} {
+		got := parseEvent([]byte(text))
+		if want.text = []byte(text); !reflect.DeepEqual(got, want) {
+			t.Errorf("%q: %+v, want %+v", text, got, want)
+		}
+		c := continuity{numbering: &numbering{}}
+		if _, err := c.isNew(got); (err != nil) != want.isSeveral {
+			t.Errorf("%q: %v, several events: %t", text, err, want.isSeveral)
+		}
+	}
+}
