One type for bodies whose end is checked

The bodies of responses that end at their deadline, and of those whose end is confirmed, were two types with the same code.

--- a/internal/backend/deadline_ends_test.go
+++ b/internal/backend/deadline_ends_test.go
@@ -31,12 +31,12 @@
 			t.Fatal(err)
 		}
 		defer resp.Close()
-		body, ok := resp.Body.(*confirmedBody)
+		body, ok := resp.Body.(*deadline.CheckedBody)
 		if !ok {
 			t.Fatalf("the end of a body of type %T is not confirmed", resp.Body)
 		}
-		confirm, confirmed := body.confirm, false
-		body.confirm = func() error {
+		confirm, confirmed := body.Check, false
+		body.Check = func() error {
 			if confirmed = ctx.Err() == nil; cancelled {
 				cancel()
 			} else {
--- a/internal/backend/ends.go
+++ b/internal/backend/ends.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"io"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/kumquathollow/kumquathollow/internal/deadline"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/httpheader"
 )
@@ -42,32 +42,6 @@
 // the server's process may have ended with it.
 var ErrEndUnconfirmed = errors.New("the connection ended a response without a length, and no other one shows that the server's process outlived it")
 
-// confirmedBody is the body of a response without a length. Its end is an error unless it is confirmed.
-type confirmedBody struct {
-	io.ReadCloser
-	confirm func() error
-	// end is the error of reads after the end.
-	end error
-}
-
-// Read implements io.Reader.
-func (b *confirmedBody) Read(p []byte) (int, error) {
-	if b.end != nil {
-		return 0, b.end
-	}
-	n, err := b.ReadCloser.Read(p)
-	if !errors.Is(err, io.EOF) {
-		return n, err
-	}
-	if n > 0 {
-		return n, nil // The next read finds the end again.
-	}
-	if b.end = b.confirm(); b.end == nil {
-		b.end = io.EOF
-	}
-	return 0, b.end
-}
-
 // requireConfirmedEnd makes the end of the response an error unless it is confirmed, if it is that of the connection.
 // onConfirm is called before that, unless it is nil.
 func (r *Response) requireConfirmedEnd(ctx context.Context, onConfirm func()) {
@@ -89,7 +63,7 @@
 	if httpheader.IsEventStream(r.Header) {
 		within = streamEndTime
 	}
-	r.Body = &confirmedBody{ReadCloser: r.Body, confirm: func() error {
+	r.Body = &deadline.CheckedBody{ReadCloser: r.Body, Check: func() error {
 		if onConfirm != nil {
 			onConfirm()
 		}
@@ -121,11 +95,11 @@
 	if !hasAccepted {
 		go func() { refused.Store(s.isRefused()) }()
 	}
-	deadline := time.NewTimer(within)
-	defer deadline.Stop()
+	passed := time.NewTimer(within)
+	defer passed.Stop()
 	tick := time.NewTicker(witnessCheckInterval)
 	defer tick.Stop()
-	confirmed, err := outlast(ctx, witnesses, tick.C, deadline.C)
+	confirmed, err := outlast(ctx, witnesses, tick.C, passed.C)
 	confirmed = confirmed && !refused.Load()
 	if !sufficient && s.pool.opts.IsReplaced != nil {
 		confirmed = confirmed && !s.pool.opts.IsReplaced(Target{ID: s.id, Born: s.born, Address: s.address})
--- a/internal/deadline/deadline.go
+++ b/internal/deadline/deadline.go
@@ -93,19 +93,20 @@
 	}
 	isLengthKnown := resp.ContentLength >= 0 && (resp.StatusCode >= 300 || s.CheckEnd(begunAt) == nil)
 	if (s.timeout > 0 || s.isElsewhere) && !isLengthKnown {
-		resp.Body = &checkedBody{ReadCloser: resp.Body, server: s}
+		resp.Body = &CheckedBody{ReadCloser: resp.Body, Check: func() error { return s.CheckEnd(time.Now()) }}
 	}
 }
 
-type checkedBody struct {
+// CheckedBody is a response body whose end is an error unless Check, which is called once, returns none.
+type CheckedBody struct {
 	io.ReadCloser
-	server Server
+	Check func() error
 	// end is the error of reads after the end.
 	end error
 }
 
 // Read implements io.Reader.
-func (b *checkedBody) Read(p []byte) (int, error) {
+func (b *CheckedBody) Read(p []byte) (int, error) {
 	if b.end != nil {
 		return 0, b.end
 	}
@@ -113,7 +114,7 @@
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
-	if b.end = b.server.CheckEnd(time.Now()); b.end == nil {
+	if b.end = b.Check(); b.end == nil {
 		b.end = io.EOF
 	}
 	if n > 0 {
