--- a/internal/backend/ends.go
+++ b/internal/backend/ends.go
@@ -75,26 +75,21 @@
 // have outlived it by the given time.
 func (c *conn) confirmEnd(ctx context.Context, within time.Duration) error {
 	s := c.pool
-	endedAt := time.Now().Add(-c.sinceEnded())
-	lateAt := endedAt.Add(maxLateRead)
+	lateAt := time.Now().Add(maxLateRead - c.sinceEnded())
 	_ = c.Close() // The server has room for another connection now.
 	witnesses, sufficient := s.witnesses(c)
-	hasAccepted := false
 	if !sufficient && time.Now().Before(lateAt) {
 		// The response was over before a witness was there. One that is opened after it does not tell a server that was
 		// replaced at its address within that moment.
 		if w := s.awaitWitness(ctx); w != nil && s.isOpenedBefore(w, lateAt) {
 			witnesses = append(witnesses, w)
-			hasAccepted = !s.isOpenedBefore(w, endedAt)
 		}
 	}
 	if at, ok := ctx.Deadline(); ok {
 		within = min(within, time.Until(at)+MaxTimePastDeadline)
 	}
 	var refused atomic.Bool
-	if !hasAccepted {
-		go func() { refused.Store(s.isRefused()) }()
-	}
+	go func() { refused.Store(s.isRefused()) }()
 	passed := time.NewTimer(within)
 	defer passed.Stop()
 	tick := time.NewTicker(witnessCheckInterval)
--- a/internal/backend/ends_test.go
+++ b/internal/backend/ends_test.go
@@ -271,6 +271,9 @@
 		if body, err := io.ReadAll(bodies["/first"]); string(body) != "part" || errors.Is(err, ErrEndUnconfirmed) != refuses || !refuses && err != nil {
 			t.Errorf("refuses connections %t: read %q, %v", refuses, body, err)
 		}
+		if got := s.accepted.Load(); got > 3 {
+			t.Errorf("%d connections, want 2 at a time, and the third after the first", got)
+		}
 		close(goOn["/second"])
 	}
 }
