Resumptions whose server first writes a comment

A client that resumes a stream of which it has all events was never told that it has ended, if servers write a comment first, on routes with two attempts or more: the comment began its response, so that nothing but a cut was left once the server said no more.

Evidence: trial over sockets, 2 servers that know the stream, attempts 2 and 3: 4 of 4 resumptions cut after the comment (unexpected EOF); with one attempt, or without the comment, whole.

Now a text with neither id nor data is dropped until the first new event of a continuation, as it is already where the last event is asked for again. The two cases of TestEventsWithoutAnIDBeforeTheLastOneAreNotPassedOnAgain and the two of TestAClientsResumptionBeginsAfterItsLastEvent failed before. internal/forward and the tests of streams in platform pass.

--- a/internal/forward/continuity.go
+++ b/internal/forward/continuity.go
@@ -202,6 +202,10 @@
 			c.skipped = c.skipped || e.hasData
 			return false, nil
 		}
+		// A comment would begin the response of a resumption, although nothing may be left of the stream.
+		if c.after.id != "" && !c.joined && !c.unnumbered && e.id == "" && !e.hasData {
+			return false, nil
+		}
 		// Ids that are no numbers have no order, but one that comes twice in a row, or is that of the client's
 		// last event, does not rise.
 		if e.id != "" && (e.id == previousID || e.id == c.after.id) {
