--- a/internal/forward/continuity_test.go
+++ b/internal/forward/continuity_test.go
@@ -221,6 +221,7 @@
 		"nothing but a comment again": {true, ": still there\n\n", "", false, false},
 		"nothing but a comment":       {false, ": still there\n\n", "", false, false},
 		"a comment, then the next":    {false, ": still there\n\n" + text("4") + ": x\n\n", text("4") + ": x\n\n", true, false},
+		"a comment after such a one":  {false, unnumbered + ": x\n\n" + text("4"), unnumbered + ": x\n\n" + text("4"), true, false},
 		"the last one is left out":    {true, unnumbered + text("4"), "", false, true},
 		"before the first event":      {false, unnumbered + text("1") + text("2") + text("3") + text("4"), unnumbered, false, true},
 		"before the last one":         {false, unnumbered + text("3") + text("4"), unnumbered, false, true},
