Pool of connections: a witness gives way to a request

Cause: the witness, which confirms the end of such a response, is a connection that counts towards the limit and that no request uses.

Change: a request that the limit allows but for the witness, or a former one that is kept for a while, is sent on that connection, which remains a witness meanwhile and is the witness again afterwards. A request waits for a witness that is being opened. One whose route had a response that ended its connection does not get it: two that end together could not be confirmed. The response to a request on a witness's connection has a witness itself, so that neither passes for whole if both end.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -134,6 +134,15 @@
 	return time.Duration(info.Last_ack_recv) * time.Millisecond
 }
 
+// servesAt reports whether the server keeps the idle connection open long enough for a request at now.
+func (c *conn) servesAt(now time.Time, nonIdempotent bool) bool {
+	idle := now.Sub(c.idleSince)
+	if nonIdempotent {
+		return idle <= time.Duration(nonIdempotentIdleFraction*float64(c.idleTimeout))
+	}
+	return idle < c.idleTimeout
+}
+
 // reusable reports whether an idle connection is still open and has received no
 // bytes.
 func (c *conn) reusable() bool {
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -25,6 +25,8 @@
 	Body   []byte
 	// HasBody is set if the client's request has a body, even an empty one.
 	HasBody bool
+	// Kind names requests whose responses are alike in form, as those of one route. If it is empty, Target does.
+	Kind string
 	// ID is the request id that the response must name in the header IDHeader.
 	ID, IDHeader string
 	// NonIdempotent requests may run only once, so they are not sent on connections
@@ -40,6 +42,13 @@
 	OnConfirm func()
 }
 
+func (r *Request) kind() string {
+	if r.Kind != "" {
+		return r.Kind
+	}
+	return r.Target
+}
+
 // Response is a response whose header has been read. Close must be called.
 type Response struct {
 	*http.Response
@@ -88,7 +97,7 @@
 // server may have run the request. ctx applies to the whole exchange, including the
 // response body.
 func (p *Pool) Do(ctx context.Context, t Target, r *Request) (*Response, error) {
-	c, opened, err := p.get(ctx, t, r.NonIdempotent)
+	c, opened, err := p.get(ctx, t, r)
 	if err != nil {
 		return nil, err
 	}
@@ -105,6 +114,7 @@
 		return nil, errkind.Wrap(err, errkind.BackendLost, "the connection to server %q failed before a response was received", t.ID)
 	}
 	c.updateIdleTimeout(resp.Header)
+	c.pool.recordKind(r.kind(), resp.Response.Close || !resp.Framed(), time.Now())
 	resp.Deadline.CheckBody(resp.Response, time.Now())
 	resp.requireConfirmedEnd(ctx, r.OnConfirm)
 	return resp, nil
@@ -276,7 +286,7 @@
 		r.conn.pool.unwatch()
 	}
 	if !r.bodyRead || cancelled || r.Response == nil || r.Response.Close || !r.Framed() || r.conn.br.Buffered() > 0 || !r.requestWritten() || r.longBody && !r.conn.forbidLateReader() {
-		_ = r.conn.Close()
+		r.conn.pool.closeRequest(r.conn)
 		return
 	}
 	r.pool.put(r.conn)
--- /dev/null
+++ b/internal/backend/lending_test.go
@@ -0,0 +1,180 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
+)
+
+// newMixedServer answers /long without a length, until end is closed, /wait with one, until then, and other paths at once with a
+// length and an open connection.
+func newMixedServer(t *testing.T, end <-chan struct{}) *unframedServer {
+	const framed = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\na"
+	return newUnframedServer(t, func(path string, c net.Conn) {
+		for br := bufio.NewReader(c); ; {
+			switch path {
+			case "/long":
+				_, _ = io.WriteString(c, unframedHead+"a")
+				<-end
+				_, _ = io.WriteString(c, "b")
+				return
+			case "/wait":
+				_, _ = io.WriteString(c, framed)
+				<-end
+				_, _ = io.WriteString(c, "b")
+			default:
+				_, _ = io.WriteString(c, framed+"b")
+			}
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			path = r.URL.Path
+		}
+	})
+}
+
+// begin sends a request and reads the first byte of its response.
+func (s *unframedServer) begin(t *testing.T, pool *Pool, target Target, r Request) (*Response, error) {
+	t.Helper()
+	r.Method, r.Host, r.ID, r.IDHeader = http.MethodGet, "h", "1", "X-Id"
+	resp, err := pool.Do(t.Context(), target, &r)
+	if err != nil {
+		return nil, err
+	}
+	t.Cleanup(resp.Close)
+	_, err = io.ReadFull(resp.Body, make([]byte, 1))
+	return resp, err
+}
+
+// awaitWitnessOf waits until the response has a witness.
+func awaitWitnessOf(t *testing.T, resp *Response) {
+	t.Helper()
+	s := resp.conn.pool
+	for recorded := false; !recorded; time.Sleep(time.Millisecond) {
+		s.mu.Lock()
+		recorded = resp.conn.hasWitness
+		s.mu.Unlock()
+	}
+}
+
+// Guards against a long response without a length whose witness leaves no connection for other requests, and against one that
+// counts as cut since its witness gave way.
+func TestAWitnessGivesWayToRequests(t *testing.T) {
+	const requests = 200
+	for name, tc := range map[string]struct {
+		limit         int
+		nonIdempotent bool
+		idle          time.Duration
+	}{
+		"limit 2":                     {2, false, 0},
+		"limit 3":                     {3, false, 0},
+		"non-idempotent":              {2, true, 0},
+		"non-idempotent, old witness": {2, true, defaultIdleTimeout * 3 / 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			end := make(chan struct{})
+			s := newMixedServer(t, end)
+			pool, target := newRunningPool(t), s.target()
+			target.MaxConnections = tc.limit
+			long, err := s.begin(t, pool, target, Request{Target: "/long"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if tc.idle > 0 {
+				awaitWitnessOf(t, long)
+				sp := long.conn.pool
+				sp.mu.Lock()
+				sp.witness.idleSince = time.Now().Add(-tc.idle)
+				sp.mu.Unlock()
+			}
+			for i := range requests {
+				resp, err := s.begin(t, pool, target, Request{Target: "/length", NonIdempotent: tc.nonIdempotent})
+				if err != nil {
+					t.Fatalf("request %d: %v", i, err)
+				}
+				if _, err := resp.ReadAll(10, func(int64) error { return nil }); err != nil {
+					t.Fatal(err)
+				}
+				resp.Close()
+			}
+			awaitWitnessOf(t, long)
+			// It ends while a request uses its witness.
+			for range tc.limit - 1 {
+				if _, err := s.begin(t, pool, target, Request{Target: "/length"}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			close(end)
+			if rest, err := io.ReadAll(long.Body); string(rest) != "b" || err != nil {
+				t.Errorf("read %q, %v", rest, err)
+			}
+		})
+	}
+}
+
+// Guards against a cut response that passes for whole since its witness served a request when the server's process ended, also if
+// another process has the address at once.
+func TestAResponseWhoseWitnessGaveWayIsNotWholeIfItsServerEnds(t *testing.T) {
+	for name, kill := range map[string]func(s *unframedServer){"killed": (*unframedServer).kill, "replaced": (*unframedServer).endConnections} {
+		for _, other := range []string{"/wait", "/long"} { // The form of the second response is not known when it begins.
+			end := make(chan struct{})
+			s := newMixedServer(t, end)
+			pool, target := newRunningPool(t), s.target()
+			target.MaxConnections = 2
+			long, err := s.begin(t, pool, target, Request{Target: "/long", Kind: "long"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			awaitWitnessOf(t, long)
+			second, err := s.begin(t, pool, target, Request{Target: other, Kind: "other"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			kill(s)
+			var wg sync.WaitGroup
+			for which, resp := range map[string]*Response{"first": long, "second": second} {
+				wg.Go(func() {
+					if rest, err := io.ReadAll(resp.Body); err == nil || other == "/long" && !errors.Is(err, ErrEndUnconfirmed) {
+						t.Errorf("%s, %s beside %s: read %q, %v", name, which, other, rest, err)
+					}
+				})
+			}
+			wg.Wait()
+			close(end)
+		}
+	}
+}
+
+// Guards against witnesses that give way to requests whose responses end their connections: two that end together would have no
+// witness.
+func TestAWitnessDoesNotGiveWayToAResponseThatEndsItsConnection(t *testing.T) {
+	end := make(chan struct{})
+	s := newMixedServer(t, end)
+	pool, target := newRunningPool(t), s.target()
+	target.MaxConnections = 2
+	long, err := s.begin(t, pool, target, Request{Target: "/long", Kind: "long"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	awaitWitnessOf(t, long)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	if _, err := pool.Do(ctx, target, &Request{Method: http.MethodGet, Target: "/long", Host: "h", Kind: "long"}); !errkind.Is(err, errkind.QueueFull) {
+		t.Errorf("second response without a length: %v, want queue-full", err)
+	}
+	close(end)
+	if rest, err := io.ReadAll(long.Body); string(rest) != "b" || err != nil {
+		t.Errorf("read %q, %v", rest, err)
+	}
+}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -70,6 +70,13 @@
 	watching       int
 	witness        *conn
 	openingWitness bool
+	// witnessOpened is closed when the opening of a witness is over. retiring holds former witnesses that requests
+	// do not use yet, and lent is the former witness that a request uses since the limit was reached, or nil.
+	witnessOpened chan struct{}
+	retiring      []*conn
+	lent          *conn
+	// endingKinds holds the kinds of requests to which the server gave a response that ended its connection, and when it last did.
+	endingKinds map[string]time.Time
 	// guarding is set while guardWitness runs. witnessLife is after how long the server closed an idle connection
 	// last, or 0. No witness is opened until noWitnessUntil.
 	guarding       bool
@@ -99,7 +106,12 @@
 func (s *serverPool) connClosed(c *conn) {
 	s.mu.Lock()
 	s.openConns--
-	delete(s.conns, c)
+	if c != nil {
+		delete(s.conns, c)
+		if c == s.lent {
+			s.lent = nil
+		}
+	}
 	s.mu.Unlock()
 }
 
@@ -132,18 +144,35 @@
 	return s
 }
 
-// get returns an idle connection or opens a new one, and whether it did that. Its errors have
-// kind unreachable, or queue-full if MaxConnections are in use, and mean that nothing was
-// sent.
-func (p *Pool) get(ctx context.Context, t Target, nonIdempotent bool) (c *conn, opened bool, err error) {
+// get returns an idle connection or opens a new one, and whether it did that. A witness gives way to a request
+// that would be refused otherwise. Its errors have kind unreachable, or queue-full if MaxConnections are in use,
+// and mean that nothing was sent.
+func (p *Pool) get(ctx context.Context, t Target, r *Request) (c *conn, opened bool, err error) {
 	s := p.poolFor(t)
-	if c = s.takeIdle(nonIdempotent, time.Now()); c == nil {
-		if c, err = s.open(ctx, t.MaxConnections); err != nil {
+	for last := false; ; last = true {
+		if c := s.takeIdle(r.NonIdempotent, time.Now()); c != nil {
+			return c, false, nil
+		}
+		opening := s.witnessOpening()
+		c, err := s.open(ctx, t.MaxConnections)
+		if !errkind.Is(err, errkind.QueueFull) {
+			return c, err == nil, err
+		}
+		w := s.takeWitness(r.kind(), t.MaxConnections)
+		switch {
+		case w != nil && w.servesAt(time.Now(), r.NonIdempotent) && w.reusable():
+			return w, false, nil
+		case w != nil:
+			return s.openInPlaceOf(ctx, w, t.MaxConnections)
+		case opening == nil || last:
 			return nil, false, err
 		}
-		opened = true
+		select {
+		case <-ctx.Done():
+			return nil, false, err
+		case <-opening:
+		}
 	}
-	return c, opened, nil
 }
 
 // open opens a connection unless maxConnections are open; 0 means no limit. Its errors are those of get.
@@ -210,14 +239,13 @@
 			return nil
 		}
 		c := s.idle[n-1]
-		idle := now.Sub(c.idleSince)
-		if nonIdempotent && idle > time.Duration(nonIdempotentIdleFraction*float64(c.idleTimeout)) {
+		if nonIdempotent && !c.servesAt(now, true) {
 			s.mu.Unlock()
 			return nil
 		}
 		s.idle = s.idle[:n-1]
 		s.mu.Unlock()
-		if idle < c.idleTimeout && c.reusable() {
+		if c.servesAt(now, false) && c.reusable() {
 			return c
 		}
 		_ = c.Close()
@@ -230,8 +258,15 @@
 	_ = c.SetDeadline(time.Time{})
 	s := c.pool
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c == s.lent {
+		s.lent = nil
+		if s.watching > 0 && s.witness == nil {
+			s.witness = c
+			return
+		}
+	}
 	s.idle = append(s.idle, c)
-	s.mu.Unlock()
 }
 
 // Run closes connections that exceed their idle timeout, until ctx is done.
--- a/internal/backend/witness.go
+++ b/internal/backend/witness.go
@@ -8,6 +8,9 @@
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 )
 
+// maxEndingKinds limits the kinds of requests that are remembered for one server.
+const maxEndingKinds = 1000
+
 // beginExchange records that a request is about to be sent on c, within maxConnections. It reports whether a
 // response without a length is expected, which is watched then.
 func (s *serverPool) beginExchange(c *conn, maxConnections int) (watched bool) {
@@ -64,6 +67,11 @@
 	ended := s.witness
 	s.witness = nil
 	go func() { _ = ended.Close() }() // Close locks s.mu.
+	s.recordWitnessLife(ended, now)
+}
+
+// recordWitnessLife records that a witness has ended, which no request has used. It is called with s.mu held.
+func (s *serverPool) recordWitnessLife(ended *conn, now time.Time) {
 	lived := now.Sub(ended.idleSince)
 	if lived >= minWitnessLife {
 		s.witnessLife = lived
@@ -77,10 +85,109 @@
 	}
 }
 
-// hasWitnessSince reports whether the witness was opened before at. It is called with s.mu held: another exchange may have
-// opened it since at.
+// hasWitnessSince reports whether the witness was opened before at, also if a request uses it now. It is called with s.mu
+// held: another exchange may have opened it since at.
 func (s *serverPool) hasWitnessSince(at time.Time) bool {
-	return s.witness != nil && s.witness.openedAt.Before(at)
+	w := s.witness
+	if w == nil {
+		w = s.lent
+	}
+	return w != nil && w.openedAt.Before(at)
+}
+
+// recordKind records whether a response to a request of a kind ended its connection.
+func (s *serverPool) recordKind(kind string, ended bool, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !ended {
+		if at, ok := s.endingKinds[kind]; ok && now.Sub(at) > unframedMemory {
+			delete(s.endingKinds, kind)
+		}
+		return
+	}
+	if s.endingKinds == nil || len(s.endingKinds) >= maxEndingKinds {
+		s.endingKinds = map[string]time.Time{}
+	}
+	s.endingKinds[kind] = now
+}
+
+// takeWitness returns the witness or a former one for a request, which the limit allows but for them, or nil. The ends that it
+// is to confirm are confirmed by it while the request uses it, so that a request whose response may end the connection
+// does not get it.
+func (s *serverPool) takeWitness(kind string, maxConnections int) *conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := len(s.retiring)
+	if s.witness != nil {
+		held++
+	}
+	if _, ends := s.endingKinds[kind]; ends || held == 0 || s.openConns-held >= maxConnections {
+		return nil
+	}
+	if n := len(s.retiring); n > 0 {
+		c := s.retiring[n-1]
+		s.retiring = s.retiring[:n-1]
+		return c
+	}
+	c := s.witness
+	s.witness, s.lent = nil, c
+	return c
+}
+
+// openInPlaceOf closes w, which was taken as a witness but cannot serve the request, and opens a connection. Its results are
+// those of get.
+func (s *serverPool) openInPlaceOf(ctx context.Context, w *conn, maxConnections int) (*conn, bool, error) {
+	s.recordLentEnd(w)
+	s.mu.Lock()
+	isWitness := w == s.lent
+	s.mu.Unlock()
+	_ = w.Close()
+	c, err := s.open(ctx, maxConnections)
+	if err != nil {
+		return nil, false, err
+	}
+	if isWitness {
+		s.mu.Lock()
+		s.lent = c
+		s.mu.Unlock()
+		s.recordOpen(time.Now())
+	}
+	return c, true, nil
+}
+
+// closeRequest closes the connection of a request that cannot serve another. If it was lent, its place is that of the witness again.
+func (s *serverPool) closeRequest(c *conn) {
+	s.recordLentEnd(c)
+	s.mu.Lock()
+	isWitness := c == s.lent
+	s.mu.Unlock()
+	_ = c.Close()
+	if isWitness {
+		s.renewWitness(time.Now())
+	}
+}
+
+// recordLentEnd is called before c is closed. If it was lent and the server has ended it without a response, that is the
+// end of a witness.
+func (s *serverPool) recordLentEnd(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c != s.lent || c.hasResponded || c.isOpen() {
+		return
+	}
+	s.lent = nil
+	s.recordWitnessLife(c, time.Now())
+}
+
+// witnessOpening returns a channel that is closed when the witness that is being opened is open, or could not be
+// opened. It is nil if none is being opened.
+func (s *serverPool) witnessOpening() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.openingWitness {
+		return nil
+	}
+	return s.witnessOpened
 }
 
 // isOpenedBefore reports whether w was opened before at.
@@ -163,8 +270,8 @@
 			return true
 		}
 	}
-	if !now.Before(s.noWitnessUntil) {
-		s.openingWitness = true
+	if !now.Before(s.noWitnessUntil) && (s.maxConnections == 0 || s.openConns < max(2, s.maxConnections)) {
+		s.openingWitness, s.witnessOpened = true, make(chan struct{})
 		go s.openWitness()
 	}
 	return false
@@ -176,6 +283,7 @@
 	c, err := s.open(ctx, s.witnessLimit())
 	s.mu.Lock()
 	s.openingWitness = false
+	defer close(s.witnessOpened)
 	if err != nil { // Other responses in progress may show as much.
 		if errkind.Is(err, errkind.Unreachable) {
 			s.noWitnessUntil = time.Now().Add(witnessPause)
@@ -193,7 +301,7 @@
 	s.recordOpen(time.Now())
 }
 
-// retirementTime is how long a former witness is kept from requests: responses that ended before its successor was
+// retirementTime is how long a former witness is kept from requests that need not have it: responses that ended before its successor was
 // opened, and whose ends are looked at until streamEndTime later, have no other.
 const retirementTime = 2 * streamEndTime
 
@@ -201,10 +309,14 @@
 func (s *serverPool) replaceWitness(w *conn) {
 	if former := s.witness; former != nil {
 		time.AfterFunc(streamEndTime, func() { s.succeed(former, w) })
+		s.retiring = append(s.retiring, former)
 		time.AfterFunc(retirementTime, func() {
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			s.idle = append(s.idle, former)
+			if i := slices.Index(s.retiring, former); i >= 0 { // No request uses it.
+				s.retiring = slices.Delete(s.retiring, i, i+1)
+				s.idle = append(s.idle, former)
+			}
 		})
 	}
 	s.witness = w
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -155,6 +155,7 @@
 	return &backend.Request{
 		Method: x.r.Method, Target: target, Host: x.r.Host, Header: h, Body: x.body,
 		HasBody: x.r.ContentLength != 0 || x.r.Header.Get("Content-Length") != "",
+		Kind:    x.route.Name,
 		ID:      x.requestInfo.ID, IDHeader: x.f.opts.Protocol.IDHeader(), NonIdempotent: !x.route.Idempotent(), Timeout: o.Timeout,
 		ReserveHead: x.reserveHead, OnConfirm: func() { x.reportConfirming(true) },
 	}
