Witnesses: the time that a server leaves them open rises again

Cause: the time after which a witness is replaced is half of the one after which one was closed last. So no witness grew old enough to show that the server leaves it open for longer.

Change: a former witness, or another idle connection, that is found open at a greater age extends that time. The next witness has taken over by then, so that finding out costs no end its witness. Connections that have served a request count apart from others: servers have time-outs of their own for these.

Test: TestOneWitnessThatEndsSoonCostsFewConnections failed before without a limit (23 connections in 5 s, 14 allowed) and passed with one.

--- a/internal/backend/lending_test.go
+++ b/internal/backend/lending_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -178,3 +179,66 @@
 		t.Errorf("read %q, %v", rest, err)
 	}
 }
+
+// Guards against a server that closes one witness soon, gets new connections from then on as if it closed all, and
+// refused requests at the limit of connections meanwhile.
+func TestOneWitnessThatEndsSoonCostsFewConnections(t *testing.T) {
+	const (
+		lasts, idle = 5 * time.Second, 350 * time.Millisecond
+		// maxConnections are the response's, the witness that ends, and those that are opened while the time doubles for which
+		// they are known to last. One of half that time in each would be 28.
+		maxConnections = 14
+	)
+	for _, limit := range []int{0, 4} {
+		t.Run(fmt.Sprint("limit ", limit), func(t *testing.T) {
+			t.Parallel()
+			end := make(chan struct{})
+			s := newMixedServer(t, end)
+			pool, target := newRunningPool(t), s.target()
+			target.MaxConnections = limit
+			long, err := s.begin(t, pool, target, Request{Target: "/long"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			awaitWitnessOf(t, long)
+			sp := long.conn.pool
+			sp.mu.Lock()
+			witness := sp.witness.LocalAddr().String()
+			sp.mu.Unlock()
+			time.Sleep(idle)
+			s.endConnectionOf(witness)
+			for until := time.Now().Add(lasts); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+				if limit == 0 {
+					continue
+				}
+				resp, err := s.begin(t, pool, target, Request{Target: "/length"})
+				if err != nil {
+					t.Fatal(err)
+				}
+				if _, err := resp.ReadAll(10, func(int64) error { return nil }); err != nil {
+					t.Fatal(err)
+				}
+				resp.Close()
+			}
+			awaitWitnessOf(t, long)
+			close(end)
+			if rest, err := io.ReadAll(long.Body); string(rest) != "b" || err != nil {
+				t.Errorf("read %q, %v", rest, err)
+			}
+			if got := s.accepted.Load(); got > maxConnections {
+				t.Errorf("%d connections in %v, want at most %d", got, lasts, maxConnections)
+			}
+		})
+	}
+}
+
+// endConnectionOf ends the connection with a remote address.
+func (s *unframedServer) endConnectionOf(address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.RemoteAddr().String() == address {
+			_ = c.Close()
+		}
+	}
+}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -77,10 +77,10 @@
 	lent          *conn
 	// endingKinds holds the kinds of requests to which the server gave a response that ended its connection, and when it last did.
 	endingKinds map[string]time.Time
-	// guarding is set while guardWitness runs. witnessLife is after how long the server closed an idle connection
-	// last, or 0. No witness is opened until noWitnessUntil.
+	// guarding is set while guardWitness runs. witnessLife is how long the server is known to leave an idle connection open
+	// since it has closed one, by whether that had served a request. No witness is opened until noWitnessUntil.
 	guarding       bool
-	witnessLife    time.Duration
+	witnessLife    map[bool]time.Duration
 	noWitnessUntil time.Time
 }
 
@@ -138,7 +138,7 @@
 	key := incarnation{t.ID, t.Born}
 	s := p.servers[key]
 	if s == nil || s.address != t.Address {
-		s = &serverPool{pool: p, incarnation: key, address: t.Address, conns: map[*conn]bool{}}
+		s = &serverPool{pool: p, incarnation: key, address: t.Address, conns: map[*conn]bool{}, witnessLife: map[bool]time.Duration{}}
 		p.servers[key] = s
 	}
 	return s
--- a/internal/backend/witness.go
+++ b/internal/backend/witness.go
@@ -54,6 +54,7 @@
 		if s.witness != nil && !s.witness.isOpen() {
 			s.witnessEnded(now)
 		}
+		s.extendWitnessLife(now)
 		s.mu.Unlock()
 		if s.renewWitness(now) {
 			s.recordOpen(time.Now())
@@ -74,7 +75,7 @@
 func (s *serverPool) recordWitnessLife(ended *conn, now time.Time) {
 	lived := now.Sub(ended.idleSince)
 	if lived >= minWitnessLife {
-		s.witnessLife = lived
+		s.witnessLife[ended.hasResponded] = lived
 		return
 	}
 	s.noWitnessUntil = now.Add(witnessPause)
@@ -85,6 +86,19 @@
 	}
 }
 
+// extendWitnessLife finds idle connections that are open for longer than the server was known to leave them: it may have closed a
+// single one for a reason of its own. It is called with s.mu held.
+func (s *serverPool) extendWitnessLife(now time.Time) {
+	for _, conns := range [][]*conn{s.retiring, s.idle} {
+		for _, c := range conns {
+			idle, known := now.Sub(c.idleSince), s.witnessLife[c.hasResponded]
+			if known > 0 && idle > known && c.isOpen() {
+				s.witnessLife[c.hasResponded] = idle
+			}
+		}
+	}
+}
+
 // hasWitnessSince reports whether the witness was opened before at, also if a request uses it now. It is called with s.mu
 // held: another exchange may have opened it since at.
 func (s *serverPool) hasWitnessSince(at time.Time) bool {
@@ -249,8 +263,8 @@
 // server closes it. It is called with s.mu held.
 func (s *serverPool) isLastingWitness(c *conn, now time.Time) bool {
 	life := c.idleTimeout
-	if s.witnessLife > 0 {
-		life = min(life, s.witnessLife)
+	if known := s.witnessLife[c.hasResponded]; known > 0 {
+		life = min(life, known)
 	}
 	return now.Sub(c.idleSince) < life/2 && c.isOpen()
 }
