Witnesses: the kernel is asked about all connections without the lock

Cause: recordOpen, for each response without a length and each new witness, and witnessEnded asked with the lock held.

Change: the connections are copied, asked about without the lock, and what was found is recorded with it. What an exchange has recorded meanwhile is kept. A witness that was taken by a request or replaced meanwhile is not recorded as ended.

Test: TestTheKernelIsAskedAboutAllConnectionsWithoutTheLock failed before ('the lock is held'). go test -race ./internal/backend: passed.

--- a/internal/backend/witness.go
+++ b/internal/backend/witness.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -51,49 +52,68 @@
 			s.mu.Unlock()
 			return
 		}
-		if s.witness != nil && !s.witness.isOpen() {
-			s.witnessEnded(now)
+		w, lived := s.witness, time.Duration(0)
+		if w != nil {
+			lived = now.Sub(w.idleSince)
 		}
 		s.extendWitnessLife(now)
 		s.mu.Unlock()
+		if w != nil && !w.isOpen() {
+			s.witnessEnded(w, lived, now)
+		}
 		if s.renewWitness(now) {
 			s.recordOpen(time.Now())
 		}
 	}
 }
 
-// witnessEnded is called with s.mu held. Either the process has ended, or it has closed the witness as idle, or has no room
-// for it.
-func (s *serverPool) witnessEnded(now time.Time) {
-	ended := s.witness
-	s.witness = nil
-	go func() { _ = ended.Close() }() // Close locks s.mu.
-	s.recordWitnessLife(ended, now)
-}
-
-// recordWitnessLife records that a witness has ended, which no request has used. It is called with s.mu held.
-func (s *serverPool) recordWitnessLife(ended *conn, now time.Time) {
-	lived := now.Sub(ended.idleSince)
+// witnessEnded records that the witness, or one that was lent, has ended and that no request has used it. Either the process
+// has ended, or it has closed the witness as idle, or has no room for it.
+func (s *serverPool) witnessEnded(ended *conn, lived time.Duration, now time.Time) {
+	var open []*conn
+	if lived < minWitnessLife {
+		open = s.openNow()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch ended {
+	case s.witness:
+		s.witness = nil
+		go func() { _ = ended.Close() }() // Close locks s.mu.
+	case s.lent:
+		s.lent = nil
+	default:
+		return
+	}
 	if lived >= minWitnessLife {
 		s.witnessLife[ended.hasResponded] = lived
 		return
 	}
 	s.noWitnessUntil = now.Add(witnessPause)
-	for c := range s.conns {
-		if c.isOpen() {
-			c.hasWitness = false // It shows nothing of the process of c.
-		}
+	for _, c := range open {
+		c.hasWitness = false // It shows nothing of the process of c.
 	}
 }
 
+// openNow returns the connections that are open. The kernel is asked without the lock, since there may be many.
+func (s *serverPool) openNow() []*conn {
+	s.mu.Lock()
+	conns := slices.Collect(maps.Keys(s.conns))
+	s.mu.Unlock()
+	return slices.DeleteFunc(conns, func(c *conn) bool { return !c.isOpen() })
+}
+
 // extendWitnessLife finds idle connections that are open for longer than the server was known to leave them: it may have closed a
 // single one for a reason of its own. It is called with s.mu held.
 func (s *serverPool) extendWitnessLife(now time.Time) {
 	for _, conns := range [][]*conn{s.retiring, s.idle} {
 		for _, c := range conns {
 			idle, known := now.Sub(c.idleSince), s.witnessLife[c.hasResponded]
-			if known > 0 && idle > known && c.isOpen() {
-				s.witnessLife[c.hasResponded] = idle
+			if known > 0 && idle > known {
+				if c.isOpen() {
+					s.witnessLife[c.hasResponded] = idle
+				}
+				break // The kernel is asked with the lock held, and there may be many.
 			}
 		}
 	}
@@ -185,12 +205,11 @@
 // end of a witness.
 func (s *serverPool) recordLentEnd(c *conn) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if c != s.lent || c.hasResponded || c.isOpen() {
-		return
+	lent := c == s.lent
+	s.mu.Unlock()
+	if now := time.Now(); lent && !c.hasResponded && !c.isOpen() {
+		s.witnessEnded(c, now.Sub(c.idleSince), now)
 	}
-	s.lent = nil
-	s.recordWitnessLife(c, time.Now())
 }
 
 // witnessOpening returns a channel that is closed when the witness that is being opened is open, or could not be
@@ -224,15 +243,19 @@
 // are witnesses of their ends.
 func (s *serverPool) recordOpen(now time.Time) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.watching == 0 {
+	watching := s.watching
+	s.mu.Unlock()
+	if watching == 0 {
 		return
 	}
-	for c := range s.conns {
-		if c.isOpen() {
+	open := s.openNow()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range open {
+		if now.After(c.seenOpenAt) { // An exchange may have begun on c since.
 			c.seenOpenAt = now
-			c.hasWitness = c.hasWitness || s.hasWitnessSince(now)
 		}
+		c.hasWitness = c.hasWitness || s.hasWitnessSince(now)
 	}
 }
 
