Pool of connections: close those to a former address

Cause: poolFor dropped the connections of the incarnation without closing the idle ones, and those in use, the witness and former witnesses became idle there later, where nothing closes them.

Change: such a pool is marked as discarded: its idle connections are closed at once, and the others when they become idle.

Test: TestConnectionsToAFormerAddressAreClosed failed before ('1 idle connections to the former address', 'connections to the former address stay open'). go test -race ./internal/backend: passed (50 s).

--- /dev/null
+++ b/internal/backend/discard_test.go
@@ -0,0 +1,61 @@
+package backend
+
+import (
+	"testing"
+	"time"
+)
+
+// awaitNone waits until no connection of a pool is open, and reports whether that comes about.
+func (s *serverPool) awaitNone() bool {
+	for until := time.Now().Add(10 * time.Second); time.Now().Before(until); time.Sleep(time.Millisecond) {
+		s.mu.Lock()
+		n := s.openConns
+		s.mu.Unlock()
+		if n == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against connections to the former address of an incarnation that stay open: idle ones, those in use, and the
+// witness.
+func TestConnectionsToAFormerAddressAreClosed(t *testing.T) {
+	end := make(chan struct{})
+	s, successor := newMixedServer(t, end), newMixedServer(t, end)
+	pool := newRunningPool(t)
+	long, err := s.begin(t, pool, s.target(), Request{Target: "/long"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	awaitWitnessOf(t, long)
+	used, err := s.begin(t, pool, s.target(), Request{Target: "/length"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := pool.Probe(t.Context(), s.target()); err != nil { // It leaves an idle connection.
+		t.Fatal(err)
+	}
+	former := long.conn.pool
+	if _, err := s.begin(t, pool, successor.target(), Request{Target: "/length"}); err != nil {
+		t.Fatal(err)
+	}
+	former.mu.Lock()
+	idle := len(former.idle)
+	former.mu.Unlock()
+	if idle > 0 {
+		t.Errorf("%d idle connections to the former address", idle)
+	}
+	if _, err := used.ReadAll(10, func(int64) error { return nil }); err != nil {
+		t.Error(err)
+	}
+	used.Close()
+	close(end)
+	if rest, err := long.ReadAll(10, func(int64) error { return nil }); string(rest) != "b" || err != nil {
+		t.Errorf("read %q, %v", rest, err)
+	}
+	long.Close()
+	if !former.awaitNone() {
+		t.Error("connections to the former address stay open")
+	}
+}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -58,6 +58,8 @@
 
 	mu   sync.Mutex
 	idle []*conn
+	// discarded is set once no more requests are to get connections from here. Those that become idle are closed then.
+	discarded bool
 	// maxConnections is that of the last request's target.
 	maxConnections int
 	// conns holds the open connections. openConns counts them and those that are being opened.
@@ -138,6 +140,9 @@
 	key := incarnation{t.ID, t.Born}
 	s := p.servers[key]
 	if s == nil || s.address != t.Address {
+		if s != nil {
+			s.discard()
+		}
 		s = &serverPool{pool: p, incarnation: key, address: t.Address, conns: map[*conn]bool{}, witnessLife: map[bool]time.Duration{}}
 		p.servers[key] = s
 	}
@@ -266,9 +271,30 @@
 			return
 		}
 	}
+	s.addIdle(c)
+}
+
+// addIdle is called with s.mu held.
+func (s *serverPool) addIdle(c *conn) {
+	if s.discarded {
+		go func() { _ = c.Close() }() // Close locks s.mu.
+		return
+	}
 	s.idle = append(s.idle, c)
 }
 
+// discard closes the idle connections, and others once they are idle.
+func (s *serverPool) discard() {
+	s.mu.Lock()
+	s.discarded = true
+	idle := s.idle
+	s.idle = nil
+	s.mu.Unlock()
+	for _, c := range idle {
+		_ = c.Close()
+	}
+}
+
 // Run closes connections that exceed their idle timeout, until ctx is done.
 func (p *Pool) Run(ctx context.Context) error {
 	tick := time.NewTicker(sweepInterval)
@@ -300,12 +326,13 @@
 		}
 		clear(s.idle[len(kept):])
 		s.idle = kept
-		empty := s.openConns == len(expired) && !s.openingWitness
+		empty := len(kept) == 0 && s.openConns == len(expired) && !s.openingWitness
+		s.discarded = s.discarded || empty // A request that has found s before may yet open a connection.
 		s.mu.Unlock()
 		for _, c := range expired {
 			_ = c.Close()
 		}
-		if empty && len(kept) == 0 {
+		if empty {
 			delete(p.servers, key)
 		}
 	}
--- a/internal/backend/witness.go
+++ b/internal/backend/witness.go
@@ -234,7 +234,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.watching--; s.watching == 0 && s.witness != nil {
-		s.idle = append(s.idle, s.witness)
+		s.addIdle(s.witness)
 		s.witness = nil
 	}
 }
@@ -330,7 +330,7 @@
 	}
 	c.idleTimeout, c.idleSince = defaultIdleTimeout, time.Now()
 	if s.watching == 0 {
-		s.idle = append(s.idle, c)
+		s.addIdle(c)
 	} else {
 		s.replaceWitness(c)
 	}
@@ -352,7 +352,7 @@
 			defer s.mu.Unlock()
 			if i := slices.Index(s.retiring, former); i >= 0 { // No request uses it.
 				s.retiring = slices.Delete(s.retiring, i, i+1)
-				s.idle = append(s.idle, former)
+				s.addIdle(former)
 			}
 		})
 	}
