Pool of connections: close the witness and all idle connections at the end

Found by reading: a pool that stopped closed the idle connections that were there, but not the witness, former witnesses and connections in use, which became idle in it later, nor those that their server keeps for over an hour. A router's process ends right after that; what stayed open are descriptors of programs that go on, as tests do.

Change: a pool that stops discards the connections to all servers, as of a former address.

Test: TestAPoolThatStopsClosesItsConnections failed before ('connections stay open').

--- a/internal/backend/discard_test.go
+++ b/internal/backend/discard_test.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"context"
 	"testing"
 	"time"
 )
@@ -59,3 +60,48 @@
 		t.Error("connections to the former address stay open")
 	}
 }
+
+// Guards against connections that stay open when the pool has stopped: a witness, one that is in use then, and an idle one that its
+// server keeps for long.
+func TestAPoolThatStopsClosesItsConnections(t *testing.T) {
+	end := make(chan struct{})
+	s := newMixedServer(t, end)
+	pool := NewPool(Options{})
+	ctx, cancel := context.WithCancel(t.Context())
+	stopped := make(chan error)
+	go func() { stopped <- pool.Run(ctx) }()
+	long, err := s.begin(t, pool, s.target(), Request{Target: "/long"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	awaitWitnessOf(t, long)
+	used, err := s.begin(t, pool, s.target(), Request{Target: "/length"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := pool.Probe(t.Context(), s.target()); err != nil {
+		t.Fatal(err)
+	}
+	sp := long.conn.pool
+	sp.mu.Lock()
+	for _, c := range sp.idle {
+		c.idleTimeout = maxIdleSeconds * time.Second
+	}
+	sp.mu.Unlock()
+	cancel()
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+	if _, err := used.ReadAll(10, func(int64) error { return nil }); err != nil {
+		t.Error(err)
+	}
+	used.Close()
+	close(end)
+	if rest, err := long.ReadAll(10, func(int64) error { return nil }); string(rest) != "b" || err != nil {
+		t.Errorf("read %q, %v", rest, err)
+	}
+	long.Close()
+	if !sp.awaitNone() {
+		t.Error("connections stay open")
+	}
+}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -30,6 +30,8 @@
 type Pool struct {
 	mu      sync.Mutex
 	servers map[incarnation]*serverPool
+	// stopped is set once Run has ended.
+	stopped bool
 	opts    Options
 	// startedAt is when the pool was made, and heardAt when a byte was last received from any
 	// server, as the time since then.
@@ -143,7 +145,7 @@
 		if s != nil {
 			s.discard()
 		}
-		s = &serverPool{pool: p, incarnation: key, address: t.Address, conns: map[*conn]bool{}, witnessLife: map[bool]time.Duration{}}
+		s = &serverPool{pool: p, incarnation: key, address: t.Address, discarded: p.stopped, conns: map[*conn]bool{}, witnessLife: map[bool]time.Duration{}}
 		p.servers[key] = s
 	}
 	return s
@@ -295,14 +297,15 @@
 	}
 }
 
-// Run closes connections that exceed their idle timeout, until ctx is done.
+// Run closes connections that exceed their idle timeout, until ctx is done. It closes all idle ones then, and others once they
+// are idle.
 func (p *Pool) Run(ctx context.Context) error {
 	tick := time.NewTicker(sweepInterval)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			p.closeExpired(time.Now().Add(time.Hour))
+			p.stop()
 			return nil
 		case <-tick.C:
 			p.closeExpired(time.Now())
@@ -310,6 +313,15 @@
 	}
 }
 
+func (p *Pool) stop() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stopped = true
+	for _, s := range p.servers {
+		s.discard()
+	}
+}
+
 func (p *Pool) closeExpired(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
