Pool of connections: old idle connections refuse no non-idempotent request

Found by reading: a request that must not be lost was refused at the limit of connections ('all 2 connections to server "s" are in use') though all of them were idle: the pool looked only at the one that became idle last, which may be a former witness, idle for longer than others, and old connections kept their places. Without a limit it opened a connection for nothing.

Change: idle connections are ordered by when they became idle, the request takes the youngest that serves it, and at the limit the oldest one is closed for a new one.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -58,7 +59,8 @@
 	incarnation
 	address string
 
-	mu   sync.Mutex
+	mu sync.Mutex
+	// idle begins with the connection that has been idle for the longest time.
 	idle []*conn
 	// discarded is set once no more requests are to get connections from here. Those that become idle are closed then.
 	discarded bool
@@ -165,7 +167,10 @@
 		if !errkind.Is(err, errkind.QueueFull) {
 			return c, err == nil, err
 		}
-		w := s.takeWitness(r.kind(), t.MaxConnections)
+		w := s.takeOldestIdle()
+		if w == nil {
+			w = s.takeWitness(r.kind(), t.MaxConnections)
+		}
 		switch {
 		case w != nil && w.servesAt(time.Now(), r.NonIdempotent) && w.reusable():
 			return w, false, nil
@@ -240,17 +245,16 @@
 func (s *serverPool) takeIdle(nonIdempotent bool, now time.Time) *conn {
 	for {
 		s.mu.Lock()
-		n := len(s.idle)
-		if n == 0 {
-			s.mu.Unlock()
-			return nil
+		i := len(s.idle) - 1
+		for nonIdempotent && i >= 0 && !s.idle[i].servesAt(now, true) {
+			i--
 		}
-		c := s.idle[n-1]
-		if nonIdempotent && !c.servesAt(now, true) {
+		if i < 0 {
 			s.mu.Unlock()
 			return nil
 		}
-		s.idle = s.idle[:n-1]
+		c := s.idle[i]
+		s.idle = slices.Delete(s.idle, i, i+1)
 		s.mu.Unlock()
 		if c.servesAt(now, false) && c.reusable() {
 			return c
@@ -276,13 +280,29 @@
 	s.addIdle(c)
 }
 
-// addIdle is called with s.mu held.
+// addIdle is called with s.mu held. A former witness may have been idle for longer than others.
 func (s *serverPool) addIdle(c *conn) {
 	if s.discarded {
 		go func() { _ = c.Close() }() // Close locks s.mu.
 		return
 	}
-	s.idle = append(s.idle, c)
+	i := len(s.idle)
+	for i > 0 && c.idleSince.Before(s.idle[i-1].idleSince) {
+		i--
+	}
+	s.idle = slices.Insert(s.idle, i, c)
+}
+
+// takeOldestIdle returns the idle connection that has been so for the longest time, or nil.
+func (s *serverPool) takeOldestIdle() *conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.idle) == 0 {
+		return nil
+	}
+	c := s.idle[0]
+	s.idle = slices.Delete(s.idle, 0, 1)
+	return c
 }
 
 // discard closes the idle connections, and others once they are idle.
--- a/internal/backend/witness.go
+++ b/internal/backend/witness.go
@@ -168,8 +168,8 @@
 	return c
 }
 
-// openInPlaceOf closes w, which was taken as a witness but cannot serve the request, and opens a connection. Its results are
-// those of get.
+// openInPlaceOf closes w, an idle connection or witness that cannot serve the request, and opens one. Its results are those of
+// get.
 func (s *serverPool) openInPlaceOf(ctx context.Context, w *conn, maxConnections int) (*conn, bool, error) {
 	s.recordLentEnd(w)
 	s.mu.Lock()
