--- a/internal/deadline/deadline_test.go
+++ b/internal/deadline/deadline_test.go
@@ -150,7 +150,7 @@
 		}
 		resp := &http.Response{StatusCode: http.StatusOK, ContentLength: -1, Body: io.NopCloser(strings.NewReader("text"))}
 		server.CheckBody(resp, now)
-		if _, checked := resp.Body.(*checkedBody); !checked {
+		if _, checked := resp.Body.(*CheckedBody); !checked {
 			t.Errorf("%+v: the end is not checked", tc)
 		}
 	}
