--- a/cmd/kqsoak/main.go
+++ b/cmd/kqsoak/main.go
@@ -196,6 +196,8 @@
 	fmt.Printf("  streams: %s\n", r.Streams)
 	fmt.Printf("  responses: %s\n", r.Deliveries)
 	fmt.Printf("  kills: %s\n", r.Kills)
+	fmt.Printf("  clients: %s\n", r.Patience)
+	fmt.Printf("  rules: %s\n", r.Rules)
 	if r.Load != "" {
 		fmt.Printf("  load: %s\n", strings.ReplaceAll(r.Load, "\n", "\n  load: "))
 	}
