Pool of connections: a request asked again at a server is not sent on the connection of its last response

Cause: a server may write an extra response late, where the next one is due; the id tells whose it is. A stream that goes on within one response may ask the same server again, with the same id, on the kept connection of the attempt before: the extra response to that attempt then passed for the response to this one.

Change: a connection remembers the id of its last request; a request with this id is sent on another one. The connection stays in the pool for other requests, of which the id tells. A witness that gives way is replaced for such a request.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -42,6 +42,8 @@
 	idleTimeout time.Duration
 	pool        *serverPool
 	closed      atomic.Bool
+	// lastID is the id of the last request that was sent.
+	lastID string
 	// hasResponded is set once a response other than an interim one was received.
 	hasResponded bool
 	// openedAt is when the connection was opened, or an earlier time at which the process that it leads to is known to
@@ -134,10 +136,16 @@
 	return time.Duration(info.Last_ack_recv) * time.Millisecond
 }
 
-// servesAt reports whether the server keeps the idle connection open long enough for a request at now.
-func (c *conn) servesAt(now time.Time, nonIdempotent bool) bool {
+// repeats reports whether the last request had the id of r: an extra response to that one would pass for the response to r.
+func (c *conn) repeats(r *Request) bool { return r.ID != "" && c.lastID == r.ID }
+
+// serves reports whether r may be sent on the idle connection, which the server keeps open long enough for it.
+func (c *conn) serves(r *Request, now time.Time) bool {
 	idle := now.Sub(c.idleSince)
-	if nonIdempotent {
+	switch {
+	case c.repeats(r):
+		return false
+	case r.NonIdempotent:
 		return idle <= time.Duration(nonIdempotentIdleFraction*float64(c.idleTimeout))
 	}
 	return idle < c.idleTimeout
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -101,6 +101,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.lastID = r.ID
 	resp := &Response{Opened: opened, pool: p, conn: c, stopAbort: c.abortOnDone(ctx), watched: c.pool.beginExchange(c, t.MaxConnections)}
 	if resp.longBody = len(r.Body) > receiveBufferBytes; resp.longBody {
 		c.allowLateReader()
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -159,7 +159,7 @@
 func (p *Pool) get(ctx context.Context, t Target, r *Request) (c *conn, opened bool, err error) {
 	s := p.poolFor(t)
 	for last := false; ; last = true {
-		if c := s.takeIdle(r.NonIdempotent, time.Now()); c != nil {
+		if c := s.takeIdle(r, time.Now()); c != nil {
 			return c, false, nil
 		}
 		opening := s.witnessOpening()
@@ -172,7 +172,7 @@
 			w = s.takeWitness(r.kind(), t.MaxConnections)
 		}
 		switch {
-		case w != nil && w.servesAt(time.Now(), r.NonIdempotent) && w.reusable():
+		case w != nil && w.serves(r, time.Now()) && w.reusable():
 			return w, false, nil
 		case w != nil:
 			return s.openInPlaceOf(ctx, w, t.MaxConnections)
@@ -241,12 +241,13 @@
 
 // takeIdle returns the most recently used idle connection that is still reusable, or
 // nil. A connection that has been idle too long for a non-idempotent request stays in
-// the pool for other requests.
-func (s *serverPool) takeIdle(nonIdempotent bool, now time.Time) *conn {
+// the pool for other requests. So does one whose last request has the same id: an extra response to that one would
+// pass for the response to this one.
+func (s *serverPool) takeIdle(r *Request, now time.Time) *conn {
 	for {
 		s.mu.Lock()
 		i := len(s.idle) - 1
-		for nonIdempotent && i >= 0 && !s.idle[i].servesAt(now, true) {
+		for i >= 0 && (s.idle[i].repeats(r) || r.NonIdempotent && !s.idle[i].serves(r, now)) {
 			i--
 		}
 		if i < 0 {
@@ -256,7 +257,7 @@
 		c := s.idle[i]
 		s.idle = slices.Delete(s.idle, i, i+1)
 		s.mu.Unlock()
-		if c.servesAt(now, false) && c.reusable() {
+		if c.serves(r, now) && c.reusable() {
 			return c
 		}
 		_ = c.Close()
