Witnesses: one field for the one that is being opened, one limit, one check of what is lent

Found on a read of the whole change; no change of behaviour is meant. `openingWitness` and `witnessOpened` said the same: the channel is nil unless a witness is being opened. awaitWitness waits for it, like a request at the limit, in place of asking each 5 ms. renewWitness had its own copy of witnessLimit. openInPlaceOf and closeRequest took the lock twice to learn what recordLentEnd had found; isLent tells them.

The two tests of connections that have to be closed share their end; the assertions are the same.

internal/backend and internal/forward pass with the race detector.

--- a/internal/backend/discard_test.go
+++ b/internal/backend/discard_test.go
@@ -19,6 +19,24 @@
 	return false
 }
 
+// checkNoneStaysOpen reads a response with a length, and one without that ends with the channel, to their ends. Both must be whole, and
+// no connection of their pool may be open after them.
+func checkNoneStaysOpen(t *testing.T, framed, unframed *Response, end chan<- struct{}) {
+	t.Helper()
+	if _, err := framed.ReadAll(10, func(int64) error { return nil }); err != nil {
+		t.Error(err)
+	}
+	framed.Close()
+	close(end)
+	if rest, err := unframed.ReadAll(10, func(int64) error { return nil }); string(rest) != "b" || err != nil {
+		t.Errorf("read %q, %v", rest, err)
+	}
+	unframed.Close()
+	if !unframed.conn.pool.awaitNone() {
+		t.Error("connections stay open")
+	}
+}
+
 // Guards against connections to the former address of an incarnation that stay open: idle ones, those in use, and the
 // witness.
 func TestConnectionsToAFormerAddressAreClosed(t *testing.T) {
@@ -47,18 +65,7 @@
 	if idle > 0 {
 		t.Errorf("%d idle connections to the former address", idle)
 	}
-	if _, err := used.ReadAll(10, func(int64) error { return nil }); err != nil {
-		t.Error(err)
-	}
-	used.Close()
-	close(end)
-	if rest, err := long.ReadAll(10, func(int64) error { return nil }); string(rest) != "b" || err != nil {
-		t.Errorf("read %q, %v", rest, err)
-	}
-	long.Close()
-	if !former.awaitNone() {
-		t.Error("connections to the former address stay open")
-	}
+	checkNoneStaysOpen(t, used, long, end)
 }
 
 // Guards against connections that stay open when the pool has stopped: a witness, one that is in use then, and an idle one that its
@@ -92,16 +99,5 @@
 	if err := <-stopped; err != nil {
 		t.Error(err)
 	}
-	if _, err := used.ReadAll(10, func(int64) error { return nil }); err != nil {
-		t.Error(err)
-	}
-	used.Close()
-	close(end)
-	if rest, err := long.ReadAll(10, func(int64) error { return nil }); string(rest) != "b" || err != nil {
-		t.Errorf("read %q, %v", rest, err)
-	}
-	long.Close()
-	if !sp.awaitNone() {
-		t.Error("connections stay open")
-	}
+	checkNoneStaysOpen(t, used, long, end)
 }
--- a/internal/backend/ends.go
+++ b/internal/backend/ends.go
@@ -120,25 +120,21 @@
 	s.mu.Lock()
 	s.noWitnessUntil = time.Time{}
 	s.mu.Unlock()
-	tick := time.NewTicker(witnessCheckInterval)
-	defer tick.Stop()
 	// One that was being opened may have met the limit of connections, which the response counted towards.
 	for range 2 {
 		s.renewWitness(time.Now())
 		for {
-			s.mu.Lock()
-			w, opening := s.witness, s.openingWitness
-			s.mu.Unlock()
+			w, opening := s.currentWitness()
 			if w != nil && w.isOpen() {
 				return w
 			}
-			if !opening {
+			if opening == nil {
 				break
 			}
 			select {
 			case <-ctx.Done():
 				return nil
-			case <-tick.C:
+			case <-opening:
 			}
 		}
 	}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -71,16 +71,15 @@
 	openConns int
 	// unframedAt is when the last response without a length began. watching counts the exchanges whose response
 	// has none, or is expected to. Meanwhile witness is an open connection that no request uses, or nil, and
-	// openingWitness is set while one is being opened.
+	// openingWitness is nil unless one is being opened; it is closed when that is over.
 	unframedAt     time.Time
 	watching       int
 	witness        *conn
-	openingWitness bool
-	// witnessOpened is closed when the opening of a witness is over. retiring holds former witnesses that requests
-	// do not use yet, and lent is the former witness that a request uses since the limit was reached, or nil.
-	witnessOpened chan struct{}
-	retiring      []*conn
-	lent          *conn
+	openingWitness chan struct{}
+	// retiring holds former witnesses that requests do not use yet, and lent is the former witness that a request uses
+	// since the limit was reached, or nil.
+	retiring []*conn
+	lent     *conn
 	// endingKinds holds the kinds of requests to which the server gave a response that ended its connection, and when it last did.
 	endingKinds map[string]time.Time
 	// guarding is set while guardWitness runs. witnessLife is how long the server is known to leave an idle connection open
@@ -162,7 +161,7 @@
 		if c := s.takeIdle(r, time.Now()); c != nil {
 			return c, false, nil
 		}
-		opening := s.witnessOpening()
+		_, opening := s.currentWitness()
 		c, err := s.open(ctx, t.MaxConnections)
 		if !errkind.Is(err, errkind.QueueFull) {
 			return c, err == nil, err
@@ -359,7 +358,7 @@
 		}
 		clear(s.idle[len(kept):])
 		s.idle = kept
-		empty := len(kept) == 0 && s.openConns == len(expired) && !s.openingWitness
+		empty := len(kept) == 0 && s.openConns == len(expired) && s.openingWitness == nil
 		s.discarded = s.discarded || empty // A request that has found s before may yet open a connection.
 		s.mu.Unlock()
 		for _, c := range expired {
--- a/internal/backend/witness.go
+++ b/internal/backend/witness.go
@@ -171,10 +171,7 @@
 // openInPlaceOf closes w, an idle connection or witness that cannot serve the request, and opens one. Its results are those of
 // get.
 func (s *serverPool) openInPlaceOf(ctx context.Context, w *conn, maxConnections int) (*conn, bool, error) {
-	s.recordLentEnd(w)
-	s.mu.Lock()
-	isWitness := w == s.lent
-	s.mu.Unlock()
+	isWitness := s.isLent(w)
 	_ = w.Close()
 	c, err := s.open(ctx, maxConnections)
 	if err != nil {
@@ -191,36 +188,33 @@
 
 // closeRequest closes the connection of a request that cannot serve another. If it was lent, its place is that of the witness again.
 func (s *serverPool) closeRequest(c *conn) {
-	s.recordLentEnd(c)
-	s.mu.Lock()
-	isWitness := c == s.lent
-	s.mu.Unlock()
+	isWitness := s.isLent(c)
 	_ = c.Close()
 	if isWitness {
 		s.renewWitness(time.Now())
 	}
 }
 
-// recordLentEnd is called before c is closed. If it was lent and the server has ended it without a response, that is the
-// end of a witness.
-func (s *serverPool) recordLentEnd(c *conn) {
+// isLent reports whether c, which is about to be closed, is lent. If the server has ended it without a response, that is
+// recorded as the end of a witness, and c is lent no more.
+func (s *serverPool) isLent(c *conn) bool {
 	s.mu.Lock()
 	lent := c == s.lent
 	s.mu.Unlock()
-	if now := time.Now(); lent && !c.hasResponded && !c.isOpen() {
+	if lent && !c.hasResponded && !c.isOpen() {
+		now := time.Now()
 		s.witnessEnded(c, now.Sub(c.idleSince), now)
+		return false
 	}
+	return lent
 }
 
-// witnessOpening returns a channel that is closed when the witness that is being opened is open, or could not be
-// opened. It is nil if none is being opened.
-func (s *serverPool) witnessOpening() <-chan struct{} {
+// currentWitness returns the witness, or nil, and a channel that is closed when the one that is being opened is open, or could
+// not be opened; nil if none is.
+func (s *serverPool) currentWitness() (w *conn, opening <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.openingWitness {
-		return nil
-	}
-	return s.witnessOpened
+	return s.witness, s.openingWitness
 }
 
 // isOpenedBefore reports whether w was opened before at.
@@ -276,6 +270,11 @@
 func (s *serverPool) witnessLimit() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.witnessLimitLocked()
+}
+
+// witnessLimitLocked is witnessLimit for callers that hold s.mu.
+func (s *serverPool) witnessLimitLocked() int {
 	if s.maxConnections == 0 {
 		return 0
 	}
@@ -297,7 +296,7 @@
 func (s *serverPool) renewWitness(now time.Time) (taken bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.watching == 0 || s.openingWitness || s.witness != nil && s.isLastingWitness(s.witness, now) {
+	if s.watching == 0 || s.openingWitness != nil || s.witness != nil && s.isLastingWitness(s.witness, now) {
 		return false
 	}
 	for i, c := range slices.Backward(s.idle) {
@@ -307,8 +306,8 @@
 			return true
 		}
 	}
-	if !now.Before(s.noWitnessUntil) && (s.maxConnections == 0 || s.openConns < max(2, s.maxConnections)) {
-		s.openingWitness, s.witnessOpened = true, make(chan struct{})
+	if limit := s.witnessLimitLocked(); !now.Before(s.noWitnessUntil) && (limit == 0 || s.openConns < limit) {
+		s.openingWitness = make(chan struct{})
 		go s.openWitness()
 	}
 	return false
@@ -319,8 +318,8 @@
 	defer cancel()
 	c, err := s.open(ctx, s.witnessLimit())
 	s.mu.Lock()
-	s.openingWitness = false
-	defer close(s.witnessOpened)
+	defer close(s.openingWitness)
+	s.openingWitness = nil
 	if err != nil { // Other responses in progress may show as much.
 		if errkind.Is(err, errkind.Unreachable) {
 			s.noWitnessUntil = time.Now().Add(witnessPause)
