--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -24,7 +24,8 @@
 
 // cases are the scripts by name. Each returns an error that wraps errBroken if the rule was broken.
 var cases = map[string]func(s *stage, trouble bool) error{
-	"catch-up": catchUpOfLostDisk,
+	"catch-up":      catchUpOfLostDisk,
+	"encoded-slash": encodedSlash,
 }
 
 // maxTime ends a script that hangs.
