--- a/review/stage/encodedslash.go
+++ b/review/stage/encodedslash.go
@@ -40,12 +40,9 @@
 	if err := s.newOperator(nodes).publish(m, 10*time.Second); err != nil {
 		return err
 	}
-	for end := time.Now().Add(10 * time.Second); request(router, http.MethodGet, "/look/1", "warm") != http.StatusOK; time.Sleep(100 * time.Millisecond) {
-		if time.Now().After(end) {
-			return fmt.Errorf("the fleet does not serve")
-		}
+	if err := awaitService(router); err != nil {
+		return err
 	}
-	time.Sleep(2 * time.Second)
 	if trouble {
 		servers[0].loseAnswers(func(id string) bool {
 			h := fnv.New32a()
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -26,6 +26,7 @@
 var cases = map[string]func(s *stage, trouble bool) error{
 	"catch-up":      catchUpOfLostDisk,
 	"encoded-slash": encodedSlash,
+	"other-writer":  otherWriter,
 }
 
 // maxTime ends a script that hangs.
