--- a/review/stage/fleet.go
+++ b/review/stage/fleet.go
@@ -38,6 +38,8 @@
 	record    *os.File
 	processes []*process
 	stops     []func()
+	// links are those of the core machines.
+	links []*link
 }
 
 // newStage chooses addresses that are free, and a temporary folder.
@@ -222,6 +224,9 @@
 	return out
 }
 
+// frontName is the name of the router.
+const frontName = "front-centro-a"
+
 // startFleet starts three directory processes, one in each zone, and a router. It returns the processes, the
 // router's address for requesters, and the addresses for operators and servers. With links, other machines
 // reach the directory processes through links of their rate.
@@ -229,9 +234,11 @@
 	nodes = s.seeds()
 	for i := range 3 {
 		if links {
-			if err := s.newLink(s.address(1+i, fleetPort), s.address(1+i, ownFleetPort), coreLinkMbps); err != nil {
+			l, err := s.newLink(s.address(1+i, fleetPort), s.address(1+i, ownFleetPort), coreLinkMbps)
+			if err != nil {
 				return nil, "", nil, err
 			}
+			s.links = append(s.links, l)
 		}
 		p := s.newProcess("core-"+zone(i), "directory", 1+i)
 		if err := p.writeDirectorySettings(zone(i), nodes, true, links); err != nil {
@@ -242,9 +249,21 @@
 		}
 		cores = append(cores, p)
 	}
-	front := s.newProcess("front-"+zone(0), "router", 4)
+	front := s.newProcess(frontName, "router", 4)
 	if err := front.writeRouterSettings(zone(0), nodes); err != nil {
 		return nil, "", nil, err
 	}
 	return cores, s.address(4, clientsPort), nodes, front.start()
 }
+
+// pidOf returns the process id of a process by its name.
+func (s *stage) pidOf(name string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.processes {
+		if p.name == name && p.cmd != nil {
+			return p.cmd.Process.Pid
+		}
+	}
+	return 0
+}
--- a/review/stage/link.go
+++ b/review/stage/link.go
@@ -3,8 +3,13 @@
 package main
 
 import (
+	"fmt"
 	"io"
 	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -18,6 +23,10 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
+	// cutFrom is the process that is partitioned from the machine, or 0: nothing passes, either way.
+	cutFrom int
+	// peers holds the process at the other end of each connection.
+	peers map[net.Conn]int
 }
 
 // limiter lets bytes pass at a rate.
@@ -43,12 +52,12 @@
 // linkWindow is the size of the buffers on the way: the links have small windows.
 const linkWindow = 64 << 10
 
-func (s *stage) newLink(address, target string, mbps float64) error {
+func (s *stage) newLink(address, target string, mbps float64) (*link, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	l := &link{listener: listener, target: target, in: &limiter{perSecond: mbps * 1e6 / 8}, out: &limiter{perSecond: mbps * 1e6 / 8}, conns: map[net.Conn]bool{}}
+	l := &link{listener: listener, target: target, in: &limiter{perSecond: mbps * 1e6 / 8}, out: &limiter{perSecond: mbps * 1e6 / 8}, conns: map[net.Conn]bool{}, peers: map[net.Conn]int{}}
 	s.onClose(func() {
 		_ = listener.Close()
 		l.reset()
@@ -62,7 +71,7 @@
 			go l.carry(c)
 		}
 	}()
-	return nil
+	return l, nil
 }
 
 func (l *link) carry(c net.Conn) {
@@ -78,6 +87,7 @@
 	}
 	l.mu.Lock()
 	l.conns[c], l.conns[t] = true, true
+	l.peers[c] = processOf(c.RemoteAddr().(*net.TCPAddr).Port)
 	l.mu.Unlock()
 	var both sync.WaitGroup
 	pass := func(to, from net.Conn, rate *limiter) {
@@ -86,6 +96,9 @@
 			n, err := from.Read(buf)
 			if n > 0 {
 				rate.wait(n)
+				for l.isCut(c) {
+					time.Sleep(10 * time.Millisecond)
+				}
 				if _, werr := to.Write(buf[:n]); werr != nil {
 					err = werr
 				}
@@ -107,6 +120,7 @@
 	l.mu.Lock()
 	delete(l.conns, c)
 	delete(l.conns, t)
+	delete(l.peers, c)
 	l.mu.Unlock()
 	_, _ = c.Close(), t.Close()
 }
@@ -120,3 +134,47 @@
 		_ = c.Close()
 	}
 }
+
+// cut partitions a process from the machine, or nothing if pid is 0. What was held up is lost then: its connections are reset.
+func (l *link) cut(pid int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if pid == 0 {
+		for c, peer := range l.peers {
+			if peer == l.cutFrom {
+				_ = c.(*net.TCPConn).SetLinger(0)
+				_ = c.Close()
+			}
+		}
+	}
+	l.cutFrom = pid
+}
+
+func (l *link) isCut(c net.Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cutFrom != 0 && l.peers[c] == l.cutFrom
+}
+
+// processOf returns the process with a socket at a local port that is connected, or 0.
+func processOf(port int) int {
+	table, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		return 0
+	}
+	inode := ""
+	for line := range strings.Lines(string(table)) {
+		fields := strings.Fields(line)
+		if len(fields) > 9 && strings.HasSuffix(fields[1], fmt.Sprintf(":%04X", port)) && fields[3] == "01" {
+			inode = "socket:[" + fields[9] + "]"
+			sockets, _ := filepath.Glob("/proc/[0-9]*/fd/*")
+			for _, s := range sockets {
+				if to, err := os.Readlink(s); err == nil && to == inode {
+					pid, _ := strconv.Atoi(strings.Split(s, "/")[2])
+					return pid
+				}
+			}
+		}
+	}
+	return 0
+}
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -27,6 +27,7 @@
 	"catch-up":      catchUpOfLostDisk,
 	"encoded-slash": encodedSlash,
 	"other-writer":  otherWriter,
+	"revoked-key":   revokedKey,
 }
 
 // maxTime ends a script that hangs.
--- a/review/stage/server.go
+++ b/review/stage/server.go
@@ -24,12 +24,14 @@
 	mu       sync.Mutex
 	sequence int
 	runs     map[string]int
+	// tenants holds the X-Tenant-Id of each request that ran.
+	tenants map[string]string
 	// losesAnswer, if set, says whether the answer to a request that ran is lost: the connection is reset.
 	losesAnswer func(id string) bool
 }
 
 func (s *stage) startServer(id string, hostNumber int, zone string, nodes []string) (*server, error) {
-	v := &server{s: s, id: id, address: s.address(hostNumber, serverPort), zone: zone, born: time.Now().UnixMilli(), nodes: nodes, runs: map[string]int{}}
+	v := &server{s: s, id: id, address: s.address(hostNumber, serverPort), zone: zone, born: time.Now().UnixMilli(), nodes: nodes, runs: map[string]int{}, tenants: map[string]string{}}
 	l, err := net.Listen("tcp", v.address)
 	if err != nil {
 		return nil, err
@@ -57,6 +59,7 @@
 	id := r.Header.Get("X-Request-Id")
 	v.mu.Lock()
 	v.runs[id]++
+	v.tenants[id] = r.Header.Get("X-Tenant-Id")
 	loses := v.losesAnswer
 	v.mu.Unlock()
 	time.Sleep(20 * time.Millisecond)
@@ -120,3 +123,11 @@
 	defer v.mu.Unlock()
 	return v.runs[id]
 }
+
+// tenantOf returns the tenant with which a request ran, and whether it ran.
+func (v *server) tenantOf(id string) (string, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	tenant, ran := v.tenants[id]
+	return tenant, ran
+}
