Review case 10: a first manifest with version 0 is acknowledged and dropped

The state without a manifest counts as version 0, so that the command has no effect, and it is acknowledged all the same.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+here=$(cd "$(dirname "$0")" && pwd) || exit 2
+cd "$here/../.." || exit 2
+[ -x target/kqplatform ] && [ -x target/review-2/stage ] || exit 2
+exec target/review-2/stage version-zero target/kqplatform "$here"
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -28,6 +28,7 @@
 	"encoded-slash": encodedSlash,
 	"other-writer":  otherWriter,
 	"revoked-key":   revokedKey,
+	"version-zero":  versionZero,
 }
 
 // maxTime ends a script that hangs.
