--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strconv"
 	"time"
 )
 
@@ -35,8 +36,13 @@
 const maxTime = 118 * time.Second
 
 func main() {
-	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: stage CASE PROGRAM FOLDER")
+	if len(os.Args) != 5 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: stage CASE PROGRAM FOLDER TROUBLE (true or false)")
+		os.Exit(exitNotRun)
+	}
+	trouble, err := strconv.ParseBool(os.Args[4])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitNotRun)
 	}
 	s, err := newStage(os.Args[2], filepath.Join(os.Args[3], "record.txt"))
@@ -44,8 +50,9 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitNotRun)
 	}
+	s.note("%s, with the trouble: %t", os.Args[1], trouble)
 	done := make(chan error, 1)
-	go func() { done <- cases[os.Args[1]](s, os.Getenv("TROUBLE") != "0") }()
+	go func() { done <- cases[os.Args[1]](s, trouble) }()
 	select {
 	case err = <-done:
 	case <-time.After(maxTime):
