A first configuration of version 0 is put in force

What callers saw: the operator's first configuration has the version 0.

Cause: publication.State.Version is 0 without a configuration, and Apply gave no effect to a version that is not above it. Process.Publish told the two apart, proposed the change, and acknowledged a command without an effect. The next version would have been compressed against a document that no command can name.

Change: Publish.first says that version 0 stands for a first configuration. Without it version 0 has no effect, as in logs of earlier releases. Beside a process of such a release it is refused as not ready.

--- a/internal/directory/catchup.go
+++ b/internal/directory/catchup.go
@@ -56,7 +56,7 @@
 	h.setLoad(s, req.Load)
 	if req.Ping != 0 {
 		h.handoffs.set(s, req.Handoff)
-		s.followsRollouts = req.FollowsRollouts
+		s.features = featuresOf(req)
 	}
 	h.recordQuarantineReports(req.Crashes, quarantine.DecodeSubjects(req.Survived, req.SurvivedRequests), true)
 	h.recordOrigins(req.Origins, true)
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -52,13 +52,17 @@
 	handoffsVersion uint64
 	// overflowed is set once the queue was full.
 	overflowed bool
-	// followsRollouts is set once the router has said that it keeps to rollouts.
-	followsRollouts bool
+	// features are those that the router has said it has.
+	features features
 	// confirmed is true once the router was sent a confirmation. The first one is sent
 	// at once, since a router serves nothing without it.
 	confirmed bool
 }
 
+func featuresOf(req *fleetpb.FollowRequest) features {
+	return features{rollouts: req.FollowsRollouts, versionZero: req.AppliesVersionZero}
+}
+
 // bulkInFlight reports whether a full state or a large change is on its way to the
 // router.
 func (s *session) bulkInFlight(now time.Time) bool {
@@ -98,7 +102,7 @@
 	}
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
-	ss := &session{router: first.Router, revision: first.Have, queue: make(chan *fleetpb.FollowUpdate, sessionQueueSize), cancel: cancel, followsRollouts: first.FollowsRollouts}
+	ss := &session{router: first.Router, revision: first.Have, queue: make(chan *fleetpb.FollowUpdate, sessionQueueSize), cancel: cancel, features: featuresOf(first)}
 	if err := s.hub.do(ctx, func() { s.hub.openSession(ss) }); err != nil {
 		return err
 	}
--- a/internal/directory/operations.go
+++ b/internal/directory/operations.go
@@ -25,6 +25,10 @@
 			"proposed", false, "revision", base.Revision)
 		return nil
 	}
+	if err := p.checkVersionZero(ctx, base, version); err != nil {
+		p.logChange("configuration received", began, err, "version", version, "bytes", len(document))
+		return err
+	}
 	revision, size, err := p.publish(ctx, base, version, document, false)
 	full := errkind.Of(err) == errkind.ChangeConflict
 	if full {
@@ -35,6 +39,22 @@
 	return err
 }
 
+// checkVersionZero returns an error for a first configuration of version 0 while a process of an earlier release
+// would give it no effect.
+func (p *Process) checkVersionZero(ctx context.Context, base *publication.State, version uint64) error {
+	if version != 0 || base.Configuration != nil {
+		return nil
+	}
+	obstacle := ""
+	if err := p.hub.do(ctx, func() { obstacle = p.hub.obstacle(func(f features) bool { return f.versionZero }) }); err != nil {
+		return err
+	}
+	if obstacle != "" {
+		return errkind.New(errkind.NotReady, "%s runs a release that drops a configuration of version 0", obstacle).WithRetryAfter(time.Second)
+	}
+	return nil
+}
+
 // publish proposes a document, compressed against the one in base unless full is true.
 // It fails with kind change-conflict if another process has replaced the configuration
 // of base in the meantime.
--- a/internal/directory/peers.go
+++ b/internal/directory/peers.go
@@ -72,8 +72,8 @@
 	routers    int
 	// handoffs are the routers that follow the process and take over requests of others.
 	handoffs []string
-	// followsRollouts is set if the process and its routers keep to rollouts.
-	followsRollouts bool
+	// features are those of the process and its routers.
+	features features
 	// previousAt is when the report before this one was received.
 	receivedAt, previousAt time.Time
 }
@@ -191,7 +191,8 @@
 	if p.handoffsAcked != call.handoffsVersion {
 		call.req.Handoffs = &fleetpb.Handoffs{Addresses: h.ownHandoffs(maxSpreadHandoffs)}
 	}
-	call.req.FollowsRollouts = h.routerOfEarlierRelease() == ""
+	call.req.FollowsRollouts = h.routerWithout(func(f features) bool { return f.rollouts }) == ""
+	call.req.AppliesVersionZero = h.routerWithout(func(f features) bool { return f.versionZero }) == ""
 	for _, t := range p.tallies {
 		call.req.Rollouts = append(call.req.Rollouts, t)
 	}
@@ -287,7 +288,7 @@
 	h.recordOrigins(req.Origins, false)
 	h.recordTallies(req.Rollouts, false)
 	if req.From != "" {
-		report := &peerReport{dataCentre: req.DataCentre, load: req.Load, routers: int(req.Routers), followsRollouts: req.FollowsRollouts, receivedAt: now}
+		report := &peerReport{dataCentre: req.DataCentre, load: req.Load, routers: int(req.Routers), features: features{rollouts: req.FollowsRollouts, versionZero: req.AppliesVersionZero}, receivedAt: now}
 		if previous := h.peerReports[req.From]; previous != nil {
 			report.handoffs, report.previousAt = previous.handoffs, previous.receivedAt
 		}
--- a/internal/directory/rollouts.go
+++ b/internal/directory/rollouts.go
@@ -192,22 +192,34 @@
 	})
 }
 
-// routerOfEarlierRelease names a router that follows this process and does not keep to rollouts,
-// or "".
-func (h *hub) routerOfEarlierRelease() string {
+// features are those by which a process of this release differs from earlier ones in what commands do.
+type features struct {
+	// rollouts is set if the process, and the routers that follow it, keep to rollouts.
+	rollouts bool
+	// versionZero is set if they apply a first configuration of version 0.
+	versionZero bool
+}
+
+// routerWithout names a router that follows this process and lacks a feature, or "".
+func (h *hub) routerWithout(has func(features) bool) string {
 	for s := range h.sessions {
-		if !s.followsRollouts {
+		if !has(s.features) {
 			return "router " + s.router
 		}
 	}
 	return ""
 }
 
-// rolloutObstacle names a process of the fleet that does not keep to rollouts, or "". What a silent
-// process said last counts: one that is paused goes on as it was. A process of an earlier release
-// would not apply the order, and count other revisions than the rest from then on.
+// rolloutObstacle names a process of the fleet that does not keep to rollouts, or "".
 func (h *hub) rolloutObstacle() string {
-	if r := h.routerOfEarlierRelease(); r != "" {
+	return h.obstacle(func(f features) bool { return f.rollouts })
+}
+
+// obstacle names a process of the fleet that lacks a feature, or "". What a silent process said last
+// counts: one that is paused goes on as it was. A process of an earlier release would not apply a
+// command of the feature, and count other revisions than the rest from then on.
+func (h *hub) obstacle(has func(features) bool) string {
+	if r := h.routerWithout(has); r != "" {
 		return r
 	}
 	if h.leader == "" {
@@ -216,7 +228,7 @@
 	for _, a := range h.members {
 		r := h.peerReports[a]
 		switch {
-		case a == h.ownAddress || r != nil && r.followsRollouts:
+		case a == h.ownAddress || r != nil && has(r.features):
 		case r != nil:
 			return "directory process " + a + " or a router that follows it"
 		case h.now().Sub(h.quorumSince) < unheardTime:
--- a/internal/fleetview/link.go
+++ b/internal/fleetview/link.go
@@ -136,7 +136,7 @@
 		if woken || now >= pingDue {
 			l.lastPing++
 			req.Router, req.Ping, req.Handoff = l.view.opts.RouterID, l.lastPing, l.view.handoffAddress()
-			req.FollowsRollouts = true
+			req.FollowsRollouts, req.AppliesVersionZero = true, true
 			select {
 			case pings <- ping{number: l.lastPing, sentAt: now, revision: req.Have}:
 			default: // The buffer is full: nothing was received meanwhile, and the watchdog closes the session.
--- a/internal/publication/state.go
+++ b/internal/publication/state.go
@@ -36,7 +36,8 @@
 	Departures map[string]inventory.Departure
 }
 
-// Version returns the configuration version in force, or 0 if there is none.
+// Version returns the configuration version in force, or 0 if there is none. 0 may also be the version
+// of the first one.
 func (s *State) Version() uint64 {
 	if s.Configuration == nil {
 		return 0
@@ -59,7 +60,7 @@
 	next.Revision++
 	switch op := cmd.Op.(type) {
 	case *fleetpb.Command_Publish:
-		if op.Publish.Version <= s.Version() {
+		if !s.isSupersededBy(op.Publish) {
 			return s, nil
 		}
 		var err error
@@ -99,6 +100,15 @@
 	return &next, nil
 }
 
+// isSupersededBy reports whether the publication puts its configuration in force.
+func (s *State) isSupersededBy(p *fleetpb.Publish) bool {
+	if s.Configuration == nil && p.First {
+		return true
+	}
+	// Also without a configuration: earlier releases have dropped version 0, and logs are applied again.
+	return p.Version > s.Version()
+}
+
 // assign reports whether anything changed.
 func (s *State) assign(a *fleetpb.Assign) bool {
 	places := maps.Clone(s.Places)
@@ -155,12 +165,13 @@
 }
 
 // PublishCommand returns the command that puts the document in force. The document is
-// compressed against the configuration of this state; if full is true, it is
-// compressed without a base and the command applies to any state.
+// compressed against the configuration of this state; if full is true or that has version 0,
+// which no command can name as its base, it is compressed without a base and the command
+// applies to any state.
 func (s *State) PublishCommand(version uint64, document []byte, full bool) (*fleetpb.Command, error) {
-	p := &fleetpb.Publish{Version: version}
+	p := &fleetpb.Publish{Version: version, First: version == 0}
 	var base []byte
-	if !full {
+	if !full && s.Version() != 0 {
 		p.BaseVersion, base = s.Version(), s.document()
 	}
 	var err error
