A key is not honoured on an anonymous route once the configuration is stale

What callers saw: a key was taken away while a router was cut off from the directory.

Cause: authenticate looked the key up and returned for an anonymous route before it looked at the age of the confirmation.

Change: a request with a key is refused as not run once the configuration is stale, on every route.

--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -150,13 +150,17 @@
 // ConfirmationAge returns an upper bound on how long ago the snapshot was confirmed
 // to be the newest, and false if it was never confirmed.
 func (v *View) ConfirmationAge() (time.Duration, bool) {
-	at := v.confirmedPingSentAt.Load()
+	at := v.ConfirmedAt()
 	if at == 0 {
 		return 0, false
 	}
-	return clock.SinceBoot() - time.Duration(at), true
+	return clock.SinceBoot() - at, true
 }
 
+// ConfirmedAt returns a time, by the boot clock, after which the snapshot was confirmed to be the newest; 0 if it
+// never was.
+func (v *View) ConfirmedAt() time.Duration { return time.Duration(v.confirmedPingSentAt.Load()) }
+
 // QuorumAge returns the time since a confirmation by the directory's quorum was last
 // received.
 func (v *View) QuorumAge() time.Duration {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/kumquathollow/kumquathollow/internal/catalog"
+	"github.com/kumquathollow/kumquathollow/internal/clock"
 	"github.com/kumquathollow/kumquathollow/internal/deadline"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/fleetview"
@@ -25,12 +26,14 @@
 
 // exchange is one client request and its response.
 type exchange struct {
-	f         *Forwarder
-	w         http.ResponseWriter
-	r         *http.Request
-	rc        *http.ResponseController
-	view      *fleetview.Snapshot
-	startedAt time.Time
+	f    *Forwarder
+	w    http.ResponseWriter
+	r    *http.Request
+	rc   *http.ResponseController
+	view *fleetview.Snapshot
+	// confirmedAt is when view, or an earlier one, was last confirmed, by the boot clock; 0 if none was.
+	confirmedAt time.Duration
+	startedAt   time.Time
 
 	requestInfo RequestInfo
 	route       *catalog.Route
@@ -172,10 +175,10 @@
 	if limit := config.Limits.HeaderBytes; limit > 0 && httpheader.RequestHeaderSize(x.r) > limit {
 		return errkind.New(errkind.HeadersTooLarge, "the request line and headers exceed the limit of %d bytes", limit)
 	}
-	age, confirmed := x.f.opts.View.ConfirmationAge()
-	if !confirmed {
+	if x.confirmedAt == 0 {
 		return x.f.notReadyError("the directory has not confirmed the configuration yet")
 	}
+	age := clock.SinceBoot() - x.confirmedAt
 	fresh := age <= x.f.opts.MaxConfirmationAge
 	if x.route = config.FindRoute(x.r.Host, x.r.URL.Path); x.route == nil {
 		if !fresh {
@@ -215,16 +218,18 @@
 	if len(config.Workspaces) == 0 {
 		return nil
 	}
-	if x.requestInfo.APIKey != "" {
-		x.workspace = config.WorkspaceByKey(x.requestInfo.APIKey)
-	}
-	if x.route.Anonymous {
+	if x.requestInfo.APIKey == "" && x.route.Anonymous {
 		return nil
 	}
+	// A workspace may have gained or lost the key since. Without it, even a request of an anonymous route
+	// would run for another caller than the one that sent it.
 	if !fresh {
 		return x.staleError(age)
 	}
-	if x.workspace == nil {
+	if x.requestInfo.APIKey != "" {
+		x.workspace = config.WorkspaceByKey(x.requestInfo.APIKey)
+	}
+	if x.workspace == nil && !x.route.Anonymous {
 		return errkind.New(errkind.Unauthenticated, "the API key is missing or unknown")
 	}
 	return nil
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -151,7 +151,9 @@
 }
 
 func (f *Forwarder) newExchange(w http.ResponseWriter, r *http.Request) *exchange {
-	return &exchange{f: f, w: w, r: r, rc: http.NewResponseController(w), startedAt: time.Now(), view: f.opts.View.Snapshot()}
+	// In this order: a later confirmation may be one of a later snapshot, which has other keys.
+	confirmedAt := f.opts.View.ConfirmedAt()
+	return &exchange{f: f, w: w, r: r, rc: http.NewResponseController(w), startedAt: time.Now(), confirmedAt: confirmedAt, view: f.opts.View.Snapshot()}
 }
 
 // Run checks which servers can be reached, until ctx is done.
