A server that started again with another version continues no stream of the former one

What callers saw: a server starts again under its id and address with another version while a router is cut off from the directory. Streams of the one version went on at the other, within their response and for clients that resume at that router, and streams begun there meanwhile were recorded as those of the former version.

Cause: a request names a server by its id, and its version was that of its last announcement, however old.

Change: a connection does not outlive its process. A continuation is sent, and an origin recorded, only once the directory has told the router, after the connection was opened, all servers that had announced themselves (FollowRequest.sync, FollowUpdate.synced). The answer does not depend on processes that are silent. Processes of an earlier release answer none; their confirmations count, later.

TestUrgentOriginsAreReportedAtOnce names the server.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -14,6 +14,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/kumquathollow/kumquathollow/internal/clock"
 	"github.com/kumquathollow/kumquathollow/internal/connfailure"
 	"github.com/kumquathollow/kumquathollow/internal/rpc"
 )
@@ -41,6 +42,8 @@
 	idleSince   time.Time
 	idleTimeout time.Duration
 	pool        *serverPool
+	// connectedAt is when the connection was opened, by the boot clock.
+	connectedAt time.Duration
 	closed      atomic.Bool
 	// lastID is the id of the last request that was sent.
 	lastID string
@@ -58,7 +61,7 @@
 func newConn(dialed net.Conn, pool *serverPool) *conn {
 	raw := &connfailure.Conn{Conn: dialed}
 	head := &headReader{Reader: raw, onRead: pool.pool.recordHeard}
-	return &conn{Conn: raw, br: bufio.NewReaderSize(head, readBufferBytes), head: head, pool: pool, openedAt: time.Now()}
+	return &conn{Conn: raw, br: bufio.NewReaderSize(head, readBufferBytes), head: head, pool: pool, connectedAt: clock.SinceBoot(), openedAt: time.Now()}
 }
 
 // readHead reads the status line and the headers of a response.
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -37,6 +37,9 @@
 	// ReserveHead is called before the head of a response takes n more bytes of memory than a
 	// usual one. An error ends the exchange. nil means that the memory is not limited.
 	ReserveHead func(n int64) error
+	// Check, if not nil, is called with the time by the boot clock at which the connection was opened, before anything is
+	// sent. An error means that the request must not be sent on it.
+	Check func(ctx context.Context, connectedAt time.Duration) error
 	// OnConfirm, if not nil, is called before the end of a response without a length is confirmed, by the goroutine that
 	// reads the body. The response ended before its server's deadline.
 	OnConfirm func()
@@ -55,13 +58,14 @@
 	// Deadline is that of the server. The end of a body whose length was not told before it is an error of cause
 	// deadline.ErrEnd if the server may have stopped work there.
 	Deadline deadline.Server
-	// Opened is set if a connection was opened for the request.
-	Opened    bool
-	pool      *Pool
-	conn      *conn
-	stopAbort func() bool
-	written   <-chan error
-	bodyRead  bool
+	// Opened is set if a connection was opened for the request, and ConnectedAt is when it was, by the boot clock.
+	Opened      bool
+	ConnectedAt time.Duration
+	pool        *Pool
+	conn        *conn
+	stopAbort   func() bool
+	written     <-chan error
+	bodyRead    bool
 	// watched is set if the connection's pool keeps a witness for the response.
 	watched bool
 	// longBody is set if the request's body is longer than receiveBufferBytes.
@@ -89,11 +93,14 @@
 // although Do returned err.
 func MayHaveBeenSent(err error) bool {
 	k := errkind.Of(err)
-	return err != nil && k != errkind.Unreachable && k != errkind.QueueFull
+	return err != nil && k != errkind.Unreachable && k != errkind.QueueFull && !errors.Is(err, ErrNotSent)
 }
 
+// ErrNotSent marks the errors of Request.Check.
+var ErrNotSent = errors.New("the request was not sent")
+
 // Do sends a request and returns the response that names it. If the error has kind
-// unreachable or queue-full, nothing was sent; after any other error the backend
+// unreachable or queue-full, or is that of Check, nothing was sent; after any other error the backend
 // server may have run the request. ctx applies to the whole exchange, including the
 // response body.
 func (p *Pool) Do(ctx context.Context, t Target, r *Request) (*Response, error) {
@@ -101,8 +108,17 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.Check != nil {
+		if err := r.Check(ctx, c.connectedAt); err != nil {
+			if opened {
+				c.idleTimeout = defaultIdleTimeout
+			}
+			p.put(c)
+			return nil, errors.Mark(err, ErrNotSent)
+		}
+	}
 	c.lastID = r.ID
-	resp := &Response{Opened: opened, pool: p, conn: c, stopAbort: c.abortOnDone(ctx), watched: c.pool.beginExchange(c, t.MaxConnections)}
+	resp := &Response{Opened: opened, ConnectedAt: c.connectedAt, pool: p, conn: c, stopAbort: c.abortOnDone(ctx), watched: c.pool.beginExchange(c, t.MaxConnections)}
 	if resp.longBody = len(r.Body) > receiveBufferBytes; resp.longBody {
 		c.allowLateReader()
 	}
--- a/internal/directory/catchup.go
+++ b/internal/directory/catchup.go
@@ -61,11 +61,13 @@
 	h.recordQuarantineReports(req.Crashes, quarantine.DecodeSubjects(req.Survived, req.SurvivedRequests), true)
 	h.recordOrigins(req.Origins, true)
 	h.lookUpOrigins(s, req.Lookups)
+	s.addSync(req, h.now())
 	h.recordTallies(req.Rollouts, true)
 	s.listDue = s.load != nil && (s.listDue || startsReporting) || req.List
 	if s.listDue {
 		h.sendLists()
 	}
+	h.answerUrgentSyncs()
 	if req.Fetch {
 		s.revision, s.behind = req.Have, true
 	}
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -52,6 +52,8 @@
 	handoffsVersion uint64
 	// overflowed is set once the queue was full.
 	overflowed bool
+	// syncs are those of the router that are not answered yet, oldest first.
+	syncs []syncRequest
 	// features are those that the router has said it has.
 	features features
 	// confirmed is true once the router was sent a confirmation. The first one is sent
--- a/internal/directory/hub.go
+++ b/internal/directory/hub.go
@@ -223,6 +223,7 @@
 	}
 	clear(h.refreshed)
 	suspects := h.suspects()
+	syncs := h.takeSyncs(func(*session) bool { return true })
 	now, interval := h.now(), h.flushInterval()
 	for s := range h.sessions {
 		if s.load == nil && s.pong == nil && now.Sub(s.flushedAt) < standbyInterval-interval/2 {
@@ -233,6 +234,7 @@
 		if s.load != nil {
 			u.Heard, u.Load, u.ReportMs = heard, load, uint32(interval.Milliseconds())
 			u.Suspects = suspects
+			u.Synced = syncs[s]
 		}
 		s.flushedAt = now
 		s.push(h.withStatus(u))
--- a/internal/directory/origins.go
+++ b/internal/directory/origins.go
@@ -111,12 +111,16 @@
 // serversKnownUntil returns the time up to which this process knows all servers that came into use.
 // Each other process relays what servers announce to it, in one call after the other: a call was
 // begun after the one before it had arrived here.
-func (h *hub) serversKnownUntil() time.Time {
+func (h *hub) serversKnownUntil() time.Time { return h.serversRelayedUntil(h.members) }
+
+// serversRelayedUntil is serversKnownUntil for the servers that announce themselves to this process or to the
+// given ones.
+func (h *hub) serversRelayedUntil(members []string) time.Time {
 	if !h.knowsAllServers || h.leader == "" {
 		return time.Time{}
 	}
 	until := h.now().Add(time.Nanosecond) // What happens now is known, if there is no other process.
-	for _, a := range h.members {
+	for _, a := range members {
 		switch r := h.peerReports[a]; {
 		case a == h.ownAddress:
 		case r == nil:
--- a/internal/directory/peers.go
+++ b/internal/directory/peers.go
@@ -297,6 +297,7 @@
 		}
 		h.peerReports[req.From] = report
 		h.confirmLookups()
+		h.answerUrgentSyncs()
 	}
 	return list
 }
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -147,6 +147,7 @@
 		age, _ := r.view.ConfirmationAge()
 		return age.Milliseconds()
 	})
+	r.metrics.Gauge("servers.known_ago_ms", func() int64 { return r.view.ServersKnownAge().Milliseconds() })
 	return r, nil
 }
 
--- /dev/null
+++ b/internal/fleetview/incarnations_test.go
@@ -0,0 +1,117 @@
+package fleetview
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/kumquathollow/kumquathollow/api/fleetpb"
+	"github.com/kumquathollow/kumquathollow/internal/clock"
+	"github.com/kumquathollow/kumquathollow/internal/streamorigin"
+)
+
+// announceServer makes a server known to the view, and returns a connection to it that was opened now.
+func announceServer(v *View, l *link) Incarnation {
+	v.links[l.address], v.seeds = l, []string{l.address}
+	v.onUpdate(l, announcementOf(1, "v1"))
+	return Incarnation{ID: "x", Born: 1, ConnectedAt: clock.SinceBoot()}
+}
+
+func announcementOf(born int64, version string) update {
+	return update{FollowUpdate: &fleetpb.FollowUpdate{Routers: 1, InQuorum: true, Announcements: []*fleetpb.Announcement{
+		{Id: "x", Born: born, Sequence: 1, Service: "chat", Address: "x:1", State: fleetpb.ServerState_READY, Version: version},
+	}}}
+}
+
+// newReportingView returns a view that reports on its link.
+func newReportingView() (*View, *link) {
+	v, l := newView()
+	l.report = make(chan struct{}, 1)
+	l.connected, l.inQuorum = true, true
+	v.reportTo.Store(l)
+	return v, l
+}
+
+func synced(at time.Duration, inQuorum bool) update {
+	return update{FollowUpdate: &fleetpb.FollowUpdate{Routers: 1, InQuorum: inQuorum, Synced: uint64(at)}}
+}
+
+// Guards against a router that takes a server for the incarnation that it knows, although the server may have started
+// again before the connection was opened: only an answer to what was asked after that tells.
+func TestAnIncarnationIsConfirmedByAnAnswerToALaterQuestion(t *testing.T) {
+	v, l := newReportingView()
+	server := announceServer(v, l)
+	after := server.ConnectedAt + announceTime
+	ctx, cancel := context.WithCancelCause(t.Context())
+	notYet := errors.New("not yet")
+	cancel(notYet)
+	for name, u := range map[string]update{
+		"no answer":                        announcementOf(1, "v1"),
+		"an answer to an earlier question": synced(after-1, true),
+		"a process out of quorum":          synced(after, false),
+	} {
+		v.onUpdate(l, u)
+		if err := v.ConfirmIncarnation(ctx, server); !errors.Is(err, notYet) || v.IsConfirmed(server) {
+			t.Errorf("%s: %v, want to wait", name, err)
+		}
+	}
+	other := &link{view: v, address: "d:2", connected: true, inQuorum: true, cancel: func() {}}
+	v.links["d:2"] = other
+	v.onUpdate(other, synced(after, true))
+	if v.IsConfirmed(server) {
+		t.Error("confirmed by a process that does not send the router the servers that others relay")
+	}
+	done := make(chan error, 1)
+	go func() { done <- v.ConfirmIncarnation(t.Context(), server) }()
+	<-l.report
+	v.onUpdate(l, synced(after, true))
+	if err := <-done; err != nil || !v.IsConfirmed(server) {
+		t.Errorf("after the answer: %v", err)
+	}
+	v.onUpdate(l, announcementOf(2, "v2"))
+	if err := v.ConfirmIncarnation(t.Context(), server); !errors.Is(err, ErrReplaced) {
+		t.Errorf("after another incarnation: %v", err)
+	}
+}
+
+// Guards against the origin of a stream that a router which is cut off has from what it believes of a server.
+func TestTheOriginOfAStreamIsRecordedOnceItsServerIsConfirmed(t *testing.T) {
+	for name, replaced := range map[string]bool{"confirmed": false, "replaced": true} {
+		v, l := newReportingView()
+		server := announceServer(v, l)
+		origin := streamorigin.Origin{Service: "chat", Version: "v1"}
+		v.RecordOrigin(1, origin, server, true)
+		if origins, _ := v.origins.Report(false, time.Now()); len(origins) != 0 {
+			t.Errorf("%s: reported before the directory has answered", name)
+		}
+		u := synced(server.ConnectedAt+announceTime, true)
+		if replaced {
+			u.Announcements = announcementOf(2, "v2").Announcements
+		}
+		v.onUpdate(l, u)
+		if origins, _ := v.origins.Report(false, time.Now()); (len(origins) == 0) != replaced {
+			t.Errorf("%s: %d origins are reported after the answer", name, len(origins))
+		}
+	}
+}
+
+// Guards against streams that no router continues while the directory has an earlier release, which answers no sync:
+// its confirmations tell as much once it has sent the list of all servers.
+func TestConfirmationsOfAnEarlierReleaseConfirmIncarnations(t *testing.T) {
+	v, l := newReportingView()
+	server := announceServer(v, l)
+	after := server.ConnectedAt + announceTime
+	confirmation := update{FollowUpdate: &fleetpb.FollowUpdate{Routers: 1, InQuorum: true, Pong: 1, Confirmed: true}, pingSentAt: after}
+	l.reportsSince = after - listTime
+	v.onUpdate(l, confirmation)
+	if v.IsConfirmed(server) {
+		t.Error("confirmed while the list of all servers may be on its way")
+	}
+	l.reportsSince--
+	v.onUpdate(l, confirmation)
+	if !v.IsConfirmed(server) {
+		t.Error("not confirmed after the list of all servers")
+	}
+}
--- a/internal/fleetview/link.go
+++ b/internal/fleetview/link.go
@@ -47,6 +47,10 @@
 	routers                    int
 	// revision is the newest revision that the directory process is known to have.
 	revision uint64
+	// reportsSince is when the router began to report here, by the boot clock. answersSyncs is set once the
+	// process has answered a sync.
+	reportsSince time.Duration
+	answersSyncs bool
 }
 
 func (l *link) run(ctx context.Context) {
@@ -129,7 +133,7 @@
 	var pingDue time.Duration
 	due := time.NewTimer(pingInterval)
 	defer due.Stop()
-	wasReporting := false
+	wasReporting, syncDue := false, false
 	for woken := true; ; {
 		now, reporting := clock.SinceBoot(), l.view.reportTo.Load() == l
 		req := &fleetpb.FollowRequest{Have: l.view.Snapshot().Revision, Fetch: l.fetchRequested.Swap(false), List: l.listRequested.Swap(false)}
@@ -143,7 +147,7 @@
 			}
 			pingDue = now + standbyPingInterval
 			if reporting {
-				pingDue = now + pingInterval
+				pingDue, syncDue = now+pingInterval, true
 			}
 		}
 		wait := pingDue - now
@@ -154,6 +158,9 @@
 			req.Crashes = quarantine.EncodeCrashes(crashes, at)
 			req.Survived, req.SurvivedRequests = quarantine.EncodeSubjects(survived)
 			req.Origins, req.Lookups = l.view.origins.Report(!wasReporting, at)
+			if l.view.syncs.wanted.Swap(false) || syncDue {
+				req.Sync, syncDue = uint64(now), false
+			}
 			req.Rollouts = l.view.attempts.Report(!wasReporting, l.view.lastRollout)
 			if report := time.Duration(l.reportInterval.Load()); report > 0 {
 				wait = min(wait, max(minReportInterval, report))
--- a/internal/fleetview/origins.go
+++ b/internal/fleetview/origins.go
@@ -11,17 +11,6 @@
 // the directory answers, by the time in which a lost session is replaced.
 const originTimeout = time.Second
 
-// RecordOrigin records and reports which version of which service begins a stream, at once if
-// it is urgent and else with the next report of loads.
-func (v *View) RecordOrigin(s streamorigin.Stream, o streamorigin.Origin, urgent bool) {
-	if !v.origins.Record(s, o, time.Now()) || !urgent {
-		return
-	}
-	if l := v.reportTo.Load(); l != nil {
-		l.reportNow()
-	}
-}
-
 // StreamOrigin returns which version of which service began a stream, and known false if neither
 // this router nor the directory knows it. serversKnown is set if, besides, this router now knows all
 // servers that were in use before it asked. A router that is cut off or has stood still does not know
--- a/internal/fleetview/origins_test.go
+++ b/internal/fleetview/origins_test.go
@@ -25,16 +25,18 @@
 	v, l := newView()
 	l.report = make(chan struct{}, 1)
 	v.reportTo.Store(l)
+	server := announceServer(v, l)
+	v.syncs.advance(server.ConnectedAt + announceTime)
 	origin := streamorigin.Origin{Service: "chat", Version: "v1"}
-	v.RecordOrigin(1, origin, false)
+	v.RecordOrigin(1, origin, server, false)
 	if len(l.report) != 0 {
 		t.Error("an origin that can wait does not wait")
 	}
-	v.RecordOrigin(1, origin, true)
+	v.RecordOrigin(1, origin, server, true)
 	if len(l.report) != 0 {
 		t.Error("a known origin is reported again")
 	}
-	v.RecordOrigin(2, origin, true)
+	v.RecordOrigin(2, origin, server, true)
 	if len(l.report) != 1 {
 		t.Fatal("an urgent origin waits")
 	}
@@ -46,7 +48,7 @@
 	}
 	// The messages that the signal causes, and no others, have no ping.
 	for s := streamorigin.Stream(3); ; s++ {
-		v.RecordOrigin(s, origin, true)
+		v.RecordOrigin(s, origin, server, true)
 		if req := <-stream.requests; req.Ping == 0 {
 			break
 		}
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -77,6 +77,8 @@
 	monitor *quarantine.Monitor
 	// origins holds the origins of streams that this router began or has asked for.
 	origins *streamorigin.Recorder
+	// syncs says until when the router knows which incarnations of servers run.
+	syncs syncs
 	// attempts counts the attempts at each version of services with a running rollout.
 	attempts *rollout.Recorder
 
@@ -293,6 +295,7 @@
 		}
 	}
 	if previous := v.reportTo.Swap(best); best != nil && best != previous {
+		best.reportsSince = now
 		best.sendNow() // The process that receives the first report sends the list of all servers.
 	}
 }
@@ -346,6 +349,7 @@
 		v.origins.Answer(u.Origins, u.UnknownStreams, u.ServersKnown, time.Now())
 	}
 	v.refreshServers(l, u.Heard)
+	v.recordSync(l, u)
 	l.revision = max(l.revision, u.Revision)
 	v.newestRevision = max(v.newestRevision, u.Revision, u.Newest)
 	v.applyUpdate(l, u.FollowUpdate)
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -41,8 +41,8 @@
 // placement.
 func (x *exchange) attempt(picked *placement.PickResult) attemptResult {
 	sentAt := time.Now()
-	silence := time.AfterFunc(silenceTimeout, func() { x.f.prober.checkSilence(sentAt) })
-	defer silence.Stop()
+	x.silence = x.f.prober.watchSilence(sentAt)
+	defer func() { x.silence.Stop() }()
 	x.counted = x.f.opts.View.BeginAttempt(x.service.Name, x.route.Name, picked.Version, picked.ID, sentAt)
 	res := x.send(picked, sentAt)
 	if res.err != nil {
@@ -66,6 +66,9 @@
 	ctx, cancel := x.attemptContext()
 	defer cancel()
 	resp, err := x.f.opts.Pool.Do(ctx, x.backendTarget(picked), x.backendRequest(picked, sentAt))
+	if errors.Is(err, backend.ErrNotSent) {
+		return x.incarnationNotConfirmed(picked, err)
+	}
 	if err != nil {
 		return x.transportFailure(err)
 	}
@@ -152,13 +155,28 @@
 	if !strings.HasPrefix(target, "/") {
 		target = x.r.URL.RequestURI()
 	}
-	return &backend.Request{
+	request := &backend.Request{
 		Method: x.r.Method, Target: target, Host: x.r.Host, Header: h, Body: x.body,
 		HasBody: x.r.ContentLength != 0 || x.r.Header.Get("Content-Length") != "",
 		Kind:    x.route.Name,
 		ID:      x.requestInfo.ID, IDHeader: x.f.opts.Protocol.IDHeader(), NonIdempotent: !x.route.Idempotent(), Timeout: o.Timeout,
 		ReserveHead: x.reserveHead, OnConfirm: func() { x.reportConfirming(true) },
 	}
+	if x.origin.Version != "" {
+		request.Check = func(ctx context.Context, connectedAt time.Duration) error {
+			x.silence.Stop()
+			if err := x.f.opts.View.ConfirmIncarnation(ctx, incarnationOf(picked, connectedAt)); err != nil {
+				return err
+			}
+			confirmedAt := time.Now()
+			x.silence = x.f.prober.watchSilence(confirmedAt)
+			o.Timeout = deadline.TimeoutFor(x.deadline.Sub(confirmedAt))
+			request.Timeout = o.Timeout
+			x.f.opts.Protocol.SetBackendHeaders(h, o)
+			return nil
+		}
+	}
+	return request
 }
 
 // transportFailure classifies an error of the connection to a backend server that
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -59,6 +59,8 @@
 	// origin is the version that began the stream, once that is known: the request is sent
 	// only to servers with it.
 	origin streamorigin.Origin
+	// beganAt is the connection on which the stream began, until it is known that it led to a server of that version.
+	beganAt *fleetview.Incarnation
 
 	// sends counts the backend servers to which the request was sent, failedDials
 	// those to which it could not be sent, and unreachable those of them to which no
@@ -103,6 +105,8 @@
 	lastPicked *placement.PickResult
 	// unframed is set if the last server's response has no length.
 	unframed bool
+	// silence fires if nothing is received from any server after the present attempt was sent.
+	silence *time.Timer
 	// serverDeadline is that of the last server that responded.
 	serverDeadline deadline.Server
 	// counted is the attempt that runs, if the service has a running rollout.
@@ -317,6 +321,9 @@
 // nextAttempt makes an attempt at a backend server or, if this router does not reach the
 // servers, through another router. Its error means that there is nothing to attempt.
 func (x *exchange) nextAttempt() (attemptResult, error) {
+	if err := x.confirmOrigin(); err != nil {
+		return attemptResult{}, err
+	}
 	if x.unreachable >= minUnreachable {
 		if res, ok := x.handOffForServers(); ok {
 			return res, nil
--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -43,6 +43,11 @@
 	}
 }
 
+// watchSilence calls checkSilence once a request that was sent at a time has waited long enough.
+func (p *prober) watchSilence(sentAt time.Time) *time.Timer {
+	return time.AfterFunc(silenceTimeout, func() { p.checkSilence(sentAt) })
+}
+
 // checkSilence has all data centres probed if nothing was received from any server since at.
 func (p *prober) checkSilence(at time.Time) {
 	if p.pool.SilentSince(at) {
--- a/internal/forward/resumption.go
+++ b/internal/forward/resumption.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/fleetview"
 	"github.com/kumquathollow/kumquathollow/internal/placement"
 	"github.com/kumquathollow/kumquathollow/internal/streamorigin"
 )
@@ -118,13 +119,45 @@
 // other version can continue it. The report of a new stream does not wait while several
 // versions serve, since this router may be lost before the next one. It is not sent any
 // earlier: until its first event, the stream may still begin at another version.
-func (x *exchange) beginStream(picked *placement.PickResult) {
+func (x *exchange) beginStream(picked *placement.PickResult, connectedAt time.Duration) {
 	if !x.route.Resumable || x.origin.Version != "" || picked.Version == "" {
 		return
 	}
 	x.origin = streamorigin.Origin{Service: x.service.Name, Version: picked.Version}
+	server := incarnationOf(picked, connectedAt)
+	if !x.f.opts.View.IsConfirmed(server) {
+		x.beganAt = &server
+	}
 	if !x.isResumption() {
 		mixed := len(x.f.opts.Fleet.Versions(x.service.Name)) > 1
-		x.f.opts.View.RecordOrigin(x.stream(), x.origin, mixed)
+		x.f.opts.View.RecordOrigin(x.stream(), x.origin, server, mixed)
+	}
+}
+
+func incarnationOf(picked *placement.PickResult, connectedAt time.Duration) fleetview.Incarnation {
+	return fleetview.Incarnation{ID: picked.ID, Born: picked.Born, ConnectedAt: connectedAt}
+}
+
+// confirmOrigin returns an error unless the server at which the stream began within this response is known to have had
+// the version of origin.
+func (x *exchange) confirmOrigin() error {
+	if x.beganAt == nil {
+		return nil
+	}
+	if err := x.f.opts.View.ConfirmIncarnation(x.ctx, *x.beganAt); err != nil {
+		x.f.opts.Metrics.Counter("forward.resumed.unconfirmed").Inc(1)
+		return errkind.Wrap(err, errkind.StreamNotResumable, "the stream began at server %q, whose software version then is not known", x.beganAt.ID).
+			WithRetryAfter(refusedRetryAfter)
 	}
+	x.beganAt = nil
+	return nil
+}
+
+// incarnationNotConfirmed returns the result for a server to which a continuation was not sent: another incarnation may
+// run there, with another version. Other servers can be asked on connections that lead to known incarnations.
+func (x *exchange) incarnationNotConfirmed(picked *placement.PickResult, cause error) attemptResult {
+	x.failedDials++
+	x.f.opts.Metrics.Counter("forward.resumed.unconfirmed").Inc(1)
+	err := errkind.Wrap(cause, errkind.StreamNotResumable, "it is not known which software version runs at server %q", picked.ID).WithRetryAfter(refusedRetryAfter)
+	return attemptResult{err: err, retryable: true, outcome: placement.Neutral}
 }
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -29,7 +29,9 @@
 	dataCentre string
 	bounds     Bounds
 	byID       map[string]*Server
-	byHash     map[uint32]*Server
+	// servers is byID for other goroutines.
+	servers atomic.Pointer[map[string]*Server]
+	byHash  map[uint32]*Server
 	// departed holds the notices of servers that are no longer in the list.
 	departed map[incarnation]*notices
 	// replacedVersions holds when a server of a service and version was last replaced by an
@@ -95,10 +97,17 @@
 	return found
 }
 
+// IsLatest reports whether no later incarnation of the server is known, also if it has left.
+func (f *Fleet) IsLatest(id string, born int64) bool {
+	s := (*f.servers.Load())[id]
+	return s != nil && s.Born == born
+}
+
 // NewFleet returns an empty Fleet for the named router in the data centre.
 func NewFleet(router, dataCentre string, bounds Bounds) *Fleet {
 	f := &Fleet{routerHash: routing.Hash(router), dataCentre: dataCentre, bounds: bounds, byID: map[string]*Server{}, departed: map[incarnation]*notices{}, replacedVersions: map[serviceVersion]time.Time{}, refusals: map[string]*serviceRefusals{}, rankings: map[string]*ranking{}}
 	f.pools.Store(&map[string]*pool{})
+	f.servers.Store(&map[string]*Server{})
 	f.peerLoads.Store(&peerLoads{})
 	f.evacuated.Store(&[]string{})
 	f.routers.Store(1)
@@ -196,6 +205,7 @@
 	}
 	f.keepDepartedNotices(byID, now)
 	f.byID = byID
+	f.servers.Store(&byID)
 	f.byHash = make(map[uint32]*Server, len(byID))
 	for _, s := range byID {
 		f.byHash[uint32(s.hash)] = s
