A response with a status that HTTP does not have is no answer

What callers saw: with the status 000, 001 or 099 the connection ended, since net/http's ResponseWriter panics; 600 and 999 were passed on as the answer. A request that may be repeated was not sent elsewhere.

Cause: net/http reads any three digits as a status, and nothing checked them.

Change: backend, the relayed parts and dispatch take a status outside of 200 to 599 for a broken response: the request may have run, and goes to another server if it may be repeated.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -13,6 +13,7 @@
 
 	"github.com/kumquathollow/kumquathollow/internal/deadline"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/httpheader"
 )
 
 // Request is a request to a backend server.
@@ -198,6 +199,9 @@
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			continue
 		}
+		if !httpheader.IsFinalStatus(resp.StatusCode) {
+			return nil, errkind.New(errkind.BackendLost, "the response has the status %03d, which HTTP does not have", resp.StatusCode)
+		}
 		first := !c.hasResponded
 		c.hasResponded = true
 		switch ids := resp.Header.Values(r.IDHeader); {
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -13,6 +13,7 @@
 
 	"github.com/kumquathollow/kumquathollow/internal/deadline"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
+	"github.com/kumquathollow/kumquathollow/internal/httpheader"
 )
 
 // attempt is one attempt to run a request, at one server under one permit.
@@ -154,6 +155,8 @@
 	switch {
 	case resp.StatusCode == http.StatusSwitchingProtocols:
 		return r.invalidResponse("the server switched protocols")
+	case !httpheader.IsFinalStatus(resp.StatusCode):
+		return r.invalidResponse("the server's response has a status that HTTP does not have")
 	case isEventStream(resp):
 		return r.forwardStream(resp, 0)
 	case !isFramed(resp):
--- a/internal/forward/handoff.go
+++ b/internal/forward/handoff.go
@@ -160,6 +160,9 @@
 		case p.IsEmpty():
 			call.setConfirming(time.Time{})
 			return nil
+		case p.Header != nil && !httpheader.IsFinalStatus(p.Status):
+			// The other router may have the release before.
+			return errkind.New(errkind.BackendLost, "the response that another router relays has the status %03d, which HTTP does not have", p.Status)
 		case p.Header != nil:
 			x.recordRemoteNotice(p, sentAt)
 			head, check.server = p, p.Server
