--- a/Makefile
+++ b/Makefile
@@ -61,8 +61,10 @@
 SOAK_SECONDS ?= 15
 SOAK_SEED ?= 1
 SOAK_SEEDS ?= 1
+# SOAK_ARGS are further options of kqsoak, see docs/operators/soak.md.
+SOAK_ARGS ?=
 soak: build
-	bin/kqsoak --seed $(SOAK_SEED) --seeds $(SOAK_SEEDS) --seconds $(SOAK_SECONDS)
+	bin/kqsoak --seed $(SOAK_SEED) --seeds $(SOAK_SEEDS) --seconds $(SOAK_SECONDS) $(SOAK_ARGS)
 
 # soak-declared disturbs a fleet of kqrouter and kqcontrol under load; not part of CI.
 SOAK_DECLARED_SECONDS ?= 300
--- a/cmd/kqplatform/main.go
+++ b/cmd/kqplatform/main.go
@@ -36,7 +36,7 @@
 
 	out := eventlog.NewWriter(os.Stdout)
 	run := func(path string, stop, reload <-chan os.Signal, out *eventlog.Writer) error {
-		return platform.RunRouter(path, nil, stop, reload, out)
+		return platform.RunRouter(path, nil, nil, stop, reload, out)
 	}
 	switch {
 	case directory.Used:
--- a/cmd/kqsoak/main.go
+++ b/cmd/kqsoak/main.go
@@ -56,7 +56,7 @@
 	directory := flaggy.NewSubcommand("directory")
 	directory.Description = "runs a directory process on a disk that misbehaves while $" + soak.DiskControlEnv + " says so"
 	router := flaggy.NewSubcommand("router")
-	router.Description = "runs a router whose path to the servers is cut as $" + soak.PathControlEnv + " says"
+	router.Description = "runs a router whose paths to the servers and the fleet are cut as $" + soak.PathControlEnv + " and $" + soak.FleetPathControlEnv + " say"
 	flaggy.AttachSubcommand(directory, 1)
 	flaggy.AttachSubcommand(router, 1)
 	server := flaggy.NewSubcommand("server")
@@ -74,7 +74,9 @@
 		runProcess(func(path string, stop <-chan os.Signal, out *eventlog.Writer) error {
 			toServers := &faultypath.Path{}
 			go toServers.Follow(context.Background(), os.Getenv(soak.PathControlEnv))
-			return platform.RunRouter(path, toServers.Dial, stop, nil, out)
+			toFleet := &faultypath.Path{}
+			go toFleet.Follow(context.Background(), os.Getenv(soak.FleetPathControlEnv))
+			return platform.RunRouter(path, toServers.Dial, toFleet.Dial, stop, nil, out)
 		})
 		return
 	case server.Used:
