A stream goes on after its server has started again with the same version

Cause: the incarnation was compared, where only the version matters.

Change: a connection is confirmed if the latest incarnation that is known has the service and version that the router takes it to have.

--- a/internal/directory/syncs.go
+++ b/internal/directory/syncs.go
@@ -7,7 +7,7 @@
 	"github.com/kumquathollow/kumquathollow/api/fleetpb"
 )
 
-// A router asks with a sync whether it knows which incarnations of servers run. Unlike the word that all servers
+// A router asks with a sync whether it knows which versions of servers run. Unlike the word that all servers
 // are known, which streams of unknown origin wait for, the answer does not depend on processes that are silent: a
 // fleet that has lost one goes on continuing streams. See docs/design/stream-origins.md.
 
--- a/internal/fleetview/incarnations.go
+++ b/internal/fleetview/server_versions.go
@@ -12,19 +12,20 @@
 	"github.com/kumquathollow/kumquathollow/internal/streamorigin"
 )
 
-// Incarnation is a connection to a server and the incarnation of the server that it is taken to lead to. A server
-// may have started again under its id and address before the connection was opened, with another software version.
-type Incarnation struct {
-	ID   string
-	Born int64
-	// ConnectedAt is when the connection was opened, by the boot clock.
-	ConnectedAt time.Duration
+// Connection is a connection to a server and the software that it is taken to lead to. The server may have started
+// again under its id and address before the connection was opened, with another version.
+type Connection struct {
+	// Server is the id of the server.
+	Server   string
+	Software streamorigin.Origin
+	// OpenedAt is when the connection was opened, by the boot clock.
+	OpenedAt time.Duration
 }
 
-// Errors of ConfirmIncarnation.
+// Errors of ConfirmVersion.
 var (
-	ErrReplaced    = errors.New("the server has started again since")
-	ErrNotInformed = errors.New("the directory did not say in time which incarnation of the server runs")
+	ErrReplaced    = errors.New("the server has started again with another version since")
+	ErrNotInformed = errors.New("the directory did not say in time which version of the server runs")
 )
 
 const (
@@ -51,14 +52,13 @@
 	mu sync.Mutex
 	// advanced is closed when knownUntil rises.
 	advanced chan struct{}
-	// unconfirmed are the streams that began at servers whose incarnation is not confirmed yet, oldest first.
+	// unconfirmed are the streams that began at servers whose version is not confirmed yet, oldest first.
 	unconfirmed []unconfirmedStream
 }
 
 type unconfirmedStream struct {
 	stream streamorigin.Stream
-	origin streamorigin.Origin
-	server Incarnation
+	began  Connection
 	// urgent is set if the origin is to be reported at once.
 	urgent bool
 }
@@ -96,12 +96,12 @@
 }
 
 // takeUnconfirmed removes the streams for which isDue returns true.
-func (s *syncs) takeUnconfirmed(isDue func(Incarnation) bool) (due []unconfirmedStream) {
+func (s *syncs) takeUnconfirmed(isDue func(Connection) bool) (due []unconfirmedStream) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var kept []unconfirmedStream
 	for _, u := range s.unconfirmed {
-		if isDue(u.server) {
+		if isDue(u.began) {
 			due = append(due, u)
 		} else {
 			kept = append(kept, u)
@@ -125,7 +125,7 @@
 		return
 	}
 	for _, u := range v.syncs.takeUnconfirmed(v.isDecided) {
-		v.RecordOrigin(u.stream, u.origin, u.server, u.urgent)
+		v.RecordOrigin(u.stream, u.began, u.urgent)
 	}
 }
 
@@ -135,26 +135,28 @@
 	return clock.SinceBoot() - time.Duration(v.syncs.knownUntil.Load())
 }
 
-// IsConfirmed reports whether ConfirmIncarnation would return nil without waiting.
-func (v *View) IsConfirmed(i Incarnation) bool {
-	return v.isDecided(i) && v.opts.Fleet.IsLatest(i.ID, i.Born)
+// isDecided reports whether the router knows which incarnation of the server ran when the connection was opened.
+func (v *View) isDecided(c Connection) bool {
+	return time.Duration(v.syncs.knownUntil.Load()) >= c.OpenedAt+announceTime
 }
 
-// isDecided reports whether the router knows which incarnation of the server ran when the connection was opened.
-func (v *View) isDecided(i Incarnation) bool {
-	return time.Duration(v.syncs.knownUntil.Load()) >= i.ConnectedAt+announceTime
+func (v *View) hasVersion(c Connection) bool {
+	return v.opts.Fleet.HasVersion(c.Server, c.Software.Service, c.Software.Version)
 }
 
-// ConfirmIncarnation waits until the router knows that no other incarnation of the server ran when the connection was
-// opened. A router that is cut off or has stood still does not know that of itself. The error is ErrReplaced,
-// ErrNotInformed or that of ctx.
-func (v *View) ConfirmIncarnation(ctx context.Context, i Incarnation) error {
+// IsConfirmed reports whether ConfirmVersion would return nil without waiting.
+func (v *View) IsConfirmed(c Connection) bool { return v.isDecided(c) && v.hasVersion(c) }
+
+// ConfirmVersion waits until the router knows that no incarnation of the server with another version ran when the
+// connection was opened. A router that is cut off or has stood still does not know that of itself. The error is
+// ErrReplaced, ErrNotInformed or that of ctx.
+func (v *View) ConfirmVersion(ctx context.Context, c Connection) error {
 	ctx, cancel := context.WithTimeoutCause(ctx, confirmTimeout, ErrNotInformed)
 	defer cancel()
 	for {
 		advanced := v.syncs.wait()
-		if v.isDecided(i) {
-			if !v.opts.Fleet.IsLatest(i.ID, i.Born) {
+		if v.isDecided(c) {
+			if !v.hasVersion(c) {
 				return ErrReplaced
 			}
 			return nil
@@ -164,7 +166,7 @@
 		}
 		// An answer to what was asked before would not suffice.
 		select {
-		case <-time.After(i.ConnectedAt + announceTime - clock.SinceBoot()):
+		case <-time.After(c.OpenedAt + announceTime - clock.SinceBoot()):
 		case <-ctx.Done():
 			return context.Cause(ctx)
 		}
@@ -185,17 +187,17 @@
 	}
 }
 
-// RecordOrigin records and reports which version of which service began a stream at a server, once it is known that
-// this incarnation of the server did. It is asked for and reported at once if that is urgent.
-func (v *View) RecordOrigin(s streamorigin.Stream, o streamorigin.Origin, server Incarnation, urgent bool) {
-	if !v.isDecided(server) {
-		v.syncs.addUnconfirmed(unconfirmedStream{s, o, server, urgent})
+// RecordOrigin records and reports the software that began a stream on a connection, once it is known that this version
+// did. It is asked for and reported at once if that is urgent.
+func (v *View) RecordOrigin(s streamorigin.Stream, began Connection, urgent bool) {
+	if !v.isDecided(began) {
+		v.syncs.addUnconfirmed(unconfirmedStream{s, began, urgent})
 		if urgent {
 			v.askForSync()
 		}
 		return
 	}
-	if !v.opts.Fleet.IsLatest(server.ID, server.Born) || !v.origins.Record(s, o, time.Now()) || !urgent {
+	if !v.hasVersion(began) || !v.origins.Record(s, began.Software, time.Now()) || !urgent {
 		return
 	}
 	if l := v.reportTo.Load(); l != nil {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -67,7 +67,7 @@
 	defer cancel()
 	resp, err := x.f.opts.Pool.Do(ctx, x.backendTarget(picked), x.backendRequest(picked, sentAt))
 	if errors.Is(err, backend.ErrNotSent) {
-		return x.incarnationNotConfirmed(picked, err)
+		return x.versionNotConfirmed(picked, err)
 	}
 	if err != nil {
 		return x.transportFailure(err)
@@ -165,7 +165,7 @@
 	if x.origin.Version != "" {
 		request.Check = func(ctx context.Context, connectedAt time.Duration) error {
 			x.silence.Stop()
-			if err := x.f.opts.View.ConfirmIncarnation(ctx, incarnationOf(picked, connectedAt)); err != nil {
+			if err := x.f.opts.View.ConfirmVersion(ctx, x.connectionTo(picked, connectedAt)); err != nil {
 				return err
 			}
 			confirmedAt := time.Now()
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -59,8 +59,8 @@
 	// origin is the version that began the stream, once that is known: the request is sent
 	// only to servers with it.
 	origin streamorigin.Origin
-	// beganAt is the connection on which the stream began, until it is known that it led to a server of that version.
-	beganAt *fleetview.Incarnation
+	// began is the connection on which the stream began, until it is known that it led to a server of that version.
+	began *fleetview.Connection
 
 	// sends counts the backend servers to which the request was sent, failedDials
 	// those to which it could not be sent, and unreachable those of them to which no
--- a/internal/forward/resumption.go
+++ b/internal/forward/resumption.go
@@ -124,38 +124,39 @@
 		return
 	}
 	x.origin = streamorigin.Origin{Service: x.service.Name, Version: picked.Version}
-	server := incarnationOf(picked, connectedAt)
-	if !x.f.opts.View.IsConfirmed(server) {
-		x.beganAt = &server
+	began := x.connectionTo(picked, connectedAt)
+	if !x.f.opts.View.IsConfirmed(began) {
+		x.began = &began
 	}
 	if !x.isResumption() {
 		mixed := len(x.f.opts.Fleet.Versions(x.service.Name)) > 1
-		x.f.opts.View.RecordOrigin(x.stream(), x.origin, server, mixed)
+		x.f.opts.View.RecordOrigin(x.stream(), began, mixed)
 	}
 }
 
-func incarnationOf(picked *placement.PickResult, connectedAt time.Duration) fleetview.Incarnation {
-	return fleetview.Incarnation{ID: picked.ID, Born: picked.Born, ConnectedAt: connectedAt}
+// connectionTo returns a connection to a server that is taken to have the version of the stream.
+func (x *exchange) connectionTo(picked *placement.PickResult, connectedAt time.Duration) fleetview.Connection {
+	return fleetview.Connection{Server: picked.ID, Software: x.origin, OpenedAt: connectedAt}
 }
 
 // confirmOrigin returns an error unless the server at which the stream began within this response is known to have had
 // the version of origin.
 func (x *exchange) confirmOrigin() error {
-	if x.beganAt == nil {
+	if x.began == nil {
 		return nil
 	}
-	if err := x.f.opts.View.ConfirmIncarnation(x.ctx, *x.beganAt); err != nil {
+	if err := x.f.opts.View.ConfirmVersion(x.ctx, *x.began); err != nil {
 		x.f.opts.Metrics.Counter("forward.resumed.unconfirmed").Inc(1)
-		return errkind.Wrap(err, errkind.StreamNotResumable, "the stream began at server %q, whose software version then is not known", x.beganAt.ID).
+		return errkind.Wrap(err, errkind.StreamNotResumable, "the stream began at server %q, whose software version then is not known", x.began.Server).
 			WithRetryAfter(refusedRetryAfter)
 	}
-	x.beganAt = nil
+	x.began = nil
 	return nil
 }
 
-// incarnationNotConfirmed returns the result for a server to which a continuation was not sent: another incarnation may
-// run there, with another version. Other servers can be asked on connections that lead to known incarnations.
-func (x *exchange) incarnationNotConfirmed(picked *placement.PickResult, cause error) attemptResult {
+// versionNotConfirmed returns the result for a server to which a continuation was not sent, since another version may run
+// there. Other servers can be asked on connections that lead to known versions.
+func (x *exchange) versionNotConfirmed(picked *placement.PickResult, cause error) attemptResult {
 	x.failedDials++
 	x.f.opts.Metrics.Counter("forward.resumed.unconfirmed").Inc(1)
 	err := errkind.Wrap(cause, errkind.StreamNotResumable, "it is not known which software version runs at server %q", picked.ID).WithRetryAfter(refusedRetryAfter)
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -97,10 +97,11 @@
 	return found
 }
 
-// IsLatest reports whether no later incarnation of the server is known, also if it has left.
-func (f *Fleet) IsLatest(id string, born int64) bool {
+// HasVersion reports whether the latest incarnation of the server that is known, also if it has left, is of the service
+// and the software version.
+func (f *Fleet) HasVersion(id, service, version string) bool {
 	s := (*f.servers.Load())[id]
-	return s != nil && s.Born == born
+	return s != nil && s.Service == service && s.Version == version
 }
 
 // NewFleet returns an empty Fleet for the named router in the data centre.
