--- a/internal/fleetview/server_versions.go
+++ b/internal/fleetview/server_versions.go
@@ -29,7 +29,7 @@
 )
 
 const (
-	// announceTime is how long after it accepts its first connection a server has announced itself, at least.
+	// announceTime is how long after it accepts its first connection a server has announced itself, at the latest.
 	announceTime = 100 * time.Millisecond
 	// confirmTimeout limits waiting for the directory. It exceeds the time after which the directory answers, by the time
 	// in which a lost session is replaced.
