A server that started again twice during a cut is not taken for its former version

A router that was cut off began a stream at a server of v2 that it took for v1. When it was back the server was of v1 once more, so that the origin was recorded as v1.

Cause: compared the version of the latest incarnation alone.

Change: a connection is confirmed if it was taken to lead to the latest incarnation, or if the router was sent no incarnation with another version in this session since. After a cut it is sent the latest ones only.

Evidence: TestAVersionIsConfirmedByAnAnswerToALaterQuestion has the case.

--- a/internal/fleetview/server_versions.go
+++ b/internal/fleetview/server_versions.go
@@ -15,8 +15,9 @@
 // Connection is a connection to a server and the software that it is taken to lead to. The server may have started
 // again under its id and address before the connection was opened, with another version.
 type Connection struct {
-	// Server is the id of the server.
+	// Server is the id of the server, and Born the start of the incarnation, in Unix milliseconds.
 	Server   string
+	Born     int64
 	Software streamorigin.Origin
 	// OpenedAt is when the connection was opened, by the boot clock.
 	OpenedAt time.Duration
@@ -48,6 +49,11 @@
 	// knownUntil is the time, by the boot clock, at which the router sent the sync that was answered last: it has
 	// received all servers that had announced themselves by then.
 	knownUntil atomic.Int64
+	// seenSince is the time, by the boot clock, since which the router was sent every incarnation that announced itself,
+	// one after another. In another session it gets the latest ones. session is that session; it is owned by
+	// the goroutine of View.Run.
+	seenSince atomic.Int64
+	session   *link
 
 	mu sync.Mutex
 	// advanced is closed when knownUntil rises.
@@ -121,6 +127,10 @@
 	if !l.answersSyncs && u.Confirmed && u.pingSentAt > l.reportsSince+listTime {
 		until = u.pingSentAt
 	}
+	if until != 0 && v.syncs.session != l {
+		v.syncs.session = l
+		v.syncs.seenSince.Store(int64(until))
+	}
 	if !v.syncs.advance(until) {
 		return
 	}
@@ -140,8 +150,14 @@
 	return time.Duration(v.syncs.knownUntil.Load()) >= c.OpenedAt+announceTime
 }
 
+// hasVersion reports whether no incarnation with another version can have run when the connection was opened: the one
+// that it is taken to lead to is still the latest, or all that the router has been sent since have its version.
 func (v *View) hasVersion(c Connection) bool {
-	return v.opts.Fleet.HasVersion(c.Server, c.Software.Service, c.Software.Version)
+	s := v.opts.Fleet.LatestIncarnation(c.Server)
+	if s == nil || s.Service != c.Software.Service || s.Version != c.Software.Version {
+		return false
+	}
+	return s.Born == c.Born || c.OpenedAt >= s.VersionSince && c.OpenedAt >= time.Duration(v.syncs.seenSince.Load())
 }
 
 // IsConfirmed reports whether ConfirmVersion would return nil without waiting.
--- a/internal/fleetview/server_versions_test.go
+++ b/internal/fleetview/server_versions_test.go
@@ -16,7 +16,7 @@
 func announceServer(v *View, l *link) Connection {
 	v.links[l.address], v.seeds = l, []string{l.address}
 	v.onUpdate(l, announcementOf(1, "v1"))
-	return Connection{Server: "x", Software: streamorigin.Origin{Service: "chat", Version: "v1"}, OpenedAt: clock.SinceBoot()}
+	return Connection{Server: "x", Born: 1, Software: streamorigin.Origin{Service: "chat", Version: "v1"}, OpenedAt: clock.SinceBoot()}
 }
 
 func announcementOf(born int64, version string) update {
@@ -43,6 +43,7 @@
 func TestAVersionIsConfirmedByAnAnswerToALaterQuestion(t *testing.T) {
 	v, l := newReportingView()
 	server := announceServer(v, l)
+	server.OpenedAt -= time.Second
 	after := server.OpenedAt + announceTime
 	ctx, cancel := context.WithCancelCause(t.Context())
 	notYet := errors.New("not yet")
@@ -70,14 +71,23 @@
 	if err := <-done; err != nil || !v.IsConfirmed(server) {
 		t.Errorf("after the answer: %v", err)
 	}
+	later := Connection{Server: "x", Born: 1, Software: server.Software, OpenedAt: clock.SinceBoot()}
 	v.onUpdate(l, announcementOf(2, "v1"))
-	if err := v.ConfirmVersion(t.Context(), server); err != nil {
-		t.Errorf("after another incarnation of the version: %v", err)
+	v.onUpdate(l, synced(later.OpenedAt+announceTime, true))
+	if !v.IsConfirmed(later) {
+		t.Error("not confirmed after another incarnation of the version, which the session has brought")
 	}
-	v.onUpdate(l, announcementOf(3, "v2"))
 	if err := v.ConfirmVersion(t.Context(), server); !errors.Is(err, ErrReplaced) {
+		t.Errorf("after another incarnation of the version, before which another one may have run unseen: %v", err)
+	}
+	v.onUpdate(l, announcementOf(3, "v2"))
+	if err := v.ConfirmVersion(t.Context(), later); !errors.Is(err, ErrReplaced) {
 		t.Errorf("after another version: %v", err)
 	}
+	v.onUpdate(l, announcementOf(4, "v1"))
+	if err := v.ConfirmVersion(t.Context(), later); !errors.Is(err, ErrReplaced) {
+		t.Errorf("after another version and the former one again: %v", err)
+	}
 }
 
 // Guards against the origin of a stream that a router which is cut off has from what it believes of a server.
--- a/internal/forward/resumption.go
+++ b/internal/forward/resumption.go
@@ -136,7 +136,7 @@
 
 // connectionTo returns a connection to a server that is taken to have the version of the stream.
 func (x *exchange) connectionTo(picked *placement.PickResult, connectedAt time.Duration) fleetview.Connection {
-	return fleetview.Connection{Server: picked.ID, Software: x.origin, OpenedAt: connectedAt}
+	return fleetview.Connection{Server: picked.ID, Born: picked.Born, Software: x.origin, OpenedAt: connectedAt}
 }
 
 // confirmOrigin returns an error unless the server at which the stream began within this response is known to have had
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/kumquathollow/kumquathollow/internal/assignment"
+	"github.com/kumquathollow/kumquathollow/internal/clock"
 	"github.com/kumquathollow/kumquathollow/internal/inventory"
 	"github.com/kumquathollow/kumquathollow/internal/routing"
 )
@@ -97,12 +98,9 @@
 	return found
 }
 
-// HasVersion reports whether the latest incarnation of the server that is known, also if it has left, is of the service
-// and the software version.
-func (f *Fleet) HasVersion(id, service, version string) bool {
-	s := (*f.servers.Load())[id]
-	return s != nil && s.Service == service && s.Version == version
-}
+// LatestIncarnation returns the latest incarnation of the server that is known, also if it has left, or nil. It must not
+// be modified.
+func (f *Fleet) LatestIncarnation(id string) *Server { return (*f.servers.Load())[id] }
 
 // NewFleet returns an empty Fleet for the named router in the data centre.
 func NewFleet(router, dataCentre string, bounds Bounds) *Fleet {
@@ -169,9 +167,14 @@
 			if s != nil && s.Version != announced.Version {
 				f.replacedVersions[serviceVersion{s.Service, s.Version}] = now
 			}
+			former := s
 			if s = newServer(announced, f.noticesOf(announced)); restarted {
 				s.markCacheIncomplete(now)
 			}
+			s.VersionSince = clock.SinceBoot()
+			if former != nil && former.Service == s.Service && former.Version == s.Version {
+				s.VersionSince = former.VersionSince
+			}
 		} else {
 			s.updateAnnouncement(announced)
 		}
--- a/internal/placement/server.go
+++ b/internal/placement/server.go
@@ -18,10 +18,13 @@
 	DataCentre string
 	// Version is the version of the server's software; empty if it is unknown.
 	Version string
-	Slots   int
-	Born    int64
-	hash    uint64
-	notices *notices
+	// VersionSince is the time, by the boot clock, since which all incarnations that this router has heard of have had
+	// the service and the version.
+	VersionSince time.Duration
+	Slots        int
+	Born         int64
+	hash         uint64
+	notices      *notices
 
 	mu sync.Mutex
 	// announced is the newest announcement.
