Log what let a resumed stream go on, and the start of the server

Callers saw streams that went on at servers of another software version. The routers' lines named neither whether the origin of the stream was known, nor the version that it was taken to have, nor which start of a server was taken for the one that ran: the hypotheses of docs/incidents/streams-of-two-versions.md could not be told apart. 'request' names resumed-by, stream-version and born. Nothing is decided otherwise.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -59,6 +59,8 @@
 	// origin is the version that began the stream, once that is known: the request is sent
 	// only to servers with it.
 	origin streamorigin.Origin
+	// resumedBy says for the log what decided whether a stream that the client resumes goes on, or why it does not.
+	resumedBy string
 	// began is the connection on which the stream began, until it is known that it led to a server of that version.
 	began *fleetview.Connection
 
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -75,6 +75,9 @@
 	if x.requestInfo.Resumes != "" {
 		fields = append(fields, "resumes", x.requestInfo.Resumes)
 	}
+	if x.resumedBy != "" {
+		fields = append(fields, "resumed-by", x.resumedBy, "stream-version", x.origin.Version)
+	}
 	if x.received != nil {
 		fields = append(fields, "handed-off-by", x.received.Router)
 	}
@@ -82,7 +85,7 @@
 		fields = append(fields, "handed-off-to", x.handedOffTo)
 	}
 	if x.lastPicked != nil {
-		fields = append(fields, "server", x.lastPicked.ID, "server-version", x.lastPicked.Version, "rank", x.lastPicked.Rank, "load", x.lastPicked.Load, "pool", x.lastPicked.PoolSize)
+		fields = append(fields, "server", x.lastPicked.ID, "server-version", x.lastPicked.Version, "born", x.lastPicked.Born, "rank", x.lastPicked.Rank, "load", x.lastPicked.Load, "pool", x.lastPicked.PoolSize)
 		if x.lastPicked.CacheSource != nil {
 			fields = append(fields, "cache-source", x.lastPicked.CacheSource.ID)
 		}
--- a/internal/forward/resumption.go
+++ b/internal/forward/resumption.go
@@ -77,11 +77,13 @@
 	origin, known, serversKnown := x.f.opts.View.StreamOrigin(x.ctx, x.stream(), func() bool { return len(x.possibleOrigins()) <= 1 })
 	if known {
 		x.f.opts.Metrics.Counter("forward.resumed.known").Inc(1)
+		x.resumedBy = "origin"
 		return x.continueAt(origin)
 	}
 	possible := x.possibleOrigins()
 	if serversKnown && len(possible) <= 1 {
 		x.f.opts.Metrics.Counter("forward.resumed.one_version").Inc(1)
+		x.resumedBy = "one version"
 		if len(possible) == 1 {
 			return x.continueAt(possible[0])
 		}
