Paths of the soak that hold what is sent

Links between routers and directory processes could be cut, not held: bytes, ends of connections and new connections that arrive late, in order, without a cut. A fault "held" of internal/faultypath does that: what is written is acknowledged and delivered when the fault ends, what comes is read then, and a connection that is closed meanwhile ends after what was sent on it.

--- a/internal/faultypath/path.go
+++ b/internal/faultypath/path.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"os"
 	"strings"
@@ -27,6 +28,8 @@
 	Reset Fault = "reset"
 	// Refuses: open connections work, new ones are refused.
 	Refuses Fault = "refuses"
+	// Held: what is sent, ends of connections and new connections arrive once the fault has ended, in order.
+	Held Fault = "held"
 )
 
 const (
@@ -97,6 +100,10 @@
 		return nil, ctx.Err()
 	case Reset, Refuses:
 		return nil, syscall.ECONNREFUSED
+	case Held:
+		if err := p.awaitDelivery(ctx); err != nil {
+			return nil, err
+		}
 	}
 	raw, err := rpc.NetDialer(dialTimeout).DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -121,6 +128,8 @@
 	mu           sync.Mutex
 	failed       error
 	readDeadline time.Time
+
+	held heldBytes
 }
 
 // SyscallConn lets the pool check an idle connection.
@@ -141,6 +150,9 @@
 	c.path.mu.Lock()
 	delete(c.path.conns, c)
 	c.path.mu.Unlock()
+	if c.closeLater() {
+		return nil
+	}
 	return c.Conn.Close()
 }
 
@@ -174,15 +186,22 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	for err == nil && c.path.current() == Silent {
+	n, err := c.held.takeReceived(b), error(nil)
+	if n == 0 {
+		n, err = c.Conn.Read(b)
+	}
+	for fault := c.path.current(); err == nil && fault == Silent || fault == Held && !errors.Is(err, os.ErrDeadlineExceeded); fault = c.path.current() {
 		c.mu.Lock()
 		failed, deadline := c.failed, c.readDeadline
 		c.mu.Unlock()
+		isLate := !deadline.IsZero() && time.Now().After(deadline)
 		switch {
 		case failed != nil:
 			return 0, failed
-		case !deadline.IsZero() && time.Now().After(deadline):
+		case isLate && fault == Held:
+			c.held.keepReceived(b[:n])
+			return 0, os.ErrDeadlineExceeded
+		case isLate:
 			c.fail(os.ErrDeadlineExceeded) // The bytes that were held back are lost.
 			return 0, os.ErrDeadlineExceeded
 		}
@@ -193,6 +212,9 @@
 
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) {
+	if c.writeLater(b) {
+		return len(b), nil
+	}
 	if c.path.current() == Silent {
 		time.AfterFunc(unacknowledgedTimeout, func() { c.fail(syscall.ETIMEDOUT) })
 		return len(b), nil
