--- a/cmd/kqsoak/main.go
+++ b/cmd/kqsoak/main.go
@@ -196,6 +196,7 @@
 	fmt.Printf("seed %d: %d faults, %d served, %d refused, %d failed, %d rollouts ordered, %d departures, %d evacuations, version %d acknowledged, recovered after %s, %d violations\n",
 		conf.Seed, r.Faults, r.Served, r.Refused, r.Failed, r.Rollouts, r.Departures, r.Evacuations, r.AcknowledgedVersion, r.RecoveryTime.Round(time.Millisecond), len(r.Violations))
 	fmt.Printf("  streams: %s\n", r.Streams)
+	fmt.Printf("  continued: %s\n", r.Streams.Continuations)
 	fmt.Printf("  responses: %s\n", r.Deliveries)
 	fmt.Printf("  kills: %s\n", r.Kills)
 	fmt.Printf("  clients: %s\n", r.Patience)
