The fleet records which software versions have served, for routers that start later

Callers saw streams that went on at another version than began them: the router that began them was killed before it had reported their origin, and the one that took them up had started after all servers of the version were gone.

Cause: a router counts the versions of the servers that it is told of. The list of servers has one entry for each id, so a version whose servers were all replaced under their ids is not in it, and after a restart of all directory processes only the recorded departures remain, without service and version, and nothing of servers that crashed or were replaced.

A process that hears of a version that is not in it proposes it; the leader drops those of which no server was heard for 100 s in which it led and did not stand still. Routers are sent them with the list of servers and with each change, and count them. At most 16 versions of a service and 512 altogether, services that the configuration does not name have half.

--- a/internal/directory/catchup.go
+++ b/internal/directory/catchup.go
@@ -20,6 +20,7 @@
 	state := h.machine.State()
 	h.quarantine.updateRecords(state.Quarantined, h.now())
 	h.mergeDepartures()
+	h.updateServedVersions()
 	latest := state.Revision
 	if latest == h.broadcastRevision {
 		return
@@ -113,6 +114,7 @@
 // comes back may still use them.
 func (h *hub) sendLists() {
 	var list []*fleetpb.Announcement
+	var versions *fleetpb.AllServedVersions
 	size := 0
 	departures := sync.OnceValues(h.departuresUpdate)
 	for s := range h.sessions {
@@ -124,11 +126,11 @@
 			continue
 		}
 		if list == nil {
-			list = h.allAnnouncements()
-			size = proto.Size(&fleetpb.FollowUpdate{Announcements: list})
+			list, versions = h.allAnnouncements(), h.servedVersions()
+			size = proto.Size(&fleetpb.FollowUpdate{Announcements: list, ServedVersions: versions})
 		}
 		s.listDue, s.departuresSent = false, false
-		s.push(h.withStatus(&fleetpb.FollowUpdate{Announcements: list, WholeList: h.knowsAllServers}))
+		s.push(h.withStatus(&fleetpb.FollowUpdate{Announcements: list, WholeList: h.knowsAllServers, ServedVersions: versions}))
 		s.listSent = true
 		h.bulkBytes -= float64(size)
 	}
--- a/internal/directory/changes.go
+++ b/internal/directory/changes.go
@@ -57,6 +57,8 @@
 	h.log.Info("server changed", "server", s.ID, "service", s.Service, "address", s.Address, "data-centre", s.DataCentre,
 		"state", s.State.String(), "born", s.Born, "sequence", s.Sequence, "direct", direct, "cold", max(0, s.ColdUntil.Sub(h.now())).Round(time.Millisecond))
 	delete(h.refreshed, id)
+	h.addServedVersion(s)
+	h.proposeServedVersions()
 	if direct {
 		h.directChanges[id] = true
 	} else if !h.directChanges[id] {
--- a/internal/directory/hub.go
+++ b/internal/directory/hub.go
@@ -108,6 +108,7 @@
 	handoffs   handoffKeeper
 	rollouts   rolloutKeeper
 	departures departureKeeper
+	versions   versionKeeper
 	served     servedServices
 	// knowsAllServers is set once the process has been in quorum for learnTime: by then the other
 	// processes have sent what they know, servers that have left included.
@@ -122,12 +123,13 @@
 		log: log, inbox: make(chan func(), inboxSize), now: time.Now, machine: machine, ownAddress: ownAddress, dataCentre: dataCentre,
 		peers: map[string]*peer{}, startPeer: startPeer, peerReports: map[string]*peerReport{}, relayed: newAckCounter(0),
 		table: inventory.New(), refreshed: map[string]bool{}, directChanges: map[string]bool{}, relayedChanges: map[string]bool{},
-		idByHash: map[uint32]string{}, sessions: map[*session]bool{}, quarantine: newQuarantineKeeper(), origins: newOriginKeeper(), rollouts: newRolloutKeeper(rollout.DefaultBounds),
+		idByHash: map[uint32]string{}, sessions: map[*session]bool{}, quarantine: newQuarantineKeeper(), origins: newOriginKeeper(), rollouts: newRolloutKeeper(rollout.DefaultBounds), versions: newVersionKeeper(),
 	}
 }
 
 func (h *hub) run(ctx context.Context) error {
 	h.mergeDepartures()
+	h.updateServedVersions()
 	flush := time.NewTimer(minFlushInterval)
 	defer flush.Stop()
 	expire := time.NewTicker(expireInterval)
@@ -149,6 +151,7 @@
 		case <-expire.C:
 			h.expireServers()
 			h.forgetDepartures()
+			h.forgetServedVersions()
 		}
 	}
 }
@@ -207,6 +210,7 @@
 	h.reconcilePlaces()
 	h.reconcileQuarantines()
 	h.reconcileRollouts()
+	h.proposeServedVersions()
 	h.expireLookups()
 	h.updateKnowsAllServers()
 	h.sendMembers()
--- a/internal/directory/hub_test.go
+++ b/internal/directory/hub_test.go
@@ -23,6 +23,7 @@
 	h := newHub(hclog.NewNullLogger(), publication.New(), "d:1", "a", func(*peer) {})
 	now := time.Unix(1_700_000_000, 0)
 	h.now = func() time.Time { return now }
+	h.submit = func(*fleetpb.Command, func(error)) {}
 	h.groupChanged([]string{"d:1", "d:2"}, "d:1")
 	return h, h.peers["d:2"]
 }
--- a/internal/fleetview/link.go
+++ b/internal/fleetview/link.go
@@ -51,6 +51,8 @@
 	// process has answered a sync.
 	reportsSince time.Duration
 	answersSyncs bool
+	// servedVersions are those that the process has recorded, as last received.
+	servedVersions []inventory.ServedVersion
 }
 
 func (l *link) run(ctx context.Context) {
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -344,6 +344,9 @@
 		v.setHandoffs(l.address, u.Handoffs.Addresses)
 	}
 	v.mergeAnnouncements(u.Announcements)
+	if u.ServedVersions != nil {
+		v.setServedVersions(l, inventory.DecodeServedVersions(u.ServedVersions.Services))
+	}
 	v.origins.ConfirmServers(u.ServersKnownStreams)
 	if len(u.Origins)+len(u.UnknownStreams) > 0 {
 		v.origins.Answer(u.Origins, u.UnknownStreams, u.ServersKnown, time.Now())
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -22,7 +22,7 @@
 }
 
 // Fleet holds the backend servers by service. Update, UpdateAnnouncement,
-// RefreshHeartbeat, SetPlaces and SetEvacuated must be called by one goroutine; the
+// RefreshHeartbeat, SetPlaces, SetEvacuated and SetServedVersions must be called by one goroutine; the
 // other methods are safe for concurrent use.
 type Fleet struct {
 	// routerHash is the hash of the router's name.
@@ -37,7 +37,9 @@
 	departed map[incarnation]*notices
 	// replacedVersions holds when a server of a service and version was last replaced by an
 	// incarnation with another version.
-	replacedVersions map[serviceVersion]time.Time
+	replacedVersions map[inventory.ServedVersion]time.Time
+	// servedVersions are those that the directory has recorded.
+	servedVersions []inventory.ServedVersion
 	// refusals are the limits of refusals by service.
 	refusals     map[string]*serviceRefusals
 	rankings     map[string]*ranking
@@ -52,8 +54,6 @@
 	meanSharedTokens atomic.Uint64
 }
 
-type serviceVersion struct{ service, version string }
-
 // replacedVersionTime is how long the version of a server counts that has started again with another
 // one: as long as servers that have left are listed.
 const replacedVersionTime = 90 * time.Second
@@ -65,10 +65,16 @@
 	// draining are the servers that only complete their requests in flight, by id.
 	draining map[string]*Server
 	// versions are those of the software of all servers that are known, also of those that
-	// are gone.
+	// are gone or that the directory alone knew.
 	versions []string
 }
 
+func (p *pool) addVersion(version string) {
+	if version != "" && !slices.Contains(p.versions, version) {
+		p.versions = append(p.versions, version)
+	}
+}
+
 // forEachServer visits the servers that may have requests in flight.
 func (p *pool) forEachServer(visit func(*Server)) {
 	for _, s := range p.servers {
@@ -104,7 +110,7 @@
 
 // NewFleet returns an empty Fleet for the named router in the data centre.
 func NewFleet(router, dataCentre string, bounds Bounds) *Fleet {
-	f := &Fleet{routerHash: routing.Hash(router), dataCentre: dataCentre, bounds: bounds, byID: map[string]*Server{}, departed: map[incarnation]*notices{}, replacedVersions: map[serviceVersion]time.Time{}, refusals: map[string]*serviceRefusals{}, rankings: map[string]*ranking{}}
+	f := &Fleet{routerHash: routing.Hash(router), dataCentre: dataCentre, bounds: bounds, byID: map[string]*Server{}, departed: map[incarnation]*notices{}, replacedVersions: map[inventory.ServedVersion]time.Time{}, refusals: map[string]*serviceRefusals{}, rankings: map[string]*ranking{}}
 	f.pools.Store(&map[string]*pool{})
 	f.servers.Store(&map[string]*Server{})
 	f.peerLoads.Store(&peerLoads{})
@@ -165,7 +171,7 @@
 		if s == nil || s.Born != announced.Born || s.Address != announced.Address || s.Service != announced.Service || s.DataCentre != announced.DataCentre || s.Version != announced.Version {
 			restarted := s != nil && s.Born != announced.Born
 			if s != nil && s.Version != announced.Version {
-				f.replacedVersions[serviceVersion{s.Service, s.Version}] = now
+				f.replacedVersions[inventory.ServedVersion{Service: s.Service, Version: s.Version}] = now
 			}
 			former := s
 			if s = newServer(announced, f.noticesOf(announced)); restarted {
@@ -184,9 +190,7 @@
 			p = &pool{draining: map[string]*Server{}}
 			pools[announced.Service] = p
 		}
-		if announced.Version != "" && !slices.Contains(p.versions, announced.Version) {
-			p.versions = append(p.versions, announced.Version)
-		}
+		p.addVersion(announced.Version)
 		switch announced.State {
 		case inventory.Ready:
 			p.servers = append(p.servers, s)
@@ -195,13 +199,19 @@
 		}
 	})
 	for v, at := range f.replacedVersions {
-		p := pools[v.service]
+		p := pools[v.Service]
 		switch {
 		case now.Sub(at) >= replacedVersionTime:
 			delete(f.replacedVersions, v)
-		case p != nil && v.version != "" && !slices.Contains(p.versions, v.version):
-			p.versions = append(p.versions, v.version)
+		case p != nil:
+			p.addVersion(v.Version)
+		}
+	}
+	for _, v := range f.servedVersions {
+		if pools[v.Service] == nil {
+			pools[v.Service] = &pool{}
 		}
+		pools[v.Service].addVersion(v.Version)
 	}
 	for service, p := range pools {
 		slices.SortFunc(p.servers, func(a, b *Server) int { return cmp.Compare(a.ID, b.ID) })
@@ -243,6 +253,10 @@
 
 var emptyRanking = &ranking{}
 
+// SetServedVersions sets the software versions that the directory has recorded. They count from the next call of
+// Update.
+func (f *Fleet) SetServedVersions(versions []inventory.ServedVersion) { f.servedVersions = versions }
+
 // Versions returns the software versions of a service's servers, the ones that have left
 // lately included. The slice must not be modified.
 func (f *Fleet) Versions(service string) []string { return f.pool(service).versions }
--- a/internal/publication/machine.go
+++ b/internal/publication/machine.go
@@ -131,11 +131,12 @@
 		return errors.Wrap(err, "encode the state")
 	}
 	// Serialized messages are merged if they are concatenated.
-	departures, err := proto.Marshal(&fleetpb.State{Departures: encodeDepartures(m.State().Departures)})
+	state := m.State()
+	servers, err := proto.Marshal(&fleetpb.State{Departures: encodeDepartures(state.Departures), ServedVersions: inventory.EncodeServedVersions(state.ServedVersions)})
 	if err != nil {
-		return errors.Wrap(err, "encode the departures")
+		return errors.Wrap(err, "encode the departures and served versions")
 	}
-	_, err = w.Write(append(data, departures...))
+	_, err = w.Write(append(data, servers...))
 	return err
 }
 
@@ -155,7 +156,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	encoded.Departures = nil
+	encoded.Departures, encoded.ServedVersions = nil, nil
 	m.state, m.encoded, m.sum, m.recentCommands, m.recentBytes = state, encoded, 0, nil, 0
 	m.evacuationChanges = evacuationChanges{unknownUntil: state.Revision}
 	return nil
--- a/internal/publication/state.go
+++ b/internal/publication/state.go
@@ -34,6 +34,9 @@
 	// Departures are those of servers that are leaving or have left, by id. They are no part of
 	// the revision.
 	Departures map[string]inventory.Departure
+	// ServedVersions are the software versions that servers have or had lately, sorted. They are no part of the
+	// revision.
+	ServedVersions []inventory.ServedVersion
 }
 
 // Version returns the configuration version in force, or 0 if there is none. 0 may also be the version
@@ -94,6 +97,11 @@
 		if !next.depart(op.Depart) {
 			return s, nil
 		}
+	case *fleetpb.Command_RecordVersions:
+		next.Revision = s.Revision
+		if !next.recordVersions(op.RecordVersions) {
+			return s, nil
+		}
 	default:
 		return s, nil
 	}
@@ -182,7 +190,7 @@
 }
 
 // Encode returns the state of its revision in the encoding in which it is sent and stored.
-// Departures are not part of that.
+// Departures and served versions are not part of that.
 func (s *State) Encode() (*fleetpb.State, error) {
 	out := &fleetpb.State{Revision: s.Revision, Evacuated: s.Evacuated, Pools: encodePlaces(s.Places), Quarantined: encodeQuarantined(s.Quarantined), Rollouts: encodeRollouts(s.Rollouts)}
 	if c := s.Configuration; c != nil {
@@ -198,6 +206,7 @@
 // Decode returns the state encoded by Encode.
 func Decode(in *fleetpb.State) (*State, error) {
 	out := &State{Revision: in.Revision, Evacuated: in.Evacuated, Departures: decodeDepartures(in.Departures)}
+	out.recordVersions(&fleetpb.RecordVersions{Served: in.ServedVersions})
 	if len(in.Pools) > 0 {
 		out.assign(&fleetpb.Assign{Pools: in.Pools})
 	}
--- a/internal/publication/sum_test.go
+++ b/internal/publication/sum_test.go
@@ -18,7 +18,7 @@
 func randomCommand(t *testing.T, rng *rand.Rand, s *State) *fleetpb.Command {
 	t.Helper()
 	name := string(rune('a' + rng.IntN(4)))
-	switch rng.IntN(6) {
+	switch rng.IntN(7) {
 	case 0:
 		cmd, err := s.PublishCommand(s.Version()+uint64(rng.IntN(3)), routes(rng, rng.IntN(5)), rng.IntN(2) == 0)
 		if err != nil {
@@ -35,6 +35,12 @@
 	case 4:
 		r := &rollout.Rollout{Service: name, Target: "v2", Number: rng.Uint64N(20), Phase: rollout.Phase(1 + rng.IntN(4)), Duration: time.Second, Elapsed: time.Duration(rng.IntN(1e9)), Replaced: []string{"v1"}}
 		return r.Command()
+	case 5:
+		version := []inventory.ServedVersion{{Service: name, Version: string(rune('v' + rng.IntN(3)))}}
+		if rng.IntN(2) == 0 {
+			return RecordVersionsCommand(nil, version)
+		}
+		return RecordVersionsCommand(version, nil)
 	default:
 		return DepartCommand([]inventory.Departure{{ID: name, Born: rng.Int64N(100), State: inventory.Gone}})
 	}
