A server that starts again with another service leaves its former version known

Callers would see streams of unknown origin that go on at another version where a server was replaced under its id by one of another service: a router kept the version that it knew only if the version's name changed, and not for a service without any server left.

Cause: Fleet.Update compared the versions alone, though versions of two services differ. Found by a new test that counts the versions of servers which take no requests; those of servers that are gone or drain were counted before.

Measured: the two new cases got [v2] and none, wanted v1 and v2; both get them now.

--- a/internal/placement/departed_version_test.go
+++ b/internal/placement/departed_version_test.go
@@ -45,6 +45,17 @@
 			s.Version, s.Born = "v2", s.Born+1
 			w.announce(s)
 		}, []string{"v1", "v2"}},
+		"replaced by one of another service": {func(w *fleetSim, s inventory.Server) {
+			s.Service, s.Born = "other", s.Born+1
+			w.announce(s)
+		}, []string{"v1", "v2"}},
+		"all replaced by those of another service": {func(w *fleetSim, s inventory.Server) {
+			for i, id := range []string{"p", "q"} {
+				next := w.server(id, "a")
+				next.Service, next.Version, next.Born = "other", []string{"v1", "v3"}[i], s.Born+1
+				w.announce(next)
+			}
+		}, []string{"v1", "v2"}},
 		"recorded by the directory": {func(w *fleetSim, s inventory.Server) {
 			w.fleet.SetServedVersions([]inventory.ServedVersion{{Service: "chat", Version: "v0"}, {Service: "empty", Version: "v9"}})
 			w.announce()
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -36,7 +36,7 @@
 	// departed holds the notices of servers that are no longer in the list.
 	departed map[incarnation]*notices
 	// replacedVersions holds when a server of a service and version was last replaced by an
-	// incarnation with another version.
+	// incarnation with another one.
 	replacedVersions map[inventory.ServedVersion]time.Time
 	// servedVersions are those that the directory has recorded.
 	servedVersions []inventory.ServedVersion
@@ -170,7 +170,7 @@
 		s := f.byID[announced.ID]
 		if s == nil || s.Born != announced.Born || s.Address != announced.Address || s.Service != announced.Service || s.DataCentre != announced.DataCentre || s.Version != announced.Version {
 			restarted := s != nil && s.Born != announced.Born
-			if s != nil && s.Version != announced.Version {
+			if s != nil && (s.Version != announced.Version || s.Service != announced.Service) {
 				f.replacedVersions[inventory.ServedVersion{Service: s.Service, Version: s.Version}] = now
 			}
 			former := s
@@ -198,16 +198,15 @@
 			p.draining[s.ID] = s
 		}
 	})
+	former := slices.Clone(f.servedVersions)
 	for v, at := range f.replacedVersions {
-		p := pools[v.Service]
-		switch {
-		case now.Sub(at) >= replacedVersionTime:
+		if now.Sub(at) >= replacedVersionTime {
 			delete(f.replacedVersions, v)
-		case p != nil:
-			p.addVersion(v.Version)
+			continue
 		}
+		former = append(former, v)
 	}
-	for _, v := range f.servedVersions {
+	for _, v := range former {
 		if pools[v.Service] == nil {
 			pools[v.Service] = &pool{}
 		}
