A server that left before it was known has its version recorded

Callers would see streams that went on at another version after a leave without `born` had reached a directory process before the server's announcements did, and the process that knew the server runs an earlier release, which records no versions.

Cause: the departure of a server that is not known has the time of the leave as its start. Announcements of the server are older and change nothing in the table, whose tests ask for that: a late one must not bring the server back. Its version was recorded from the table alone.

Change: the version of every announcement that arrives is recorded, also of those that are stale to the table.

A first try, to have the table take service and version from an announcement of an earlier start, made that announcement a change, against TestAServerThatLeavesUnknownIsGone and TestARecordedDepartureEndsNoLaterStart, and was dropped.

--- a/internal/directory/changes.go
+++ b/internal/directory/changes.go
@@ -12,9 +12,18 @@
 // merge adds an announcement to the server table. direct is true if it came from the
 // server itself and not from another directory process.
 func (h *hub) merge(s inventory.Server, direct bool) inventory.Change {
+	change := h.mergeOne(s, direct)
+	h.broadcastLeaving()
+	return change
+}
+
+// mergeOne is merge for one of several announcements. The caller must call broadcastLeaving after all of them.
+func (h *hub) mergeOne(s inventory.Server, direct bool) inventory.Change {
 	change := h.table.Merge(s)
 	h.recordChange(s.ID, change, direct)
-	h.broadcastLeaving()
+	// A server that left before it was known has the version of its announcement nowhere else.
+	h.addServedVersion(&s)
+	h.proposeServedVersions()
 	return change
 }
 
@@ -57,8 +66,6 @@
 	h.log.Info("server changed", "server", s.ID, "service", s.Service, "address", s.Address, "data-centre", s.DataCentre,
 		"state", s.State.String(), "born", s.Born, "sequence", s.Sequence, "direct", direct, "cold", max(0, s.ColdUntil.Sub(h.now())).Round(time.Millisecond))
 	delete(h.refreshed, id)
-	h.addServedVersion(s)
-	h.proposeServedVersions()
 	if direct {
 		h.directChanges[id] = true
 	} else if !h.directChanges[id] {
--- a/internal/directory/peers.go
+++ b/internal/directory/peers.go
@@ -271,8 +271,7 @@
 func (h *hub) receiveSpread(req *fleetpb.SpreadRequest) (list bool) {
 	now := h.now()
 	for _, a := range req.Announcements {
-		s := inventory.Decode(a, now)
-		h.recordChange(s.ID, h.table.Merge(s), false)
+		h.mergeOne(inventory.Decode(a, now), false)
 	}
 	h.broadcastLeaving()
 	for _, hash := range req.Heard {
--- a/internal/directory/served_versions_test.go
+++ b/internal/directory/served_versions_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -170,6 +171,44 @@
 	}
 }
 
+// Guards against a version that is not recorded since its server had left before this process heard of it, by a leave
+// that names no start or by the record: the process that knew the server may run an earlier release.
+func TestVersionsOfServersThatHadLeftAreRecorded(t *testing.T) {
+	announced := serverAnnouncement("x", 1, inventory.Ready)
+	announced.Version = "v1"
+	relay := func(v *versionHub, s inventory.Server) {
+		v.receiveSpread(&fleetpb.SpreadRequest{Announcements: []*fleetpb.Announcement{inventory.Encode(&s, v.time)}})
+	}
+	events := map[string]func(v *versionHub){
+		"leave": func(v *versionHub) { v.leave("x", 0) },
+		"record": func(v *versionHub) {
+			applyCommand(t, v.hub, publication.DepartCommand([]inventory.Departure{{ID: "x", Born: v.time.UnixMilli(), State: inventory.Gone}}))
+			v.stateChanged()
+		},
+		"departure relayed": func(v *versionHub) {
+			relay(v, inventory.Server{ID: "x", Born: v.time.UnixMilli(), State: inventory.Gone, LastSeen: v.time})
+		},
+		"announced":            func(v *versionHub) { v.merge(announced, true) },
+		"announcement relayed": func(v *versionHub) { relay(v, announced) },
+	}
+	for first, a := range events {
+		for second, b := range events {
+			for third, c := range events {
+				v := newVersionHub(t)
+				a(v)
+				b(v)
+				c(v)
+				v.settle(nil)
+				var want []string
+				if slices.ContainsFunc([]string{first, second, third}, func(name string) bool { return strings.HasPrefix(name, "announce") }) {
+					want = []string{"v1"}
+				}
+				v.expect(strings.Join([]string{first, second, third}, ", "), want...)
+			}
+		}
+	}
+}
+
 // Guards against a record without a limit, and against services that are served and have no room in it.
 func TestTheRecordOfVersionsIsLimited(t *testing.T) {
 	v := newVersionHub(t)
