A late leave that names no start does not end the server's next start

What callers saw: nothing yet; found while looking for calls of one incarnation that are applied to a later one. A server whose leave, without born, was sent again or held on the way, and which started again under its id meanwhile, got no more requests, though it announced itself each 1.2 s: the leave stood for the incarnation that was known, and one that is gone stays so for 90 s. The check of the caller refuses such a leave only where its connection has ended already.

Change: a leave without born is refused as not-ready for 4 s after a later start of the server was first heard of, while that one is ready. Nothing is acknowledged, so the rule on departures holds; a server that does leave sends its call again and is heard once the time is over, or at once if it drains or names born. Weighed: to take a server back that goes on to announce itself (one that serves for seconds after its leave would get requests after the acknowledged end), and to compare born with this process's clock (born only orders incarnations).

--- a/internal/directory/changes.go
+++ b/internal/directory/changes.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/kumquathollow/kumquathollow/api/fleetpb"
+	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/inventory"
 	"github.com/kumquathollow/kumquathollow/internal/routing"
 )
@@ -27,6 +28,25 @@
 	return change
 }
 
+// lateLeaveTime is by how much a leave may be late: calls arrive seconds late, and a server that gets no
+// answer sends its leave again for some seconds.
+const lateLeaveTime = 4 * time.Second
+
+// checkLeave returns an error for a leave that names no start if it cannot be told which incarnation
+// sent it. The server is then not acknowledged, and asks again or ends without.
+func (h *hub) checkLeave(id string, born int64) error {
+	switch {
+	case born != 0:
+		return nil
+	case h.table.Get(id) == nil && !h.knowsAllServers:
+		return errkind.New(errkind.NotReady, "server %q, whose leave names no start, is not known here yet", id).WithRetryAfter(learnTime)
+	case h.isReady(id) && h.table.StartedAgainWithin(id, lateLeaveTime, h.now()):
+		return errkind.New(errkind.NotReady, "server %q has started again less than %s ago, and its leave, which names no start, may be that of the earlier one", id, lateLeaveTime).
+			WithRetryAfter(time.Second)
+	}
+	return nil
+}
+
 // leave marks a server as gone. It returns the departure that the leave stands for.
 func (h *hub) leave(id string, born int64) (inventory.Departure, inventory.Change) {
 	s, change := h.table.Leave(id, born, h.now())
--- a/internal/directory/operations.go
+++ b/internal/directory/operations.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -159,21 +160,17 @@
 	var relayed *ackCounter
 	var recorded <-chan error
 	var change inventory.Change
-	unknown := false
+	var refused error
 	err := p.hub.do(ctx, func() {
-		unknown = born == 0 && p.hub.table.Get(id) == nil && !p.hub.knowsAllServers
-		if unknown {
+		if refused = p.hub.checkLeave(id, born); refused != nil {
 			return
 		}
 		var d inventory.Departure
 		d, change = p.hub.leave(id, born)
 		recorded, relayed = p.hub.recordDeparture(d, change), p.hub.relayed
 	})
-	switch {
-	case err != nil:
+	if err = cmp.Or(err, refused); err != nil {
 		return err
-	case unknown:
-		return errkind.New(errkind.NotReady, "server %q, whose leave names no start, is not known here yet", id).WithRetryAfter(learnTime)
 	}
 	err = awaitDeparture(ctx, recorded, relayed)
 	p.logDeparture("server left", id, born, change, began, relayed, err)
--- a/internal/inventory/table.go
+++ b/internal/inventory/table.go
@@ -64,6 +64,9 @@
 	// lastReady holds the latest announcement of each server in which it was ready, late ones
 	// included.
 	lastReady map[string]position
+	// restartedAt holds when the latest incarnation of a server was first heard of, if an earlier one
+	// was known.
+	restartedAt map[string]time.Time
 	// departures are those that the fleet has recorded, by server.
 	departures map[string]Departure
 	// isServed reports whether the configuration names a service; nil if that is not known.
@@ -72,7 +75,7 @@
 
 // New returns an empty Table.
 func New() *Table {
-	return &Table{servers: map[string]*Server{}, owners: map[string]string{}, lastReady: map[string]position{}}
+	return &Table{servers: map[string]*Server{}, owners: map[string]string{}, lastReady: map[string]position{}, restartedAt: map[string]time.Time{}}
 }
 
 // Change is the effect of an announcement or a leave on the table.
@@ -118,9 +121,22 @@
 	return position{d.Born, d.Sequence}.before(t.lastReady[d.ID])
 }
 
+// StartedAgainWithin reports whether the latest incarnation of a server was first heard of less than d
+// before now, while an earlier one was known.
+func (t *Table) StartedAgainWithin(id string, d time.Duration, now time.Time) bool {
+	at, found := t.restartedAt[id]
+	return found && now.Sub(at) < d
+}
+
 // Merge applies an announcement to the table.
 func (t *Table) Merge(s Server) Change {
+	d, departed := t.departures[s.ID]
+	old := t.servers[s.ID]
+	startedAgain := s.State != Gone && (old != nil && old.Born < s.Born || old == nil && departed && d.Born < s.Born)
 	change := t.merge(s)
+	if startedAgain && change == Changed {
+		t.restartedAt[s.ID] = s.LastSeen
+	}
 	if at := (position{s.Born, s.Sequence}); s.State == Ready && t.servers[s.ID] != nil && t.lastReady[s.ID].before(at) {
 		t.lastReady[s.ID] = at
 	}
