A directory process that has not restored its state says of no stream that all servers are known

A router that reports to a process which started again without its disk, and whose state was not sent to it within 2 s of quorum, could take up a stream of unknown origin: it was not sent the recorded versions. Found by reading; no run of processes shows it.

Change: that word needs the newest revision of the last round that confirmed one. Records of versions have no revision, so this tells a state that is not restored, not one that lacks the last records (see "Limits"). Confirmations of incarnations (`synced`) do not depend on it.

Measured: the new row of TestServersCountAsKnownOnlyIfAllProcessesWereHeardSince got the word, and gets none now; with the revision applied it comes as before. Tests of platform with Version, Origin, Reborn or Resum in their names: pass.

--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -217,6 +217,9 @@
 
 // confirmRouters records the result of a round for the sessions whose pings it answers.
 func (h *hub) confirmRouters(pings map[*session]uint64, newest publication.Mark, err error) {
+	if err == nil {
+		h.newestConfirmed = newest.Revision
+	}
 	for s, ping := range pings {
 		if !h.sessions[s] {
 			continue
--- a/internal/directory/hub.go
+++ b/internal/directory/hub.go
@@ -114,6 +114,8 @@
 	// processes have sent what they know, servers that have left included.
 	knowsAllServers bool
 	quorumSince     time.Time
+	// newestConfirmed is the newest revision as of the last round that confirmed one.
+	newestConfirmed uint64
 	// loadReported is true if a router reported its load here as of the last flush.
 	loadReported bool
 }
--- a/internal/directory/origins.go
+++ b/internal/directory/origins.go
@@ -111,7 +111,12 @@
 // serversKnownUntil returns the time up to which this process knows all servers that came into use.
 // Each other process relays what servers announce to it, in one call after the other: a call was
 // begun after the one before it had arrived here.
-func (h *hub) serversKnownUntil() time.Time { return h.serversRelayedUntil(h.members) }
+func (h *hub) serversKnownUntil() time.Time {
+	if h.machine.State().Revision < h.newestConfirmed {
+		return time.Time{} // The versions that were recorded are not all known here either.
+	}
+	return h.serversRelayedUntil(h.members)
+}
 
 // serversRelayedUntil is serversKnownUntil for the servers that announce themselves to this process or to the
 // given ones.
--- a/internal/directory/origins_test.go
+++ b/internal/directory/origins_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/kumquathollow/kumquathollow/api/fleetpb"
+	"github.com/kumquathollow/kumquathollow/internal/publication"
 	"github.com/kumquathollow/kumquathollow/internal/streamorigin"
 )
 
@@ -163,6 +164,16 @@
 		{"the other process was never heard", nil, nil, false},
 		{"this process has lost the quorum", func(h *hub, _ *session) { h.groupChanged(h.members, "") }, func(h *hub, _ *session) { heard(h, 2) }, false},
 		{"this process has just started", func(h *hub, _ *session) { h.knowsAllServers, h.quorumSince = false, h.now().Add(time.Hour) }, func(h *hub, _ *session) { heard(h, 2) }, false},
+		{"this process has yet to apply a revision, and the versions recorded with it", nil, func(h *hub, s *session) {
+			h.confirmRouters(map[*session]uint64{s: 1}, publication.Mark{Revision: 1}, nil)
+			heard(h, 2)
+		}, false},
+		{"this process has applied all revisions", func(h *hub, s *session) {
+			h.confirmRouters(map[*session]uint64{s: 1}, publication.Mark{Revision: 1}, nil)
+		}, func(h *hub, s *session) {
+			h.confirmRouters(map[*session]uint64{s: 2}, publication.Mark{}, nil)
+			heard(h, 2)
+		}, true},
 		{"the router reports elsewhere", nil, func(h *hub, s *session) {
 			h.handleRequest(s, &fleetpb.FollowRequest{})
 			heard(h, 2)
