A stream whose last event has the id 0 is resumed, also if the client does not name it

A client whose only event had the id 0, and which came back with Last-Event-Id: 0 without Resumes, was taken for one that begins a stream: the server was still asked to go on after event 0, at any version, the origin was recorded anew, and that event passed once more.

Cause: isResumption took the id 0 for none. Events may be numbered from 0: recordStart allows it.

Change: any last event makes a request a resumption. A client that sends 0 without any event waits for the directory's word as other resumptions do, and is refused as not run while several versions serve and the origin is not known.

--- a/internal/forward/resumption.go
+++ b/internal/forward/resumption.go
@@ -16,9 +16,10 @@
 	"github.com/kumquathollow/kumquathollow/internal/streamorigin"
 )
 
-// isResumption reports whether the request continues a stream of which the client has events.
+// isResumption reports whether the request continues a stream of which the client has events. One of them may have
+// the id 0.
 func (x *exchange) isResumption() bool {
-	return x.route.Resumable && (x.requestInfo.Resumes != "" || x.requestInfo.LastEventID != "" && x.requestInfo.LastEventID != "0")
+	return x.route.Resumable && (x.requestInfo.Resumes != "" || x.requestInfo.LastEventID != "")
 }
 
 // lastID returns the id of the last event that the client has of the stream that the request continues; empty if
