Late results of a replaced incarnation do not eject the next one

What callers saw: nothing yet; found by reading, in declared fleets. A grantor counts failures by server. An engine that ended under requests and had started again was ejected, for 10 s in the test, if a router that stood still reported the failures of those requests only after the next start was announced: the announcement resets the count, and the late results filled it again. Their times to the first byte went into the new monitor likewise.

Change: a result of a permit that was granted before the server started again still ends the permit, and says nothing of the server.

Limit: permits that a new grantor takes over from routers carry no such time of the term before; by reading, one of an incarnation that the new grantor never knew still counts.

--- a/internal/admission/result.go
+++ b/internal/admission/result.go
@@ -23,7 +23,10 @@
 		return
 	}
 	server := c.permits[i].server
-	c.recordOutcome(now, server, r)
+	// Requests of a permit from before the server started again say nothing of the current incarnation.
+	if s := c.servers[server]; s.replacedAt == 0 || c.permits[i].grantedAt >= s.replacedAt {
+		c.recordOutcome(now, server, r)
+	}
 	if r.Outcome == grantpb.Outcome_OUTCOME_UNKNOWN {
 		p := &c.permits[i]
 		p.outcomeUnknown = true
--- a/internal/admission/server.go
+++ b/internal/admission/server.go
@@ -40,6 +40,8 @@
 	sequence     uint64
 	lastHeard    Instant
 	replaced     []replacedIncarnation
+	// replacedAt is when the current incarnation replaced another one; 0 if it has not.
+	replacedAt Instant
 	// rampFrom is when the ramp from cold to full capacity starts.
 	rampFrom Instant
 	// confirmed is true once a report measured in this term has shown what is
@@ -167,6 +169,7 @@
 	silent := known && c.isSilent(now, s)
 	if restarted {
 		s.recordReplaced()
+		s.replacedAt = now
 		s.consecutiveFailures, s.ejectedUntil = 0, 0
 		s.firstByte = firstByteMonitor{}
 	}
