A late announcement is not sent to a new grantor as a server's latest one

What callers saw: nothing yet; found by reading, in declared fleets. A router keeps the last announcement of each server and sends it to a grantor when the session opens. One that arrived late, of the process before or from before the server said that it leaves, replaced the later one: a new grantor, which knows nothing else, took a cold server for one that has long been ready, or one that had left for a ready one, until the next announcement or its silence.

Change: the router keeps the later one, by the rule of the grantor: by sequence within an incarnation, and a replaced incarnation counts again only if its sequence continues. It still forwards each announcement.

--- a/internal/grantor/link.go
+++ b/internal/grantor/link.go
@@ -60,6 +60,18 @@
 	// was received.
 	possibleDelay time.Duration
 	readySince    time.Time
+	// former is the incarnation that this one replaced, with its last sequence; empty if there was none.
+	former         string
+	formerSequence uint64
+}
+
+// isLate reports whether the announcement is older than the stored one. A replaced incarnation whose sequence
+// continues is still alive.
+func (s *storedAnnouncement) isLate(a *grantpb.Announcement) bool {
+	if a.Incarnation == s.announcement.Incarnation {
+		return a.Sequence < s.announcement.Sequence
+	}
+	return a.Incarnation == s.former && a.Sequence <= s.formerSequence
 }
 
 func newLink(o ClientOptions, dataCentre string) *link {
@@ -161,15 +173,23 @@
 	return &grantpb.RouterMessage{Kind: &grantpb.RouterMessage_Result{Result: r}}
 }
 
-// announce stores an announcement and forwards it to the grantor.
+// announce stores an announcement, unless it is late, and forwards it to the grantor, which may know otherwise.
 func (l *link) announce(a *grantpb.Announcement, possibleDelay time.Duration) {
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	stored := l.announcements[a.Name]
-	if stored == nil || stored.announcement.Incarnation != a.Incarnation {
+	switch {
+	case stored == nil:
 		stored = &storedAnnouncement{}
 		l.announcements[a.Name] = stored
+	case stored.isLate(a):
+		late := &storedAnnouncement{announcement: a, received: now, possibleDelay: possibleDelay}
+		l.enqueue(&grantpb.RouterMessage{Kind: &grantpb.RouterMessage_Announcement{Announcement: late.messageAt(now)}})
+		return
+	case stored.announcement.Incarnation != a.Incarnation:
+		stored = &storedAnnouncement{former: stored.announcement.Incarnation, formerSequence: stored.announcement.Sequence}
+		l.announcements[a.Name] = stored
 	}
 	switch {
 	case a.State != grantpb.ServerState_SERVER_STATE_READY:
