A process that is not understood, or has not announced itself, is not taken for one that has ended

What callers would see, found by review of: where one version is known, streams of a server that had started again unannounced with another version still went on at the known one: (1) once its process had told its start for another stream, since no origin was recorded then; (2) if the answer came with 'Connection: close', was a reset, came late or had the status 503, since any failure counted as the end of the process; (3) within a response, if the server announced itself and ended while the router was cut off, since what the router knew when the stream began counted. Streams that were resumed at once each opened a connection for the question.

Cause: 'not known' was taken for 'ended', and knowledge from the beginning of a stream for knowledge of now.

Change: RunsSince says whether the incarnation runs, was replaced, could not be reached, did not tell or failed; only a connection that cannot be opened counts as an end, and then the servers that have announced themselves by now have to be known. The origin is recorded in each case. An answer that ends its connection counts. Callers that ask at the same time share the answer.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -47,9 +47,10 @@
 	closed      atomic.Bool
 	// lastID is the id of the last request that was sent.
 	lastID string
-	// told is set once the process has told its start, which is born.
-	told bool
-	born int64
+	// asked is set once the process has answered the call for its start, told if it has told it, which is born, and ends if
+	// it ended the connection with the answer.
+	asked, told, ends bool
+	born              int64
 	// hasResponded is set once a response other than an interim one was received.
 	hasResponded bool
 	// openedAt is when the connection was opened, or an earlier time at which the process that it leads to is known to
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -138,35 +138,36 @@
 	return resp, nil
 }
 
-// getIdentified returns a connection that leads to a process on which the request may run. One that ended under the
-// question is replaced once.
+// getIdentified returns a connection that leads to a process on which the request may run. If its own ended under the call, another
+// one may tell.
 func (p *Pool) getIdentified(ctx context.Context, t Target, r *Request) (c *conn, opened bool, err error) {
-	for last := !r.Identify; ; last = true {
-		if c, opened, err = p.get(ctx, t, r); err != nil {
-			return nil, false, err
-		}
-		process := c.pool.processOf(c)
-		if r.Identify && (r.MustIdentify || !last) {
-			if process, err = p.identify(ctx, c, r); err != nil {
-				_ = c.Close()
-				if last {
-					return nil, false, errors.Mark(err, ErrNotSent)
-				}
-				continue
+	if c, opened, err = p.get(ctx, t, r); err != nil {
+		return nil, false, err
+	}
+	if r.Identify {
+		if _, err = p.identify(ctx, c, r); err != nil {
+			_ = c.Close()
+			if c, opened, err = p.get(ctx, t, r); err != nil {
+				return nil, false, err
 			}
-		}
-		if r.Check == nil {
-			return c, opened, nil
-		}
-		if err = r.Check(ctx, process); err != nil {
-			if c.idleTimeout == 0 {
-				c.idleTimeout = defaultIdleTimeout
+			if r.MustIdentify {
+				if run, cause := p.RunsSince(ctx, t, c.connectedAt); run != Runs && run != Untold {
+					err = cause
+				}
 			}
-			p.put(c)
-			return nil, false, errors.Mark(err, ErrNotSent)
 		}
+	}
+	if err == nil && r.Check != nil {
+		err = r.Check(ctx, c.pool.processOf(c))
+	}
+	if err == nil {
 		return c, opened, nil
 	}
+	if c.idleTimeout == 0 {
+		c.idleTimeout = defaultIdleTimeout
+	}
+	p.put(c)
+	return nil, false, errors.Mark(err, ErrNotSent)
 }
 
 // writeRequest sends the request. A body over inlineBodyBytes is written
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -48,10 +48,10 @@
 	// IsReplaced reports whether a later incarnation is known at the id or address of a target; nil if nothing
 	// is known of incarnations.
 	IsReplaced func(t Target) bool
-	// Introduction is how servers tell their start; nil if they do not. OnIntroduction is called each time that a server was
+	// StartCall is how servers tell their start; nil if they do not. OnStartCall is called each time that a server was
 	// asked, with whether it told its start; nil if nothing is to be called.
-	Introduction   *Introduction
-	OnIntroduction func(told bool)
+	StartCall   *StartCall
+	OnStartCall func(told bool)
 	// Dial opens connections; nil means TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
@@ -74,9 +74,9 @@
 	conns     map[*conn]bool
 	openConns int
 	// ranAt is the latest time, by the boot clock, at which the incarnation is known to have run, as it has told since.
-	// reticent is set if the server does not tell its start.
+	// question is nil unless it is being asked whether it still runs.
 	ranAt    time.Duration
-	reticent bool
+	question *startQuestion
 	// unframedAt is when the last response without a length began. watching counts the exchanges whose response
 	// has none, or is expected to. Meanwhile witness is an open connection that no request uses, or nil, and
 	// openingWitness is nil unless one is being opened; it is closed when that is over.
@@ -366,7 +366,7 @@
 		}
 		clear(s.idle[len(kept):])
 		s.idle = kept
-		empty := len(kept) == 0 && s.openConns == len(expired) && s.openingWitness == nil
+		empty := len(kept) == 0 && s.openConns == len(expired) && s.openingWitness == nil && s.question == nil
 		s.discarded = s.discarded || empty // A request that has found s before may yet open a connection.
 		s.mu.Unlock()
 		for _, c := range expired {
--- a/internal/backend/process.go
+++ b/internal/backend/process.go
@@ -24,19 +24,20 @@
 	Born int64
 }
 
-// Introduction is the request by which a server tells its start.
-type Introduction struct {
+// StartCall is the call by which a server tells its start.
+type StartCall struct {
 	Path string
 	// Parse returns the start in Unix milliseconds, and false if the response does not tell it.
 	Parse func(status int, body []byte) (born int64, told bool)
 }
 
 const (
-	// introductionTimeout limits asking a server for its start, connecting included. It answers within a few
-	// milliseconds, since that takes none of its slots.
-	introductionTimeout = 250 * time.Millisecond
-	// maxIntroductionBytes limits the body of the response.
-	maxIntroductionBytes = 64 << 10
+	// startCallTimeout limits the call. A server answers within a few milliseconds, since it takes none of its slots.
+	startCallTimeout = 250 * time.Millisecond
+	// runTimeout limits RunsSince, connecting included, on each of two connections.
+	runTimeout = 400 * time.Millisecond
+	// maxStartCallBytes limits the body of the response.
+	maxStartCallBytes = 64 << 10
 )
 
 // processOf returns what is known of the process that c leads to. An incarnation that was known before a connection
@@ -56,32 +57,35 @@
 // identify returns what is known of the process that c leads to, having asked it for its start if that was not known. After
 // an error the connection cannot be used.
 func (p *Pool) identify(ctx context.Context, c *conn, r *Request) (Process, error) {
-	if known := c.pool.processOf(c); known.Told || p.opts.Introduction == nil || c.pool.isReticent() {
+	if known := c.pool.processOf(c); known.Told || p.opts.StartCall == nil || c.asked {
 		return known, nil
 	}
-	if err := p.ask(ctx, c, r); err != nil {
+	switch err := p.askStart(ctx, c, r); {
+	case err != nil:
 		return Process{}, err
+	case c.ends:
+		return Process{}, errkind.New(errkind.Unreachable, "server %q ended the connection on which it was asked for its start", c.pool.id)
 	}
 	return c.pool.processOf(c), nil
 }
 
-// ask asks the process that c leads to for its start.
-func (p *Pool) ask(ctx context.Context, c *conn, r *Request) error {
-	ctx, cancel := context.WithTimeout(ctx, introductionTimeout)
+// askStart asks the process that c leads to for its start.
+func (p *Pool) askStart(ctx context.Context, c *conn, r *Request) error {
+	ctx, cancel := context.WithTimeout(ctx, startCallTimeout)
 	defer cancel()
 	askedAt := clock.SinceBoot()
-	err := p.introduce(ctx, c, r)
-	if p.opts.OnIntroduction != nil {
-		p.opts.OnIntroduction(err == nil && c.told)
+	err := p.callStart(ctx, c, r)
+	if p.opts.OnStartCall != nil {
+		p.opts.OnStartCall(err == nil && c.told)
 	}
 	if err != nil {
-		return errkind.Wrap(err, errkind.Unreachable, "ask server %q for its start", c.pool.id)
+		return errkind.Wrap(err, errkind.BackendLost, "ask server %q for its start", c.pool.id)
 	}
-	c.pool.recordIntroduction(c, askedAt)
+	c.pool.recordRan(c, askedAt)
 	return nil
 }
 
-func (p *Pool) introduce(ctx context.Context, c *conn, r *Request) (err error) {
+func (p *Pool) callStart(ctx context.Context, c *conn, r *Request) (err error) {
 	stop := c.abortOnDone(ctx)
 	defer func() {
 		if !stop() && err == nil {
@@ -89,7 +93,7 @@
 		}
 		_ = c.SetDeadline(time.Time{}) // If it fails, so does the next write.
 	}()
-	if _, err := io.WriteString(c.Conn, "GET "+p.opts.Introduction.Path+" HTTP/1.1\r\nHost: "+c.pool.address+"\r\n\r\n"); err != nil {
+	if _, err := io.WriteString(c.Conn, "GET "+p.opts.StartCall.Path+" HTTP/1.1\r\nHost: "+c.pool.address+"\r\n\r\n"); err != nil {
 		return err
 	}
 	req, meter := &http.Request{Method: http.MethodGet}, &headMeter{reserve: r.ReserveHead}
@@ -103,37 +107,26 @@
 		case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
 			return errors.New("the response has no length")
 		}
-		body, err := io.ReadAll(io.LimitReader(resp.Body, maxIntroductionBytes+1))
+		body, err := io.ReadAll(io.LimitReader(resp.Body, maxStartCallBytes+1))
 		switch {
 		case err != nil:
 			return err
-		case len(body) > maxIntroductionBytes:
-			return errors.Newf("the response exceeds the limit of %d bytes", maxIntroductionBytes)
+		case len(body) > maxStartCallBytes:
+			return errors.Newf("the response exceeds the limit of %d bytes", maxStartCallBytes)
 		}
-		// The question has no id. A response that names a request repeats an earlier one.
+		// The call has no id. A response that names a request repeats an earlier one.
 		if r.IDHeader != "" && resp.Header.Get(r.IDHeader) != "" {
 			continue
 		}
-		c.hasResponded = true
+		c.hasResponded, c.asked, c.ends = true, true, resp.Close
 		c.updateIdleTimeout(resp.Header)
-		c.born, c.told = p.opts.Introduction.Parse(resp.StatusCode, body)
-		if resp.Close {
-			return errors.New("the server ends the connection")
-		}
+		c.born, c.told = p.opts.StartCall.Parse(resp.StatusCode, body)
 		return nil
 	}
 	return errMismatchedResponse
 }
 
-// recordIntroduction records the answer of a server that was asked at a time, by the boot clock.
-func (s *serverPool) recordIntroduction(c *conn, askedAt time.Duration) {
-	s.mu.Lock()
-	s.reticent = !c.told
-	s.mu.Unlock()
-	s.recordRan(c, askedAt)
-}
-
-// recordRan records that the process that c leads to ran at a time.
+// recordRan records that the process that c leads to ran at a time by the boot clock.
 func (s *serverPool) recordRan(c *conn, at time.Duration) {
 	if !c.told || c.born != s.born {
 		return
@@ -143,43 +136,102 @@
 	s.ranAt = max(s.ranAt, at)
 }
 
-// isReticent reports whether the server has answered the question for its start without telling it.
-func (s *serverPool) isReticent() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.reticent
-}
+// Run says whether an incarnation still runs.
+type Run int
 
-// ranSince reports whether the incarnation is known to have run at a time or later.
-func (s *serverPool) ranSince(at time.Duration) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.ranAt >= at
+const (
+	// Runs: its process has told its start.
+	Runs Run = iota + 1
+	// Replaced: another process has told its start at the address.
+	Replaced
+	// Unreached: no connection could be opened.
+	Unreached
+	// Untold: the process did not tell its start.
+	Untold
+	// Unclear: the connection failed, nothing came in time, or all connections were in use.
+	Unclear
+)
+
+// startQuestion is a call of RunsSince that is under way for one incarnation.
+type startQuestion struct {
+	askedAt time.Duration
+	// run and err are valid once done is closed.
+	run  Run
+	err  error
+	done chan struct{}
 }
 
-// RunsSince reports whether the incarnation that the target names has run without interruption since a time by the boot clock at
-// which it was known, as far as its process tells; told is false if that does not tell its start. An error means that no
-// process was reached.
-func (p *Pool) RunsSince(ctx context.Context, t Target, at time.Duration) (runs, told bool, err error) {
+// RunsSince reports whether the incarnation that the target names, which was known at a time by the boot clock, has run without
+// interruption since then. Callers that ask at the same time share the answer. The error is the reason unless the run is Runs.
+func (p *Pool) RunsSince(ctx context.Context, t Target, at time.Duration) (Run, error) {
 	s := p.poolFor(t)
-	if s.ranSince(at) {
-		return true, true, nil
+	for {
+		s.mu.Lock()
+		q := s.question
+		switch {
+		case s.ranAt >= at:
+			s.mu.Unlock()
+			return Runs, nil
+		case q == nil:
+			q = &startQuestion{askedAt: clock.SinceBoot(), done: make(chan struct{})}
+			s.question = q
+			go func() {
+				q.run, q.err = p.askRun(t, s)
+				s.mu.Lock()
+				s.question = nil
+				s.mu.Unlock()
+				close(q.done)
+			}()
+		}
+		s.mu.Unlock()
+		select {
+		case <-q.done:
+			if q.askedAt >= at {
+				return q.run, q.err
+			}
+		case <-ctx.Done():
+			return Unclear, ctx.Err()
+		}
 	}
-	if p.opts.Introduction == nil || s.isReticent() {
-		return false, false, nil
+}
+
+// askRun asks the server, and once more on another connection if that failed.
+func (p *Pool) askRun(t Target, s *serverPool) (run Run, err error) {
+	for range 2 {
+		if run, err = p.askRunOnce(t, s); run != Unclear {
+			break
+		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, introductionTimeout)
+	return run, err
+}
+
+func (p *Pool) askRunOnce(t Target, s *serverPool) (Run, error) {
+	if p.opts.StartCall == nil {
+		return Untold, errors.New("servers do not tell their start")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), runTimeout)
 	defer cancel()
 	r := &Request{}
 	c, _, err := p.get(ctx, t, r)
-	if err != nil {
-		return false, false, err
+	switch {
+	case errkind.Is(err, errkind.Unreachable):
+		return Unreached, err
+	case err != nil:
+		return Unclear, err
 	}
-	if err := p.ask(ctx, c, r); err != nil {
+	err = p.askStart(ctx, c, r)
+	if err != nil || c.ends || !c.told || c.born != s.born {
 		_ = c.Close()
-		return false, false, err
+	} else {
+		p.put(c)
+	}
+	switch {
+	case err != nil:
+		return Unclear, err
+	case !c.told:
+		return Untold, errkind.New(errkind.BackendLost, "server %q does not tell its start", s.id)
+	case c.born != s.born:
+		return Replaced, errkind.New(errkind.BackendLost, "the process at server %q started at %d, and not at %d", s.id, c.born, s.born)
 	}
-	runs, told = s.ranSince(at), c.told
-	p.put(c)
-	return runs, told, nil
+	return Runs, nil
 }
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -87,8 +87,8 @@
 	Decode func(document []byte) (*catalog.Set, error)
 	// ReadyPath is the path of the load balancer's readiness check.
 	ReadyPath string
-	// Introduction is how backend servers tell their start; nil if they do not.
-	Introduction *backend.Introduction
+	// StartCall is how backend servers tell their start; nil if they do not.
+	StartCall *backend.StartCall
 	// DialServer opens connections to backend servers; nil means TCP.
 	DialServer func(ctx context.Context, address string) (net.Conn, error)
 	// DialFleet opens connections to other processes of the fleet; nil means TCP.
@@ -125,7 +125,7 @@
 	asked, untold := r.metrics.Counter("backend.starts_asked"), r.metrics.Counter("backend.starts_not_told")
 	r.pool = backend.NewPool(backend.Options{
 		OnOpen: func() { opened.Inc(1) }, OnFailure: func() { failed.Inc(1) }, Dial: adapter.DialServer,
-		Introduction: adapter.Introduction, OnIntroduction: func(told bool) {
+		StartCall: adapter.StartCall, OnStartCall: func(told bool) {
 			asked.Inc(1)
 			if !told {
 				untold.Inc(1)
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -65,7 +65,7 @@
 func (x *exchange) send(picked *placement.PickResult, sentAt time.Time) attemptResult {
 	ctx, cancel := x.attemptContext()
 	defer cancel()
-	resp, err := x.f.opts.Pool.Do(ctx, x.backendTarget(picked), x.backendRequest(picked, sentAt))
+	resp, err := x.f.opts.Pool.Do(ctx, x.backendTarget(picked.Server), x.backendRequest(picked, sentAt))
 	if errors.Is(err, backend.ErrNotSent) {
 		return x.processNotConfirmed(picked, err)
 	}
@@ -125,8 +125,9 @@
 	return context.WithTimeout(x.ctx, min(remaining, max(minAttemptTimeout, attemptTimeoutFactor*x.route.Target)))
 }
 
-func (x *exchange) backendTarget(picked *placement.PickResult) backend.Target {
-	target := serverTarget(picked.Server)
+// backendTarget returns the target for a server with this router's share of its connections.
+func (x *exchange) backendTarget(s *placement.Server) backend.Target {
+	target := serverTarget(s)
 	if n := x.service.MaxConnections; n > 0 {
 		target.MaxConnections = max(1, int(connectionFraction*float64(n))/x.f.opts.Fleet.Routers())
 	}
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -73,7 +73,7 @@
 	}
 	switch errkind.Of(res.err) {
 	case errkind.StreamBroken, errkind.BackendLost:
-		x.f.crashes.responseBroken(quarantine.Incarnation{Server: picked.ID, Born: picked.Born}, x.backendTarget(picked), x.subjects)
+		x.f.crashes.responseBroken(quarantine.Incarnation{Server: picked.ID, Born: picked.Born}, x.backendTarget(picked.Server), x.subjects)
 	}
 }
 
--- a/internal/forward/resumption.go
+++ b/internal/forward/resumption.go
@@ -148,8 +148,8 @@
 	x.began = &beginning{server: picked.ID, born: picked.Born, since: process.ConnectedAt}
 	if process.Told {
 		x.began.born, x.began.told = process.Born, true // It has not announced itself yet.
-		return
 	}
+	// If another process has told its start there, the stream does not go on: the incarnation is found replaced.
 	x.recordOrigin(streamorigin.Origin{Service: x.service.Name, Version: picked.Version, Server: picked.ID, Born: picked.Born})
 }
 
@@ -197,24 +197,23 @@
 }
 
 // confirmOrigin returns an error unless the incarnation that an origin names is known to have begun its stream, which it was
-// taken for since a time by the boot clock. Its process tells, if it still runs. If it has ended, another one can have begun the
-// stream only if it had not announced itself: that is ruled out where the fleet has known no other version.
+// taken for since a time by the boot clock. Its process tells, if it still runs. If no process can be reached, another one can have
+// begun the stream only if it had not announced itself: that is ruled out where the fleet has known no other version.
 func (x *exchange) confirmOrigin(o streamorigin.Origin, since time.Duration) error {
-	runs, told, cause := false, false, error(nil)
+	run, cause := backend.Unreached, errors.Newf("the process that started at %d has been replaced", o.Born)
 	if s := x.f.opts.Fleet.LatestIncarnation(o.Server); s != nil && s.Born == o.Born && s.Service == o.Service && s.Version == o.Version {
-		if runs, told, cause = x.f.opts.Pool.RunsSince(x.ctx, serverTarget(s), since); cause == nil && !told {
-			cause = x.f.opts.View.ConfirmVersion(x.ctx, fleetview.Connection{Server: o.Server, Born: o.Born, Software: o.Certain(), OpenedAt: since})
-			runs = cause == nil
-		}
+		run, cause = x.f.opts.Pool.RunsSince(x.ctx, x.backendTarget(s), since)
 	}
-	if runs {
+	switch run {
+	case backend.Runs:
 		return nil
-	}
-	if cause == nil {
-		cause = errors.Newf("the process that started at %d has ended", o.Born)
-	}
-	if !told {
-		err := x.f.opts.View.AwaitServers(x.ctx, since)
+	case backend.Untold:
+		cause = x.f.opts.View.ConfirmVersion(x.ctx, fleetview.Connection{Server: o.Server, Born: o.Born, Software: o.Certain(), OpenedAt: since})
+		if cause == nil {
+			return nil
+		}
+	case backend.Unreached:
+		err := x.f.opts.View.AwaitServers(x.ctx, clock.SinceBoot())
 		if versions := x.f.opts.Fleet.Versions(o.Service); err == nil && len(versions) == 1 && versions[0] == o.Version {
 			return nil
 		}
