A server whose process has told a later start counts as cold

Routers that had been told the later start of a server went on sending it what the warm process before bore, until its heartbeat came 1.2 s later: 38 and 21 requests in a second, 11 allowed.

Cause: coldness was known from announcements, and from ends that the router saw itself.

Change: an answer with a later start counts as the end of the announced incarnation.

Evidence: TestAProcessThatTellsALaterStartMayBeCold fails without it. It stays listed: routers that have not asked the server do not know.

--- a/internal/fleetview/quarantine.go
+++ b/internal/fleetview/quarantine.go
@@ -52,14 +52,18 @@
 	return nil
 }
 
+// RecordEnd records that the process of an incarnation has ended.
+func (v *View) RecordEnd(server string, born int64) {
+	if s := v.opts.Fleet.LatestIncarnation(server); s != nil {
+		v.opts.Fleet.RecordEnd(server, born, v.Snapshot().coldTime(s.Service), time.Now())
+	}
+}
+
 // ReportCrash reports that a backend server ended while it held requests with the suspects.
 // It returns whether that is news.
 func (v *View) ReportCrash(c quarantine.Crash) bool {
-	now := time.Now()
-	if s := v.opts.Fleet.LatestIncarnation(c.Server.Server); s != nil {
-		v.opts.Fleet.RecordEnd(s.ID, c.Server.Born, v.Snapshot().coldTime(s.Service), now)
-	}
-	if !v.monitor.RecordCrash(c, now) {
+	v.RecordEnd(c.Server.Server, c.Server.Born)
+	if !v.monitor.RecordCrash(c, time.Now()) {
 		return false
 	}
 	if l := v.reportTo.Load(); l != nil {
--- a/internal/forward/resumption.go
+++ b/internal/forward/resumption.go
@@ -253,6 +253,9 @@
 // checkProcess returns an error if the request must not be sent to a process that was picked as an incarnation: a stream goes
 // on only if the process is known to have its version, and begins rather at a server whose version is known.
 func (x *exchange) checkProcess(ctx context.Context, picked *placement.PickResult, process backend.Process) error {
+	if process.Told && process.Born > picked.Born {
+		x.f.opts.View.RecordEnd(picked.ID, picked.Born) // What started since may be cold.
+	}
 	switch {
 	case process.Told && process.Born == picked.Born:
 		return nil
--- a/internal/forward/resumption_test.go
+++ b/internal/forward/resumption_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/kumquathollow/kumquathollow/internal/backend"
 	"github.com/kumquathollow/kumquathollow/internal/catalog"
 	"github.com/kumquathollow/kumquathollow/internal/errkind"
 	"github.com/kumquathollow/kumquathollow/internal/fleetview"
@@ -60,3 +61,31 @@
 		requestInfo: info,
 	}
 }
+
+// Guards against a server that gets the requests of a warm one although its process has told a later start: that one
+// may be cold, and has not been announced yet.
+func TestAProcessThatTellsALaterStartMayBeCold(t *testing.T) {
+	x := newUnknownResumption(t, RequestInfo{ID: "2", Resumes: "1", LastEventID: "3", HasLastEventID: true})
+	cold := &catalog.Service{Name: "chat", ColdTime: time.Second, ColdRate: 1} // The fleet's bounds allow a cold server nothing.
+	pick := func() (*placement.PickResult, error) {
+		return x.f.opts.Fleet.Pick(placement.PickRequest{Service: cold}, time.Now())
+	}
+	picked, err := pick()
+	if err != nil {
+		t.Fatal(err)
+	}
+	x.origin.Version = "v2"
+	tell := func(born int64) {
+		if err := x.checkProcess(t.Context(), picked, backend.Process{Told: true, Born: born}); err == nil {
+			t.Errorf("the stream goes on at a process that started at %d", born)
+		}
+	}
+	tell(picked.Born - 1)
+	if _, err := pick(); err != nil {
+		t.Errorf("after an earlier start: %v", err)
+	}
+	tell(picked.Born + 1)
+	if _, err := pick(); err == nil {
+		t.Error("a request is sent to the server after its process has told a later start")
+	}
+}
