Streams of a server that was replaced at once by one of the same version go on

What callers saw: streams without a length of a killed server whose next process had the address at once broke, instead of going on at the other server, in a fleet with one version.

Cause: took another start that is told for another version until its announcement arrives, and did not wait for that.

Change: where one version is known, the request waits for the announcement, for up to a second, and asks once more.

--- a/internal/fleetview/server_versions.go
+++ b/internal/fleetview/server_versions.go
@@ -36,7 +36,7 @@
 	// listTime is how long a directory process takes to send the list of all servers to a router that begins to
 	// report to it. Those of earlier releases do not answer syncs.
 	listTime = 2 * time.Second
-	// heardInterval is how often the router looks for a heartbeat that it waits for.
+	// heardInterval is how often the router looks for an announcement that it waits for.
 	heardInterval = 20 * time.Millisecond
 )
 
@@ -167,6 +167,23 @@
 	}
 }
 
+// AwaitReplacement waits until another incarnation of the server than the given one is known. The error is ErrNotInformed or
+// that of ctx.
+func (v *View) AwaitReplacement(ctx context.Context, server string, born int64) error {
+	ctx, cancel := context.WithTimeoutCause(ctx, confirmTimeout, ErrNotInformed)
+	defer cancel()
+	for {
+		if s := v.opts.Fleet.LatestIncarnation(server); s != nil && s.Born != born {
+			return nil
+		}
+		select {
+		case <-time.After(heardInterval):
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+}
+
 // askForSync asks the directory which incarnations of servers run now.
 func (v *View) askForSync() {
 	if l := v.reportTo.Load(); l != nil {
--- a/internal/forward/resumption.go
+++ b/internal/forward/resumption.go
@@ -197,13 +197,18 @@
 }
 
 // confirmOrigin returns an error unless the incarnation that an origin names is known to have begun its stream, which it was
-// taken for since a time by the boot clock. Its process tells, if it still runs. If no process can be reached, another one can have
-// begun the stream only if it had not announced itself: that is ruled out where the fleet has known no other version.
+// taken for since a time by the boot clock. Its process tells, if it still runs. If it does not, another one can have
+// begun the stream only if it had not announced itself: that is ruled out where the fleet has known no other version, and the
+// process that runs now, if there is one, has announced itself.
 func (x *exchange) confirmOrigin(o streamorigin.Origin, since time.Duration) error {
 	run, cause := backend.Unreached, errors.Newf("the process that started at %d has been replaced", o.Born)
 	if s := x.f.opts.Fleet.LatestIncarnation(o.Server); s != nil && s.Born == o.Born && s.Service == o.Service && s.Version == o.Version {
 		run, cause = x.f.opts.Pool.RunsSince(x.ctx, x.backendTarget(s), since)
 	}
+	hasOneVersion := func() bool {
+		versions := x.f.opts.Fleet.Versions(o.Service)
+		return len(versions) == 1 && versions[0] == o.Version
+	}
 	switch run {
 	case backend.Runs:
 		return nil
@@ -212,9 +217,16 @@
 		if cause == nil {
 			return nil
 		}
+	case backend.Replaced:
+		if !hasOneVersion() || x.f.opts.View.AwaitReplacement(x.ctx, o.Server, o.Born) != nil {
+			break
+		}
+		next := x.f.opts.Fleet.LatestIncarnation(o.Server)
+		if run, cause = x.f.opts.Pool.RunsSince(x.ctx, x.backendTarget(next), clock.SinceBoot()); run == backend.Runs && hasOneVersion() {
+			return nil
+		}
 	case backend.Unreached:
-		err := x.f.opts.View.AwaitServers(x.ctx, clock.SinceBoot())
-		if versions := x.f.opts.Fleet.Versions(o.Service); err == nil && len(versions) == 1 && versions[0] == o.Version {
+		if err := x.f.opts.View.AwaitServers(x.ctx, clock.SinceBoot()); err == nil && hasOneVersion() {
 			return nil
 		}
 	}
@@ -224,6 +236,9 @@
 func (x *exchange) originNotConfirmed(server string, cause error) error {
 	x.f.opts.Metrics.Counter("forward.resumed.unconfirmed").Inc(1)
 	x.resumedBy = "no confirmed origin"
+	if cause == nil {
+		cause = errors.New("servers of several versions are known by now")
+	}
 	return errkind.Wrap(cause, errkind.StreamNotResumable, "the stream began at server %q, whose software version then is not known", server).
 		WithRetryAfter(refusedRetryAfter)
 }
