One way to report at once, and to wait for an announcement

The condition 'report if there is a process to report to' stood three times in internal/fleetview, the loop that waits for an announcement twice, and Pool.identify returned what its caller looked up again.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -145,7 +145,7 @@
 		return nil, false, err
 	}
 	if r.Identify {
-		if _, err = p.identify(ctx, c, r); err != nil {
+		if err = p.identify(ctx, c, r); err != nil {
 			_ = c.Close()
 			if c, opened, err = p.get(ctx, t, r); err != nil {
 				return nil, false, err
--- a/internal/backend/process.go
+++ b/internal/backend/process.go
@@ -54,19 +54,17 @@
 	return Process{ConnectedAt: c.connectedAt}
 }
 
-// identify returns what is known of the process that c leads to, having asked it for its start if that was not known. After
-// an error the connection cannot be used.
-func (p *Pool) identify(ctx context.Context, c *conn, r *Request) (Process, error) {
-	if known := c.pool.processOf(c); known.Told || p.opts.StartCall == nil || c.asked {
-		return known, nil
+// identify asks the process that c leads to for its start, unless that is known or was asked before. After an error the
+// connection cannot be used.
+func (p *Pool) identify(ctx context.Context, c *conn, r *Request) error {
+	if p.opts.StartCall == nil || c.asked || c.pool.processOf(c).Told {
+		return nil
 	}
-	switch err := p.askStart(ctx, c, r); {
-	case err != nil:
-		return Process{}, err
-	case c.ends:
-		return Process{}, errkind.New(errkind.Unreachable, "server %q ended the connection on which it was asked for its start", c.pool.id)
+	err := p.askStart(ctx, c, r)
+	if err == nil && c.ends {
+		err = errkind.New(errkind.Unreachable, "server %q ended the connection on which it was asked for its start", c.pool.id)
 	}
-	return c.pool.processOf(c), nil
+	return err
 }
 
 // askStart asks the process that c leads to for its start.
--- a/internal/fleetview/link.go
+++ b/internal/fleetview/link.go
@@ -199,6 +199,13 @@
 // reportNow wakes send for a report without a ping.
 func (l *link) reportNow() { signal(l.report) }
 
+// reportNow has the router report at once, if it reports to a directory process.
+func (v *View) reportNow() {
+	if l := v.reportTo.Load(); l != nil {
+		l.reportNow()
+	}
+}
+
 func signal(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
--- a/internal/fleetview/origins.go
+++ b/internal/fleetview/origins.go
@@ -19,9 +19,5 @@
 func (v *View) StreamOrigin(ctx context.Context, s streamorigin.Stream, suffice func() bool) (origin streamorigin.Origin, known, serversKnown bool) {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
-	return v.origins.Lookup(ctx, s, func() {
-		if l := v.reportTo.Load(); l != nil {
-			l.reportNow()
-		}
-	}, suffice)
+	return v.origins.Lookup(ctx, s, v.reportNow, suffice)
 }
--- a/internal/fleetview/server_versions.go
+++ b/internal/fleetview/server_versions.go
@@ -129,19 +129,12 @@
 	if err := v.AwaitServers(ctx, c.OpenedAt); err != nil {
 		return err
 	}
-	for {
-		switch {
-		case !v.hasVersion(c):
-			return ErrReplaced
-		case v.opts.Fleet.LatestIncarnation(c.Server).HeardSince(c.OpenedAt):
-			return nil
-		}
-		select {
-		case <-time.After(heardInterval):
-		case <-ctx.Done():
-			return context.Cause(ctx)
+	return awaitAnnouncement(ctx, func() (bool, error) {
+		if !v.hasVersion(c) {
+			return true, ErrReplaced
 		}
-	}
+		return v.opts.Fleet.LatestIncarnation(c.Server).HeardSince(c.OpenedAt), nil
+	})
 }
 
 // AwaitServers waits until the router knows all servers that had announced themselves at a time by the boot clock. A router that
@@ -172,9 +165,17 @@
 func (v *View) AwaitReplacement(ctx context.Context, server string, born int64) error {
 	ctx, cancel := context.WithTimeoutCause(ctx, confirmTimeout, ErrNotInformed)
 	defer cancel()
+	return awaitAnnouncement(ctx, func() (bool, error) {
+		s := v.opts.Fleet.LatestIncarnation(server)
+		return s != nil && s.Born != born, nil
+	})
+}
+
+// awaitAnnouncement waits until an announcement has made done true, and returns its error or that of ctx.
+func awaitAnnouncement(ctx context.Context, done func() (bool, error)) error {
 	for {
-		if s := v.opts.Fleet.LatestIncarnation(server); s != nil && s.Born != born {
-			return nil
+		if ok, err := done(); ok {
+			return err
 		}
 		select {
 		case <-time.After(heardInterval):
@@ -186,18 +187,13 @@
 
 // askForSync asks the directory which incarnations of servers run now.
 func (v *View) askForSync() {
-	if l := v.reportTo.Load(); l != nil {
-		v.syncs.wanted.Store(true)
-		l.reportNow()
-	}
+	v.syncs.wanted.Store(true)
+	v.reportNow()
 }
 
 // RecordOrigin records and reports the software that began a stream; at once if that is urgent.
 func (v *View) RecordOrigin(s streamorigin.Stream, o streamorigin.Origin, urgent bool) {
-	if !v.origins.Record(s, o, time.Now()) || !urgent {
-		return
-	}
-	if l := v.reportTo.Load(); l != nil {
-		l.reportNow()
+	if v.origins.Record(s, o, time.Now()) && urgent {
+		v.reportNow()
 	}
 }
