--- a/review/drill/main.go
+++ b/review/drill/main.go
@@ -11,7 +11,8 @@
 
 // cases are the cases by name. Each returns whether its rule held.
 var cases = map[string]func(rec *record, trouble bool) (held bool, err error){
-	"successor": runSuccessor,
+	"successor":   runSuccessor,
+	"first-start": runFirstStart,
 }
 
 func main() {
