review: case 13, a cold server that is back under its id gets as much as a warm one

Only a router whose own response broke off learns that the process of a server has ended. The others open new connections to its successor under the same id and do not know that it is cold until its first heartbeat.

--- a/review/drill/main.go
+++ b/review/drill/main.go
@@ -13,6 +13,7 @@
 var cases = map[string]func(rec *record, trouble bool) (held bool, err error){
 	"successor":   runSuccessor,
 	"first-start": runFirstStart,
+	"same-id":     runSameID,
 }
 
 func main() {
