--- a/review/drill/main.go
+++ b/review/drill/main.go
@@ -14,6 +14,7 @@
 	"successor":   runSuccessor,
 	"first-start": runFirstStart,
 	"same-id":     runSameID,
+	"core-kill":   runCoreKill,
 }
 
 func main() {
