--- a/review/drill/core.go
+++ b/review/drill/core.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -72,6 +73,15 @@
 	return false
 }
 
+// versionOf returns the version of a manifest.
+func versionOf(manifest []byte) string {
+	var m struct {
+		Version json.Number `json:"version"`
+	}
+	_ = json.Unmarshal(manifest, &m) // An unreadable one has no version.
+	return m.Version.String()
+}
+
 // checkCore changes the manifest and reads it back, as at the end of a day, long after all bounds have passed, and counts what
 // requesters are answered then.
 func (f *fleet) checkCore(q *requester, version int) (held bool) {
--- a/review/drill/main.go
+++ b/review/drill/main.go
@@ -11,6 +11,7 @@
 
 // cases are the cases by name. Each returns whether its rule held.
 var cases = map[string]func(rec *record, trouble bool) (held bool, err error){
+	"snapshot":    runSnapshot,
 	"successor":   runSuccessor,
 	"first-start": runFirstStart,
 	"same-id":     runSameID,
