--- a/review/drill/sameid.go
+++ b/review/drill/sameid.go
@@ -13,6 +13,8 @@
 	sameIDRequests, sameIDServers = 150.0, 3
 	// sameIDDown is how long a crashed server is down, and lateBeat how late its first heartbeat arrives.
 	sameIDDown, lateBeat = time.Second, 1500 * time.Millisecond
+	// crashAt is a rate well above the bound of 26 requests in a second, at which a cold server crashes. It is lost for good then.
+	crashAt = 40
 )
 
 // runSameID lets servers crash under load, one after the other. Each starts again under its id and at its address, cold, and its
@@ -60,7 +62,7 @@
 		}
 		s.crash()
 		time.Sleep(sameIDDown)
-		if servers[i], err = s.startAgain(coldTime, lateBeat); err != nil {
+		if servers[i], err = s.startAgain(coldTime, lateBeat, crashAt); err != nil {
 			return false, err
 		}
 		rec.say("server %s has crashed and is back under its id after %s; its first heartbeat is late by %s", s.id, sameIDDown, lateBeat)
--- a/review/drill/server.go
+++ b/review/drill/server.go
@@ -57,10 +57,12 @@
 	state                               atomic.Value
 	http                                *http.Server
 	cancel                              context.CancelFunc
-	// handle, if set, replaces the work on a request.
-	handle func(w http.ResponseWriter, r *http.Request)
 	// firstBeat is how late the first heartbeat arrives.
 	firstBeat time.Duration
+	// crashAt is how many requests within a second end the server while it is cold; 0 if none do.
+	crashAt int
+	mu      sync.Mutex
+	recent  []time.Time
 }
 
 // startServer starts a server at a free port of ip.
@@ -89,7 +91,7 @@
 }
 
 // startAgain starts a crashed server under the id and the address that it had. It knows nothing of before.
-func (s *server) startAgain(cold, firstBeat time.Duration) (*server, error) {
+func (s *server) startAgain(cold, firstBeat time.Duration, crashAt int) (*server, error) {
 	l, err := net.Listen("tcp", s.address)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %v", errCannotRun, err)
@@ -97,7 +99,7 @@
 	now := time.Now()
 	next := &server{
 		id: s.id, service: s.service, zone: s.zone, address: s.address, version: s.version, slots: s.slots, work: s.work, born: now.UnixMilli(), coldUntil: now.Add(cold),
-		arrivals: s.arrivals, rec: s.rec, controls: s.controls, places: make(chan struct{}, s.slots), handle: s.handle, firstBeat: firstBeat,
+		arrivals: s.arrivals, rec: s.rec, controls: s.controls, places: make(chan struct{}, s.slots), firstBeat: firstBeat, crashAt: crashAt,
 	}
 	next.state.Store("ready")
 	next.serve(l)
@@ -166,8 +168,9 @@
 	cold := s.coldLeft() > 0
 	s.arrivals.add(arrival{id: id, server: s.id, at: at, cold: cold})
 	s.rec.add("run %s at %s, cold %t, tenant %s", id, s.id, cold, r.Header.Get("X-Tenant-Id"))
-	if s.handle != nil {
-		s.handle(w, r)
+	if cold && s.overrun(at) {
+		s.rec.say("server %s crashes: it got %d requests within a second while it was cold, and holds %d", s.id, s.crashAt, s.running.Load())
+		s.crash()
 		return
 	}
 	time.Sleep(s.work)
@@ -177,6 +180,17 @@
 	_, _ = io.WriteString(w, text)
 }
 
+// overrun reports whether the cold server has got so many requests within a second that it crashes.
+func (s *server) overrun(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recent = append(s.recent, now)
+	for now.Sub(s.recent[0]) > time.Second {
+		s.recent = s.recent[1:]
+	}
+	return s.crashAt > 0 && len(s.recent) == s.crashAt
+}
+
 // crash ends the server without a word.
 func (s *server) crash() {
 	s.cancel()
