--- a/review/drill/fleet.go
+++ b/review/drill/fleet.go
@@ -142,8 +142,10 @@
 }
 
 // Sections and values of a template.
-var section = regexp.MustCompile(`(?s)\{\{#([a-z_.0-9]+)\}\}(.*?)\{\{/([a-z_.0-9]+)\}\}`)
-var value = regexp.MustCompile(`\{\{([a-z_.0-9]+)\}\}`)
+var (
+	section = regexp.MustCompile(`(?s)\{\{#([a-z_.0-9]+)\}\}(.*?)\{\{/([a-z_.0-9]+)\}\}`)
+	value   = regexp.MustCompile(`\{\{([a-z_.0-9]+)\}\}`)
+)
 
 // fill fills in the placeholders and sections that the templates use.
 func fill(text string, values map[string]any) string {
