--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -81,13 +81,15 @@
 const dataPartMarker = 0
 
 // SnapshotReader reads a snapshot file. Read returns io.EOF only after the size and the
-// hash in the trailer were found to match the data.
+// hash in the trailer were found to match the data, and then, or after an error, again the same.
 type SnapshotReader struct {
 	Meta  *pb.SnapshotMeta
 	rr    *record.Reader
 	buf   []byte
 	total uint64
 	hash  *xxhash.Digest
+	// err is io.EOF after the trailer was read, or what Read has failed with.
+	err error
 }
 
 // ReadSnapshot reads the header of a snapshot file and returns a reader for its data.
@@ -117,10 +119,11 @@
 
 // Read implements io.Reader. It returns the snapshot's data.
 func (s *SnapshotReader) Read(p []byte) (int, error) {
-	if len(s.buf) == 0 {
-		if err := s.readPart(); err != nil {
-			return 0, err
-		}
+	if len(s.buf) == 0 && s.err == nil {
+		s.err = s.readPart()
+	}
+	if len(s.buf) == 0 && s.err != nil {
+		return 0, s.err
 	}
 	n := copy(p, s.buf)
 	s.buf = s.buf[n:]
