--- a/internal/storage/files.go
+++ b/internal/storage/files.go
@@ -31,6 +31,10 @@
 // ErrFormat marks errors about a folder that another version has written. It is intact.
 var ErrFormat = errors.New("format of another version")
 
+// ErrNotLoaded marks errors about a snapshot that is intact, but that the state machine of this
+// version does not take.
+var ErrNotLoaded = errors.New("snapshot not loaded")
+
 func numberedName(prefix string, n uint64) string { return fmt.Sprintf("%s%020d", prefix, n) }
 
 // listNumbered returns the numbers of all complete files with the prefix in ascending
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -333,7 +333,8 @@
 }
 
 // LoadSnapshot calls read with the data of the newest snapshot, verifies all of it and returns
-// its metadata.
+// its metadata. An error of kind damaged-storage says that the snapshot is damaged. If it is intact
+// and read fails, the error is marked with ErrNotLoaded.
 func (s *Store) LoadSnapshot(read func(io.Reader) error) (*pb.SnapshotMeta, error) {
 	f, _, err := s.OpenSnapshot()
 	if err != nil {
@@ -344,9 +345,12 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := read(r); err != nil {
+	readErr := read(r)
+	if _, err := io.Copy(io.Discard, r); err != nil {
 		return nil, err
 	}
-	_, err = io.Copy(io.Discard, r)
-	return r.Meta, err
+	if readErr != nil {
+		return nil, errors.Mark(errkind.Wrap(readErr, errkind.Internal, "the snapshot at index %d is intact, but this version cannot load it; the data folder %s is kept: use the version that wrote it", r.Meta.Index, s.dir), ErrNotLoaded)
+	}
+	return r.Meta, nil
 }
