Directory: a voter that is gone and a lost disk leave a quorum of four voters

Cause: a process that joins while all voters live is added beside them. Of four voters three are needed, and the planned end leaves just three. Until the one that has ended is removed for its silence, one loss more leaves two, which can neither elect nor remove anybody.

Change, two ways that cover each other: - A process that ends asks the leader to remove it from the voters, if the others are enough to bear the losses (Resign). If it starts again, it joins with what it holds. - A voter's disk in whose place another one was seen cannot vote again. In a set with an even number of voters, four or more, a majority of the others then elects, commits and confirms as well, if all of them know of it (Quorum). The disk is asked for at the voter's address, since a request to join may be a late one of a former process. It counts for one disk at a time, only in a set that a majority durably knows to be in force, and where the log holds a later set only together with a majority of that one. Voters keep the replaced disks on their disks until these are no voters any more, and confirm none of them if it is put back.

--- a/internal/directory/process.go
+++ b/internal/directory/process.go
@@ -131,7 +131,7 @@
 func (p *Process) assemble(ownAddress string, seeds []string) {
 	manager := &voterManager{
 		id: ownAddress, address: ownAddress, disk: p.store.DiskID(), group: p.group, dialer: p.dialer, log: p.log.Named("roster"),
-		now: time.Now, seeds: seeds, minVoters: minVoters(p.conf.ToleratedLosses), pendingJoins: map[string]pendingJoin{},
+		now: time.Now, seeds: seeds, minVoters: minVoters(p.conf.ToleratedLosses), pendingJoins: map[string]pendingJoin{}, changing: make(chan struct{}, 1),
 	}
 	p.server = &server{
 		process: uuid.NewString(), group: p.group, machine: p.machine, voterManager: manager, dialer: p.dialer, log: p.log,
@@ -202,6 +202,7 @@
 			hctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 			defer cancel()
 			p.group.TransferLeadership(hctx)
+			p.voterManager().resign(ctx)
 			stop()
 		case <-ctx.Done():
 		}
--- a/internal/directory/server.go
+++ b/internal/directory/server.go
@@ -65,10 +65,20 @@
 }
 
 // Join implements the Directory service.
-func (s *server) Join(_ context.Context, req *fleetpb.JoinRequest) (*fleetpb.JoinResponse, error) {
-	if !s.group.Status().Leading {
+func (s *server) Join(ctx context.Context, req *fleetpb.JoinRequest) (*fleetpb.JoinResponse, error) {
+	accepted := s.voterManager.checkReplaced(ctx, req)
+	if !accepted || !s.group.Status().Leading {
 		return &fleetpb.JoinResponse{Members: s.voterManager.members()}, nil
 	}
 	s.voterManager.addJoinRequest(req)
 	return &fleetpb.JoinResponse{Members: s.voterManager.members()}, nil
 }
+
+// Resign implements the Directory service.
+func (s *server) Resign(ctx context.Context, req *fleetpb.ResignRequest) (*fleetpb.ResignResponse, error) {
+	removed, err := s.voterManager.removeResigned(ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	return &fleetpb.ResignResponse{Removed: removed}, nil
+}
--- a/internal/directory/voters.go
+++ b/internal/directory/voters.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -48,6 +49,10 @@
 	now         func() time.Time
 	// minVoters is the number of live voters below which no silent voter is removed.
 	minVoters int
+	// changing is held while the voters are changed: each change is decided on the outcome of the one before.
+	changing chan struct{}
+	// resigning is set once this process is about to end.
+	resigning atomic.Bool
 
 	mu           sync.Mutex
 	seeds        []string
@@ -105,7 +110,7 @@
 // wantsToJoin reports whether this process asks to become a voter. One without a leader may
 // have been removed. A suspended one could not catch up.
 func (m *voterManager) wantsToJoin(s *replication.Status) bool {
-	return !s.Suspended && (s.Leader == "" || !isVoter(s.Voters, m.id, m.disk))
+	return !s.Suspended && !m.resigning.Load() && (s.Leader == "" || !isVoter(s.Voters, m.id, m.disk))
 }
 
 func isVoter(set *pb.VoterSet, id, disk string) bool {
@@ -152,22 +157,29 @@
 // changeVoters makes the voter changes that are due, one after the other.
 func (m *voterManager) changeVoters(ctx context.Context) {
 	for {
-		s := m.group.Status()
-		change := m.nextChange(s)
-		if change == nil || !m.changeVoter(ctx, s, change) {
+		if !m.makeNextChange(ctx) {
 			return
 		}
 	}
 }
 
-func (m *voterManager) changeVoter(ctx context.Context, s *replication.Status, change *voterChange) bool {
+// makeNextChange makes the next voter change. It returns false if none is due, or if it failed.
+func (m *voterManager) makeNextChange(ctx context.Context) bool {
+	m.changing <- struct{}{}
+	defer func() { <-m.changing }()
+	s := m.group.Status()
+	change := m.nextChange(s)
+	return change != nil && m.changeVoter(ctx, s, change) == nil
+}
+
+func (m *voterManager) changeVoter(ctx context.Context, s *replication.Status, change *voterChange) error {
 	ctx, cancel := context.WithTimeout(ctx, changeVoterTimeout)
 	defer cancel()
 	began := m.now()
 	err := change.apply(ctx, m.group)
 	m.log.Info("voters changed", "step", change.op, "voter", change.voter.Id, "because", change.reason, "voters", len(s.Voters.Voters),
 		"learners", len(s.Voters.Learners), "took", m.now().Sub(began).Round(time.Millisecond), "error", err)
-	return err == nil
+	return err
 }
 
 // voterChange is one step of a change of the voters.
--- a/internal/replication/applier.go
+++ b/internal/replication/applier.go
@@ -169,7 +169,7 @@
 		if err := proto.Unmarshal(e.Data, set); err != nil {
 			return errkind.Wrap(err, errkind.DamagedStorage, "decode the voter set in entry %d", e.Index)
 		}
-		a.meta.Voters = set
+		a.meta.Voters, a.meta.VotersIndex = set, e.Index
 	}
 	if w := a.g.takeProposal(e.Index); w != nil {
 		w.done <- proposalOutcome(w, e, value)
--- a/internal/replication/confirm.go
+++ b/internal/replication/confirm.go
@@ -1,6 +1,7 @@
 package replication
 
 import (
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -81,23 +82,27 @@
 }
 
 // updateConfirmed sets confirmed once all other voters have answered this start's
-// hellos, or once a majority has and confirmDeadline has passed.
+// hellos, or once a quorum has and confirmDeadline has passed.
 func (c *Core) updateConfirmed() {
 	set := c.referenceVoters()
 	if c.confirmed || !c.isMemberOf(set) {
 		return
 	}
+	needed, uncounted := majority(len(set.Voters)), Uncountable(set, c.replaced, true)
+	if uncounted != "" {
+		needed = majority(len(set.Voters) - 1)
+	}
 	n, all := 1, 1
 	for _, v := range set.Voters {
 		if v.Disk == c.cfg.Disk {
 			continue
 		}
 		all++
-		if c.confirmations[v.Disk] {
+		if c.confirmations[v.Disk] && v.Disk != uncounted {
 			n++
 		}
 	}
-	c.confirmed = n == all || n >= majority(len(set.Voters)) && c.now >= c.confirmDeadline
+	c.confirmed = n == all || n >= needed && c.now >= c.confirmDeadline
 	if first := c.cfg.FirstElectionTimeout; c.confirmed && first > 0 && c.role == Follower && c.leader == "" {
 		c.electionDue = min(c.electionDue, c.now+time.Duration(c.rng.Int64N(int64(first))))
 	}
@@ -144,6 +149,8 @@
 	if k := c.marks[m.FromDisk]; k != nil {
 		reply.Marks = []*pb.Mark{k}
 	}
+	// A folder that was put back confirms nothing: others may have elected leaders without it since.
+	reply.Reject = slices.Contains(c.replaced, m.FromDisk)
 	c.send(sender(m), reply)
 }
 
@@ -151,6 +158,9 @@
 	if m.Round != c.startNonce() || c.confirmed {
 		return
 	}
+	if m.Reject {
+		return
+	}
 	if t := m.Snapshot; t.GetIndex() > max(c.commit, c.newerVoters.GetIndex()) && c.isMemberOf(t.Voters) {
 		c.newerVoters = t
 	}
--- a/internal/replication/core.go
+++ b/internal/replication/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -92,11 +93,17 @@
 	term        uint64
 	vote        string
 	quarantined bool
-	role        Role
-	leader      string
-	log         raftLog
-	commit      uint64
-	voters      *pb.VoterSet
+	// replaced are the disks of voters in force in whose place another disk was seen, sorted.
+	replaced []string
+	// uncounted is the one of them that this process, as candidate or leader, leaves out in its term.
+	uncounted string
+	// answering is the uncounted disk that answers to the message being processed repeat.
+	answering string
+	role      Role
+	leader    string
+	log       raftLog
+	commit    uint64
+	voters    *pb.VoterSet
 	// votersIndex is the index of the entry that holds voters, or of the snapshot that does.
 	votersIndex uint64
 	snapshot    *pb.SnapshotMeta
@@ -128,7 +135,7 @@
 	// roleReason says why the role, the term or the known leader changed last.
 	roleReason string
 
-	votes map[string]bool
+	votes map[string]vote
 	// leadershipTransfer is set while a campaign starts that the leader has asked for.
 	leadershipTransfer bool
 	progress           map[string]*progress
@@ -209,11 +216,11 @@
 	if hs == nil {
 		hs = &pb.HardState{}
 	}
-	c.term, c.vote, c.quarantined = hs.Term, hs.Vote, hs.Quarantined
+	c.term, c.vote, c.quarantined, c.replaced = hs.Term, hs.Vote, hs.Quarantined, slices.Clone(hs.Replaced)
 	c.savedHardState = proto.Clone(hs).(*pb.HardState)
 	if r.Snapshot != nil {
 		c.snapshot, c.voters = r.Snapshot, cloneVoterSet(r.Snapshot.Voters)
-		c.commit, c.applying, c.votersIndex = r.Snapshot.Index, r.Snapshot.Index, r.Snapshot.Index
+		c.commit, c.applying, c.votersIndex = r.Snapshot.Index, r.Snapshot.Index, snapshotVotersIndex(r.Snapshot)
 	}
 	c.log = newLog(r.Snapshot.GetIndex(), r.Snapshot.GetTerm(), r.Entries)
 	c.durableTerm, c.durableLast = c.term, c.log.last()
@@ -311,14 +318,10 @@
 }
 
 func (c *Core) hasQuorumContact() bool {
-	n := 0
-	for _, v := range c.voters.Voters {
+	return c.quorum().Reached(func(v *pb.Voter, uncounted string) bool {
 		p := c.progress[v.Id]
-		if v.Id == c.cfg.ID || p != nil && p.lastContact+c.cfg.QuorumTimeout > c.now {
-			n++
-		}
-	}
-	return n >= majority(len(c.voters.Voters))
+		return v.Id == c.cfg.ID || p != nil && p.lastContact+c.cfg.QuorumTimeout > c.now && c.knowsUncounted(v, uncounted)
+	})
 }
 
 func (c *Core) becomeFollower(term uint64, reason string) {
@@ -332,7 +335,7 @@
 		}
 		c.reads, c.progress = nil, nil
 	}
-	c.role, c.leader, c.votes = Follower, "", nil
+	c.role, c.leader, c.votes, c.uncounted = Follower, "", nil, ""
 	c.resetElection()
 }
 
@@ -349,6 +352,10 @@
 		m.Term = c.term
 	}
 	m.Unconfirmed = !c.Confirmed()
+	m.Uncounted = c.uncounted
+	if isAnswer(m.Type) {
+		m.Uncounted = c.answering
+	}
 	return m
 }
 
@@ -388,15 +395,30 @@
 
 // hardStateIfChanged returns the hard state to persist, or nil. A change of the commit
 // index alone is persisted on its own only if it puts a voter set in force, since after a
-// restart the one before might count voters that are gone. Otherwise it is persisted
-// together with the next other change.
+// restart the one before might count voters that are gone, or if it shows that a majority knows
+// a set of which a replaced disk may be left out. Otherwise it is persisted together with the next other change.
 func (c *Core) hardStateIfChanged() *pb.HardState {
 	s := c.savedHardState
-	changed := s.Term != c.term || s.Vote != c.vote || s.Quarantined != c.quarantined || s.Commit < c.votersIndex && c.snapshot.GetIndex() < c.votersIndex
+	saved := max(s.Commit, c.snapshot.GetIndex())
+	changed := s.Term != c.term || s.Vote != c.vote || s.Quarantined != c.quarantined || !slices.Equal(s.Replaced, c.replaced) ||
+		saved < c.votersIndex || saved == c.votersIndex && c.votersKnown() && mayLeaveOut(c.voters)
 	if !changed && c.durableNext > c.log.last() {
 		return nil
 	}
-	return &pb.HardState{Term: c.term, Vote: c.vote, Commit: c.commit, Quarantined: c.quarantined}
+	return &pb.HardState{Term: c.term, Vote: c.vote, Commit: c.commit, Quarantined: c.quarantined, Replaced: c.replaced}
+}
+
+// votersKnown reports whether a majority of the voters durably knows that the set is in force: entries after it are
+// committed by its own majority only.
+func (c *Core) votersKnown() bool { return c.commit > c.votersIndex }
+
+// snapshotVotersIndex returns the index of the entry that holds the snapshot's voter set, or that of the snapshot if it
+// does not say.
+func snapshotVotersIndex(s *pb.SnapshotMeta) uint64 {
+	if s.VotersIndex == 0 {
+		return s.Index
+	}
+	return s.VotersIndex
 }
 
 // ReportDurable reports that the HardState and Entries of r, and the snapshot that it
--- a/internal/replication/election.go
+++ b/internal/replication/election.go
@@ -13,6 +13,8 @@
 	if c.suspended || m.ToDisk != c.cfg.Disk || m.FromDisk == c.cfg.Disk {
 		return
 	}
+	c.answering = c.acknowledgeReplaced(m)
+	defer func() { c.answering = "" }()
 	c.recordMarks(m)
 	c.recordContact(m.FromDisk, c.now)
 	c.learnCommit(m)
@@ -118,12 +120,13 @@
 		typ, term = pb.MessageType_VOTE, c.term
 	}
 	c.role, c.leader = role, ""
-	c.votes = map[string]bool{c.cfg.ID: true}
+	c.uncounted = Uncountable(c.voters, c.replaced, c.votersKnown())
+	c.votes = map[string]vote{c.cfg.ID: {uncounted: c.uncounted}}
 	c.resetElection()
 	if c.tallyVotes() {
 		return
 	}
-	for _, v := range c.voters.Voters {
+	for _, v := range c.quorum().electors() {
 		if v.Id != c.cfg.ID {
 			c.send(v, &pb.Message{Type: typ, Term: term, Index: c.log.last(), LogTerm: c.log.lastTerm(), HandedOver: c.leadershipTransfer, Snapshot: c.commitMeta()})
 		}
@@ -158,7 +161,7 @@
 		return
 	}
 	if c.role == PreCandidate {
-		c.role, c.votes = Follower, nil
+		c.role, c.votes, c.uncounted = Follower, nil, ""
 	}
 	if c.role == Follower {
 		c.campaignDeferred = true
@@ -169,7 +172,7 @@
 func (c *Core) onVoteReply(m *pb.Message) {
 	preVote := m.Type == pb.MessageType_PRE_VOTE_REPLY
 	switch {
-	case m.Unconfirmed || !isMember(c.voters.Voters, m.From, m.FromDisk):
+	case m.Unconfirmed || !isMember(c.quorum().electors(), m.From, m.FromDisk):
 		return
 	case preVote && (c.role != PreCandidate || !m.Reject && m.Term != c.term+1):
 		return
@@ -179,20 +182,21 @@
 	if m.Reject {
 		return
 	}
-	c.votes[m.From] = true
+	c.votes[m.From] = vote{uncounted: m.Uncounted}
 	c.tallyVotes()
 }
 
+// vote is a vote for this process. uncounted is the disk of whose replacement the voter knows.
+type vote struct{ uncounted string }
+
 // tallyVotes starts the election after a won pre-vote, or becomes leader after a won
 // election. It reports whether a majority has granted its vote.
 func (c *Core) tallyVotes() bool {
-	n := 0
-	for _, v := range c.voters.Voters {
-		if c.votes[v.Id] {
-			n++
-		}
-	}
-	if n < majority(len(c.voters.Voters)) {
+	granted := c.quorum().Reached(func(v *pb.Voter, uncounted string) bool {
+		vote, ok := c.votes[v.Id]
+		return ok && (uncounted == "" || vote.uncounted == uncounted)
+	})
+	if !granted {
 		return false
 	}
 	if c.role == PreCandidate {
@@ -234,6 +238,9 @@
 	c.starting, c.attempts = false, 0
 	c.progress = map[string]*progress{}
 	c.syncProgress()
+	for id, p := range c.progress {
+		p.knowsUncounted = c.uncounted != "" && c.votes[id].uncounted == c.uncounted
+	}
 	for _, v := range c.members() {
 		if _, known := c.heard[v.Disk]; !known {
 			c.heard[v.Disk] = c.now
@@ -273,7 +280,7 @@
 	if c.leader != m.From {
 		c.roleReason = "a leader was heard from"
 	}
-	c.role, c.leader, c.votes = Follower, m.From, nil
+	c.role, c.leader, c.votes, c.uncounted = Follower, m.From, nil, ""
 	c.starting, c.attempts = false, 0
 	c.leaderContact = c.now
 	if c.vote == "" {
--- a/internal/replication/progress.go
+++ b/internal/replication/progress.go
@@ -23,9 +23,12 @@
 	// inflight holds the last index of each append message not yet acknowledged.
 	inflight []uint64
 	// paused is set after a probe, until the next reply or heartbeat reply.
-	paused          bool
-	lastContact     time.Duration
-	ackedRound      uint64
+	paused      bool
+	lastContact time.Duration
+	ackedRound  uint64
+	// knowsUncounted is set once the follower has answered, in this term, that it knows of the replacement of the
+	// disk that the leader does not count.
+	knowsUncounted  bool
 	pendingSnapshot uint64
 	installStarted  time.Duration
 }
--- a/internal/replication/read.go
+++ b/internal/replication/read.go
@@ -1,6 +1,6 @@
 package replication
 
-import "slices"
+import pb "github.com/kumquathollow/kumquathollow/api/replicationpb"
 
 // ReadIndex requests a linearizable read, which a heartbeat round then confirms. Its
 // id is returned in Ready.Reads or Ready.AbortedReads.
@@ -26,21 +26,15 @@
 	if c.role != Leader || len(c.reads) == 0 {
 		return
 	}
-	var rounds []uint64
-	for _, v := range c.voters.Voters {
-		switch p := c.progress[v.Id]; {
-		case v.Id == c.cfg.ID:
-			rounds = append(rounds, c.heartbeatRound)
-		case p != nil && p.disk == v.Disk:
-			rounds = append(rounds, p.ackedRound)
-		default:
-			rounds = append(rounds, 0)
-		}
+	q := c.quorum()
+	confirmed := func(round uint64) bool {
+		return q.Reached(func(v *pb.Voter, uncounted string) bool {
+			p := c.progress[v.Id]
+			return v.Id == c.cfg.ID || p != nil && p.disk == v.Disk && p.ackedRound >= round && c.knowsUncounted(v, uncounted)
+		})
 	}
-	slices.Sort(rounds)
-	confirmedRound := rounds[len(rounds)-majority(len(rounds))]
 	n := 0
-	for n < len(c.reads) && c.reads[n].round != 0 && c.reads[n].round <= confirmedRound {
+	for n < len(c.reads) && c.reads[n].round != 0 && confirmed(c.reads[n].round) {
 		c.ready.Reads = append(c.ready.Reads, ReadState{ID: c.reads[n].id, Index: c.reads[n].index})
 		n++
 	}
--- a/internal/replication/replicate.go
+++ b/internal/replication/replicate.go
@@ -273,7 +273,8 @@
 	}
 	c.log = newLog(s.Index, s.Term, nil)
 	c.commit, c.applying, c.durableNext = s.Index, s.Index, s.Index+1
-	c.snapshot, c.voters, c.votersIndex = s, cloneVoterSet(s.Voters), s.Index
+	c.snapshot, c.voters, c.votersIndex = s, cloneVoterSet(s.Voters), snapshotVotersIndex(s)
+	c.forgetReplaced()
 	c.ready.Install, c.ready.Committed = s, nil
 	reply.Index = s.Index
 	c.ackedIndex = max(c.ackedIndex, s.Index)
@@ -285,6 +286,9 @@
 		return nil
 	}
 	p.lastContact = c.now
+	if c.uncounted != "" && m.Uncounted == c.uncounted {
+		p.knowsUncounted = true
+	}
 	return p
 }
 
@@ -347,14 +351,22 @@
 // by the majority of a set is preceded by the set itself on the disks of a majority.
 func (c *Core) maybeCommit() {
 	var matches []uint64
-	for _, v := range c.voters.Voters {
+	q, index := c.quorum(), uint64(0)
+	for _, v := range q.electors() {
 		matches = append(matches, c.matchIndex(v))
 	}
 	if len(matches) == 0 {
 		return
 	}
 	slices.Sort(matches)
-	index := matches[len(matches)-majority(len(matches))]
+	for _, match := range slices.Backward(matches) {
+		if q.Reached(func(v *pb.Voter, uncounted string) bool {
+			return c.matchIndex(v) >= match && c.knowsUncounted(v, uncounted)
+		}) {
+			index = match
+			break
+		}
+	}
 	if t, ok := c.log.term(index); !ok || t != c.term || index <= c.commit || index < c.votersStartIndex {
 		return
 	}
@@ -380,6 +392,12 @@
 	return to
 }
 
+// knowsUncounted reports whether a voter knows that the disk was replaced, in this term; true if there is none.
+func (c *Core) knowsUncounted(v *pb.Voter, uncounted string) bool {
+	p := c.progress[v.Id]
+	return uncounted == "" || v.Id == c.cfg.ID || p != nil && p.knowsUncounted
+}
+
 func (c *Core) matchIndex(v *pb.Voter) uint64 {
 	if v.Id == c.cfg.ID {
 		return c.durableLast
@@ -415,6 +433,9 @@
 
 func (c *Core) activateVoters(set *pb.VoterSet) {
 	c.voters, c.votersIndex = set, c.commit
+	// What is left uncounted was chosen for the set before.
+	c.uncounted = ""
+	c.forgetReplaced()
 	c.forgetRemoved()
 	c.updateConfirmed()
 	if c.role != Leader {
--- a/internal/replication/sim_test.go
+++ b/internal/replication/sim_test.go
@@ -390,7 +390,7 @@
 	if !ok || n.held != nil {
 		return
 	}
-	meta := &pb.SnapshotMeta{Index: n.applied, Term: term, Voters: cloneVoterSet(n.core.Voters())}
+	meta := &pb.SnapshotMeta{Index: n.applied, Term: term, Voters: cloneVoterSet(n.core.Voters()), VotersIndex: n.core.votersIndex}
 	keep := n.applied - min(n.applied, uint64(s.rng.IntN(3)))
 	n.disk.log = append([]*pb.Entry(nil), n.core.log.slice(n.applied+1, n.core.log.last(), 1<<30)...)
 	n.disk.snap = meta
--- a/internal/replication/status.go
+++ b/internal/replication/status.go
@@ -25,6 +25,10 @@
 	// VotersDurable is set on a leader once a majority of Voters durably knows that the set is
 	// committed.
 	VotersDurable bool
+	// Replaced are the disks of voters in whose place another disk was seen.
+	Replaced []string
+	// Uncounted is the one of them that this process, as a leader, does not count among the voters, or "".
+	Uncounted string
 	// Suspended is set while the disk has no room. The process then knows no leader and
 	// does not lead.
 	Suspended bool
@@ -90,7 +94,7 @@
 	s := &Status{
 		ID: c.cfg.ID, Disk: c.cfg.Disk, Leading: c.role == Leader, Leader: c.leader, Term: c.term,
 		Commit: c.commit, LastIndex: c.log.last(), Voters: c.voters, Confirmed: c.Confirmed(),
-		VotersDurable: c.votersDurable(), Quarantined: c.quarantined, Suspended: c.suspended, LogBytes: c.log.bytes, Progress: map[string]MemberProgress{},
+		VotersDurable: c.votersDurable(), Replaced: c.replaced, Uncounted: c.uncounted, Quarantined: c.quarantined, Suspended: c.suspended, LogBytes: c.log.bytes, Progress: map[string]MemberProgress{},
 	}
 	for _, v := range c.members() {
 		if p, ok := c.Progress(v.Id); ok {
@@ -105,7 +109,10 @@
 		return
 	}
 	if previous.Leader != s.Leader || previous.Term != s.Term {
-		g.opt.Log.Info("leadership", "leader", s.Leader, "term", s.Term, "commit", s.Commit, "voters", len(s.Voters.GetVoters()), "because", c.roleReason)
+		g.opt.Log.Info("leadership", "leader", s.Leader, "term", s.Term, "commit", s.Commit, "voters", len(s.Voters.GetVoters()), "uncounted", s.Uncounted, "because", c.roleReason)
+	}
+	if len(s.Replaced) > len(previous.Replaced) {
+		g.opt.Log.Warn("a voter's disk was replaced: its votes are not awaited where the others suffice", "replaced", s.Replaced, "voters", len(s.Voters.GetVoters()))
 	}
 	if s.Quarantined && !previous.Quarantined {
 		g.opt.Log.Error("disk quarantined: it holds less than it has acknowledged to the group, and this voter no longer votes. Remove the voter, empty its data folder and add it again.", "disk", s.Disk)
@@ -200,6 +207,19 @@
 	}
 }
 
+// ConfirmReplaced asks the process at a voter's address for its disk, and reports the voter's disk as replaced if it
+// is another one. A request to join is no evidence by itself, since a former process may have sent it.
+func (g *Group) ConfirmReplaced(ctx context.Context, v *pb.Voter) error {
+	peer, err := g.identify(ctx, v.Address)
+	if err != nil {
+		return err
+	}
+	if peer.Id != v.Id || peer.Disk == v.Disk {
+		return errkind.New(errkind.WrongDisk, "the process at %s identifies itself as %q with disk %s; the voter %q has disk %s", v.Address, peer.Id, peer.Disk, v.Id, v.Disk)
+	}
+	return g.enqueue(ctx, func() { g.core.ReportReplaced(v.Disk) })
+}
+
 // RemoveVoter removes a voter or learner. It returns once the removal is committed and a majority
 // of the other voters durably knows so: then the removed one is no longer needed.
 func (g *Group) RemoveVoter(ctx context.Context, id string) error {
