Inventory: an earlier start that is learned of later counts as well

Cause: Table noted that a server had started again only if the earlier start was known when the later one was merged. A process that hears of the next start before it applies the record of the first one's departure took the leave for that of the only start.

Change: the table keeps when the latest start was first heard of, and marks it as a repeated one as soon as an earlier start is learned of: from a departure, recorded or forgotten, or from a late announcement.

--- a/internal/directory/late_leaves_test.go
+++ b/internal/directory/late_leaves_test.go
@@ -89,3 +89,43 @@
 		t.Errorf("a leave of the only start that is known: %v", err)
 	}
 }
+
+// Guards against the same where a process learns the next start before it knows of an earlier one: it has
+// not applied the departure yet, or an announcement comes late.
+func TestALeaveWithoutAStartMayBeLateWhicheverStartIsLearnedFirst(t *testing.T) {
+	record := publication.DepartCommand([]inventory.Departure{{ID: "x", Born: 1, Sequence: 9, State: inventory.Gone}})
+	for name, learn := range map[string]func(h *hub){
+		"record": func(h *hub) {
+			applyCommand(t, h, record)
+			h.stateChanged()
+		},
+		"forgotten record": func(h *hub) {
+			applyCommand(t, h, record)
+			applyCommand(t, h, publication.ForgetCommand([]inventory.Departure{{ID: "x", Born: 1, Sequence: 9, State: inventory.Gone}}))
+			h.stateChanged()
+		},
+		"late announcement": func(h *hub) { h.merge(serverAnnouncement("x", 5, inventory.Ready), true) },
+	} {
+		h, _ := newTestHub()
+		h.knowsAllServers = true
+		now := h.now()
+		h.now = func() time.Time { return now }
+		next := serverAnnouncement("x", 1, inventory.Ready)
+		next.Born, next.LastSeen = 2, now
+		h.merge(next, true)
+		learn(h)
+		if err := h.checkLeave("x", 0); !errkind.Is(err, errkind.NotReady) {
+			t.Errorf("%s: a leave that may be that of the earlier start: %v", name, err)
+		}
+		if err := h.checkLeave("x", 2); err != nil {
+			t.Errorf("%s: a leave that names the start: %v", name, err)
+		}
+		now = now.Add(lateLeaveTime / 2)
+		learn(h)
+		now = now.Add(lateLeaveTime / 2)
+		learn(h)
+		if err := h.checkLeave("x", 0); err != nil {
+			t.Errorf("%s: a leave %s later: %v", name, lateLeaveTime, err)
+		}
+	}
+}
--- a/internal/inventory/departures.go
+++ b/internal/inventory/departures.go
@@ -59,6 +59,7 @@
 	previous := t.departures
 	t.departures = departures
 	for id, d := range departures {
+		t.noteEarlier(id, d.Born)
 		s := t.servers[id]
 		if previous[id] == d || s != nil && !d.changes(s) {
 			continue
@@ -79,6 +80,7 @@
 // returns those whose state changed.
 func (t *Table) ApplyDepartures(departures map[string]Departure) (changed []string) {
 	for id, d := range departures {
+		t.noteEarlier(id, d.Born)
 		if s := t.servers[id]; s != nil && d.changes(s) {
 			next := *s
 			d.apply(&next)
--- a/internal/inventory/room.go
+++ b/internal/inventory/room.go
@@ -31,7 +31,7 @@
 	s := t.servers[id]
 	delete(t.servers, id)
 	delete(t.lastReady, id)
-	delete(t.restartedAt, id)
+	delete(t.starts, id)
 	if t.owners[s.Address] == id {
 		delete(t.owners, s.Address)
 	}
--- a/internal/inventory/table.go
+++ b/internal/inventory/table.go
@@ -64,9 +64,8 @@
 	// lastReady holds the latest announcement of each server in which it was ready, late ones
 	// included.
 	lastReady map[string]position
-	// restartedAt holds when the latest incarnation of a server was first heard of, if an earlier one
-	// was known.
-	restartedAt map[string]time.Time
+	// starts holds what is known of the latest start of each server.
+	starts map[string]incarnationStart
 	// departures are those that the fleet has recorded, by server.
 	departures map[string]Departure
 	// isServed reports whether the configuration names a service; nil if that is not known.
@@ -75,7 +74,7 @@
 
 // New returns an empty Table.
 func New() *Table {
-	return &Table{servers: map[string]*Server{}, owners: map[string]string{}, lastReady: map[string]position{}, restartedAt: map[string]time.Time{}}
+	return &Table{servers: map[string]*Server{}, owners: map[string]string{}, lastReady: map[string]position{}, starts: map[string]incarnationStart{}}
 }
 
 // Change is the effect of an announcement or a leave on the table.
@@ -121,11 +120,28 @@
 	return position{d.Born, d.Sequence}.before(t.lastReady[d.ID])
 }
 
+// incarnationStart is the latest start of a server.
+type incarnationStart struct {
+	born int64
+	// heardAt is when the incarnation was first heard of.
+	heardAt time.Time
+	// again is set if an earlier incarnation is known of, from before or since.
+	again bool
+}
+
 // StartedAgainWithin reports whether the latest incarnation of a server was first heard of less than d
-// before now, while an earlier one was known.
+// before now, and an earlier one is known of.
 func (t *Table) StartedAgainWithin(id string, d time.Duration, now time.Time) bool {
-	at, found := t.restartedAt[id]
-	return found && now.Sub(at) < d
+	s := t.starts[id]
+	return s.again && now.Sub(s.heardAt) < d
+}
+
+// noteEarlier records that a server had an incarnation that started at born.
+func (t *Table) noteEarlier(id string, born int64) {
+	if s, found := t.starts[id]; found && born < s.born {
+		s.again = true
+		t.starts[id] = s
+	}
 }
 
 // Merge applies an announcement to the table.
@@ -133,9 +149,10 @@
 	d, departed := t.departures[s.ID]
 	old := t.servers[s.ID]
 	startedAgain := s.State != Gone && (old != nil && old.Born < s.Born || old == nil && departed && d.Born < s.Born)
+	t.noteEarlier(s.ID, s.Born)
 	change := t.merge(s)
-	if startedAgain && change == Changed {
-		t.restartedAt[s.ID] = s.LastSeen
+	if change == Changed && s.State != Gone && (startedAgain || t.starts[s.ID].born < s.Born) {
+		t.starts[s.ID] = incarnationStart{born: s.Born, heardAt: s.LastSeen, again: startedAgain}
 	}
 	if at := (position{s.Born, s.Sequence}); s.State == Ready && t.servers[s.ID] != nil && t.lastReady[s.ID].before(at) {
 		t.lastReady[s.ID] = at
