--- a/internal/replication/quorum.go
+++ b/internal/replication/quorum.go
@@ -113,7 +113,8 @@
 	if c.suspended || disk == c.cfg.Disk || slices.Contains(c.replaced, disk) || !hasDisk(c.voters.Voters, disk) {
 		return
 	}
-	c.replaced = append(c.replaced, disk)
+	// The slice is published with the status.
+	c.replaced = append(slices.Clone(c.replaced), disk)
 	slices.Sort(c.replaced)
 	c.updateConfirmed()
 }
