--- a/internal/directory/voters.go
+++ b/internal/directory/voters.go
@@ -156,10 +156,7 @@
 
 // changeVoters makes the voter changes that are due, one after the other.
 func (m *voterManager) changeVoters(ctx context.Context) {
-	for {
-		if !m.makeNextChange(ctx) {
-			return
-		}
+	for m.makeNextChange(ctx) {
 	}
 }
 
