--- a/internal/directory/voters_cases_test.go
+++ b/internal/directory/voters_cases_test.go
@@ -26,16 +26,15 @@
 	// ending and wiped name the processes that may end or lose their disks. The others are alike but for the
 	// leader, which each case is searched with.
 	ending, wiped string
-	events        modelWorld
+	events        modelEvents
 	// before are the steps that lead to the state in which the search begins, with the leader b.
 	before []voterStep
 }
 
 func (c voterCase) search(rules modelRules, leader int) *voterSearch {
 	w := settledGroup(c.voters, c.successors, leader)
-	e := &c.events
 	w.spare += int8(c.spare)
-	w.campaigns, w.commands, w.restarts, w.wipes, w.freezes, w.ends, w.losses = e.campaigns, e.commands, e.restarts, e.wipes, e.freezes, e.ends, e.losses
+	w.modelEvents = c.events
 	processes := func(names string) (out uint8) {
 		for _, n := range names {
 			out |= 1 << (n - 'a')
@@ -57,34 +56,35 @@
 
 // voterCases are searched with the leader that ends or is another one, and that loses its disk or keeps it.
 var voterCases = []voterCase{
-	{name: "a process joins, a voter loses its disk", voters: 3, successors: 1, tolerated: 1, wiped: "c", events: modelWorld{wipes: 1}},
-	{name: "a process joins, a voter freezes", voters: 3, successors: 1, tolerated: 1, events: modelWorld{freezes: 1}},
-	{name: "a process joins, a voter ends, one loses its disk", voters: 3, successors: 1, tolerated: 1, ending: "a", wiped: "bcd", events: modelWorld{ends: 1, wipes: 1}},
-	{name: "a voter ends, one loses its disk", leaders: []int{2}, deepLeader: []int{0}, voters: 4, spare: 1, tolerated: 1, ending: "a", wiped: "c", events: modelWorld{campaigns: 1, ends: 1, wipes: 1}},
-	{name: "the leader ends, one loses its disk", leaders: []int{0}, voters: 4, spare: 1, tolerated: 1, ending: "a", wiped: "c", events: modelWorld{ends: 1, wipes: 1}},
-	{name: "a voter ends, one freezes", voters: 4, spare: 1, tolerated: 1, ending: "a", events: modelWorld{ends: 1, freezes: 1}},
-	{name: "a voter ends, one loses its disk, all restart", voters: 4, spare: 1, tolerated: 1, ending: "a", wiped: "c", events: modelWorld{ends: 1, wipes: 1, restarts: 1}},
-	{name: "two voters end, one loses its disk", voters: 5, spare: 2, tolerated: 1, ending: "ab", wiped: "c", events: modelWorld{ends: 2, wipes: 1}},
-	{name: "five voters, one ends, one loses its disk", leaders: []int{2}, deepLeader: []int{0}, voters: 6, spare: 1, tolerated: 2, ending: "a", wiped: "c", events: modelWorld{ends: 1, wipes: 1}},
-	{name: "three voters, more losses than are tolerated", leaders: []int{2}, deepLeader: []int{0}, voters: 3, tolerated: 1, losses: 2, wiped: "bc", events: modelWorld{campaigns: 1, wipes: 2, commands: 1}},
-	{deep: true, name: knownToTheLeader, leaders: []int{1}, voters: 3, successors: 1, tolerated: 1, wiped: "c", events: modelWorld{campaigns: 2, wipes: 1}, before: []voterStep{
+	{name: "a process joins, a voter loses its disk", voters: 3, successors: 1, tolerated: 1, wiped: "c", events: modelEvents{wipes: 1}},
+	{name: "a process joins, a voter freezes", voters: 3, successors: 1, tolerated: 1, events: modelEvents{freezes: 1}},
+	{name: "a process joins, a voter ends, one loses its disk", voters: 3, successors: 1, tolerated: 1, ending: "a", wiped: "bcd", events: modelEvents{ends: 1, wipes: 1}},
+	{name: "a voter ends, one loses its disk", leaders: []int{2}, deepLeader: []int{0}, voters: 4, spare: 1, tolerated: 1, ending: "a", wiped: "c", events: modelEvents{campaigns: 1, ends: 1, wipes: 1}},
+	{name: "the leader ends, one loses its disk", leaders: []int{0}, voters: 4, spare: 1, tolerated: 1, ending: "a", wiped: "c", events: modelEvents{ends: 1, wipes: 1}},
+	{name: "a voter ends, one freezes", voters: 4, spare: 1, tolerated: 1, ending: "a", events: modelEvents{ends: 1, freezes: 1}},
+	{name: "a voter ends, one loses its disk, all restart", voters: 4, spare: 1, tolerated: 1, ending: "a", wiped: "c", events: modelEvents{ends: 1, wipes: 1, restarts: 1}},
+	{name: "two voters end, one loses its disk", voters: 5, spare: 2, tolerated: 1, ending: "ab", wiped: "c", events: modelEvents{ends: 2, wipes: 1}},
+	{name: "five voters, one ends, one loses its disk", leaders: []int{2}, deepLeader: []int{0}, voters: 6, spare: 1, tolerated: 2, ending: "a", wiped: "c", events: modelEvents{ends: 1, wipes: 1}},
+	{name: "three voters, more losses than are tolerated", leaders: []int{2}, deepLeader: []int{0}, voters: 3, tolerated: 1, losses: 2, wiped: "bc", events: modelEvents{campaigns: 1, wipes: 2, commands: 1}},
+	{deep: true, name: knownToTheLeader, leaders: []int{1}, voters: 3, successors: 1, tolerated: 1, wiped: "c", events: modelEvents{campaigns: 2, wipes: 1}, before: []voterStep{
 		{stepChange, 1, 1}, {stepReplicate, 1, 0}, {stepReplicate, 1, 0}, {stepReplicate, 1, 0}, {stepReplicate, 1, 2}, {stepReplicate, 1, 3}, {stepChange, 1, 1}, {stepReplicate, 1, 0},
 	}},
 
-	{deep: true, name: "a process joins, a voter loses its disk, an election", voters: 3, successors: 1, tolerated: 1, wiped: "c", events: modelWorld{campaigns: 1, wipes: 1}},
-	{deep: true, name: "a process joins, a voter freezes, an election", voters: 3, successors: 1, tolerated: 1, events: modelWorld{campaigns: 1, freezes: 1}},
-	{deep: true, name: "a voter ends, one loses its disk, a command", voters: 4, spare: 1, tolerated: 1, ending: "a", wiped: "c", events: modelWorld{campaigns: 1, ends: 1, wipes: 1, commands: 1}},
-	{deep: true, name: "a voter ends, one loses its disk, a restart, an election", voters: 4, spare: 1, tolerated: 1, ending: "a", wiped: "c", events: modelWorld{campaigns: 1, ends: 1, wipes: 1, restarts: 1}},
-	{deep: true, name: "a voter ends, one freezes, an election", voters: 4, spare: 1, tolerated: 1, ending: "a", events: modelWorld{campaigns: 1, ends: 1, freezes: 1}},
-	{deep: true, name: "a voter ends, one is lost for good, then one loses its disk", voters: 4, spare: 1, tolerated: 1, wiped: "c", events: modelWorld{campaigns: 1, losses: 1, wipes: 1}},
-	{deep: true, name: "five voters, one ends, two lose their disks", voters: 6, spare: 1, tolerated: 2, ending: "a", wiped: "bc", events: modelWorld{ends: 1, wipes: 2}},
-	{deep: true, name: "five voters, one ends, one loses its disk, an election", voters: 6, spare: 1, tolerated: 2, ending: "a", wiped: "c", events: modelWorld{campaigns: 1, ends: 1, wipes: 1}},
-	{deep: true, name: "four voters, more losses than are tolerated", voters: 4, tolerated: 1, losses: 2, wiped: "bc", events: modelWorld{campaigns: 2, wipes: 2, commands: 1}},
+	{deep: true, name: "a process joins, a voter loses its disk, an election", voters: 3, successors: 1, tolerated: 1, wiped: "c", events: modelEvents{campaigns: 1, wipes: 1}},
+	{deep: true, name: "a process joins, a voter freezes, an election", voters: 3, successors: 1, tolerated: 1, events: modelEvents{campaigns: 1, freezes: 1}},
+	{deep: true, name: "a voter ends, one loses its disk, a command", voters: 4, spare: 1, tolerated: 1, ending: "a", wiped: "c", events: modelEvents{campaigns: 1, ends: 1, wipes: 1, commands: 1}},
+	{deep: true, name: "a voter ends, one loses its disk, a restart, an election", voters: 4, spare: 1, tolerated: 1, ending: "a", wiped: "c", events: modelEvents{campaigns: 1, ends: 1, wipes: 1, restarts: 1}},
+	{deep: true, name: "a voter ends, one freezes, an election", voters: 4, spare: 1, tolerated: 1, ending: "a", events: modelEvents{campaigns: 1, ends: 1, freezes: 1}},
+	{deep: true, name: "a voter ends, one is lost for good, then one loses its disk", voters: 4, spare: 1, tolerated: 1, wiped: "c", events: modelEvents{campaigns: 1, losses: 1, wipes: 1}},
+	{deep: true, name: "five voters, one ends, two lose their disks", voters: 6, spare: 1, tolerated: 2, ending: "a", wiped: "bc", events: modelEvents{ends: 1, wipes: 2}},
+	{deep: true, name: "five voters, one ends, one loses its disk, an election", voters: 6, spare: 1, tolerated: 2, ending: "a", wiped: "c", events: modelEvents{campaigns: 1, ends: 1, wipes: 1}},
+	{deep: true, name: "four voters, more losses than are tolerated", voters: 4, tolerated: 1, losses: 2, wiped: "bc", events: modelEvents{campaigns: 2, wipes: 2, commands: 1}},
 }
 
 // Guards against a quorum that is lost for good although no more was lost than is to be borne (review/12: a planned
 // replacement and a lost disk within 3 s), and against mending that at the cost of an acknowledged entry, a vote or
-// a second leader. Each state is visited in which the processes can be, and each event may come in each of them.
+// a second leader. Within the events of a case each state of the model is visited, and each event that is left may come
+// in each of them; a process ends, or is asked to, only in a group that has settled.
 func TestVotersAreNeitherStuckNorForgetful(t *testing.T) {
 	for _, c := range voterCases {
 		if c.deep && !*votersDeep {
@@ -117,7 +117,7 @@
 		i := slices.IndexFunc(voterCases, func(c voterCase) bool { return c.name == name })
 		return voterCases[i]
 	}
-	fiveVoters := voterCase{voters: 5, tolerated: 2, losses: 2, wiped: "de", events: modelWorld{campaigns: 1, wipes: 2, commands: 1}, before: []voterStep{
+	fiveVoters := voterCase{voters: 5, tolerated: 2, losses: 2, wiped: "de", events: modelEvents{campaigns: 1, wipes: 2, commands: 1}, before: []voterStep{
 		{stepCommand, 1, 1}, {stepReplicate, 1, 3}, {stepReplicate, 1, 4},
 	}}
 	ends := byName("a voter ends, one loses its disk")
@@ -157,7 +157,7 @@
 // What stays impossible: a voter that is killed without notice while another one is lost for good, with no process in
 // its place. The two that are left cannot tell this from a split, so that they must not go on.
 func TestTwoOfFourVotersDoNotGoOnWithoutEvidence(t *testing.T) {
-	c := voterCase{voters: 4, spare: 1, tolerated: 1, ending: "a", events: modelWorld{ends: 1, losses: 1}}
+	c := voterCase{voters: 4, spare: 1, tolerated: 1, ending: "a", events: modelEvents{ends: 1, losses: 1}}
 	if s := c.search(modelRules{}, 2); !strings.Contains(s.violation, "no majority") {
 		t.Errorf("found %q", s.violation)
 	}
--- a/internal/directory/voters_model_changes_test.go
+++ b/internal/directory/voters_model_changes_test.go
@@ -14,7 +14,7 @@
 	}
 	set, _ := p.inForce()
 	s := &replication.Status{
-		ID: diskName(p.disk(i))[:1], Disk: diskName(p.disk(i)), Leading: true, Commit: uint64(p.commit), VotersDurable: true, Voters: m.set(set),
+		ID: processOn(p.disk(i)), Disk: diskName(p.disk(i)), Leading: true, Commit: uint64(p.commit), VotersDurable: true, Voters: m.set(set),
 		Progress: map[string]replication.MemberProgress{},
 	}
 	for _, d := range disksIn(set.voters | set.learners) {
@@ -25,7 +25,7 @@
 		if q := &w.p[d/2]; silent && (!q.reachable() || q.disk(d/2) != d) {
 			mp.SilentMs, mp.UnansweredMs = 60_000, 60_000
 		}
-		s.Progress[diskName(d)[:1]] = mp
+		s.Progress[processOn(d)] = mp
 	}
 	return s
 }
@@ -38,8 +38,8 @@
 	}
 	var joins []*fleetpb.JoinRequest
 	for j := range w.p {
-		if q := &w.p[j]; q.reachable() && !q.resigning && !isVoter(s.Voters, diskName(q.disk(j))[:1], diskName(q.disk(j))) {
-			joins = append(joins, &fleetpb.JoinRequest{Id: diskName(q.disk(j))[:1], Disk: diskName(q.disk(j))})
+		if q := &w.p[j]; q.reachable() && !q.resigning && !isVoter(s.Voters, processOn(q.disk(j)), diskName(q.disk(j))) {
+			joins = append(joins, &fleetpb.JoinRequest{Id: processOn(q.disk(j)), Disk: diskName(q.disk(j))})
 		}
 	}
 	c := nextVoterChange(s, joins, minVoters(m.tolerated))
@@ -64,7 +64,7 @@
 func (m *model) resign(w *modelWorld, i, j int) bool {
 	s := m.status(w, i, false)
 	q := &w.p[j]
-	if s == nil || i == j || !q.resigning || !q.reachable() || !isVoter(s.Voters, diskName(q.disk(j))[:1], diskName(q.disk(j))) || !isSurplus(s.Voters, minVoters(m.tolerated)) {
+	if s == nil || i == j || !q.resigning || !q.reachable() || !isVoter(s.Voters, processOn(q.disk(j)), diskName(q.disk(j))) || !isSurplus(s.Voters, minVoters(m.tolerated)) {
 		return false
 	}
 	set, _ := w.p[i].inForce()
--- a/internal/directory/voters_model_recovery_test.go
+++ b/internal/directory/voters_model_recovery_test.go
@@ -66,7 +66,7 @@
 		}
 	}
 	// What may still fail, and what was committed, makes no difference from here on.
-	w.lost, w.spare, w.campaigns, w.commands, w.restarts, w.wipes, w.freezes, w.ends, w.losses = 0, 0, 0, 0, 0, 0, 0, 0, 0
+	w.lost, w.spare, w.modelEvents = 0, 0, modelEvents{}
 	w.nCommitted, w.leaders = 0, [16]uint8{}
 	key := xxhash.Sum64(w.key(m.buf[:0]))
 	if out, known := m.recovered[key]; known {
--- a/internal/directory/voters_model_state_test.go
+++ b/internal/directory/voters_model_state_test.go
@@ -20,7 +20,7 @@
 	}
 	for i := range w.p {
 		p := &w.p[i]
-		flags(p.up, p.gone, p.frozen, p.resigning, p.leads, p.campaigns)
+		flags(p.up, p.frozen, p.resigning, p.leads, p.campaigns)
 		b = append(b, p.generation, p.term, p.vote, p.last, p.saved, p.commit, p.uncounted, p.since)
 		b = binary.LittleEndian.AppendUint16(b, p.replaced)
 		b = binary.LittleEndian.AppendUint16(b, p.votes)
--- a/internal/directory/voters_model_test.go
+++ b/internal/directory/voters_model_test.go
@@ -36,8 +36,8 @@
 }
 
 type modelProcess struct {
-	up, gone, frozen, resigning bool
-	generation                  uint8
+	up, frozen, resigning bool
+	generation            uint8
 	// Durable: the term, the disk voted for plus 1, the log, the commit index and the replaced disks.
 	term, vote, last, saved uint8
 	replaced                uint16
@@ -57,14 +57,16 @@
 	// has ended.
 	lost  uint8
 	spare int8
-	// How often each event may still happen.
-	campaigns, commands, restarts, wipes, freezes, ends, losses int8
-	committed                                                   [modelLog]modelEntry
-	nCommitted                                                  uint8
+	modelEvents
+	committed  [modelLog]modelEntry
+	nCommitted uint8
 	// leaders holds the disk, plus 1, that was elected in each term.
 	leaders [16]uint8
 }
 
+// modelEvents is how often each event may still happen.
+type modelEvents struct{ campaigns, commands, restarts, wipes, freezes, ends, losses int8 }
+
 // modelRules are the decisions that the search tests. Variants of them are known to be wrong.
 type modelRules struct {
 	uncountable func(set *pb.VoterSet, replaced []string, known bool) string
@@ -99,6 +101,9 @@
 
 func diskName(d int) string { return diskNames[d] }
 
+// processOn returns the name of the process that a disk belongs to.
+func processOn(d int) string { return diskName(d)[:1] }
+
 func diskNumber(name string) int { return diskOf(int(name[0]-'a'), int(name[1]-'0')) }
 
 func disksIn(set uint16) (out []int) {
@@ -114,7 +119,7 @@
 	}
 	voters := func(set uint16) (vs []*pb.Voter) {
 		for _, d := range disksIn(set) {
-			vs = append(vs, &pb.Voter{Id: diskName(d)[:1], Disk: diskName(d)})
+			vs = append(vs, &pb.Voter{Id: processOn(d), Disk: diskName(d)})
 		}
 		return vs
 	}
@@ -187,7 +192,7 @@
 
 // end has a process end for good.
 func (p *modelProcess) end() {
-	p.gone, p.up, p.resigning = true, false, false
+	p.up, p.resigning = false, false
 	p.follow()
 }
 
